Lay out the workspace, shared types, inner protocol and protocols page

Cause: there was nothing. All parts need the same names, clock, wire types and descriptions of the outside systems before they can be written side by side.

Conclusion: the parts can start.

--- /dev/null
+++ b/crates/base/src/cost.rs
@@ -0,0 +1,33 @@
+//! The cost of a request.
+
+use std::iter::Sum;
+use std::ops::{Add, AddAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// Cost of a request: generated tokens at a model engine, milliseconds of slot
+/// time at a plain service.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct Cost(pub u64);
+
+impl Add for Cost {
+    type Output = Cost;
+
+    fn add(self, other: Cost) -> Cost {
+        Cost(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Cost {
+    fn add_assign(&mut self, other: Cost) {
+        *self = *self + other;
+    }
+}
+
+impl Sum for Cost {
+    fn sum<I: Iterator<Item = Cost>>(costs: I) -> Cost {
+        costs.fold(Cost(0), Add::add)
+    }
+}
--- /dev/null
+++ b/crates/base/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The types that almost every module needs.
+
+pub use crate::cost::Cost;
+pub use crate::id::{
+    Attempt, Domain, Incarnation, Instance, Key, Request, Runner, Service, Workspace,
+};
+pub use crate::time::{Span, Time};
--- /dev/null
+++ b/crates/base/src/time.rs
@@ -0,0 +1,64 @@
+//! The clock type: milliseconds, as a point in time and as a length of time.
+
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, in milliseconds since the Unix epoch.
+///
+/// Within one process it never goes back: the process edge adds monotonic
+/// elapsed time to the wall-clock time read once at start.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct Time(pub u64);
+
+/// A length of time in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct Span(pub u64);
+
+impl Time {
+    /// Returns the time passed since `earlier`, zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    /// Returns a span of whole seconds.
+    #[must_use]
+    pub const fn from_secs(seconds: u64) -> Self {
+        Span(seconds * 1000)
+    }
+
+    /// Returns the span in milliseconds.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl From<Span> for std::time::Duration {
+    fn from(span: Span) -> Self {
+        std::time::Duration::from_millis(span.0)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! The `balsamchute-bench` command: demo, load and experiments.
+
+fn main() {}
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims of non-idempotent work: pure decision logic.
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions of one router: events in, actions out.
--- /dev/null
+++ b/crates/fair/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair queueing of requests and lending of slots: pure decision logic.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership and the spread of configuration: pure decision logic.
--- /dev/null
+++ b/crates/fuzz/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fuzz targets.
--- /dev/null
+++ b/crates/metrics/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics of a router.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router process: sockets, threads and actors around the decisions.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, model engines and plain services.
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines and plain services.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `balsamchute` command.
+
+fn main() {}
