--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,315 @@
+//! Which routers there are, from heartbeats passed on by peers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use balsamchute_base::prelude::*;
+use balsamchute_wire::exchange::{Member, Phase};
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+use smallvec::SmallVec;
+
+/// How long a router counts as connected after it last heard a peer or the
+/// platform's list.
+pub const ISOLATION: Span = Span::from_secs(3);
+
+/// One exchange in this many goes, beside the others, to a router believed
+/// dead, which heals a partition while the platform's list is not available.
+const RETRY_DEAD_ONE_IN: u32 = 4;
+
+/// Times that rule the table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// A router without a newer heartbeat for this long counts as dead.
+    pub timeout: Span,
+    /// A dead router is forgotten after this long without a newer heartbeat.
+    pub forget: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            timeout: Span::from_secs(2),
+            forget: Span::from_secs(600),
+        }
+    }
+}
+
+/// A router as the platform's list shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// The instance.
+    pub instance: Instance,
+    /// Where other routers reach it.
+    pub inner: SocketAddr,
+    /// Whether the list says that it leaves.
+    pub leaving: bool,
+}
+
+/// What an event changed in the table.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A router was heard of for the first time, or again after its death.
+    Joined(Instance),
+    /// A router has started again: what it held in memory is gone.
+    Restarted {
+        /// The router.
+        instance: Instance,
+        /// Its life before.
+        old: Incarnation,
+    },
+    /// A router counts as dead.
+    Left(Instance),
+    /// A router has published something new.
+    Updated(Instance),
+    /// Another process uses the name of this one with a later incarnation.
+    Superseded(Incarnation),
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    member: Member,
+    /// When its heartbeat last rose.
+    refreshed: Time,
+    alive: bool,
+}
+
+/// The routers that one router knows.
+#[derive(Clone, Debug)]
+pub struct Table {
+    me: Member,
+    settings: Settings,
+    peers: BTreeMap<Instance, Peer>,
+    /// The platform's list as last read, without this router.
+    listed: BTreeMap<Instance, Listed>,
+    /// Whether the platform's list says that this router leaves.
+    recalled: bool,
+    heard_peer: Option<Time>,
+    heard_list: Option<Time>,
+}
+
+impl Table {
+    /// Creates a table that knows `me` alone.
+    #[must_use]
+    pub fn new(me: Member, settings: Settings) -> Self {
+        Table {
+            me,
+            settings,
+            peers: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            recalled: false,
+            heard_peer: None,
+            heard_list: None,
+        }
+    }
+
+    /// Returns the entry of this router.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the entry of this router for changes. Call [`Table::beat`] to
+    /// have them spread.
+    pub fn me_mut(&mut self) -> &mut Member {
+        &mut self.me
+    }
+
+    /// Raises the heartbeat of this router.
+    pub fn beat(&mut self) {
+        self.me.beat += 1;
+    }
+
+    /// Takes in entries from a peer's frame. The newer `(incarnation, beat)`
+    /// wins, so order, repetition and loss of frames do not matter.
+    pub fn merge(&mut self, now: Time, members: &[Member]) -> SmallVec<[Change; 4]> {
+        members
+            .iter()
+            .filter_map(|member| self.merge_one(now, member))
+            .collect()
+    }
+
+    fn merge_one(&mut self, now: Time, member: &Member) -> Option<Change> {
+        if member.instance == self.me.instance {
+            let later = member.incarnation > self.me.incarnation;
+            return later.then_some(Change::Superseded(member.incarnation));
+        }
+        let Some(peer) = self.peers.get_mut(&member.instance) else {
+            self.peers
+                .insert(member.instance.clone(), Peer::new(now, member));
+            return Some(Change::Joined(member.instance.clone()));
+        };
+        if rank(member) <= rank(&peer.member) {
+            return None;
+        }
+        let before = std::mem::replace(peer, Peer::new(now, member));
+        change(&before, member)
+    }
+
+    /// Notes that `from` has answered or called this router.
+    pub fn hear(&mut self, now: Time, from: &Instance) {
+        if *from != self.me.instance {
+            self.heard_peer = self.heard_peer.max(Some(now));
+        }
+    }
+
+    /// Declares routers dead whose heartbeat has stopped, and forgets those
+    /// that have been dead for long.
+    pub fn expire(&mut self, now: Time) -> SmallVec<[Change; 4]> {
+        let settings = self.settings;
+        let mut changes = SmallVec::new();
+        self.peers.retain(|instance, peer| {
+            let age = now.since(peer.refreshed);
+            if peer.alive && age > settings.timeout {
+                peer.alive = false;
+                changes.push(Change::Left(instance.clone()));
+            }
+            age <= settings.forget.max(settings.timeout)
+        });
+        changes
+    }
+
+    /// Takes in the platform's list. It gives addresses to try and marks of
+    /// leaving; it makes nobody alive, because it lags.
+    pub fn seed(&mut self, now: Time, listed: &[Listed]) {
+        self.heard_list = self.heard_list.max(Some(now));
+        self.recalled = listed
+            .iter()
+            .any(|entry| entry.leaving && entry.instance == self.me.instance);
+        self.listed = listed
+            .iter()
+            .filter(|entry| entry.instance != self.me.instance)
+            .map(|entry| (entry.instance.clone(), entry.clone()))
+            .collect();
+    }
+
+    /// Returns whether the platform's list says that this router leaves.
+    #[must_use]
+    pub fn recalled(&self) -> bool {
+        self.recalled
+    }
+
+    /// Returns the routers that take requests, in order of name, this one
+    /// included if it does.
+    pub fn serving(&self) -> impl Iterator<Item = &Member> {
+        let before = self.peers.range(..self.me.instance.clone());
+        let after = self.peers.range(self.me.instance.clone()..);
+        before
+            .filter_map(|(_, peer)| self.serves(peer))
+            .chain(self.me_serving())
+            .chain(after.filter_map(|(_, peer)| self.serves(peer)))
+    }
+
+    fn me_serving(&self) -> Option<&Member> {
+        (self.me.phase == Phase::Serving).then_some(&self.me)
+    }
+
+    fn serves<'a>(&self, peer: &'a Peer) -> Option<&'a Member> {
+        let listed = self.listed.get(&peer.member.instance);
+        let leaving = listed.is_some_and(|entry| entry.leaving && entry.inner == peer.member.inner);
+        let serving = peer.alive && !leaving && peer.member.phase == Phase::Serving;
+        serving.then_some(&peer.member)
+    }
+
+    /// Returns the routers that are alive, in whichever phase, in order of
+    /// name and without this one.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.peers
+            .values()
+            .filter(|peer| peer.alive)
+            .map(|peer| &peer.member)
+    }
+
+    /// Returns what is known of a router that is alive, or of this one.
+    #[must_use]
+    pub fn get(&self, instance: &Instance) -> Option<&Member> {
+        if *instance == self.me.instance {
+            return Some(&self.me);
+        }
+        let peer = self.peers.get(instance)?;
+        peer.alive.then_some(&peer.member)
+    }
+
+    /// Chooses up to `count` addresses to exchange frames with: routers that
+    /// are alive or listed and not heard of yet, at random, and now and then
+    /// one that is believed dead.
+    pub fn partners(
+        &mut self,
+        random: &mut impl rand::Rng,
+        count: usize,
+    ) -> SmallVec<[SocketAddr; 4]> {
+        let alive = self.alive().map(|member| member.inner);
+        let unheard = self.unheard();
+        let mut partners: SmallVec<[SocketAddr; 4]> =
+            alive.chain(unheard).sample(random, count).into();
+        if random.random_ratio(1, RETRY_DEAD_ONE_IN) || partners.is_empty() {
+            let dead = self.peers.values().filter(|peer| !peer.alive);
+            partners.extend(dead.map(|peer| peer.member.inner).choose(random));
+        }
+        partners.truncate(count);
+        partners
+    }
+
+    fn unheard(&self) -> impl Iterator<Item = SocketAddr> {
+        self.listed
+            .values()
+            .filter(|entry| match self.peers.get(&entry.instance) {
+                Some(peer) => !peer.alive && peer.member.inner != entry.inner,
+                None => true,
+            })
+            .map(|entry| entry.inner)
+    }
+
+    /// Returns entries for a frame: this router first, then those alive whose
+    /// heartbeat rose most recently, at most `limit` in all.
+    #[must_use]
+    pub fn entries(&self, limit: usize) -> Vec<Member> {
+        let mut peers: Vec<&Peer> = self.peers.values().filter(|peer| peer.alive).collect();
+        peers.sort_by_key(|peer| std::cmp::Reverse(peer.refreshed));
+        let others = peers.into_iter().map(|peer| peer.member.clone());
+        std::iter::once(self.me.clone())
+            .chain(others)
+            .take(limit.max(1))
+            .collect()
+    }
+
+    /// Returns whether this router knows of others but has heard neither one
+    /// of them nor the platform's list within [`ISOLATION`]. It must start no
+    /// new work then, because a target may leave without its knowing.
+    #[must_use]
+    pub fn isolated(&self, now: Time) -> bool {
+        let alone = self.peers.is_empty() && self.listed.is_empty();
+        let recent = |heard: Option<Time>| heard.is_some_and(|at| now.since(at) <= ISOLATION);
+        !alone && !recent(self.heard_peer) && !recent(self.heard_list)
+    }
+}
+
+impl Peer {
+    fn new(now: Time, member: &Member) -> Self {
+        Peer {
+            member: member.clone(),
+            refreshed: now,
+            alive: true,
+        }
+    }
+}
+
+fn rank(member: &Member) -> (Incarnation, u64) {
+    (member.incarnation, member.beat)
+}
+
+fn change(before: &Peer, member: &Member) -> Option<Change> {
+    let instance = member.instance.clone();
+    let old = before.member.incarnation;
+    if member.incarnation > old {
+        return Some(Change::Restarted { instance, old });
+    }
+    if !before.alive {
+        return Some(Change::Joined(instance));
+    }
+    let same = Member {
+        beat: member.beat,
+        ..before.member.clone()
+    };
+    (same != *member).then_some(Change::Updated(instance))
+}
