Add the bench's caller, audit, report and router process

Cause: the experiments need a caller that checks every record and an audit that trusts only execution records. Change: caller with resends, stream checks, audit of outcomes, fairness and utilisation, loopback port blocks, control of router processes.

--- /dev/null
+++ b/crates/bench/src/caller/stream.rs
@@ -0,0 +1,112 @@
+//! Reads and checks the record stream of an answer.
+
+use std::io::BufRead;
+
+use balsamchute_base::digest::Hasher;
+use balsamchute_base::prelude::*;
+use balsamchute_wire::record::{End, Outcome, Record, Token};
+
+use super::call::Reply;
+
+/// A record stream being read.
+#[derive(Debug, Default)]
+pub struct Reader {
+    attempt: Option<Attempt>,
+    tokens: u64,
+    answer: String,
+    hasher: Hasher,
+    first_token: Option<Time>,
+    last_token: Option<Time>,
+    longest_gap: Span,
+}
+
+impl Reader {
+    /// Creates a reader that has seen nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns when the first token arrived.
+    #[must_use]
+    pub fn first_token(&self) -> Option<Time> {
+        self.first_token
+    }
+
+    /// Returns the longest time between two tokens.
+    #[must_use]
+    pub fn longest_gap(&self) -> Span {
+        self.longest_gap
+    }
+
+    /// Reads `stream` to its end record; `now` tells the time of each token.
+    pub fn read(&mut self, mut stream: impl BufRead, now: impl Fn() -> Time) -> Reply {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            match stream.read_line(&mut line) {
+                Ok(0) | Err(_) => return self.cut(),
+                Ok(_) if !line.ends_with('\n') => return self.cut(),
+                Ok(_) if line.trim().is_empty() => {}
+                Ok(_) => {
+                    if let Some(reply) = self.line(&line, now()) {
+                        return reply;
+                    }
+                }
+            }
+        }
+    }
+
+    fn cut(&self) -> Reply {
+        let tokens = self.tokens;
+        Reply::Cut { tokens }
+    }
+
+    fn line(&mut self, line: &str, now: Time) -> Option<Reply> {
+        let result = match Record::from_line(line) {
+            Ok(Record::Token(token)) => self.token(token, now).map(|()| None),
+            Ok(Record::End(end)) => self.end(end).map(Some),
+            Err(error) => Err(format!("record is malformed: {error}")),
+        };
+        result.unwrap_or_else(|reason| Some(Reply::Broken(reason)))
+    }
+
+    fn token(&mut self, token: Token, now: Time) -> Result<(), String> {
+        if token.index != self.tokens {
+            let expected = self.tokens;
+            return Err(format!("token {} came instead of {expected}", token.index));
+        }
+        let attempt = self.attempt.get_or_insert_with(|| token.attempt.clone());
+        if *attempt != token.attempt {
+            let other = token.attempt;
+            return Err(format!("token of attempt {other} came in {attempt}"));
+        }
+        self.tokens += 1;
+        self.hasher.update(token.text.as_bytes());
+        self.answer.push_str(&token.text);
+        self.first_token.get_or_insert(now);
+        if let Some(last) = self.last_token.replace(now) {
+            self.longest_gap = self.longest_gap.max(now.since(last));
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, end: End) -> Result<Reply, String> {
+        if end.tokens != self.tokens {
+            let tokens = self.tokens;
+            return Err(format!("end counts {} tokens, {tokens} came", end.tokens));
+        }
+        if end.digest != self.hasher.digest().to_string() {
+            return Err("digest differs from that of the tokens".to_owned());
+        }
+        let foreign = self.attempt.is_some() && end.attempt != self.attempt;
+        if foreign {
+            return Err("end is of another attempt than the tokens".to_owned());
+        }
+        if end.outcome == Outcome::NotRun && self.tokens > 0 {
+            return Err("outcome is not_run after tokens".to_owned());
+        }
+        let answer = std::mem::take(&mut self.answer);
+        Ok(Reply::End { end, answer })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/fleet/mod.rs
@@ -0,0 +1,3 @@
+//! A fleet of router processes over stand-ins.
+
+pub mod router;
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,13 @@
+//! What experiments on a router fleet are made of: a fleet of real router
+//! processes over stand-ins, callers, load, audits and reports.
+//!
+//! Each experiment is a file of its own in [`experiments`].
+
+pub mod audit;
+pub mod caller;
+pub mod clock;
+pub mod error;
+pub mod fleet;
+pub mod links;
+pub mod ports;
+pub mod report;
--- /dev/null
+++ b/crates/bench/tests/stream.rs
@@ -0,0 +1,76 @@
+//! A caller takes no stream for whole that is not.
+
+use balsamchute_base::digest::Hasher;
+use balsamchute_base::prelude::*;
+use balsamchute_bench::caller::call::Reply;
+use balsamchute_bench::caller::stream::Reader;
+use balsamchute_wire::record::{End, Record, Token};
+
+fn token(attempt: &str, index: u64, text: &str) -> String {
+    let attempt = Attempt::new(attempt).unwrap();
+    let text = text.to_owned();
+    Record::Token(Token {
+        attempt,
+        index,
+        text,
+    })
+    .to_line()
+}
+
+fn end(attempt: &str, texts: &[&str]) -> String {
+    let mut hasher = Hasher::new();
+    texts.iter().for_each(|text| hasher.update(text.as_bytes()));
+    let attempt = Attempt::new(attempt).unwrap();
+    Record::End(End::done(&attempt, texts.len() as u64, hasher.digest())).to_line()
+}
+
+fn read(lines: &[String]) -> Reply {
+    Reader::new().read(lines.concat().as_bytes(), || Time(1))
+}
+
+#[test]
+fn whole_stream_with_keep_alives() {
+    let lines = [
+        "\n".to_owned(),
+        token("a", 0, "one "),
+        "\n".to_owned(),
+        token("a", 1, "two"),
+        end("a", &["one ", "two"]),
+    ];
+    let Reply::End { answer, .. } = read(&lines) else {
+        panic!("{:?}", read(&lines));
+    };
+    assert_eq!(answer, "one two");
+}
+
+#[test]
+fn stream_without_end_is_cut() {
+    let lines = [token("a", 0, "one ")];
+    assert_eq!(read(&lines), Reply::Cut { tokens: 1 });
+    let torn = end("a", &[]).trim_end().to_owned();
+    assert_eq!(read(&[torn]), Reply::Cut { tokens: 0 });
+}
+
+#[test]
+fn broken_streams_are_found() {
+    let missing = [token("a", 1, "two"), end("a", &["two"])];
+    let foreign = [token("a", 0, "x"), token("b", 1, "y")];
+    let other_end = [token("a", 0, "x"), end("b", &["x"])];
+    let digest = [token("a", 0, "x"), end("a", &["y"])];
+    let count = [token("a", 0, "x"), end("a", &["x", ""])];
+    let noise = ["{]\n".to_owned()];
+    let all: [&[String]; 6] = [&missing, &foreign, &other_end, &digest, &count, &noise];
+    for lines in all {
+        assert!(matches!(read(lines), Reply::Broken(_)), "{lines:?}");
+    }
+}
+
+#[test]
+fn any_bytes_are_read_without_a_panic() {
+    bolero::check!()
+        .with_iterations(2000)
+        .for_each(|bytes: &[u8]| {
+            let reply = Reader::new().read(bytes, || Time(1));
+            assert!(!matches!(reply, Reply::Unreachable(_)));
+        });
+}
