Prove membership, configuration, leaving marks and racing operators by properties

Cause: the promises that an accepted configuration never reverts, that a leaving target stays left and that a lost answer is settled truthfully need proofs over arbitrary order, repetition and loss. Change: properties over the pure logic; change::settle with a document that remembers the ids of past changes, without which an answer lost before a later change could not be settled; Table::fail for refused connections.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -153,6 +153,14 @@
         }
     }
 
+    /// Notes that `instance` refused a connection: it counts as dead until its
+    /// heartbeat is seen to rise again.
+    pub fn fail(&mut self, instance: &Instance) -> Option<Change> {
+        let peer = self.peers.get_mut(instance)?;
+        let alive = std::mem::replace(&mut peer.alive, false);
+        alive.then(|| Change::Left(instance.clone()))
+    }
+
     /// Declares routers dead whose heartbeat has stopped, and forgets those
     /// that have been dead for long.
     pub fn expire(&mut self, now: Time) -> SmallVec<[Change; 4]> {
--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,237 @@
+//! Membership under any order, repetition and loss of frames.
+
+use balsamchute_base::prelude::*;
+use balsamchute_fleet::members::{Change, ISOLATION, Listed, Settings, Table};
+use balsamchute_wire::exchange::{Member, Phase};
+use bolero::TypeGenerator;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+fn instance(number: u8) -> Instance {
+    Instance::new(&format!("router-{number}")).expect("a name")
+}
+
+fn member(number: u8, incarnation: u64, beat: u64) -> Member {
+    Member {
+        instance: instance(number),
+        incarnation: Incarnation(incarnation),
+        beat,
+        phase: Phase::Serving,
+        domain: Domain::new("mids-brum").expect("a name"),
+        callers: ([127, 0, 0, 1], 7000 + u16::from(number)).into(),
+        inner: ([127, 0, 0, 1], 8000 + u16::from(number)).into(),
+        config: beat,
+        services: Vec::new(),
+    }
+}
+
+fn table(number: u8) -> Table {
+    Table::new(member(number, 1, 0), Settings::default())
+}
+
+fn listed(number: u8, leaving: bool) -> Listed {
+    Listed {
+        instance: instance(number),
+        inner: member(number, 1, 0).inner,
+        leaving,
+    }
+}
+
+fn names(table: &Table) -> Vec<&str> {
+    table.serving().map(|m| m.instance.as_str()).collect()
+}
+
+#[test]
+fn merges_commute_and_repeat_without_effect() {
+    bolero::check!()
+        .with_iterations(3_000)
+        .with_type::<(Vec<(u8, u8, u8)>, u64)>()
+        .for_each(|(entries, seed)| {
+            let entries: Vec<Member> = entries
+                .iter()
+                .map(|&(n, i, b)| member(1 + n % 6, u64::from(i % 3), b.into()))
+                .collect();
+            let mut shuffled: Vec<Member> = entries.iter().chain(&entries).cloned().collect();
+            shuffled.shuffle(&mut ChaCha8Rng::seed_from_u64(*seed));
+            let (mut one, mut other) = (table(0), table(0));
+            one.merge(Time(5), &entries);
+            for member in shuffled {
+                other.merge(Time(5), &[member]);
+            }
+            assert!(one.alive().eq(other.alive()));
+            assert!(one.merge(Time(5), &entries).is_empty());
+        });
+}
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Event {
+    Beat(u8),
+    Restart(u8),
+    /// A frame from one to another, as it stands now or as it stood before.
+    Frame {
+        from: u8,
+        to: u8,
+        old: bool,
+    },
+    Expire(u8),
+    Pass(u8),
+}
+
+const ROUTERS: u8 = 5;
+
+#[test]
+fn knowledge_only_grows_and_the_fleet_converges_after_any_history() {
+    bolero::check!()
+        .with_iterations(1_500)
+        .with_type::<Vec<Event>>()
+        .for_each(|events| {
+            let mut now = Time(0);
+            let mut tables: Vec<Table> = (0..ROUTERS).map(table).collect();
+            let mut frames: Vec<Vec<Member>> = tables.iter().map(|t| t.entries(64)).collect();
+            for event in events {
+                play(event, &mut now, &mut tables, &mut frames);
+            }
+            converge(now, tables);
+        });
+}
+
+fn play(event: &Event, now: &mut Time, tables: &mut [Table], frames: &mut [Vec<Member>]) {
+    let at = |number: u8| usize::from(number % ROUTERS);
+    match *event {
+        Event::Beat(router) => tables[at(router)].beat(),
+        Event::Restart(router) => {
+            let old = tables[at(router)].me().incarnation;
+            let me = member(router % ROUTERS, old.0 + 1, 0);
+            tables[at(router)] = Table::new(me, Settings::default());
+        }
+        Event::Frame { from, to, old } => {
+            if !old {
+                frames[at(from)] = tables[at(from)].entries(64);
+            }
+            let before: Vec<Member> = tables[at(to)].alive().cloned().collect();
+            tables[at(to)].merge(*now, &frames[at(from)]);
+            for known in before {
+                let after = tables[at(to)].get(&known.instance);
+                let after = after.expect("merging kills nobody");
+                assert!((after.incarnation, after.beat) >= (known.incarnation, known.beat));
+            }
+        }
+        Event::Expire(router) => {
+            tables[at(router)].expire(*now);
+        }
+        Event::Pass(tens) => *now = *now + Span(u64::from(tens) * 10),
+    }
+}
+
+/// Everybody beats and meets everybody: all see all, in the latest life.
+fn converge(now: Time, mut tables: Vec<Table>) {
+    for table in &mut tables {
+        table.beat();
+    }
+    let frames: Vec<Vec<Member>> = tables.iter().map(|t| t.entries(64)).collect();
+    for table in &mut tables {
+        for frame in &frames {
+            table.merge(now, frame);
+        }
+    }
+    let everybody: Vec<Member> = tables.iter().map(|t| t.me().clone()).collect();
+    for table in &mut tables {
+        assert!(table.expire(now).is_empty());
+        assert!(table.serving().eq(everybody.iter()));
+    }
+}
+
+#[test]
+fn a_router_without_beats_dies_and_old_frames_do_not_revive_it() {
+    let mut table = table(0);
+    let joined = table.merge(Time(0), &[member(1, 1, 7)]);
+    assert_eq!(joined.as_slice(), [Change::Joined(instance(1))]);
+    assert!(table.expire(Time(2_000)).is_empty());
+    let left = table.expire(Time(2_001));
+    assert_eq!(left.as_slice(), [Change::Left(instance(1))]);
+    assert!(table.merge(Time(2_002), &[member(1, 1, 7)]).is_empty());
+    assert_eq!(names(&table), ["router-0"]);
+    let again = table.merge(Time(2_003), &[member(1, 1, 8)]);
+    assert_eq!(again.as_slice(), [Change::Joined(instance(1))]);
+    let restarted = table.merge(Time(2_004), &[member(1, 2, 0)]);
+    let expected = Change::Restarted {
+        instance: instance(1),
+        old: Incarnation(1),
+    };
+    assert_eq!(restarted.as_slice(), [expected]);
+}
+
+#[test]
+fn a_refused_connection_counts_as_death_until_the_next_beat() {
+    let mut table = table(0);
+    table.merge(Time(0), &[member(1, 1, 7)]);
+    assert_eq!(table.fail(&instance(1)), Some(Change::Left(instance(1))));
+    assert_eq!(table.fail(&instance(1)), None);
+    table.merge(Time(1), &[member(1, 1, 7)]);
+    assert_eq!(names(&table), ["router-0"]);
+    table.merge(Time(2), &[member(1, 1, 8)]);
+    assert_eq!(names(&table), ["router-0", "router-1"]);
+}
+
+#[test]
+fn a_later_life_under_the_own_name_is_reported() {
+    let mut table = table(0);
+    assert!(table.merge(Time(0), &[member(0, 1, 9)]).is_empty());
+    let changes = table.merge(Time(0), &[member(0, 2, 0)]);
+    assert_eq!(changes.as_slice(), [Change::Superseded(Incarnation(2))]);
+}
+
+#[test]
+fn routers_that_leave_or_are_listed_as_leaving_do_not_serve() {
+    let mut table = table(0);
+    let mut leaving = member(1, 1, 1);
+    leaving.phase = Phase::Leaving;
+    table.merge(Time(0), &[leaving, member(2, 1, 1), member(3, 1, 1)]);
+    let list = [listed(0, true), listed(2, true), listed(3, false)];
+    table.seed(Time(0), &list);
+    assert_eq!(names(&table), ["router-0", "router-3"]);
+    assert!(table.recalled());
+}
+
+#[test]
+fn a_router_that_hears_nobody_is_isolated_unless_it_is_the_only_one() {
+    let mut table = table(0);
+    assert!(!table.isolated(Time(60_000)), "it knows nobody else");
+    table.seed(Time(0), &[listed(0, false), listed(1, false)]);
+    assert!(!table.isolated(Time(0) + ISOLATION));
+    let late = Time(1) + ISOLATION;
+    assert!(table.isolated(late));
+    table.hear(late, &instance(0));
+    assert!(table.isolated(late), "it heard only itself");
+    table.hear(late, &instance(1));
+    assert!(!table.isolated(late + ISOLATION));
+}
+
+#[test]
+fn partners_cover_unheard_listed_routers_and_after_a_cut_the_dead() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut table = table(0);
+    table.seed(Time(0), &[listed(0, false), listed(1, false)]);
+    let partners = table.partners(&mut random, 2);
+    assert_eq!(partners.as_slice(), [member(1, 1, 0).inner]);
+    table.seed(Time(0), &[]);
+    table.merge(Time(0), &[member(1, 1, 1), member(2, 1, 1)]);
+    table.expire(Time(10_000));
+    let partners = table.partners(&mut random, 2);
+    assert_eq!(partners.len(), 1, "one that is believed dead");
+    table.merge(Time(10_000), &[member(1, 1, 2)]);
+    let both = (0..200).any(|_| table.partners(&mut random, 2).len() == 2);
+    assert!(both, "the dead are tried beside the living");
+}
+
+#[test]
+fn frames_stay_small_and_put_the_freshest_first() {
+    let mut table = table(0);
+    for number in 1..40 {
+        table.merge(Time(u64::from(number)), &[member(number, 1, 1)]);
+    }
+    let entries = table.entries(3);
+    let names: Vec<&str> = entries.iter().map(|m| m.instance.as_str()).collect();
+    assert_eq!(names, ["router-0", "router-39", "router-38"]);
+}
--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -14,8 +14,15 @@
     pub author: String,
     /// Inventory and rules in YAML.
     pub text: String,
+    /// Ids of the changes before, the newest first, at most [`MAX_PAST`].
+    #[serde(default)]
+    pub past: Vec<String>,
 }
 
+/// Changes that a document remembers. A lost answer can be settled until as
+/// many changes have followed.
+pub const MAX_PAST: usize = 32;
+
 /// Names a version without carrying it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Stamp {
