Measure slopes of the parts for docs/CAPACITY.md

Change: capacity runs each part at four sizes, each in a process of its own, fits lines, writes the page's table and a plot; bad sizes are named.

--- /dev/null
+++ b/crates/bench/src/capacity/page.rs
@@ -0,0 +1,121 @@
+//! The part of docs/CAPACITY.md that a run writes.
+
+use std::path::Path;
+
+use super::probe::Slope;
+use crate::error::Error;
+use crate::report::Table;
+
+/// The line before what a run writes.
+pub const START: &str = "<!-- capacity: start -->";
+
+/// The line after what a run writes.
+pub const END: &str = "<!-- capacity: end -->";
+
+/// Returns the table of slopes.
+#[must_use]
+pub fn table(slopes: &[Slope]) -> Table {
+    let heads = [
+        "probe",
+        "what",
+        "against",
+        "at zero",
+        "slope",
+        "largest size",
+        "figure there",
+        "unit",
+        "fit error",
+    ];
+    let mut table = Table::new(&heads);
+    for slope in slopes {
+        table.row([
+            slope.name.to_owned(),
+            slope.what.to_owned(),
+            slope.against.to_owned(),
+            number(slope.line.base),
+            number(slope.line.slope),
+            number(slope.points.last().map_or(0.0, |point| point.0)),
+            number(slope.full()),
+            slope.unit.to_owned(),
+            format!("{:.0}%", slope.line.error * 100.0),
+        ]);
+    }
+    table
+}
+
+/// Returns a number with as many digits as matter.
+#[must_use]
+pub fn number(value: f64) -> String {
+    match value.abs() {
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        size if size > 0.0 => format!("{value:.4}"),
+        _ => "0".to_owned(),
+    }
+}
+
+/// Puts `text` between the marks of the page at `path`.
+///
+/// # Errors
+///
+/// Returns [`Error::Read`] if the page cannot be read or lacks the marks,
+/// [`Error::Write`] if it cannot be written.
+pub fn write(path: &Path, text: &str) -> Result<(), Error> {
+    let page = read(path)?;
+    let name = path.display().to_string();
+    let replaced = replace(&page, text).ok_or_else(|| Error::Read {
+        path: name.clone(),
+        reason: format!("it lacks the lines {START} and {END}"),
+    })?;
+    std::fs::write(path, replaced).map_err(|error| Error::Write {
+        path: name,
+        reason: error.to_string(),
+    })
+}
+
+/// Checks that the page at `path` can be written later.
+///
+/// # Errors
+///
+/// Returns the errors that [`write`] would.
+pub fn check(path: &Path) -> Result<(), Error> {
+    let page = read(path)?;
+    if replace(&page, "").is_none() {
+        return Err(Error::Read {
+            path: path.display().to_string(),
+            reason: format!("it lacks the lines {START} and {END}"),
+        });
+    }
+    check_writable(path)
+}
+
+/// Checks that a file at `path` can be written, and leaves what it holds.
+///
+/// # Errors
+///
+/// Returns [`Error::Write`] if it cannot.
+pub fn check_writable(path: &Path) -> Result<(), Error> {
+    let file = std::fs::OpenOptions::new()
+        .append(true)
+        .create(true)
+        .open(path);
+    file.map(|_| ()).map_err(|error| Error::Write {
+        path: path.display().to_string(),
+        reason: error.to_string(),
+    })
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|error| Error::Read {
+        path: path.display().to_string(),
+        reason: error.to_string(),
+    })
+}
+
+/// Returns `page` with `text` between the marks, `None` if it lacks them.
+#[must_use]
+pub fn replace(page: &str, text: &str) -> Option<String> {
+    let (before, rest) = page.split_once(START)?;
+    let (_, after) = rest.split_once(END)?;
+    Some(format!("{before}{START}\n{text}{END}{after}"))
+}
--- /dev/null
+++ b/crates/bench/src/deployment.rs
@@ -0,0 +1,234 @@
+//! The users' deployments at the sizes of the brief.
+
+use std::net::SocketAddr;
+
+use balsamchute_base::prelude::*;
+use balsamchute_inventory::config::{self, Config, Kind};
+
+/// Workspaces of each deployment.
+const WORKSPACES: usize = 16;
+
+/// Weights of the first workspaces; the others weigh 1.
+const LARGE_WEIGHTS: [u32; 3] = [4, 4, 2];
+
+/// A service with equal runners.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pool {
+    /// Name of the service.
+    pub service: &'static str,
+    /// What its runners speak.
+    pub kind: Kind,
+    /// Number of runners.
+    pub runners: usize,
+    /// Slots of each runner.
+    pub slots: u32,
+}
+
+/// What one user runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Deployment {
+    /// Name of the user.
+    pub name: &'static str,
+    /// The region.
+    pub region: &'static str,
+    /// Failure domains.
+    pub domains: Vec<&'static str>,
+    /// Number of routers.
+    pub routers: usize,
+    /// The services: the model engines first, then the plain services.
+    pub pools: Vec<Pool>,
+    /// Weight of each workspace.
+    pub weights: Vec<(Workspace, u32)>,
+    /// Whether every second runner ignores fencing numbers.
+    pub mixed_fencing: bool,
+}
+
+/// A runner of a deployment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Name of the runner.
+    pub runner: String,
+    /// Its service.
+    pub service: &'static str,
+    /// What it speaks.
+    pub kind: Kind,
+    /// Its failure domain.
+    pub domain: &'static str,
+    /// Its slots.
+    pub slots: u32,
+    /// Whether it checks fencing numbers.
+    pub fencing: bool,
+}
+
+impl Deployment {
+    /// Creates the deployment of the Association.
+    #[must_use]
+    pub fn association() -> Self {
+        Deployment {
+            name: "association",
+            region: "mids",
+            domains: vec!["mids-brum", "mids-notts", "mids-coventry"],
+            routers: 8,
+            pools: pools("drafting-desk", "dispatch-board", 3),
+            weights: weights("member"),
+            mixed_fencing: true,
+        }
+    }
+
+    /// Creates the deployment of the Caixa.
+    #[must_use]
+    pub fn caixa() -> Self {
+        Deployment {
+            name: "caixa",
+            region: "rs-sul",
+            domains: vec!["poa-centro", "poa-norte", "canoas", "gravatai"],
+            routers: 7,
+            pools: pools("parecer-llm", "balcao-app", 4),
+            weights: weights("grupo"),
+            mixed_fencing: true,
+        }
+    }
+
+    /// Returns the deployment of that name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "association" => Some(Self::association()),
+            "caixa" => Some(Self::caixa()),
+            _ => None,
+        }
+    }
+
+    /// Sets the number of routers.
+    #[must_use]
+    pub fn with_routers(mut self, routers: usize) -> Self {
+        self.routers = routers;
+        self
+    }
+
+    /// Returns the failure domain of the router or runner with this number.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment has no failure domain.
+    #[must_use]
+    pub fn domain(&self, number: usize) -> &'static str {
+        self.domains[number % self.domains.len()]
+    }
+
+    /// Returns the service of the model engines.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment has no service.
+    #[must_use]
+    pub fn engine_service(&self) -> Service {
+        service_name(self.pools[0].service)
+    }
+
+    /// Returns the plain service.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment has only one service.
+    #[must_use]
+    pub fn plain_service(&self) -> Service {
+        service_name(self.pools[1].service)
+    }
+
+    /// Returns the runners in order.
+    #[must_use]
+    pub fn places(&self) -> Vec<Place> {
+        let mut places = Vec::new();
+        for pool in &self.pools {
+            for number in 0..pool.runners {
+                places.push(Place {
+                    runner: format!("{}-{}", pool.service, number + 1),
+                    service: pool.service,
+                    kind: pool.kind,
+                    domain: self.domain(number),
+                    slots: pool.slots,
+                    fencing: !self.mixed_fencing || number % 2 == 0,
+                });
+            }
+        }
+        places
+    }
+
+    /// Returns the inventory and rules, with the runners at `addresses`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name of the deployment is not valid.
+    #[must_use]
+    pub fn config(&self, addresses: &[SocketAddr]) -> Config {
+        let mut config = Config::default();
+        for domain in &self.domains {
+            let region = self.region.to_owned();
+            config
+                .domains
+                .insert(domain_name(domain), config::Domain { region });
+        }
+        for pool in &self.pools {
+            let kind = pool.kind;
+            config
+                .services
+                .insert(service_name(pool.service), config::Service { kind });
+        }
+        for (place, &address) in self.places().iter().zip(addresses) {
+            let runner = config::Runner {
+                service: service_name(place.service),
+                domain: domain_name(place.domain),
+                address,
+                slots: place.slots,
+                fencing: place.fencing,
+            };
+            let name = Runner::new(&place.runner).expect("runners have valid names");
+            config.runners.insert(name, runner);
+        }
+        for (workspace, weight) in &self.weights {
+            let share = config::Share {
+                weight: *weight,
+                homes: 1,
+                limits: config::Limits::default(),
+            };
+            config.workspaces.insert(workspace.clone(), share);
+        }
+        config
+    }
+}
+
+fn service_name(name: &str) -> Service {
+    Service::new(name).expect("services have valid names")
+}
+
+fn domain_name(name: &str) -> Domain {
+    Domain::new(name).expect("failure domains have valid names")
+}
+
+fn pools(engines: &'static str, plain: &'static str, plain_runners: usize) -> Vec<Pool> {
+    vec![
+        Pool {
+            service: engines,
+            kind: Kind::Engine,
+            runners: 12,
+            slots: 2,
+        },
+        Pool {
+            service: plain,
+            kind: Kind::Plain,
+            runners: plain_runners,
+            slots: 4,
+        },
+    ]
+}
+
+fn weights(stem: &str) -> Vec<(Workspace, u32)> {
+    let weight = |number: usize| LARGE_WEIGHTS.get(number).copied().unwrap_or(1);
+    let named = |number: usize| {
+        let name = format!("{stem}-{:02}", number + 1);
+        let workspace = Workspace::new(&name).expect("workspaces have valid names");
+        (workspace, weight(number))
+    };
+    (0..WORKSPACES).map(named).collect()
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,9 +5,13 @@
 
 pub mod audit;
 pub mod caller;
+pub mod capacity;
 pub mod clock;
+pub mod deployment;
 pub mod error;
+pub mod experiments;
 pub mod fleet;
 pub mod links;
 pub mod ports;
 pub mod report;
+pub mod traffic;
--- /dev/null
+++ b/crates/bench/tests/capacity.rs
@@ -0,0 +1,125 @@
+//! Fits, bad sizes and the part of the page that a run writes.
+
+use balsamchute_bench::capacity::fit::Line;
+use balsamchute_bench::capacity::inventory;
+use balsamchute_bench::capacity::page::{self, END, START};
+use balsamchute_bench::capacity::size::Size;
+use balsamchute_inventory::document;
+
+const MEMORY: u64 = 32 << 30;
+
+#[test]
+fn line_through_exact_points() {
+    let line = Line::new(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]);
+    assert!((line.base - 3.0).abs() < 1e-9 && (line.slope - 2.0).abs() < 1e-9);
+    assert!(line.error < 1e-9);
+    assert!((line.at(10.0) - 23.0).abs() < 1e-9);
+}
+
+#[test]
+fn line_tells_how_far_points_are_off() {
+    let line = Line::new(&[(0.0, 0.0), (1.0, 10.0), (2.0, 0.0)]);
+    assert!(line.error > 0.5, "{line:?}");
+}
+
+#[test]
+fn level_line_without_two_sizes() {
+    let line = Line::new(&[(3.0, 5.0), (3.0, 7.0)]);
+    assert!((line.at(100.0) - 6.0).abs() < 1e-9);
+}
+
+#[test]
+fn sizes_of_zero_are_named() {
+    let zeros = [
+        (
+            "nodes",
+            Size {
+                nodes: 0,
+                ..Size::letter()
+            },
+        ),
+        (
+            "runners",
+            Size {
+                runners: 0,
+                ..Size::letter()
+            },
+        ),
+        (
+            "workspaces",
+            Size {
+                workspaces: 0,
+                ..Size::letter()
+            },
+        ),
+        (
+            "backlogged",
+            Size {
+                backlogged: 0,
+                ..Size::letter()
+            },
+        ),
+    ];
+    for (name, size) in zeros {
+        let error = size.check(MEMORY).unwrap_err().to_string();
+        assert!(
+            error.contains(name) && error.contains("at least 1"),
+            "{error}"
+        );
+    }
+}
+
+#[test]
+fn sizes_beyond_the_machine_are_named() {
+    let size = Size {
+        runners: 900_000,
+        ..Size::letter()
+    };
+    let error = size.check(1 << 30).unwrap_err().to_string();
+    assert!(
+        error.contains("runners") && error.contains("memory"),
+        "{error}"
+    );
+    let size = Size {
+        nodes: u64::MAX,
+        ..Size::letter()
+    };
+    assert!(size.check(MEMORY).is_err());
+    assert!(Size::letter().check(MEMORY).is_ok());
+}
+
+#[test]
+fn more_backlogged_than_workspaces_is_an_error() {
+    let size = Size {
+        backlogged: 6_000,
+        ..Size::letter()
+    };
+    let error = size.check(MEMORY).unwrap_err().to_string();
+    assert!(
+        error.contains("backlogged") && error.contains("5800"),
+        "{error}"
+    );
+}
+
+#[test]
+fn page_keeps_what_stands_around_the_marks() {
+    let old = format!("before\n{START}\nold\n{END}\nafter\n");
+    let new = page::replace(&old, "| new |\n").unwrap();
+    assert_eq!(new, format!("before\n{START}\n| new |\n{END}\nafter\n"));
+    assert_eq!(page::replace("no marks", ""), None);
+}
+
+#[test]
+fn unwritable_output_is_named() {
+    let path = std::path::Path::new("/nonexistent/plot.svg");
+    let error = page::check_writable(path).unwrap_err().to_string();
+    assert!(error.contains("/nonexistent/plot.svg"), "{error}");
+    assert!(page::check(path).is_err());
+}
+
+#[test]
+fn synthetic_inventory_is_a_valid_one() {
+    let config = inventory::config(30, 10, 4);
+    let parsed = document::parse(&document::text(&config), "inventory.yaml");
+    assert_eq!(parsed.unwrap(), config);
+}
