Add stand-ins and clients of model engines and plain services

Cause: the path from router to target needs both ends. Change: an engine with continuous batching, prefix cache, late events and reports, orders, fencing, crashes and resumable streams made by one thread; a plain service likewise; execution records for audits. Clients whose errors tell not sent, refused, may have run, crashed and cut apart; streams resume at the next token after a lost connection, a gap, a repetition or garbage. Ruled out: connections dropped by tiny_http, which hides its sockets; a relay in front cuts them. The probe is repeated, and the relay closes the listener first.

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -31,7 +31,7 @@
     /// Returns the error of the socket if it cannot be listened on.
     pub fn start<F>(address: SocketAddr, handle: F) -> io::Result<Self>
     where
-        F: Fn(Request, &Link) + Send + Sync + 'static,
+        F: Fn(Request, &Arc<Link>) + Send + Sync + 'static,
     {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         // Accepted sockets inherit this; without it a token waits for the
@@ -56,6 +56,12 @@
     pub fn link(&self) -> &Link {
         &self.link
     }
+
+    /// Returns the link for a thread that outlives the borrow.
+    #[must_use]
+    pub fn shared_link(&self) -> Arc<Link> {
+        Arc::clone(&self.link)
+    }
 }
 
 impl Drop for Server {
@@ -67,7 +73,7 @@
 
 fn serve<F>(http: &tiny_http::Server, link: &Arc<Link>, handle: &Arc<F>)
 where
-    F: Fn(Request, &Link) + Send + Sync + 'static,
+    F: Fn(Request, &Arc<Link>) + Send + Sync + 'static,
 {
     while let Ok(request) = http.recv() {
         let (link, handle) = (Arc::clone(link), Arc::clone(handle));
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -10,6 +10,8 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 
+use socket2::{Domain, Socket, Type};
+
 /// Stack of a relay thread in bytes.
 const STACK_BYTES: usize = 64 * 1024;
 
@@ -34,7 +36,6 @@
 struct State {
     /// Number of times that the link was opened or closed.
     epoch: u64,
-    open: bool,
     frozen: bool,
     /// Connections by the local address of their server side.
     pairs: HashMap<SocketAddr, Pair>,
@@ -64,6 +65,8 @@
 /// A relay from a public address to a private one.
 pub struct Link {
     shared: Arc<Shared>,
+    /// Bound but not listening: keeps the port from others while closed.
+    _reservation: Socket,
     acceptor: Mutex<Option<thread::JoinHandle<()>>>,
 }
 
@@ -74,20 +77,25 @@
     ///
     /// Returns the error of the socket if `address` cannot be listened on.
     pub fn start(address: SocketAddr, upstream: SocketAddr) -> io::Result<Self> {
+        let reservation = reserve(address)?;
+        let address = TcpListener::from(reservation.try_clone()?).local_addr()?;
         let listener = TcpListener::bind(address)?;
         let shared = Arc::new(Shared {
-            address: listener.local_addr()?,
+            address,
             upstream,
             state: Mutex::new(State {
                 epoch: 1,
-                open: true,
                 frozen: false,
                 pairs: HashMap::new(),
             }),
             thawed: Condvar::new(),
         });
         let acceptor = Mutex::new(Some(accept(&shared, listener, 1)?));
-        Ok(Self { shared, acceptor })
+        Ok(Self {
+            shared,
+            _reservation: reservation,
+            acceptor,
+        })
     }
 
     /// Returns the public address.
@@ -103,20 +111,20 @@
     /// Panics if another thread panicked while it opened or closed the link.
     pub fn close(&self) {
         let mut acceptor = self.acceptor.lock().expect("no holder panics");
-        let pairs = {
+        {
             let mut state = self.shared.state();
-            state.open = false;
             state.frozen = false;
             state.epoch += 1;
-            std::mem::take(&mut state.pairs)
-        };
+        }
         self.shared.thawed.notify_all();
-        pairs.values().for_each(Pair::cut);
         if let Some(acceptor) = acceptor.take() {
             // Wakes the acceptor, which sees the new epoch and ends.
             let _ = TcpStream::connect(self.shared.address);
             let _ = acceptor.join();
         }
+        // Connections go last: whoever loses one is refused another.
+        let pairs = std::mem::take(&mut self.shared.state().pairs);
+        pairs.values().for_each(Pair::cut);
     }
 
     /// Accepts connections again after [`Link::close`].
@@ -136,7 +144,6 @@
         let listener = TcpListener::bind(self.shared.address)?;
         let epoch = {
             let mut state = self.shared.state();
-            state.open = true;
             state.epoch += 1;
             state.epoch
         };
@@ -165,6 +172,14 @@
     }
 }
 
+fn reserve(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    // The listener sets it too; without it only one of both may be bound.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 fn accept(
     shared: &Arc<Shared>,
     listener: TcpListener,
--- /dev/null
+++ b/crates/target/src/dial.rs
@@ -0,0 +1,99 @@
+//! The HTTP agent, made so that a failed connect can be told from all else.
+
+use displaydoc::Display;
+use ureq::Agent;
+use ureq::http::Response;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector};
+
+use crate::error::Error;
+use crate::settings::Settings;
+
+/// Header by which a target attests that a request did not run.
+const NOT_RUN: &str = "x-not-run";
+
+/// Longest reason that is read from an answer, in bytes.
+const MAX_REASON_BYTES: u64 = 4096;
+
+/// no connection: {0}
+#[derive(Debug, Display)]
+struct Unconnected(ureq::Error);
+
+impl std::error::Error for Unconnected {}
+
+/// Marks errors that come before a connection exists.
+#[derive(Debug, Default)]
+struct Dial(TcpConnector);
+
+impl Connector<()> for Dial {
+    type Out = <TcpConnector as Connector<()>>::Out;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails,
+        chained: Option<()>,
+    ) -> Result<Option<Self::Out>, ureq::Error> {
+        let connected = self.0.connect(details, chained);
+        connected.map_err(|error| ureq::Error::Other(Box::new(Unconnected(error))))
+    }
+}
+
+/// Creates an agent with its own pool of connections.
+pub fn agent(settings: &Settings) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_connect(Some(settings.connect.into()))
+        .timeout_per_read(Some(settings.idle.into()))
+        .max_idle_connections_per_host(settings.kept_connections)
+        .max_idle_connections(usize::MAX)
+        .build();
+    Agent::with_parts(config, Dial::default(), DefaultResolver::default())
+}
+
+/// Whether an error came before the first byte was sent.
+pub fn is_unsent(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Other(error) => error.is::<Unconnected>(),
+        _ => false,
+    }
+}
+
+/// Whether the target refused a connection, as it does when its process is gone.
+pub fn is_gone(error: &ureq::Error) -> bool {
+    let ureq::Error::Other(error) = error else {
+        return false;
+    };
+    match error.downcast_ref::<Unconnected>() {
+        Some(Unconnected(ureq::Error::Io(error))) => {
+            error.kind() == std::io::ErrorKind::ConnectionRefused
+        }
+        _ => false,
+    }
+}
+
+/// Returns the error of an exchange that got no answer.
+pub fn failure(error: &ureq::Error) -> Error {
+    let reason = error.to_string();
+    match is_unsent(error) {
+        true => Error::NotSent { reason },
+        false => Error::MayHaveRun { reason },
+    }
+}
+
+/// Returns the error that an answer other than 200 stands for.
+pub fn refusal(mut answer: Response<ureq::Body>) -> Error {
+    let attested = answer
+        .headers()
+        .get(NOT_RUN)
+        .is_some_and(|value| value == "1");
+    let body = answer.body_mut().with_config().limit(MAX_REASON_BYTES);
+    let text = body.lossy_utf8(true).read_to_string().unwrap_or_default();
+    let status = answer.status();
+    let reason = format!("status {status}: {text}");
+    match attested {
+        true => Error::Refused { reason },
+        false => Error::Answered { reason },
+    }
+}
--- /dev/null
+++ b/crates/target/tests/line.rs
@@ -0,0 +1,127 @@
+//! Properties of the lines of a stream, and streams of malformed ones.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::thread;
+
+use balsamchute_base::prelude::*;
+use balsamchute_target::engine::{Client, Generation};
+use balsamchute_target::line::Line;
+use balsamchute_target::stream::Piece;
+use balsamchute_target::{Error, Settings};
+
+#[test]
+fn any_line_is_parsed_or_malformed() {
+    bolero::check!()
+        .with_iterations(20_000)
+        .for_each(|bytes: &[u8]| match Line::parse(bytes) {
+            Ok(Line::Done { done, .. }) => assert!(done),
+            Ok(_) | Err(Error::Malformed { .. }) => {}
+            Err(error) => panic!("{error}"),
+        });
+}
+
+#[test]
+fn a_token_is_read_as_it_was_written() {
+    bolero::check!()
+        .with_iterations(2000)
+        .with_type::<(u64, String)>()
+        .for_each(|(index, text)| {
+            let line = serde_json::json!({"index": index, "text": text}).to_string();
+            let (index, text) = (*index, text.clone());
+            assert_eq!(
+                Line::parse(line.as_bytes()),
+                Ok(Line::Token { index, text })
+            );
+        });
+}
+
+#[test]
+fn lines_that_are_nearly_right_are_malformed() {
+    for line in [
+        "",
+        "{}",
+        "{\"index\":0}",
+        "{\"index\":-1,\"text\":\"a\"}",
+        "{\"done\":false,\"tokens\":0}",
+        "{\"done\":true}",
+        "{\"index\":0,\"text\":\"a\"}{\"done\":true,\"tokens\":1}",
+    ] {
+        assert!(Line::parse(line.as_bytes()).is_err(), "{line}");
+    }
+}
+
+/// Answers each connection with the next of `answers`, then refuses.
+fn serve(answers: Vec<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for answer in answers {
+            let (mut connection, _) = listener.accept().unwrap();
+            let mut request = [0; 4096];
+            let _ = connection.read(&mut request).unwrap();
+            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+            connection.write_all(head.as_bytes()).unwrap();
+            connection.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    address
+}
+
+fn run(answers: Vec<&'static str>) -> Vec<Result<Piece, Error>> {
+    let settings = Settings {
+        pause: Span(1),
+        ..Settings::default()
+    };
+    let generation = Generation {
+        attempt: &Attempt::new("a").unwrap(),
+        workspace: &Workspace::new("w").unwrap(),
+        request: &Request::new("r").unwrap(),
+        key: None,
+        prefix: None,
+        fence: None,
+        prompt: "",
+    };
+    let stream = Client::new(settings).generate(serve(answers), &generation);
+    stream.unwrap().collect()
+}
+
+const FIRST: &str = "{\"index\":0,\"text\":\"a\"}\n";
+const SECOND: &str = "{\"index\":1,\"text\":\"b\"}\n{\"done\":true,\"tokens\":2}\n";
+
+fn whole() -> Vec<Result<Piece, Error>> {
+    let token = |index, text: &str| {
+        let text = text.to_owned();
+        Ok(Piece::Token { index, text })
+    };
+    vec![token(0, "a"), token(1, "b"), Ok(Piece::Done { tokens: 2 })]
+}
+
+#[test]
+fn a_stream_without_its_end_is_asked_for_again() {
+    assert_eq!(run(vec![FIRST, SECOND]), whole());
+}
+
+#[test]
+fn a_gap_a_repetition_and_garbage_are_made_good() {
+    let gap = "{\"index\":0,\"text\":\"a\"}\n{\"index\":2,\"text\":\"c\"}\n";
+    assert_eq!(run(vec![gap, SECOND]), whole());
+    let repetition = "{\"index\":0,\"text\":\"a\"}\n{\"index\":0,\"text\":\"a\"}\n";
+    assert_eq!(run(vec![repetition, SECOND]), whole());
+    let garbage = "{\"index\":0,\"text\":\"a\"}\n\u{1}\n";
+    assert_eq!(run(vec![garbage, SECOND]), whole());
+    let early_end = "{\"index\":0,\"text\":\"a\"}\n{\"done\":true,\"tokens\":2}\n";
+    assert_eq!(run(vec![early_end, SECOND]), whole());
+}
+
+#[test]
+fn a_stream_that_stays_wrong_ends_in_an_error() {
+    let repetition = "{\"index\":7,\"text\":\"a\"}\n";
+    let pieces = run(vec![repetition; 4]);
+    assert_eq!(pieces.len(), 1);
+    let error = pieces[0].clone().unwrap_err();
+    assert!(error.may_have_run(), "{error}");
+    let pieces = run(vec![FIRST, "", "", ""]);
+    assert_eq!(pieces.len(), 2);
+    assert!(matches!(pieces[1], Err(Error::Cut { tokens: 1, .. })));
+}
