--- a/crates/fair/src/bound.rs
+++ b/crates/fair/src/bound.rs
@@ -16,9 +16,10 @@
     pub largest: Cost,
     /// Mean cost of a request.
     pub mean: Cost,
-    /// Slots that one workspace can hold at the same time: all slots of the
-    /// service, or its limit on concurrency.
-    pub held: u32,
+    /// Slots of the service.
+    pub slots: u32,
+    /// Sum of the weights of all backlogged workspaces.
+    pub backlogged_weight: f64,
     /// Smallest weight of the two workspaces.
     pub weight: f64,
     /// Cost that a workspace coming back from idleness may be ahead by.
@@ -37,14 +38,26 @@
 }
 
 impl Bound {
-    /// Returns the bound in one central queue: the requests that a workspace has
-    /// running when the interval begins or ends, whose charge and service
-    /// differ, one request that is chosen by a tag just below, and the credit.
+    /// Returns the most slots that a workspace holds for each unit of its
+    /// weight: its share, times the factor by which its requests can be larger
+    /// than the mean.
+    #[must_use]
+    pub fn held(&self) -> f64 {
+        let slots = f64::from(self.slots);
+        let factor = self.largest.0 as f64 / (self.mean.0 as f64).max(1.0);
+        let share = slots / self.backlogged_weight.max(self.weight);
+        (share * factor.max(1.0)).min(slots / self.weight)
+    }
+
+    /// Returns the bound in one central queue: what running requests are charged
+    /// beyond or below their service, for both workspaces and once more for the
+    /// corrections of the charge; one request by which the lowest tag is
+    /// overtaken; and the credit.
     #[must_use]
     pub fn central(&self) -> f64 {
         let largest = self.largest.0 as f64;
-        let running = f64::from(self.held) * largest / self.weight;
-        2.0 * running + 2.0 * largest / self.weight + self.credit.0 as f64 / self.weight
+        let running = self.held() * largest;
+        3.0 * running + (largest + self.credit.0 as f64) / self.weight
     }
 
     /// Returns the bound of a healthy fleet. To that of one queue it adds what
--- a/crates/fair/src/lender.rs
+++ b/crates/fair/src/lender.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::order::Tag;
-use crate::runner::Pool;
+use crate::runner::{Pool, Standing};
 
 /// How far ahead, in mean requests for each unit of weight, the owner itself may
 /// be and still be served before another router: its loans need no message.
@@ -56,8 +56,15 @@
     peer: usize,
     runner: usize,
     granted: Time,
-    /// When the slot comes back, for a borrower that is gone.
-    orphaned: Option<Time>,
+    /// Set once the borrower is gone.
+    orphaned: Option<Orphaned>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Orphaned {
+    at: Time,
+    /// When the slot comes back if no load report shows it free before.
+    due: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -168,12 +175,15 @@
     pub fn report_load(&mut self, now: Time, runner: &Runner, running: u32, age: Span) {
         self.advance(now);
         let (loans, lease) = (&self.loans, self.settings.lease);
-        let settled = |loan: u64, at: Time| {
-            loans
-                .get(&loan)
-                .is_some_and(|loan| loan.granted + lease < at)
+        let standing = |loan: u64, at: Time| match loans.get(&loan) {
+            Some(loan) if loan.granted + lease >= at => Standing::Fresh,
+            Some(Loan {
+                orphaned: Some(orphaned),
+                ..
+            }) if orphaned.at < at => Standing::Orphan,
+            _ => Standing::Started,
         };
-        let lost = self.pool.report(runner, running, age, settled);
+        let lost = self.pool.report(runner, running, age, standing);
         self.lost.extend(lost);
     }
 
@@ -214,16 +224,18 @@
         self.reorder(index);
     }
 
-    /// Takes note that a router is gone. Its loans come back after the lease.
+    /// Takes note that a router is gone. Its loans come back after the
+    /// lease, or once a load report shows that their requests have ended.
     pub fn forget(&mut self, now: Time, peer: &Instance) {
         self.advance(now);
         let Some(index) = self.peers.get_index_of(peer) else {
             return;
         };
-        let due = self.now + self.settings.lease;
+        let at = self.now;
+        let due = at + self.settings.lease;
         for (&number, loan) in &mut self.loans {
             if loan.peer == index && loan.orphaned.is_none() {
-                loan.orphaned = Some(due);
+                loan.orphaned = Some(Orphaned { at, due });
                 self.orphans.insert((due, number));
             }
         }
@@ -354,7 +366,7 @@
         let Some(loan) = self.loans.remove(&number) else {
             return false;
         };
-        if let Some(due) = loan.orphaned {
+        if let Some(Orphaned { due, .. }) = loan.orphaned {
             self.orphans.remove(&(due, number));
         }
         self.pool.take_back(loan.runner, number, failed, used);
--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -98,6 +98,7 @@
 pub struct Queue {
     settings: Settings,
     clock: f64,
+    observed: bool,
     flows: IndexMap<Workspace, Flow>,
     eligible: BTreeSet<(Tag, usize)>,
     items: IndexMap<Item, State>,
@@ -114,6 +115,7 @@
         Queue {
             settings,
             clock: 0.0,
+            observed: false,
             flows: IndexMap::new(),
             eligible: BTreeSet::new(),
             items: IndexMap::new(),
@@ -246,12 +248,19 @@
     ///
     /// Workspaces that come back from idleness start from it. Backlogged ones
     /// that are further behind than the allowed lag are raised to it, which
-    /// happens after a partition.
+    /// happens after a partition. The first time, as at a router that restarted
+    /// empty, they are raised to the credit instead: nothing is known of a lag.
     pub fn observe(&mut self, fleet: f64) {
         if !fleet.is_finite() {
             return;
         }
         self.clock = self.clock.max(fleet);
+        if !self.observed {
+            self.observed = true;
+            for index in 0..self.flows.len() {
+                self.raise_to_clock(index);
+            }
+        }
         let floor = fleet - self.settings.lag.0 as f64;
         while let Some(&(tag, index)) = self.eligible.first() {
             if tag.0 >= floor {
--- a/crates/fair/src/runner.rs
+++ b/crates/fair/src/runner.rs
@@ -4,6 +4,7 @@
 
 use balsamchute_base::prelude::*;
 use indexmap::IndexMap;
+use smallvec::SmallVec;
 
 /// Failures in a row after which a runner is left alone for a while.
 const FAILURE_LIMIT: u32 = 3;
@@ -24,6 +25,17 @@
 /// for lost.
 const LEAK_PATIENCE: Span = Span(1_000);
 
+/// What is known of a loan at the time of a load report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Standing {
+    /// Its request need not have started.
+    Fresh,
+    /// Its request must have started.
+    Started,
+    /// Its request must have started, and its borrower is gone.
+    Orphan,
+}
+
 #[derive(Debug, Default)]
 struct Entry {
     slots: u32,
@@ -159,14 +171,13 @@
 
     /// Takes a load report in and returns loans that it shows to be lost.
     ///
-    /// `settled` tells whether a loan is so old that its request must have
-    /// started at the given time.
+    /// `standing` tells what is known of a loan at the given time.
     pub(crate) fn report(
         &mut self,
         runner: &Runner,
         running: u32,
         age: Span,
-        settled: impl Fn(u64, Time) -> bool,
+        standing: impl Fn(u64, Time) -> Standing,
     ) -> Vec<u64> {
         let Some(index) = self.entries.get_index_of(runner) else {
             return Vec::new();
@@ -188,7 +199,7 @@
         if entry.foreign > 0 {
             self.timers.insert((entry.foreign_until, index));
         }
-        let lost = entry.lost(running, taken, settled);
+        let lost = entry.lost(running, taken, standing);
         self.reindex(index);
         lost
     }
@@ -225,23 +236,33 @@
 }
 
 impl Entry {
-    fn lost(&mut self, running: u32, taken: Time, settled: impl Fn(u64, Time) -> bool) -> Vec<u64> {
-        let started: Vec<u64> = self
-            .loans
-            .iter()
-            .copied()
-            .take_while(|&loan| settled(loan, taken))
-            .collect();
-        let surplus = started.len().saturating_sub(running as usize);
+    fn lost(
+        &mut self,
+        running: u32,
+        taken: Time,
+        standing: impl Fn(u64, Time) -> Standing,
+    ) -> Vec<u64> {
+        let mut started: SmallVec<[u64; 16]> = SmallVec::new();
+        let mut orphans: SmallVec<[u64; 16]> = SmallVec::new();
+        for &loan in &self.loans {
+            match standing(loan, taken) {
+                Standing::Fresh => {}
+                Standing::Started => started.push(loan),
+                Standing::Orphan => orphans.push(loan),
+            }
+        }
+        let surplus = (started.len() + orphans.len()).saturating_sub(running as usize);
         if surplus == 0 {
             self.surplus_since = None;
             return Vec::new();
         }
+        let gone = surplus.min(orphans.len());
+        orphans.truncate(gone);
         let since = *self.surplus_since.get_or_insert(taken);
-        if taken < since + LEAK_PATIENCE {
-            return Vec::new();
+        if surplus > gone && taken >= since + LEAK_PATIENCE {
+            self.surplus_since = None;
+            orphans.extend(started.into_iter().take(surplus - gone));
         }
-        self.surplus_since = None;
-        started.into_iter().take(surplus).collect()
+        orphans.into_vec()
     }
 }
--- a/crates/fair/tests/lender.rs
+++ b/crates/fair/tests/lender.rs
@@ -149,3 +149,44 @@
     let names: Vec<_> = grants.iter().map(|grant| grant.runner.as_str()).collect();
     assert_eq!(names, ["r1", "r1", "r0"]);
 }
+
+#[test]
+fn two_owners_of_a_runner_come_back_to_its_slots() {
+    let mut owners = [lender(6), lender(6)];
+    let mut running = Vec::new();
+    for (index, owner) in owners.iter_mut().enumerate() {
+        owner.summary(Time(0), &instance("me"), 0.0, 1.0, 50);
+        let grants = owner.grant(Time(0), 100.0);
+        running.extend(grants.iter().map(|grant| (index, grant.loan)));
+    }
+    assert_eq!(running.len(), 12, "overcommitted until the first report");
+    for step in 1..=12 {
+        let now = Time(step * 600);
+        for (index, owner) in owners.iter_mut().enumerate() {
+            let busy = u32::try_from(running.len()).unwrap();
+            owner.report_load(now, &runner("r0"), busy, Span(0));
+            let grants = owner.grant(now, 100.0);
+            running.extend(grants.iter().map(|grant| (index, grant.loan)));
+        }
+        let (index, loan) = running.remove(0);
+        owners[index].release(now, loan, Cost(9), false);
+        assert!(step < 7 || running.len() <= 6, "{} run", running.len());
+    }
+}
+
+#[test]
+fn router_coming_back_is_ahead_by_the_credit_until_it_has_caught_up() {
+    let mut lender = lender(200);
+    lender.summary(Time(0), &instance("a"), 10_000.0, 1.0, 999);
+    lender.summary(Time(0), &instance("b"), 9_000.0, 1.0, 0);
+    assert_eq!(borrowers(&mut lender, 1).len(), 200);
+    let returned: Vec<u64> = (1..=100).collect();
+    for loan in returned {
+        lender.release(Time(2), loan, Cost(9), false);
+    }
+    // Its own queue has not heard of the fleet's time yet.
+    lender.summary(Time(3), &instance("b"), 0.0, 1.0, 999);
+    let granted = borrowers(&mut lender, 3);
+    let count = granted.iter().filter(|name| *name == "b").count();
+    assert!((15..=60).contains(&count), "{count} of 100, credit for 15");
+}
--- a/crates/fair/tests/queue.rs
+++ b/crates/fair/tests/queue.rs
@@ -124,6 +124,7 @@
 #[test]
 fn lagging_workspace_is_raised_to_the_lag() {
     let mut queue = queue();
+    queue.observe(0.0);
     queue.push(&workspace("a"), 1, None);
     queue.observe(10_000.0);
     assert_eq!(queue.head(), Some(8_000.0));
@@ -138,6 +139,18 @@
     );
 }
 
+#[test]
+fn queue_of_a_restarted_router_starts_at_the_fleets_time() {
+    let mut queue = queue();
+    queue.push(&workspace("a"), 1, None);
+    queue.observe(10_000.0);
+    assert_eq!(
+        queue.head(),
+        Some(9_500.0),
+        "no more behind than the credit"
+    );
+}
+
 #[test]
 fn preferred_request_passes_over_its_own_workspace_only() {
     let mut queue = queue();
