Add metrics with bounded labels and their page

Cause: operators need histograms for each workspace and class; an unbounded label set would grow with 5,800 workspaces. Change: opentelemetry instruments with a Prometheus page; the first workspaces of the configuration get labels, the rest share one; the SDK's limit of series is raised to the bound that follows from the labels.

--- /dev/null
+++ b/crates/metrics/tests/page.rs
@@ -0,0 +1,149 @@
+//! The page and its bounded labels.
+
+use std::collections::BTreeSet;
+
+use balsamchute_base::prelude::*;
+use balsamchute_metrics::{Control, Direction, Metrics, Work};
+use balsamchute_wire::record::Outcome;
+
+fn workspaces(names: &[&str]) -> Vec<Workspace> {
+    names
+        .iter()
+        .map(|name| Workspace::new(name).unwrap())
+        .collect()
+}
+
+fn services(names: &[&str]) -> Vec<Service> {
+    names
+        .iter()
+        .map(|name| Service::new(name).unwrap())
+        .collect()
+}
+
+/// Returns the value of the only line that starts with `series`.
+fn value(page: &str, series: &str) -> f64 {
+    let mut lines = page.lines().filter(|line| line.starts_with(series));
+    let line = lines
+        .next()
+        .unwrap_or_else(|| panic!("no {series} in:\n{page}"));
+    assert_eq!(lines.next(), None);
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn observations_are_on_the_page_with_their_labels() {
+    let metrics = Metrics::new(4).unwrap();
+    let (workspace, service) = (workspaces(&["clinic"]), services(&["parecer-llm"]));
+    metrics.add_names(&workspace, &service);
+    let work = Work {
+        workspace: &workspace[0],
+        service: &service[0],
+    };
+    metrics.observe_wait(work, Span(40));
+    metrics.observe_first_token(work, Span(90));
+    metrics.observe_between_tokens(work, Span(50));
+    metrics.observe_between_tokens(work, Span(60));
+    metrics.observe_cost(work, Cost(3));
+    metrics.observe_end(work, Outcome::NotRun, Span(1500));
+    metrics.count_control(Control::Exchange, Direction::Out, 2, 700);
+    metrics.set_load(&service[0], 5, 6);
+    metrics.set_fleet(8, 41);
+    let page = metrics.page().unwrap();
+    let labels = "service=\"parecer-llm\",workspace=\"clinic\"";
+    let series = |name: &str| value(&page, &format!("balsamchute_{name}{{{labels}"));
+    assert_eq!(series("queue_wait_seconds_sum"), 0.04);
+    assert_eq!(series("first_token_seconds_count"), 1.0);
+    assert_eq!(series("between_tokens_seconds_count"), 2.0);
+    assert_eq!(series("cost_sum"), 3.0);
+    assert_eq!(series("total_seconds_sum"), 1.5);
+    let bucket = format!("balsamchute_between_tokens_seconds_bucket{{{labels},le=\"0.054\"}}");
+    assert_eq!(value(&page, &bucket), 1.0);
+    let requests = "balsamchute_requests_total{outcome=\"not_run\",service=\"parecer-llm\"";
+    assert_eq!(value(&page, requests), 1.0);
+    let control = "balsamchute_control_bytes_total{direction=\"out\",kind=\"exchange\"}";
+    assert_eq!(value(&page, control), 700.0);
+    assert_eq!(value(&page, "balsamchute_backlog{"), 5.0);
+    assert_eq!(value(&page, "balsamchute_routers"), 8.0);
+    assert_eq!(value(&page, "balsamchute_config_version"), 41.0);
+}
+
+#[test]
+fn labels_stay_bounded_whatever_names_come() {
+    const LIMIT: usize = 3;
+    bolero::check!()
+        .with_iterations(50)
+        .with_type::<Vec<(u8, bool)>>()
+        .for_each(|steps| {
+            let metrics = Metrics::new(LIMIT).unwrap();
+            for (number, configured) in steps {
+                let workspace = workspaces(&[&format!("w{number}")]);
+                let service = services(&[&format!("s{}", number % 40)]);
+                if *configured {
+                    metrics.add_names(&workspace, &service);
+                }
+                let work = Work {
+                    workspace: &workspace[0],
+                    service: &service[0],
+                };
+                metrics.observe_wait(work, Span(1));
+            }
+            let page = metrics.page().unwrap();
+            let label = |line: &str| line.split("workspace=\"").nth(1).map(str::to_owned);
+            let labels = page.lines().filter_map(label);
+            let labels = labels.map(|rest| rest.split('"').next().unwrap().to_owned());
+            let labels: BTreeSet<String> = labels.collect();
+            assert!(labels.len() <= LIMIT + 1, "{labels:?}");
+            let counts = page
+                .lines()
+                .filter(|line| line.contains("wait_seconds_count"));
+            let sum: f64 = counts
+                .map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap())
+                .sum();
+            assert_eq!(sum, steps.len() as f64);
+        });
+}
+
+#[test]
+fn the_first_names_of_the_configuration_get_the_labels() {
+    let mut labels = balsamchute_metrics::label::Labels::new(2);
+    labels.add(["a", "b", "c"]);
+    labels.add(["d"]);
+    let got: Vec<_> = ["a", "b", "c", "d"].map(|name| labels.get(name)).to_vec();
+    assert_eq!(got, ["a", "b", "other", "other"].map(std::sync::Arc::from));
+}
+
+#[test]
+fn no_series_is_folded_into_another_at_the_limit() {
+    const LIMIT: usize = 64;
+    let metrics = Metrics::new(LIMIT).unwrap();
+    let names: Vec<String> = (0..=LIMIT).map(|number| format!("w{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let (workspaces, services) = (
+        workspaces(&names),
+        services(&["a", "b", "c", "d", "e", "f"]),
+    );
+    metrics.add_names(&workspaces, &services);
+    let outcomes = [
+        Outcome::Done,
+        Outcome::Failed,
+        Outcome::NotRun,
+        Outcome::Unknown,
+    ];
+    for workspace in &workspaces {
+        for service in &services {
+            for outcome in outcomes {
+                metrics.observe_end(Work { workspace, service }, outcome, Span(1));
+            }
+        }
+    }
+    let page = metrics.page().unwrap();
+    let requests = page
+        .lines()
+        .filter(|line| line.starts_with("balsamchute_requests_total{"));
+    assert_eq!(
+        requests.count(),
+        workspaces.len() * services.len() * outcomes.len()
+    );
+    let bucket = "balsamchute_total_seconds_bucket{service=\"a\",workspace=\"w0\",le=\"1.3\"}";
+    assert_eq!(value(&page, bucket), 4.0);
+}
