Add the router process: the whole path over real sockets

Cause: decisions, clients and stand-ins stood apart; no request went end to end.

Change: router process with a stakker actor around the decisions, servers for callers and for other routers, streamed answers with an explicit end record, forwarding to the home with a check of every record, attempts at engines and plain services, exchanges, configuration and list polling, load reports, planned stop on SIGTERM. End records carry a code beside their reason, so that HTTP statuses do not depend on words. Claims of durable keys are not wired yet: such requests are refused as not run; bound keys work.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -49,6 +49,14 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
 impl Sub<Span> for Time {
     type Output = Time;
 
--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -5,7 +5,7 @@
 use balsamchute_claim::bound::{self, Binding};
 use balsamchute_wire::exchange::{Member, Phase};
 use balsamchute_wire::forward::{Head, MAX_HOPS};
-use balsamchute_wire::record::{End, Outcome};
+use balsamchute_wire::record::{Code, End, Outcome};
 
 use crate::core::Core;
 use crate::event::{Action, Arrival, Command, Ticket};
@@ -58,11 +58,14 @@
 
     /// Returns why the request cannot be taken at all.
     fn refusal(&self, head: &Head) -> Option<End> {
-        let not_run = |text: String| Some(End::new(Outcome::NotRun, &text));
+        let missing =
+            |text: String| Some(End::new(Outcome::NotRun, &text).with_code(Code::NotFound));
         match self.me().phase {
             Phase::Starting => {
                 return Some(
-                    End::new(Outcome::NotRun, "router is starting").with_retry_after(BUSY_RETRY),
+                    End::new(Outcome::NotRun, "router is starting")
+                        .with_code(Code::Elsewhere)
+                        .with_retry_after(BUSY_RETRY),
                 );
             }
             Phase::Leaving => {
@@ -70,15 +73,15 @@
                     Outcome::NotRun,
                     "router is leaving; ask for another address",
                 );
-                return Some(end.with_retry_after(Span(0)));
+                return Some(end.with_code(Code::Elsewhere).with_retry_after(Span(0)));
             }
             Phase::Serving => {}
         }
         if !self.config.workspaces.contains_key(&head.workspace) {
-            return not_run(format!("workspace \"{}\" does not exist", head.workspace));
+            return missing(format!("workspace \"{}\" does not exist", head.workspace));
         }
         if !self.config.services.contains_key(&head.service) {
-            return not_run(format!("service \"{}\" does not exist", head.service));
+            return missing(format!("service \"{}\" does not exist", head.service));
         }
         None
     }
@@ -201,7 +204,7 @@
         let waiting = |entry: &&Entry| entry.stage == Stage::Waiting;
         if self.requests.len() > self.settings.queue {
             let end = End::new(Outcome::NotRun, "queue of this router is full");
-            return Some(end.with_retry_after(BUSY_RETRY));
+            return Some(end.with_code(Code::Limit).with_retry_after(BUSY_RETRY));
         }
         let limit = self
             .config
@@ -219,7 +222,8 @@
                 "queue of workspace \"{}\" is full ({limit} requests)",
                 head.workspace
             );
-            return Some(End::new(Outcome::NotRun, &text).with_retry_after(BUSY_RETRY));
+            let end = End::new(Outcome::NotRun, &text).with_code(Code::Limit);
+            return Some(end.with_retry_after(BUSY_RETRY));
         }
         None
     }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -12,7 +12,7 @@
 use balsamchute_wire::config::Stamp;
 use balsamchute_wire::exchange::{Member, Phase, Suspect};
 use balsamchute_wire::message::Message;
-use balsamchute_wire::record::{End, Outcome};
+use balsamchute_wire::record::{Code, End, Outcome};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -155,7 +155,8 @@
                 Stage::Joined => Outcome::Unknown,
                 _ => Outcome::NotRun,
             };
-            let end = End::new(outcome, "deadline passed while the request waited");
+            let end = End::new(outcome, "deadline passed while the request waited")
+                .with_code(Code::Deadline);
             self.refuse(now, ticket, end, actions);
         }
     }
--- a/crates/dispatch/src/keyed.rs
+++ b/crates/dispatch/src/keyed.rs
@@ -5,7 +5,7 @@
 use balsamchute_claim::ledger::Begin;
 use balsamchute_wire::claim::{Ask, Claim, Settled, Verdict};
 use balsamchute_wire::forward::MAX_HOPS;
-use balsamchute_wire::record::{End, Outcome};
+use balsamchute_wire::record::{Code, End, Outcome};
 use rand::RngExt;
 
 use crate::core::Core;
@@ -59,7 +59,8 @@
                 self.refuse(
                     now,
                     ticket,
-                    end.with_retry_after(UNAVAILABLE_RETRY),
+                    end.with_code(Code::Limit)
+                        .with_retry_after(UNAVAILABLE_RETRY),
                     actions,
                 );
             }
@@ -109,7 +110,9 @@
             Verdict::Mismatch => self.mismatch(now, ticket, actions),
             Verdict::Free | Verdict::Unavailable => {
                 let text = "claims cannot be stored now; use the bound key of an address answer";
-                let end = End::new(Outcome::NotRun, text).with_retry_after(UNAVAILABLE_RETRY);
+                let end = End::new(Outcome::NotRun, text)
+                    .with_code(Code::NoClaims)
+                    .with_retry_after(UNAVAILABLE_RETRY);
                 self.refuse(now, ticket, end, actions);
             }
         }
@@ -164,7 +167,7 @@
             &format!("key \"{key}\" was used with another body or service"),
         );
         self.unlist(now, ticket, actions);
-        self.refuse(now, ticket, end, actions);
+        self.refuse(now, ticket, end.with_code(Code::Mismatch), actions);
     }
 
     fn replay(&mut self, now: Time, ticket: Ticket, settled: Settled, actions: &mut Vec<Action>) {
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -111,7 +111,7 @@
             runner: slot.runner.clone(),
             address: slot.address,
             kind,
-            fence: entry.nonce.max(1),
+            fence: now.0,
         };
         let text = format!(
             "attempt {attempt} at runner \"{}\", slot of router \"{}\"",
--- /dev/null
+++ b/crates/router/src/attempt.rs
@@ -0,0 +1,156 @@
+//! Serving one request: waiting for commands and carrying them out.
+
+use std::time::Duration;
+
+use balsamchute_base::digest::Hasher;
+use balsamchute_base::prelude::*;
+use balsamchute_dispatch::event::{Arrival, Command, Event, Finish, Run, Ticket};
+use balsamchute_wire::claim::Settled;
+use balsamchute_wire::forward::Head;
+use balsamchute_wire::record::{Record, Token};
+use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
+use tiny_http::Request;
+
+use crate::answer::Answer;
+use crate::callers::digest;
+use crate::forward::{Passed, forward};
+use crate::input::Input;
+use crate::run;
+use crate::work::Work;
+
+/// Time between two empty lines to a caller whose request waits.
+pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Commands that may be on their way to one thread.
+const COMMANDS: usize = 4;
+
+/// A request that a thread serves.
+pub(crate) struct Serving<'a> {
+    /// What the threads share.
+    pub work: &'a Work,
+    /// Number of the request.
+    pub ticket: Ticket,
+    /// What was asked for.
+    pub head: Head,
+    /// The body.
+    pub body: &'a [u8],
+    /// The answer.
+    pub answer: Answer,
+    /// Tokens written so far.
+    pub tokens: u64,
+    /// Digest of those tokens.
+    pub hasher: Hasher,
+}
+
+/// Serves a request until its answer has ended.
+pub(crate) fn serve(work: &Work, request: Request, head: Head, body: &[u8]) {
+    let ticket = work.ticket();
+    let (sender, commands) = bounded(COMMANDS);
+    let arrival = Arrival {
+        ticket,
+        head: head.clone(),
+        digest: digest(&head.service, body),
+    };
+    work.send(Input::Arrive(arrival, sender));
+    let mut serving = Serving {
+        work,
+        ticket,
+        head,
+        body,
+        answer: Answer::new(request),
+        tokens: 0,
+        hasher: Hasher::new(),
+    };
+    serving.follow(&commands);
+}
+
+impl Serving<'_> {
+    fn follow(&mut self, commands: &Receiver<Command>) {
+        loop {
+            match commands.recv_timeout(KEEP_ALIVE) {
+                Ok(Command::Forward { address, head, .. }) => {
+                    if self.forward(address, &head) {
+                        return;
+                    }
+                }
+                Ok(Command::Run(run)) => self.run(&run),
+                Ok(Command::End(end)) => {
+                    // A reader that is gone needs no end.
+                    let _ = self.answer.end(&end);
+                    return;
+                }
+                Ok(Command::Replay(settled)) => return self.replay(&settled),
+                Err(RecvTimeoutError::Timeout) => {
+                    if self.answer.keep_alive().is_err() {
+                        self.work.event(Event::Gone(self.ticket));
+                    }
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    /// Passes the request on. Returns whether its answer has ended.
+    fn forward(&mut self, address: std::net::SocketAddr, head: &Head) -> bool {
+        match forward(self.work, address, head, self.body, &mut self.answer) {
+            Passed::Ended => {}
+            Passed::NotTaken => {
+                self.work.event(Event::ForwardFailed(self.ticket));
+                return false;
+            }
+            Passed::Broken(end) => drop(self.answer.end(&end)),
+        }
+        self.work.event(Event::Forwarded(self.ticket));
+        true
+    }
+
+    fn run(&mut self, run: &Run) {
+        let outcome = run::run(self, run);
+        let finish = Finish {
+            ticket: self.ticket,
+            ending: outcome.ending,
+            cost: outcome.cost,
+            tokens: self.tokens,
+            digest: self.hasher.digest().to_string(),
+            answer: outcome.answer,
+        };
+        self.work.event(Event::Finish(finish));
+    }
+
+    /// Writes one token of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the reader is gone.
+    pub fn token(&mut self, attempt: &Attempt, text: &str) -> std::io::Result<()> {
+        let token = Token {
+            attempt: attempt.clone(),
+            index: self.tokens,
+            text: text.to_owned(),
+        };
+        self.tokens += 1;
+        self.hasher.update(text.as_bytes());
+        self.answer.line(&Record::Token(token).to_line())
+    }
+
+    /// Gives the recorded answer of an earlier run.
+    fn replay(&mut self, settled: &Settled) {
+        let attempt = settled.end.attempt.clone();
+        if let (Some(attempt), Some(texts)) = (attempt, &settled.answer) {
+            for text in texts {
+                if self.token(&attempt, text).is_err() {
+                    return;
+                }
+            }
+        }
+        let mut end = settled.end.clone();
+        let whole = end.tokens == self.tokens && end.digest == self.hasher.digest().to_string();
+        if !whole {
+            // The outcome stands, but the answer was too long to keep.
+            end.tokens = self.tokens;
+            end.digest = self.hasher.digest().to_string();
+            end.reason = Some("ended earlier; its answer was too long to keep".to_owned());
+        }
+        let _ = self.answer.end(&end);
+    }
+}
--- /dev/null
+++ b/crates/router/src/input.rs
@@ -0,0 +1,55 @@
+//! What other threads send to the actor.
+
+use balsamchute_base::prelude::*;
+use balsamchute_claim::ledger;
+use balsamchute_dispatch::event::{Arrival, Command, Event};
+use balsamchute_dispatch::view::{Address, Explanation, Status};
+use balsamchute_wire::claim;
+use balsamchute_wire::config::Document;
+use balsamchute_wire::exchange::Frame;
+use crossbeam_channel::Sender;
+
+/// One input.
+pub(crate) enum Input {
+    /// A request came; commands for it go to the sender.
+    Arrive(Arrival, Sender<Command>),
+    /// Something happened.
+    Event(Event),
+    /// Another router started an exchange.
+    Exchange(Frame, Sender<Frame>),
+    /// A configuration was read from the platform or another router.
+    Document(Document),
+    /// The platform answered that it has no configuration newer than ours.
+    Unchanged,
+    /// Another router asks this one as writer of claim shards.
+    Claims(claim::Batch, Sender<claim::Answer>),
+    /// Somebody asks about the state.
+    Query(Query),
+}
+
+/// A question about the state.
+pub(crate) enum Query {
+    /// Which routers a caller may use.
+    Address(Workspace, Sender<Address>),
+    /// Whether callers may use this router.
+    Ready(Sender<bool>),
+    /// The state in short.
+    Status(Sender<Status>),
+    /// What happened to a request.
+    Explain(Subject, Sender<Explanation>),
+    /// What this router knows of a key.
+    Key(Workspace, Key, Sender<Option<ledger::State>>),
+    /// The configuration in force.
+    Document(Sender<Document>),
+}
+
+/// What an explanation is about.
+#[derive(Clone, Debug)]
+pub(crate) enum Subject {
+    /// One request.
+    Request(Request),
+    /// All requests of a workspace.
+    Workspace(Workspace),
+    /// All requests with a key.
+    Key(Key),
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,28 @@
-//! The router process: sockets, threads and actors around the decisions.
+//! The router process: sockets, threads and a `stakker` actor around the
+//! decisions of `balsamchute_dispatch`.
+//!
+//! One thread runs the actor ([`node`]), which alone touches the state. Threads
+//! that serve callers, other routers and the platform send it inputs and get
+//! commands back. A request has one thread from its arrival to its end.
+
+pub mod hooks;
+pub mod settings;
+
+mod answer;
+mod attempt;
+mod callers;
+mod claims;
+mod clock;
+mod error;
+mod forward;
+mod inner;
+mod input;
+mod node;
+mod peers;
+mod poll;
+mod run;
+mod serve;
+mod work;
+
+pub use error::Error;
+pub use serve::serve;
--- /dev/null
+++ b/crates/router/src/poll.rs
@@ -0,0 +1,161 @@
+//! Threads that ask the platform and the runners at intervals.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use balsamchute_base::prelude::*;
+use balsamchute_dispatch::event::{Event, Listed, Load};
+use balsamchute_platform::client::{self, Client, Object};
+use balsamchute_platform::instance::{Entry, Kind, State};
+use balsamchute_wire::config::Document;
+
+use crate::error::Error;
+use crate::input::Input;
+use crate::peers::spawn;
+use crate::work::Work;
+
+/// Where the configuration is kept.
+const CONFIG_PATH: &str = "config/current";
+
+/// How long one watch for a new configuration waits.
+const WATCH_WAIT: Span = Span::from_secs(20);
+
+/// Pause after a call that failed.
+const FAILURE_PAUSE: Span = Span(500);
+
+/// Time between two reads of the list of instances.
+const LIST_INTERVAL: Span = Span(1000);
+
+/// Time between two load reports of one runner.
+const LOAD_INTERVAL: Span = Span(500);
+
+type Watched = Arc<Mutex<Vec<(Runner, SocketAddr)>>>;
+
+/// The runners that are asked for their load.
+pub(crate) struct Polls {
+    watched: Watched,
+}
+
+impl Polls {
+    /// Starts the threads.
+    pub fn start(work: &Work) -> Result<Self, Error> {
+        let client = Arc::new(Client::new(
+            work.settings.platform,
+            client::Settings::default(),
+        ));
+        let watched = Watched::default();
+        let config_client = Arc::clone(&client);
+        spawn(work, move |work| watch_config(work, &config_client))?;
+        spawn(work, move |work| read_list(work, &client))?;
+        let runners = Arc::clone(&watched);
+        spawn(work, move |work| read_loads(work, &runners))?;
+        Ok(Polls { watched })
+    }
+
+    /// Sets the runners to ask.
+    pub fn watch(&self, runners: Vec<(Runner, SocketAddr)>) {
+        *self.watched.lock().unwrap_or_else(PoisonError::into_inner) = runners;
+    }
+}
+
+fn watch_config(work: &Work, client: &Client) {
+    let mut after = 0;
+    loop {
+        if !work.is_open(work.settings.platform) {
+            thread::sleep(FAILURE_PAUSE.into());
+            continue;
+        }
+        // The first read returns at once so that a new router soon serves.
+        let wait = if after == 0 { Span(0) } else { WATCH_WAIT };
+        match client.watch(CONFIG_PATH, after, wait) {
+            Ok(Some(object)) => {
+                after = object.version;
+                offer(work, object);
+            }
+            Ok(None) => {
+                work.send(Input::Unchanged);
+                if after == 0 {
+                    thread::sleep(FAILURE_PAUSE.into());
+                }
+            }
+            Err(error) => {
+                log::debug!("platform: cannot watch \"{CONFIG_PATH}\". {error}");
+                thread::sleep(FAILURE_PAUSE.into());
+            }
+        }
+    }
+}
+
+fn offer(work: &Work, object: Object) {
+    match serde_json::from_slice::<Document>(&object.bytes) {
+        Ok(document) => work.send(Input::Document(Document {
+            version: object.version,
+            ..document
+        })),
+        Err(error) => log::error!("config: version {} is malformed. {error}", object.version),
+    }
+}
+
+fn read_list(work: &Work, client: &Client) {
+    loop {
+        if work.is_open(work.settings.platform) {
+            match client.instances() {
+                Ok(entries) => {
+                    work.event(Event::Listed(entries.iter().filter_map(listed).collect()));
+                }
+                Err(error) => log::debug!("platform: cannot read the list. {error}"),
+            }
+        }
+        thread::sleep(LIST_INTERVAL.into());
+    }
+}
+
+fn listed(entry: &Entry) -> Option<Listed> {
+    let leaving = entry.state == State::Leaving;
+    match entry.kind {
+        Kind::Router => Some(Listed::Router {
+            instance: entry.name.clone(),
+            inner: entry.address,
+            leaving,
+        }),
+        Kind::Runner => {
+            let runner = Runner::new(entry.name.as_str()).ok()?;
+            Some(Listed::Runner {
+                runner,
+                address: entry.address,
+                leaving,
+            })
+        }
+    }
+}
+
+fn read_loads(work: &Work, watched: &Watched) {
+    let client = work.targets.engines();
+    loop {
+        let runners = watched
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        for (runner, address) in runners {
+            if !work.is_open(address) {
+                work.event(Event::Silent(runner));
+                continue;
+            }
+            match client.load(address) {
+                Ok(load) => {
+                    let load = Load {
+                        running: load.running,
+                        age: Span(load.age_ms),
+                    };
+                    work.event(Event::Load(runner, load));
+                }
+                Err(error) => {
+                    log::debug!("target: runner \"{runner}\" reports no load. {error}");
+                    work.event(Event::Silent(runner));
+                }
+            }
+        }
+        thread::sleep(LOAD_INTERVAL.into());
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,161 @@
+//! Starting and stopping a router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use balsamchute_base::prelude::*;
+use balsamchute_dispatch::core::Core;
+use balsamchute_dispatch::event::Event;
+use balsamchute_dispatch::settings;
+use balsamchute_wire::exchange::{Member, Phase};
+use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use stakker::{Stakker, actor, call, ret_shutdown};
+use tiny_http::Server;
+
+use crate::claims::Claims;
+use crate::clock::Clock;
+use crate::error::Error;
+use crate::hooks::Hooks;
+use crate::input::Input;
+use crate::node::Node;
+use crate::peers::{Peers, spawn};
+use crate::poll::Polls;
+use crate::settings::Settings;
+use crate::work::Work;
+use crate::{callers, inner};
+
+/// Time between two ticks of the state.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Threads that serve control messages of other routers.
+const INNER_THREADS: usize = 4;
+
+/// Inputs taken in between two looks at the clock.
+const BURST: usize = 256;
+
+/// Time after the last answer for its bytes to leave the process.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// Runs a router until it is told to stop and all its work has ended.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if an address is in use or a thread cannot be started.
+pub fn serve(settings: Settings, hooks: Hooks) -> Result<(), Error> {
+    let clock = Clock::new();
+    let (inputs, receiver) = unbounded();
+    let callers = listen("callers", settings.callers)?;
+    let inner = listen("inner", settings.inner)?;
+    let grace = Duration::from_millis(settings.grace_ms);
+    let core = core(&settings, &clock);
+    let work = Work::new(settings, hooks, clock, inputs);
+    let peers = Peers::start(&work)?;
+    let polls = Polls::start(&work)?;
+    let claims = Claims::new(&work);
+    let server = Arc::clone(&callers);
+    spawn(&work, move |work| callers::run(&server, work))?;
+    for _ in 0..INNER_THREADS {
+        let server = Arc::clone(&inner);
+        spawn(&work, move |work| inner::run(&server, work))?;
+    }
+    watch_signals(&work)?;
+    let instance = work.settings.instance.clone();
+    log::info!(
+        "router: \"{instance}\" listens on {} and {}.",
+        work.settings.callers,
+        work.settings.inner
+    );
+    run(&receiver, grace, |stakker| {
+        actor!(
+            stakker,
+            Node::init(work, core, peers, polls, claims),
+            ret_shutdown!(stakker)
+        )
+    });
+    std::thread::sleep(FLUSH);
+    log::info!("router: \"{instance}\" has stopped.");
+    Ok(())
+}
+
+fn listen(setting: &'static str, address: SocketAddr) -> Result<Arc<Server>, Error> {
+    Server::http(address)
+        .map(Arc::new)
+        .map_err(|error| Error::Listen {
+            setting,
+            address,
+            reason: error.to_string(),
+        })
+}
+
+fn core(settings: &Settings, clock: &Clock) -> Core {
+    let me = Member {
+        instance: settings.instance.clone(),
+        incarnation: Incarnation(clock.start().0),
+        beat: 0,
+        phase: Phase::Starting,
+        domain: settings.domain.clone(),
+        callers: settings.callers,
+        inner: settings.inner,
+        config: 0,
+        services: Vec::new(),
+    };
+    let decisions = settings::Settings {
+        queue: settings.limits.queue,
+        ..settings::Settings::default()
+    };
+    let seed = rand::random();
+    Core::new(me, decisions, seed)
+}
+
+/// Turns a request to end the process into a planned stop.
+fn watch_signals(work: &Work) -> Result<(), Error> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Signal)?;
+    spawn(work, move |work| {
+        for signal in signals.forever() {
+            log::info!("router: signal {signal}. A planned stop begins.");
+            work.event(Event::Stop);
+        }
+    })
+}
+
+/// Feeds inputs to the actor until it stops or the grace time is over.
+fn run(
+    receiver: &Receiver<Input>,
+    grace: Duration,
+    start: impl FnOnce(&mut Stakker) -> stakker::ActorOwn<Node>,
+) {
+    let mut stakker = Stakker::new(Instant::now());
+    let node = start(&mut stakker);
+    let mut last_tick = Instant::now();
+    let mut stop_by = None;
+    loop {
+        match receiver.recv_timeout(TICK.saturating_sub(last_tick.elapsed())) {
+            Ok(input) => {
+                let burst = std::iter::once(input).chain(receiver.try_iter().take(BURST));
+                for input in burst {
+                    if matches!(input, Input::Event(Event::Stop)) {
+                        stop_by.get_or_insert(Instant::now() + grace);
+                    }
+                    call!([node], input(input));
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        if last_tick.elapsed() >= TICK {
+            last_tick = Instant::now();
+            call!([node], tick());
+        }
+        stakker.run(Instant::now(), false);
+        if !stakker.not_shutdown() {
+            return;
+        }
+        if stop_by.is_some_and(|time| Instant::now() >= time) {
+            log::warn!("router: the grace time of the planned stop is over.");
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of a router, in YAML.
+
+use std::net::SocketAddr;
+
+use balsamchute_base::prelude::*;
+use displaydoc::Display;
+use serde::Deserialize;
+
+/// Settings of one router process.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: Instance,
+    /// Failure domain that it runs in.
+    pub domain: Domain,
+    /// Address for callers and operators.
+    pub callers: SocketAddr,
+    /// Address for other routers.
+    pub inner: SocketAddr,
+    /// Address of the platform's object API.
+    pub platform: SocketAddr,
+    /// How long a planned stop may take, in milliseconds.
+    #[serde(default = "default_grace")]
+    pub grace_ms: u64,
+    /// Limits that protect the process.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+fn default_grace() -> u64 {
+    30_000
+}
+
+/// Limits that protect a router from its callers.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Longest request body in bytes.
+    pub body_bytes: usize,
+    /// Longest header value in bytes.
+    pub header_bytes: usize,
+    /// Requests served at the same time, each with a thread.
+    pub requests: usize,
+    /// Requests that wait at the same time.
+    pub queue: usize,
+    /// Longest deadline that a caller may ask for, in milliseconds.
+    pub deadline_ms: u64,
+    /// Deadline of a request that names none, in milliseconds.
+    pub default_deadline_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body_bytes: 1 << 20,
+            header_bytes: 1024,
+            requests: 2048,
+            queue: 20_000,
+            deadline_ms: 600_000,
+            default_deadline_ms: 60_000,
+        }
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// settings are malformed: {0}
+    Malformed(String),
+    /// setting "{name}" must be above zero
+    Zero {
+        /// The setting.
+        name: &'static str,
+    },
+    /// settings "callers" and "inner" name the same address {0}
+    SameAddress(SocketAddr),
+}
+
+impl std::error::Error for Error {}
+
+impl Settings {
+    /// Reads settings from YAML and checks them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] that names the setting at fault.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let settings: Settings =
+            serde_saphyr::from_str(text).map_err(|error| Error::Malformed(error.to_string()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        let limits = &self.limits;
+        let positive = [
+            ("grace_ms", self.grace_ms),
+            ("limits.body_bytes", limits.body_bytes as u64),
+            ("limits.header_bytes", limits.header_bytes as u64),
+            ("limits.requests", limits.requests as u64),
+            ("limits.queue", limits.queue as u64),
+            ("limits.deadline_ms", limits.deadline_ms),
+            ("limits.default_deadline_ms", limits.default_deadline_ms),
+        ];
+        if let Some((name, _)) = positive.into_iter().find(|(_, value)| *value == 0) {
+            return Err(Error::Zero { name });
+        }
+        if self.callers == self.inner {
+            return Err(Error::SameAddress(self.inner));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/tests/path.rs
@@ -0,0 +1,218 @@
+//! The whole path over real sockets: callers, routers, platform, targets.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use balsamchute_base::digest::Hasher;
+use balsamchute_router::hooks::Hooks;
+use balsamchute_router::settings::Settings;
+use balsamchute_standin::{engine, plain, platform};
+use balsamchute_wire::config::Document;
+use balsamchute_wire::record::{End, Outcome, Record};
+
+/// Longest wait for a condition. Reaching it fails the test.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Fleet {
+    platform: platform::Platform,
+    engine: engine::Engine,
+    plain: plain::Plain,
+    routers: Vec<SocketAddr>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+impl Fleet {
+    fn start(count: usize) -> Self {
+        let platform = platform::Platform::start("127.0.0.1:0".parse().expect("an address"))
+            .expect("platform starts");
+        let engine = engine::Engine::start(engine::Settings::new("e1", 4).with_speed(2000.0))
+            .expect("engine starts");
+        let plain = plain::Plain::start(plain::Settings::new("p1", 2)).expect("service starts");
+        let mut fleet = Fleet {
+            platform,
+            engine,
+            plain,
+            routers: Vec::new(),
+        };
+        fleet.put_config();
+        for index in 0..count {
+            fleet.start_router(index);
+        }
+        fleet.wait_ready(count);
+        fleet
+    }
+
+    fn put_config(&self) {
+        let text = format!(
+            "domains: [{{name: d1, region: r}}]\n\
+             services: [{{name: draft, kind: engine}}, {{name: book, kind: plain}}]\n\
+             runners:\n\
+             - {{name: e1, service: draft, domain: d1, address: \"{}\", slots: 4, fencing: true}}\n\
+             - {{name: p1, service: book, domain: d1, address: \"{}\", slots: 2, fencing: false}}\n\
+             workspaces: [{{name: w1, weight: 1}}, {{name: w2, weight: 2}}]\n",
+            self.engine.address(),
+            self.plain.address()
+        );
+        let document = Document {
+            change: "c1".to_owned(),
+            author: "test".to_owned(),
+            text,
+            ..Document::default()
+        };
+        let bytes = serde_json::to_vec(&document).expect("documents always encode");
+        self.platform.put("config/current", bytes);
+    }
+
+    fn start_router(&mut self, index: usize) {
+        let callers = free_address();
+        let inner = free_address();
+        let text = format!(
+            "instance: r{index}\ndomain: d1\ncallers: {callers}\ninner: {inner}\nplatform: {}\n",
+            self.platform.address()
+        );
+        let settings = Settings::parse(&text).expect("sound settings");
+        self.platform.put_instance(instance(index, inner));
+        thread::spawn(move || balsamchute_router::serve(settings, Hooks::new()));
+        self.routers.push(callers);
+    }
+
+    /// Waits until every router serves and knows all others.
+    fn wait_ready(&self, count: usize) {
+        let start = Instant::now();
+        for router in &self.routers {
+            loop {
+                let members = status(*router)
+                    .map_or(0, |status| status["members"].as_array().map_or(0, Vec::len));
+                if members == count {
+                    break;
+                }
+                assert!(
+                    start.elapsed() < PATIENCE,
+                    "router {router} sees {members} of {count} routers"
+                );
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+}
+
+fn instance(index: usize, inner: SocketAddr) -> platform::Instance {
+    platform::Instance {
+        name: format!("r{index}"),
+        kind: platform::Kind::Router,
+        address: inner,
+        domain: "d1".to_owned(),
+        state: platform::State::Live,
+    }
+}
+
+fn status(router: SocketAddr) -> Option<serde_json::Value> {
+    let mut response = ureq::get(format!("http://{router}/v1/status"))
+        .call()
+        .ok()?;
+    serde_json::from_str(&response.body_mut().read_to_string().ok()?).ok()
+}
+
+/// Sends a request and returns the texts and the end of its answer.
+fn run(
+    router: SocketAddr,
+    service: &str,
+    workspace: &str,
+    key: Option<&str>,
+    body: &str,
+) -> (Vec<String>, End) {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut request = agent
+        .post(format!("http://{router}/v1/run/{service}"))
+        .header("x-workspace", workspace)
+        .header("x-deadline-ms", "20000");
+    if let Some(key) = key {
+        request = request.header("x-key", key);
+    }
+    let response = request.send(body).expect("the router answers");
+    let mut texts = Vec::new();
+    let mut hasher = Hasher::new();
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        let line = line.expect("the answer is not cut");
+        if line.is_empty() {
+            continue;
+        }
+        match Record::from_line(&line).expect("a record") {
+            Record::Token(token) => {
+                assert_eq!(token.index, texts.len() as u64);
+                hasher.update(token.text.as_bytes());
+                texts.push(token.text);
+            }
+            Record::End(end) => {
+                if end.outcome == Outcome::Done {
+                    assert_eq!(end.digest, hasher.digest().to_string());
+                    assert_eq!(end.tokens, texts.len() as u64);
+                }
+                return (texts, end);
+            }
+        }
+    }
+    panic!("the answer has no end");
+}
+
+#[test]
+fn every_router_answers_every_workspace_with_the_whole_answer() {
+    let fleet = Fleet::start(3);
+    for router in &fleet.routers {
+        for workspace in ["w1", "w2"] {
+            let (texts, end) = run(*router, "draft", workspace, None, r#"{"tokens":20}"#);
+            assert_eq!(end.outcome, Outcome::Done, "{end:?}");
+            assert_eq!(texts.len(), 20);
+            let (texts, end) = run(*router, "book", workspace, None, r#"{"ms":5}"#);
+            assert_eq!(end.outcome, Outcome::Done, "{end:?}");
+            assert_eq!(texts.len(), 1);
+        }
+    }
+    assert_eq!(fleet.engine.records().len(), 6);
+}
+
+#[test]
+fn bound_key_runs_once_however_often_it_is_sent() {
+    let fleet = Fleet::start(3);
+    let url = format!("http://{}/v1/address?workspace=w1", fleet.routers[0]);
+    let body = ureq::get(url)
+        .call()
+        .expect("an answer")
+        .body_mut()
+        .read_to_string()
+        .expect("a text");
+    let address: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+    let key = address["key"].as_str().expect("a key");
+    for router in &fleet.routers {
+        let (texts, end) = run(*router, "book", "w1", Some(key), r#"{"ms":5}"#);
+        assert_eq!(end.outcome, Outcome::Done, "{end:?}");
+        assert_eq!(texts.len(), 1);
+    }
+    assert_eq!(fleet.plain.records().len(), 1);
+}
+
+#[test]
+fn refusals_name_what_is_wrong() {
+    let fleet = Fleet::start(1);
+    let router = fleet.routers[0];
+    for (service, workspace, part) in [
+        ("draft", "nobody", "workspace \"nobody\" does not exist"),
+        ("nothing", "w1", "service \"nothing\" does not exist"),
+        ("draft", "a b", "workspace name \"a b\" contains ' '"),
+    ] {
+        let (_, end) = run(router, service, workspace, None, r#"{"tokens":2}"#);
+        assert_eq!(end.outcome, Outcome::NotRun);
+        let reason = end.reason.expect("a reason");
+        assert!(reason.contains(part), "{reason}");
+    }
+    assert!(fleet.engine.records().is_empty());
+}
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -19,6 +19,24 @@
     Unknown,
 }
 
+/// Why a request was refused, for programs.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The workspace or service does not exist.
+    NotFound,
+    /// The key was used with another body or service.
+    Mismatch,
+    /// A limit or a full queue; later there is room.
+    Limit,
+    /// This router cannot serve the request now; another one may.
+    Elsewhere,
+    /// Claims of durable keys cannot be stored now.
+    NoClaims,
+    /// The deadline passed while the request waited.
+    Deadline,
+}
+
 /// One record.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -51,6 +69,9 @@
     pub tokens: u64,
     /// Digest over the texts of all tokens, 32 hexadecimal digits.
     pub digest: String,
+    /// Why the request was refused, `None` where no code fits.
+    #[serde(default)]
+    pub code: Option<Code>,
     /// Why the outcome is not `done`.
     pub reason: Option<String>,
     /// When a retry can help, in milliseconds from now.
@@ -66,6 +87,7 @@
             outcome: Outcome::Done,
             tokens,
             digest: digest.to_string(),
+            code: None,
             reason: None,
             retry_after_ms: None,
         }
@@ -79,6 +101,7 @@
             outcome,
             tokens: 0,
             digest: Hasher::new().digest().to_string(),
+            code: None,
             reason: Some(reason.to_owned()),
             retry_after_ms: None,
         }
@@ -91,6 +114,13 @@
         self
     }
 
+    /// Sets why the request was refused.
+    #[must_use]
+    pub fn with_code(mut self, code: Code) -> Self {
+        self.code = Some(code);
+        self
+    }
+
     /// Sets the attempt that this record ends.
     #[must_use]
     pub fn with_attempt(mut self, attempt: &Attempt) -> Self {
