Dispatch: follow the fleet's mean virtual time, and ignore older summaries

Cause: a queue's clock followed the highest head of any peer, so that one workspace far ahead after a large request pushed every newcomer back; and entries passed on by third routers, older than what their router had just said itself, overwrote its backlog and virtual time at the lender. Change: readings of all peers are kept and their weighted mean observed; only newer entries count, and what a router says itself holds for a second.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -3,7 +3,7 @@
 use balsamchute_base::prelude::*;
 use balsamchute_fleet::leaving;
 use balsamchute_fleet::members::{self, Change};
-use balsamchute_wire::exchange::Frame;
+use balsamchute_wire::exchange::{Frame, Member};
 use balsamchute_wire::message::Message;
 
 use crate::core::Core;
@@ -54,6 +54,7 @@
 
     /// Takes in the frame of another router.
     pub(crate) fn exchanged(&mut self, now: Time, frame: &Frame, actions: &mut Vec<Action>) {
+        let newer = self.newer(frame);
         let changes = self.members.merge(now, &frame.members);
         self.members.hear(now, &frame.from);
         let left = !self.leaving.merge(now, &frame.leaving).is_empty();
@@ -61,8 +62,11 @@
             self.own_runners(now);
         }
         self.changed(now, &changes, actions);
-        for member in &frame.members {
-            self.learn_member(now, &member.instance.clone(), &member.services);
+        for member in newer {
+            let direct = member.instance == frame.from;
+            for summary in &member.services {
+                self.learn(now, &member.instance, summary, direct);
+            }
         }
         if frame.config.version > self.stamp.version
             && let Some(sender) = self.members.get(&frame.from)
@@ -72,18 +76,16 @@
         self.grant_all(now, actions);
     }
 
-    fn learn_member(
-        &mut self,
-        now: Time,
-        from: &Instance,
-        summaries: &[balsamchute_wire::exchange::Summary],
-    ) {
-        if *from == self.me().instance {
-            return;
-        }
-        for summary in summaries {
-            self.learn(now, from, summary);
-        }
+    /// Returns the entries of a frame that are newer than what is known.
+    fn newer<'a>(&self, frame: &'a Frame) -> Vec<&'a Member> {
+        let me = &self.me().instance;
+        let others = frame.members.iter().filter(|entry| entry.instance != *me);
+        others
+            .filter(|entry| match self.members.get(&entry.instance) {
+                Some(known) => (known.incarnation, known.beat) < (entry.incarnation, entry.beat),
+                None => true,
+            })
+            .collect()
     }
 
     /// Reacts to routers that came, went or restarted.
@@ -96,7 +98,7 @@
                     moved = true;
                     self.unsent.remove(instance);
                     for state in self.services.values_mut() {
-                        state.lender.forget(now, instance);
+                        state.forget(now, instance);
                     }
                 }
                 Change::Updated(_) | Change::Superseded(_) => {}
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,10 +1,23 @@
 //! The state of one service at this router.
 
+use std::collections::BTreeMap;
+
 use balsamchute_base::prelude::*;
+use balsamchute_fair::order::{Reading, fleet_time};
 use balsamchute_fair::{lender::Lender, queue::Queue};
 use balsamchute_inventory::config::Kind;
 use balsamchute_wire::exchange::Summary;
 
+/// How long what a router says itself goes before what others say of it.
+const DIRECT_HOLD: Span = Span::from_secs(1);
+
+/// What another router published about a service.
+pub(crate) struct Heard {
+    reading: Reading,
+    /// When the router itself last said so.
+    direct: Option<Time>,
+}
+
 /// Queue and slots of one service.
 pub(crate) struct State {
     /// What its runners speak.
@@ -17,6 +30,8 @@
     pub told: Time,
     /// The backlog that was last told.
     pub told_backlog: u32,
+    /// What other routers published last.
+    pub heard: BTreeMap<Instance, Heard>,
 }
 
 impl State {
@@ -24,13 +39,50 @@
     pub fn summary(&self, service: &Service) -> Summary {
         Summary {
             service: service.clone(),
-            virtual_time: self
-                .queue
-                .head()
-                .unwrap_or_else(|| self.queue.virtual_time()),
+            virtual_time: self.queue.virtual_time(),
             backlog: self.queue.backlog(),
             weight: self.queue.weight(),
             free: self.lender.free(),
         }
     }
+
+    /// Takes in what another router published, by itself (`direct`) or passed on.
+    pub fn learn(&mut self, now: Time, from: &Instance, summary: &Summary, direct: bool) {
+        let before = self.heard.get(from).and_then(|heard| heard.direct);
+        if !direct && before.is_some_and(|at| now.since(at) < DIRECT_HOLD) {
+            return;
+        }
+        let reading = Reading {
+            virtual_time: summary.virtual_time,
+            backlog: summary.backlog,
+            weight: summary.weight,
+        };
+        let direct = if direct { Some(now) } else { before };
+        self.heard.insert(from.clone(), Heard { reading, direct });
+        let Reading {
+            virtual_time,
+            backlog,
+            weight,
+        } = reading;
+        self.lender
+            .summary(now, from, virtual_time, weight, backlog);
+        let readings = self.heard.values().map(|heard| heard.reading);
+        if let Some(time) = fleet_time(readings.chain([self.reading()])) {
+            self.queue.observe(time);
+        }
+    }
+
+    /// Forgets a router that is gone.
+    pub fn forget(&mut self, now: Time, peer: &Instance) {
+        self.heard.remove(peer);
+        self.lender.forget(now, peer);
+    }
+
+    fn reading(&self) -> Reading {
+        Reading {
+            virtual_time: self.queue.virtual_time(),
+            backlog: self.queue.backlog(),
+            weight: self.queue.weight(),
+        }
+    }
 }
--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -1,5 +1,6 @@
 //! What the configuration and the membership make this router responsible for.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use balsamchute_base::prelude::*;
@@ -48,6 +49,7 @@
                 lender: Lender::new(&me, lender::Settings::default()),
                 told: Time::default(),
                 told_backlog: 0,
+                heard: BTreeMap::new(),
             });
             state.kind = service.kind;
             for (workspace, share) in &config.workspaces {
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -293,23 +293,14 @@
     }
 
     fn need(&mut self, now: Time, from: &Instance, summary: &Summary, actions: &mut Vec<Action>) {
-        self.learn(now, from, summary);
+        self.learn(now, from, summary, true);
         self.grant(now, &summary.service, actions);
     }
 
     /// Takes in what another router published about a service.
-    pub(crate) fn learn(&mut self, now: Time, from: &Instance, summary: &Summary) {
+    pub(crate) fn learn(&mut self, now: Time, from: &Instance, summary: &Summary, direct: bool) {
         if let Some(state) = self.services.get_mut(&summary.service) {
-            state.lender.summary(
-                now,
-                from,
-                summary.virtual_time,
-                summary.weight,
-                summary.backlog,
-            );
-            if summary.backlog > 0 {
-                state.queue.observe(summary.virtual_time);
-            }
+            state.learn(now, from, summary, direct);
         }
     }
 
