--- /dev/null
+++ b/src/commands/files.rs
@@ -0,0 +1,57 @@
+//! Inventory and rules in files.
+
+use std::path::PathBuf;
+
+use balsamchute_inventory::config::Config;
+use balsamchute_inventory::document::{self, Source};
+use balsamchute_inventory::fault::Fault;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::output::Output;
+
+/// A fault as printed.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    file: String,
+    line: u64,
+    message: String,
+}
+
+/// Reads and checks files that make up a configuration together.
+///
+/// # Errors
+///
+/// Returns [`Error::File`] if one cannot be read and, after printing them,
+/// [`Error::Faults`] if there are any.
+pub fn read(files: &[PathBuf], output: Output) -> Result<Config, Error> {
+    let mut texts = Vec::new();
+    for file in files {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|error| Error::File {
+            file: name.clone(),
+            reason: error.to_string(),
+        })?;
+        texts.push((name, text));
+    }
+    let sources: Vec<Source<'_>> = texts
+        .iter()
+        .map(|(file, text)| Source { file, text })
+        .collect();
+    document::parse_all(&sources).map_err(|faults| report(&faults, output))
+}
+
+fn report(faults: &[Fault], output: Output) -> Error {
+    let reports: Vec<Report> = faults
+        .iter()
+        .map(|fault| Report {
+            file: fault.file.clone(),
+            line: fault.line,
+            message: fault.message.clone(),
+        })
+        .collect();
+    output.print(&reports, || {
+        faults.iter().map(|fault| format!("{fault}\n")).collect()
+    });
+    Error::Faults(faults.len())
+}
--- /dev/null
+++ b/src/commands/get.rs
@@ -0,0 +1,37 @@
+//! `balsamchute get`
+
+use bpaf::Bpaf;
+
+use crate::error::Error;
+use crate::output::Output;
+use crate::store::{self, Address};
+
+/// Options of the command.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    #[bpaf(external(crate::output::output))]
+    output: Output,
+    #[bpaf(external(crate::store::address))]
+    platform: Address,
+}
+
+/// Prints the current configuration. Its text can be edited and applied with
+/// `--base` and the version named in its first line.
+///
+/// # Errors
+///
+/// Returns [`Error::NoConfiguration`] if there is none and failures of the
+/// platform.
+pub fn run(options: &Options) -> Result<(), Error> {
+    let document = store::read(&store::client(options.platform.platform))?;
+    if document.version == 0 {
+        return Err(Error::NoConfiguration(store::PATH));
+    }
+    options.output.print(&document, || {
+        format!(
+            "# version {} by {}, change {}\n{}",
+            document.version, document.author, document.change, document.text
+        )
+    });
+    Ok(())
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the shipped binary against the platform's stand-in.
+
+mod apply;
+mod check;
+mod command;
