Dispatch: enforce rate, concurrency and queue limits; follow changes of phase

Cause: limits of the configuration were checked but, except the queue's, not in force; the queue's limit counted all requests of the router on each arrival. A router that began to serve or to leave kept its old runners until the next reading of the platform's list. Change: limiters of workspaces (split over their homes) and services (rate and queue split over the serving routers); a service's concurrency cuts the slots of its runners, the same on every router, so it holds without messages. Ownership follows each change in the set of serving routers.

--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -9,6 +9,7 @@
 
 use crate::core::Core;
 use crate::event::{Action, Arrival, Command, Ticket};
+use crate::limits::Count;
 use crate::request::{Entry, Stage};
 
 /// When a caller that was refused for lack of room may come back.
@@ -32,6 +33,7 @@
             arrived: now,
             deadline: now + arrival.head.deadline,
             stage: Stage::Claiming,
+            count: Count::None,
             attempts: 0,
             attempt: None,
             nonce: 0,
@@ -157,6 +159,7 @@
         let mut head = entry.head.clone();
         head.hops += 1;
         head.deadline = entry.deadline.since(now);
+        self.recount(ticket, Count::None);
         let command = Command::Forward {
             to: member.instance.clone(),
             address: member.inner,
@@ -188,7 +191,7 @@
 
     /// Queues the request here, after its claim if it needs one.
     pub(crate) fn admit(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
-        if let Some(end) = self.full(ticket) {
+        if let Some(end) = self.full(now, ticket) {
             return self.refuse(now, ticket, end, actions);
         }
         if self.requests[&ticket].once() {
@@ -199,33 +202,12 @@
     }
 
     /// Returns the refusal if the queues have no room for the request.
-    fn full(&self, ticket: Ticket) -> Option<End> {
-        let head = &self.requests[&ticket].head;
-        let waiting = |entry: &&Entry| entry.stage == Stage::Waiting;
+    fn full(&mut self, now: Time, ticket: Ticket) -> Option<End> {
         if self.requests.len() > self.settings.queue {
             let end = End::new(Outcome::NotRun, "queue of this router is full");
             return Some(end.with_code(Code::Limit).with_retry_after(BUSY_RETRY));
         }
-        let limit = self
-            .config
-            .workspaces
-            .get(&head.workspace)
-            .and_then(|share| share.limits.queue);
-        let limit = limit.map_or(self.settings.workspace_queue, |limit| limit as usize);
-        let queued = self.requests.values().filter(waiting);
-        if queued
-            .filter(|entry| entry.head.workspace == head.workspace)
-            .count()
-            >= limit
-        {
-            let text = format!(
-                "queue of workspace \"{}\" is full ({limit} requests)",
-                head.workspace
-            );
-            let end = End::new(Outcome::NotRun, &text).with_code(Code::Limit);
-            return Some(end.with_retry_after(BUSY_RETRY));
-        }
-        None
+        self.limit(now, ticket)
     }
 
     /// Puts the request into its queue.
@@ -233,6 +215,7 @@
         let entry = &mut self.requests[&ticket];
         entry.stage = Stage::Waiting;
         let head = entry.head.clone();
+        self.recount(ticket, Count::Waiting);
         let Some(state) = self.services.get_mut(&head.service) else {
             let text = format!("service \"{}\" does not exist", head.service);
             return self.refuse(now, ticket, End::new(Outcome::NotRun, &text), actions);
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -18,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::event::{Action, Command, Event, Ticket};
+use crate::limits;
 use crate::request::Entry;
 use crate::service::State;
 use crate::settings::Settings;
@@ -39,6 +40,7 @@
     pub(crate) homes: home::Cache,
     pub(crate) leaving: leaving::Marks,
     pub(crate) services: BTreeMap<Service, State>,
+    pub(crate) limits: limits::Table,
     pub(crate) requests: IndexMap<Ticket, Entry>,
     pub(crate) ledger: Ledger,
     pub(crate) suspects: Vec<Suspect>,
@@ -69,6 +71,7 @@
             homes: home::Cache::new(),
             leaving: leaving::Marks::new(),
             services: BTreeMap::new(),
+            limits: limits::Table::default(),
             requests: IndexMap::new(),
             ledger: Ledger::new(ledger::Settings::default()),
             suspects: Vec::new(),
@@ -183,13 +186,13 @@
             &format!("ended as {:?}: {reason}", end.outcome),
         );
         let end = self.settle(now, ticket, end, None, actions);
-        self.requests.swap_remove(&ticket);
+        self.remove(ticket);
         actions.push(Action::Tell(ticket, Command::End(end)));
     }
 
     /// Forgets a request without an answer.
     pub(crate) fn drop_request(&mut self, ticket: Ticket) {
-        self.requests.swap_remove(&ticket);
+        self.remove(ticket);
     }
 
     /// Adds a decision about a request to the audit trail.
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -50,7 +50,7 @@
             Some(end) => {
                 self.note(now, ticket, &format!("ended as {:?}", end.outcome));
                 let end = self.settle(now, ticket, end, finish.answer, actions);
-                self.requests.swap_remove(&ticket);
+                self.remove(ticket);
                 actions.push(Action::Tell(ticket, Command::End(end)));
                 self.release(now, &service, slot, finish.cost, failed, actions);
             }
--- a/crates/dispatch/src/keyed.rs
+++ b/crates/dispatch/src/keyed.rs
@@ -263,7 +263,7 @@
 
     fn answer_joined(&mut self, joined: &[Ticket], settled: &Settled, actions: &mut Vec<Action>) {
         for &ticket in joined {
-            if self.requests.swap_remove(&ticket).is_some() {
+            if self.remove(ticket) {
                 actions.push(Action::Tell(ticket, Command::Replay(settled.clone())));
             }
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod arrival;
 mod finish;
 mod keyed;
+mod limits;
 mod peers;
 mod request;
 mod service;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -104,7 +104,8 @@
                 Change::Updated(_) | Change::Superseded(_) => {}
             }
         }
-        if moved {
+        // A router that begins to serve or to leave moves what it owns, too.
+        if self.homes.update(self.members.serving()) || moved {
             self.own_runners(now);
             self.watch(actions);
         }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -6,6 +6,8 @@
 
 use std::net::SocketAddr;
 
+use crate::limits::Count;
+
 /// Where a request stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -49,6 +51,8 @@
     pub deadline: Time,
     /// Where it stands.
     pub stage: Stage,
+    /// How it counts against the limits.
+    pub count: Count,
     /// Attempts made so far.
     pub attempts: u32,
     /// The last attempt.
--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -11,6 +11,7 @@
 
 use crate::core::Core;
 use crate::event::Action;
+use crate::limits;
 use crate::service::State;
 
 impl Core {
@@ -76,6 +77,8 @@
                 state.lender.remove_runner(&runner);
             }
         }
+        self.update_limits();
+        let slots = limits::slots(&config);
         for (name, runner) in &config.runners {
             self.addresses.insert(name.clone(), runner.address);
             let owned = self.homes.owner(name) == Some(&me);
@@ -86,7 +89,7 @@
                 continue;
             };
             if usable {
-                state.lender.set_runner(name, runner.slots);
+                state.lender.set_runner(name, slots[name]);
             } else {
                 state.lender.remove_runner(name);
             }
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -8,6 +8,7 @@
 
 use crate::core::Core;
 use crate::event::{Action, Command, Load, Run, Ticket};
+use crate::limits::Count;
 use crate::request::{Slot, Stage};
 
 /// Owners that are told of a need when some of them have free slots.
@@ -118,13 +119,16 @@
             slot.runner, slot.owner
         );
         entry.stage = Stage::Running(slot);
+        let arrived = entry.arrived;
+        let workspace = entry.head.workspace.clone();
+        let key = entry.head.key.clone();
+        self.recount(ticket, Count::Running);
         actions.push(Action::Waited(
-            entry.head.workspace.clone(),
+            workspace.clone(),
             service,
-            now.since(entry.arrived),
+            now.since(arrived),
         ));
-        if let Some(key) = entry.head.key.clone() {
-            let workspace = entry.head.workspace.clone();
+        if let Some(key) = key {
             self.ledger.sent(&workspace, &key, &attempt);
         }
         self.note(now, ticket, &text);
