--- a/crates/router/src/inner.rs
+++ b/crates/router/src/inner.rs
@@ -40,6 +40,7 @@
             (Method::Post, "/inner/messages") => messages(work, request),
             (Method::Post, "/inner/exchange") => exchange(work, request),
             (Method::Get, "/inner/config") => config(work, request),
+            (Method::Get, "/inner/stamp") => stamp(work, request),
             _ => status(request, 404),
         }
     }
@@ -125,6 +126,13 @@
     }
 }
 
+fn stamp(work: &Work, request: Request) {
+    match work.ask(Query::Stamp) {
+        Some(stamp) => respond(request, &stamp),
+        None => status(request, 503),
+    }
+}
+
 fn read<T: DeserializeOwned>(request: &mut Request, limit: u64) -> Result<T, String> {
     let mut body = Vec::new();
     let read = request.as_reader().take(limit + 1).read_to_end(&mut body);
--- a/crates/router/src/input.rs
+++ b/crates/router/src/input.rs
@@ -5,7 +5,7 @@
 use balsamchute_dispatch::event::{Arrival, Command, Event};
 use balsamchute_dispatch::view::{Address, Explanation, Status};
 use balsamchute_wire::claim;
-use balsamchute_wire::config::Document;
+use balsamchute_wire::config::{Document, Stamp};
 use balsamchute_wire::exchange::Frame;
 use crossbeam_channel::Sender;
 
@@ -39,7 +39,9 @@
     Explain(Subject, Sender<Explanation>),
     /// What this router knows of a key.
     Key(Workspace, Key, Sender<Option<ledger::State>>),
-    /// The configuration in force.
+    /// Which configuration is in force.
+    Stamp(Sender<Stamp>),
+    /// The newest configuration that this router holds.
     Document(Sender<Document>),
 }
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -64,7 +64,12 @@
                 self.commands.insert(arrival.ticket, commands);
                 self.event(cx, Event::Arrive(arrival));
             }
-            Input::Event(event) => self.event(cx, event),
+            Input::Event(event) => {
+                if let Event::Exchanged(frame) = &event {
+                    self.store.fetch_from(frame.config);
+                }
+                self.event(cx, event);
+            }
             Input::Exchange(frame, reply) => self.exchange(cx, frame, reply),
             Input::Document(document) => self.document(cx, document),
             Input::Unchanged => {
@@ -183,6 +188,7 @@
                 let _ = reply.send(explanation);
             }
             Query::Key(workspace, key, reply) => drop(reply.send(self.core.key(&workspace, &key))),
+            Query::Stamp(reply) => drop(reply.send(self.core.stamp())),
             Query::Document(reply) => drop(reply.send(self.store.document().clone())),
         }
     }
--- a/crates/router/src/poll.rs
+++ b/crates/router/src/poll.rs
@@ -61,6 +61,7 @@
 
 fn watch_config(work: &Work, client: &Client) {
     let mut after = 0;
+    let mut silent = false;
     loop {
         if !work.is_open(work.settings.platform) {
             thread::sleep(FAILURE_PAUSE.into());
@@ -68,7 +69,9 @@
         }
         // The first read returns at once so that a new router soon serves.
         let wait = if after == 0 { Span(0) } else { WATCH_WAIT };
-        match client.watch(CONFIG_PATH, after, wait) {
+        let answer = client.watch(CONFIG_PATH, after, wait);
+        note_silence(work, &mut silent, answer.as_ref().err());
+        match answer {
             Ok(Some(object)) => {
                 after = object.version;
                 offer(work, object);
@@ -79,12 +82,26 @@
                     thread::sleep(FAILURE_PAUSE.into());
                 }
             }
-            Err(error) => {
-                log::debug!("platform: cannot watch \"{CONFIG_PATH}\". {error}");
-                thread::sleep(FAILURE_PAUSE.into());
-            }
+            Err(_) => thread::sleep(FAILURE_PAUSE.into()),
+        }
+    }
+}
+
+/// Logs when the platform ceases to answer and when it answers again.
+fn note_silence(
+    work: &Work,
+    silent: &mut bool,
+    error: Option<&balsamchute_platform::error::Error>,
+) {
+    let address = work.settings.platform;
+    match error {
+        Some(error) if !*silent => {
+            log::warn!("platform: {address} (setting \"platform\") does not answer. {error}");
         }
+        None if *silent => log::info!("platform: {address} answers again."),
+        _ => {}
     }
+    *silent = error.is_some();
 }
 
 fn offer(work: &Work, object: Object) {
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use balsamchute_router::hooks::Hooks;
+use balsamchute_router::settings::Settings;
 use bpaf::Bpaf;
 
 use crate::error::Error;
@@ -18,14 +20,18 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Settings`] for faults in the settings and [`Error::Serve`]
-/// for what ended the router.
+/// Returns [`Error::File`] and [`Error::Settings`] for faults in the settings
+/// and [`Error::Serve`] if the router cannot start.
 pub fn run(options: &Options) -> Result<(), Error> {
     let file = options.settings.display().to_string();
     let text = std::fs::read_to_string(&options.settings).map_err(|error| Error::File {
         file: file.clone(),
         reason: error.to_string(),
     })?;
-    let _ = text;
-    Err(Error::Serve(format!("not built yet, cannot run {file}")))
+    let settings = Settings::parse(&text).map_err(|error| Error::Settings {
+        file,
+        reason: error.to_string(),
+    })?;
+    balsamchute_router::serve(settings, Hooks::new())?;
+    Ok(())
 }
--- a/src/commands/wait.rs
+++ b/src/commands/wait.rs
@@ -7,7 +7,7 @@
 
 use balsamchute_platform::instance::{Entry, Kind};
 use balsamchute_wire::codec;
-use balsamchute_wire::config::Document;
+use balsamchute_wire::config::Stamp;
 use ureq::Agent;
 
 use crate::error::Error;
@@ -19,8 +19,8 @@
 /// Longest time to wait for one router's answer.
 const ANSWER: Duration = Duration::from_secs(1);
 
-/// Largest document that a router may answer with, in bytes.
-const MAX_ANSWER_BYTES: u64 = 4 * 1024 * 1024;
+/// Longest answer of a router in bytes.
+const MAX_ANSWER_BYTES: u64 = 4096;
 
 /// What one router says.
 enum Answer {
@@ -88,7 +88,7 @@
 }
 
 fn ask(agent: &Agent, address: SocketAddr) -> Answer {
-    let call = agent.get(format!("http://{address}/inner/config")).call();
+    let call = agent.get(format!("http://{address}/inner/stamp")).call();
     let mut answer = match call {
         Ok(answer) => answer,
         Err(ureq::Error::Io(error)) if error.kind() == ErrorKind::ConnectionRefused => {
@@ -105,8 +105,8 @@
         Ok(bytes) => bytes,
         Err(error) => return Answer::Silent(error.to_string()),
     };
-    match codec::decode::<Document>(&bytes) {
-        Ok(document) => Answer::Version(document.version),
+    match codec::decode::<Stamp>(&bytes) {
+        Ok(stamp) => Answer::Version(stamp.version),
         Err(error) => Answer::Silent(error.to_string()),
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -39,8 +39,15 @@
     },
     /// {0} faults in the configuration
     Faults(usize),
-    /// router failed: {0}
-    Serve(String),
+    /// settings "{file}" cannot be used: {reason}
+    Settings {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        reason: String,
+    },
+    /// router cannot start: {0}
+    Serve(balsamchute_router::Error),
     /// platform: {0}
     Platform(Platform),
     /// platform holds no configuration at "{0}"
@@ -99,7 +106,7 @@
     /// Returns the exit code of the process.
     pub fn exit_code(&self) -> ExitCode {
         let code = match self {
-            Error::Faults(_) | Error::File { .. } => FAULTS,
+            Error::Faults(_) | Error::Settings { .. } | Error::File { .. } => FAULTS,
             Error::Race { .. } => RACE,
             Error::Wait { .. } => WAIT,
             Error::Unsettled { .. } => UNSETTLED,
@@ -115,3 +122,9 @@
         Error::Platform(error)
     }
 }
+
+impl From<balsamchute_router::Error> for Error {
+    fn from(error: balsamchute_router::Error) -> Self {
+        Error::Serve(error)
+    }
+}
--- a/tests/all/apply.rs
+++ b/tests/all/apply.rs
@@ -5,7 +5,7 @@
 use balsamchute_base::prelude::*;
 use balsamchute_standin::platform::{Instance, Kind, Platform, State};
 use balsamchute_wire::codec;
-use balsamchute_wire::config::Document;
+use balsamchute_wire::config::{Document, Stamp};
 
 use crate::command::{Directory, INVENTORY, Run, end, platform, run, start};
 
@@ -123,18 +123,18 @@
     assert!(platform.get("config/current").is_none());
 }
 
-/// A router that answers with the configuration of a version.
+/// A router that has a version in force.
 fn router(platform: &Platform, name: &str, version: u64) -> SocketAddr {
     let server = tiny_http::Server::http("127.0.0.1:0").expect("a free port");
     let address = server.server_addr().to_ip().expect("an IP address");
     put(platform, name, address);
     std::thread::spawn(move || {
-        let document = Document {
+        let stamp = Stamp {
             version,
-            ..Document::default()
+            ..Stamp::default()
         };
         for request in server.incoming_requests() {
-            let body = codec::encode(&document);
+            let body = codec::encode(&stamp);
             // A caller that has gone needs no answer.
             let _ = request.respond(tiny_http::Response::from_data(body));
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod apply;
 mod check;
 mod command;
+mod serve;
