--- a/tests/all/serve.rs
+++ b/tests/all/serve.rs
@@ -25,6 +25,7 @@
 /// A router process that is killed when dropped.
 struct Router {
     child: Option<Child>,
+    log: String,
     callers: SocketAddr,
     inner: SocketAddr,
 }
@@ -35,10 +36,13 @@
         let text = settings(name, callers, inner, platform);
         let file = directory.file(&format!("{name}.yaml"), &text);
         let mut command = command(&["serve", "--settings", &file]);
-        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let log = directory.file(&format!("{name}.log"), "");
+        let writer = std::fs::File::create(&log).expect("the log can be written");
+        command.stdout(Stdio::null()).stderr(writer);
         let child = command.spawn().expect("the router starts");
         Router {
             child: Some(child),
+            log,
             callers,
             inner,
         }
@@ -139,9 +143,10 @@
         asked.code == 0 && asked.out.contains("starting"),
         "{asked:?}"
     );
-    let stopped = router.stop();
-    assert_eq!(stopped.code, 0, "{stopped:?}");
-    assert!(stopped.err.contains(&nobody.to_string()), "{stopped:?}");
+    let log = router.log.clone();
+    let named = || std::fs::read_to_string(&log).is_ok_and(|log| log.contains(&nobody.to_string()));
+    until("the log names the platform", named);
+    assert_eq!(router.stop().code, 0);
 }
 
 #[test]
