Serve at once when the platform has answered

Cause: a router without peers waited for the end of its first watch, 20 s, as a document read from the platform did not count as the platform's answer; traced by timing the start in the path test.

Change: inputs say where a document was read, and one from the platform marks the platform as heard.

--- a/crates/router/src/input.rs
+++ b/crates/router/src/input.rs
@@ -17,8 +17,8 @@
     Event(Event),
     /// Another router started an exchange.
     Exchange(Frame, Sender<Frame>),
-    /// A configuration was read from the platform or another router.
-    Document(Document),
+    /// A configuration was read.
+    Document(Source, Document),
     /// The platform answered that it has no configuration newer than ours.
     Unchanged,
     /// Another router asks this one as writer of claim shards.
@@ -27,6 +27,15 @@
     Query(Query),
 }
 
+/// Where a configuration was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Source {
+    /// On the platform.
+    Platform,
+    /// At another router.
+    Peer,
+}
+
 /// A question about the state.
 pub(crate) enum Query {
     /// Which routers a caller may use.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -13,7 +13,7 @@
 use stakker::CX;
 
 use crate::claims::Claims;
-use crate::input::{Input, Query, Subject};
+use crate::input::{Input, Query, Source, Subject};
 use crate::peers::Peers;
 use crate::poll::Polls;
 use crate::work::Work;
@@ -71,7 +71,12 @@
                 self.event(cx, event);
             }
             Input::Exchange(frame, reply) => self.exchange(cx, frame, reply),
-            Input::Document(document) => self.document(cx, document),
+            Input::Document(source, document) => {
+                if source == Source::Platform {
+                    self.store.platform_answered(document.version);
+                }
+                self.document(cx, document);
+            }
             Input::Unchanged => {
                 self.store.platform_answered(self.store.stamp().version);
                 self.check_ready(cx);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -16,7 +16,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::Error;
-use crate::input::Input;
+use crate::input::{Input, Source};
 use crate::work::{STACK_BYTES, Work};
 
 /// Threads that send messages; a router's messages all go through one of them,
@@ -136,7 +136,7 @@
             }
             Talk::Fetch(address) => {
                 if let Some(document) = get::<Document>(work, address, "config") {
-                    work.send(Input::Document(document));
+                    work.send(Input::Document(Source::Peer, document));
                 }
             }
         }
--- a/crates/router/src/poll.rs
+++ b/crates/router/src/poll.rs
@@ -11,7 +11,7 @@
 use balsamchute_wire::config::Document;
 
 use crate::error::Error;
-use crate::input::Input;
+use crate::input::{Input, Source};
 use crate::peers::spawn;
 use crate::work::Work;
 
@@ -106,10 +106,13 @@
 
 fn offer(work: &Work, object: Object) {
     match serde_json::from_slice::<Document>(&object.bytes) {
-        Ok(document) => work.send(Input::Document(Document {
-            version: object.version,
-            ..document
-        })),
+        Ok(document) => work.send(Input::Document(
+            Source::Platform,
+            Document {
+                version: object.version,
+                ..document
+            },
+        )),
         Err(error) => log::error!("config: version {} is malformed. {error}", object.version),
     }
 }
