Serve metrics from the router; send tokens without delay

Cause: the metrics had no observations and no page; accepted sockets held small writes back until the one before was acknowledged. Change: GET /metrics; the router that queues a request observes its wait, tokens, cost and end, so that the fleet counts each once; control traffic is counted by kind and direction, HTTP heads worked out from their parts; the setting limits.labels bounds the workspaces with a label; listeners set TCP_NODELAY, which accepted sockets inherit.

--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -34,6 +34,17 @@
     pub service: &'a Service,
 }
 
+/// The load of a service at one router.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that wait.
+    pub backlog: u32,
+    /// Slots of the runners that it owns.
+    pub slots: u32,
+    /// Of these, slots in use or lent.
+    pub used: u32,
+}
+
 /// Kinds of control traffic.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Control {
@@ -98,7 +109,8 @@
     control_messages: Counter<u64>,
     control_bytes: Counter<u64>,
     backlog: Gauge<u64>,
-    running: Gauge<u64>,
+    slots: Gauge<u64>,
+    used: Gauge<u64>,
     routers: Gauge<u64>,
     config: Gauge<u64>,
 }
@@ -170,10 +182,11 @@
                 "Bytes of control traffic.",
             ),
             backlog: gauge(&meter, "balsamchute_backlog", "Requests that wait here."),
-            running: gauge(
+            slots: gauge(&meter, "balsamchute_slots", "Slots that this router owns."),
+            used: gauge(
                 &meter,
-                "balsamchute_running",
-                "Requests that run from here.",
+                "balsamchute_slots_used",
+                "Of these, in use or lent.",
             ),
             routers: gauge(
                 &meter,
@@ -241,11 +254,12 @@
         self.control_bytes.add(bytes, &labels);
     }
 
-    /// Sets how many requests of a service wait and run here.
-    pub fn set_load(&self, service: &Service, backlog: u64, running: u64) {
+    /// Sets the load of a service at this router.
+    pub fn set_load(&self, service: &Service, load: Load) {
         let labels = [self.service(service)];
-        self.backlog.record(backlog, &labels);
-        self.running.record(running, &labels);
+        self.backlog.record(load.backlog.into(), &labels);
+        self.slots.record(load.slots.into(), &labels);
+        self.used.record(load.used.into(), &labels);
     }
 
     /// Sets how many routers are live and which configuration is in force.
--- a/crates/metrics/tests/page.rs
+++ b/crates/metrics/tests/page.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use balsamchute_base::prelude::*;
-use balsamchute_metrics::{Control, Direction, Metrics, Work};
+use balsamchute_metrics::{Control, Direction, Load, Metrics, Work};
 use balsamchute_wire::record::Outcome;
 
 fn workspaces(names: &[&str]) -> Vec<Workspace> {
@@ -46,7 +46,12 @@
     metrics.observe_cost(work, Cost(3));
     metrics.observe_end(work, Outcome::NotRun, Span(1500));
     metrics.count_control(Control::Exchange, Direction::Out, 2, 700);
-    metrics.set_load(&service[0], 5, 6);
+    let load = Load {
+        backlog: 5,
+        slots: 8,
+        used: 6,
+    };
+    metrics.set_load(&service[0], load);
     metrics.set_fleet(8, 41);
     let page = metrics.page().unwrap();
     let labels = "service=\"parecer-llm\",workspace=\"clinic\"";
@@ -63,6 +68,8 @@
     let control = "balsamchute_control_bytes_total{direction=\"out\",kind=\"exchange\"}";
     assert_eq!(value(&page, control), 700.0);
     assert_eq!(value(&page, "balsamchute_backlog{"), 5.0);
+    assert_eq!(value(&page, "balsamchute_slots{"), 8.0);
+    assert_eq!(value(&page, "balsamchute_slots_used{"), 6.0);
     assert_eq!(value(&page, "balsamchute_routers"), 8.0);
     assert_eq!(value(&page, "balsamchute_config_version"), 41.0);
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -5,6 +5,7 @@
 use balsamchute_base::digest::Hasher;
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Arrival, Command, Event, Finish, Run, Ticket};
+use balsamchute_metrics::Metrics;
 use balsamchute_wire::claim::Settled;
 use balsamchute_wire::forward::Head;
 use balsamchute_wire::record::{Record, Token};
@@ -40,6 +41,10 @@
     pub tokens: u64,
     /// Digest of those tokens.
     pub hasher: Hasher,
+    /// When it arrived here.
+    arrived: Time,
+    /// When the last token was written.
+    last_token: Option<Time>,
 }
 
 /// Serves a request until its answer has ended.
@@ -60,6 +65,8 @@
         answer: Answer::new(request),
         tokens: 0,
         hasher: Hasher::new(),
+        arrived: work.now(),
+        last_token: None,
     };
     serving.follow(&commands);
 }
@@ -75,6 +82,8 @@
                 }
                 Ok(Command::Run(run)) => self.run(&run),
                 Ok(Command::End(end)) => {
+                    let total = self.work.now().since(self.arrived);
+                    self.metrics().observe_end(self.owner(), end.outcome, total);
                     // A reader that is gone needs no end.
                     let _ = self.answer.end(&end);
                     return;
@@ -105,7 +114,10 @@
     }
 
     fn run(&mut self, run: &Run) {
+        let wait = self.work.now().since(self.arrived);
+        self.metrics().observe_wait(self.owner(), wait);
         let outcome = run::run(self, run);
+        self.metrics().observe_cost(self.owner(), outcome.cost);
         let finish = Finish {
             ticket: self.ticket,
             ending: outcome.ending,
@@ -128,11 +140,38 @@
             index: self.tokens,
             text: text.to_owned(),
         };
+        self.observe_token();
         self.tokens += 1;
         self.hasher.update(text.as_bytes());
         self.answer.line(&Record::Token(token).to_line())
     }
 
+    fn metrics(&self) -> &Metrics {
+        &self.work.metrics
+    }
+
+    /// Whose request this is, for the metrics.
+    fn owner(&self) -> balsamchute_metrics::Work<'_> {
+        balsamchute_metrics::Work {
+            workspace: &self.head.workspace,
+            service: &self.head.service,
+        }
+    }
+
+    fn observe_token(&mut self) {
+        let now = self.work.now();
+        match self.last_token.replace(now) {
+            None => {
+                let time = now.since(self.arrived);
+                self.metrics().observe_first_token(self.owner(), time);
+            }
+            Some(last) => {
+                let time = now.since(last);
+                self.metrics().observe_between_tokens(self.owner(), time);
+            }
+        }
+    }
+
     /// Gives the recorded answer of an earlier run.
     fn replay(&mut self, settled: &Settled) {
         let attempt = settled.end.attempt.clone();
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -6,6 +6,7 @@
 use balsamchute_base::digest::Digest;
 use balsamchute_base::prelude::*;
 use balsamchute_claim::ledger::Stage;
+use balsamchute_metrics::Load;
 use balsamchute_wire::forward::Head;
 use balsamchute_wire::record::{End, Outcome};
 use rand::RngExt;
@@ -60,6 +61,7 @@
         (Method::Get, "/v1/explain") => explain(work, request, query),
         (Method::Get, "/v1/outcome") => outcome(work, request, query),
         (Method::Get, "/health") => health(work, request),
+        (Method::Get, "/metrics") => metrics(work, request),
         (Method::Get | Method::Post, _) => {
             fail(request, 404, &format!("path \"{path}\" does not exist"));
         }
@@ -228,6 +230,29 @@
     }
 }
 
+/// Answers with the metrics in the Prometheus text format.
+fn metrics(work: &Work, request: Request) {
+    if let Some(status) = work.ask(Query::Status) {
+        let routers = status.members.len() as u64;
+        work.metrics.set_fleet(routers, status.config);
+        for service in &status.services {
+            let load = Load {
+                backlog: service.backlog,
+                slots: service.slots,
+                used: service.lent,
+            };
+            work.metrics.set_load(&service.service, load);
+        }
+    }
+    match work.metrics.page() {
+        Ok(page) => {
+            let kind = header("Content-Type", "text/plain; version=0.0.4");
+            let _ = request.respond(Response::from_string(page).with_header(kind));
+        }
+        Err(error) => fail(request, 500, &error.to_string()),
+    }
+}
+
 /// Returns a parameter of a query string.
 fn parameter(query: &str, name: &str) -> Option<String> {
     let value = query
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -20,6 +20,8 @@
     Thread(std::io::Error),
     /// cannot handle signals: {0}
     Signal(std::io::Error),
+    /// cannot set up metrics: {0}
+    Metrics(balsamchute_metrics::Error),
 }
 
 impl std::error::Error for Error {}
--- a/crates/router/src/inner.rs
+++ b/crates/router/src/inner.rs
@@ -16,8 +16,12 @@
 use crate::answer;
 use crate::attempt;
 use crate::input::{Input, Query};
+use crate::traffic;
 use crate::work::{STACK_BYTES, Work};
 
+/// Path of requests that are passed on, which are no control traffic.
+const RUN: &str = "/inner/run";
+
 /// Longest body of a control message in bytes.
 const MAX_CONTROL_BYTES: u64 = 4 << 20;
 
@@ -34,14 +38,17 @@
 pub(crate) fn run(server: &Server, work: &Work) {
     for request in server.incoming_requests() {
         let url = request.url().to_owned();
+        if url != RUN {
+            traffic::received(work, &request);
+        }
         match (request.method(), url.as_str()) {
-            (Method::Post, "/inner/run") => spawn(work, request, forwarded),
+            (Method::Post, RUN) => spawn(work, request, forwarded),
             (Method::Post, "/inner/claim") => spawn(work, request, claims),
             (Method::Post, "/inner/messages") => messages(work, request),
             (Method::Post, "/inner/exchange") => exchange(work, request),
             (Method::Get, "/inner/config") => config(work, request),
             (Method::Get, "/inner/stamp") => stamp(work, request),
-            _ => status(request, 404),
+            _ => status(work, request, 404),
         }
     }
 }
@@ -80,13 +87,13 @@
 
 fn claims(work: &Work, mut request: Request) {
     let Ok(batch) = read(&mut request, MAX_CONTROL_BYTES) else {
-        return status(request, 400);
+        return status(work, request, 400);
     };
     let (sender, receiver) = bounded(1);
     work.send(Input::Claims(batch, sender));
     match receiver.recv_timeout(CLAIM_TIMEOUT) {
-        Ok(answer) => respond(request, &answer),
-        Err(_) => status(request, 503),
+        Ok(answer) => respond(work, request, &answer),
+        Err(_) => status(work, request, 503),
     }
 }
 
@@ -94,11 +101,11 @@
     match read(&mut request, MAX_CONTROL_BYTES) {
         Ok(batch) => {
             work.event(Event::Messages(batch));
-            status(request, 204);
+            status(work, request, 204);
         }
         Err(reason) => {
             log::warn!("inner: refused messages. {reason}");
-            status(request, 400);
+            status(work, request, 400);
         }
     }
 }
@@ -108,28 +115,28 @@
         Ok(frame) => frame,
         Err(reason) => {
             log::warn!("inner: refused an exchange. {reason}");
-            return status(request, 400);
+            return status(work, request, 400);
         }
     };
     let (sender, receiver) = bounded(1);
     work.send(Input::Exchange(frame, sender));
     match receiver.recv_timeout(REPLY_TIMEOUT) {
-        Ok(frame) => respond(request, &frame),
-        Err(_) => status(request, 503),
+        Ok(frame) => respond(work, request, &frame),
+        Err(_) => status(work, request, 503),
     }
 }
 
 fn config(work: &Work, request: Request) {
     match work.ask(Query::Document) {
-        Some(document) => respond(request, &document),
-        None => status(request, 503),
+        Some(document) => respond(work, request, &document),
+        None => status(work, request, 503),
     }
 }
 
 fn stamp(work: &Work, request: Request) {
     match work.ask(Query::Stamp) {
-        Some(stamp) => respond(request, &stamp),
-        None => status(request, 503),
+        Some(stamp) => respond(work, request, &stamp),
+        None => status(work, request, 503),
     }
 }
 
@@ -143,10 +150,13 @@
     }
 }
 
-fn respond<T: Serialize>(request: Request, value: &T) {
-    let _ = request.respond(Response::from_data(codec::encode(value)));
+fn respond<T: Serialize>(work: &Work, request: Request, value: &T) {
+    let body = codec::encode(value);
+    traffic::answer(work, request.url(), body.len());
+    let _ = request.respond(Response::from_data(body));
 }
 
-fn status(request: Request, code: u16) {
+fn status(work: &Work, request: Request, code: u16) {
+    traffic::answer(work, request.url(), 0);
     let _ = request.respond(Response::empty(code));
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 mod poll;
 mod run;
 mod serve;
+mod traffic;
 mod work;
 
 pub use error::Error;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -164,6 +164,8 @@
             Ok(config) => {
                 log::info!("config: version {} is in force.", document.version);
                 let stamp = self.store.stamp();
+                let names = (config.workspaces.keys(), config.services.keys());
+                self.work.metrics.add_names(names.0, names.1);
                 self.event(cx, Event::Config(stamp, Arc::new(config)));
             }
             Err(faults) => {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -17,6 +17,7 @@
 
 use crate::error::Error;
 use crate::input::{Input, Source};
+use crate::traffic;
 use crate::work::{STACK_BYTES, Work};
 
 /// Threads that send messages; a router's messages all go through one of them,
@@ -167,13 +168,18 @@
     if !work.is_open(address) {
         return Err(Undelivered);
     }
+    let body = codec::encode(body);
+    traffic::sent(work, path, body.len());
     let response = work
         .pooled
         .post(format!("http://{address}/inner/{path}"))
         .config()
         .timeout_global(Some(timeout))
         .build()
-        .send(&codec::encode(body)[..]);
+        .send(&body[..]);
+    if let Ok(response) = &response {
+        traffic::answered(work, path, response);
+    }
     match response {
         Ok(mut response) if response.status().is_success() => {
             response.body_mut().read_to_vec().map_err(|_| Undelivered)
@@ -186,6 +192,7 @@
     if !work.is_open(address) {
         return None;
     }
+    traffic::sent(work, path, 0);
     let mut response = work
         .pooled
         .get(format!("http://{address}/inner/{path}"))
@@ -194,6 +201,7 @@
         .build()
         .call()
         .ok()?;
+    traffic::answered(work, path, &response);
     decode(response.body_mut().read_to_vec().ok()?)
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starting and stopping a router.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +8,7 @@
 use balsamchute_dispatch::core::Core;
 use balsamchute_dispatch::event::Event;
 use balsamchute_dispatch::settings;
+use balsamchute_metrics::Metrics;
 use balsamchute_wire::exchange::{Member, Phase};
 use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -51,7 +52,8 @@
     let inner = listen("inner", settings.inner)?;
     let grace = Duration::from_millis(settings.grace_ms);
     let core = core(&settings, &clock);
-    let work = Work::new(settings, hooks, clock, inputs);
+    let metrics = Metrics::new(settings.limits.labels).map_err(Error::Metrics)?;
+    let work = Work::new(settings, hooks, clock, inputs, metrics);
     let peers = Peers::start(&work)?;
     let polls = Polls::start(&work)?;
     let claims = Claims::new(&work);
@@ -81,13 +83,19 @@
 }
 
 fn listen(setting: &'static str, address: SocketAddr) -> Result<Arc<Server>, Error> {
-    Server::http(address)
+    let failure = |reason: String| Error::Listen {
+        setting,
+        address,
+        reason,
+    };
+    let listener = TcpListener::bind(address).map_err(|error| failure(error.to_string()))?;
+    // Accepted sockets inherit this; without it a token may wait for the
+    // acknowledgement of the one before.
+    let no_delay = socket2::SockRef::from(&listener).set_tcp_nodelay(true);
+    no_delay.map_err(|error| failure(error.to_string()))?;
+    Server::from_listener(listener, None)
         .map(Arc::new)
-        .map_err(|error| Error::Listen {
-            setting,
-            address,
-            reason: error.to_string(),
-        })
+        .map_err(|error| failure(error.to_string()))
 }
 
 fn core(settings: &Settings, clock: &Clock) -> Core {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -48,6 +48,8 @@
     pub deadline_ms: u64,
     /// Deadline of a request that names none, in milliseconds.
     pub default_deadline_ms: u64,
+    /// Workspaces that have a label of their own in the metrics.
+    pub labels: usize,
 }
 
 impl Default for Limits {
@@ -59,6 +61,7 @@
             queue: 20_000,
             deadline_ms: 600_000,
             default_deadline_ms: 60_000,
+            labels: 64,
         }
     }
 }
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -7,6 +7,7 @@
 
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Event, Ticket};
+use balsamchute_metrics::Metrics;
 use crossbeam_channel::{Receiver, Sender, bounded};
 
 use crate::clock::Clock;
@@ -38,6 +39,8 @@
     pub fresh: ureq::Agent,
     /// Clients of targets.
     pub targets: Targets,
+    /// What is counted for operators.
+    pub metrics: Arc<Metrics>,
     tickets: Arc<AtomicU64>,
     busy: Arc<AtomicUsize>,
 }
@@ -53,8 +56,15 @@
 
 impl Work {
     /// Creates what the threads share.
-    pub fn new(settings: Settings, hooks: Hooks, clock: Clock, inputs: Sender<Input>) -> Self {
+    pub fn new(
+        settings: Settings,
+        hooks: Hooks,
+        clock: Clock,
+        inputs: Sender<Input>,
+        metrics: Metrics,
+    ) -> Self {
         Work {
+            metrics: Arc::new(metrics),
             settings: Arc::new(settings),
             hooks,
             clock,
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -216,3 +216,57 @@
     }
     assert!(fleet.engine.records().is_empty());
 }
+
+/// Returns the sum of all series on a router's metrics page that start with
+/// `name` and contain `label`.
+fn metric(router: SocketAddr, name: &str, label: &str) -> f64 {
+    let page = ureq::get(format!("http://{router}/metrics"))
+        .call()
+        .expect("a page")
+        .body_mut()
+        .read_to_string()
+        .expect("a text");
+    let series = page
+        .lines()
+        .filter(|line| line.starts_with(name) && line.contains(label));
+    series
+        .map(|line| line.rsplit(' ').next().expect("a value"))
+        .map(|value| value.parse::<f64>().expect("a number"))
+        .sum()
+}
+
+#[test]
+fn metrics_count_each_request_once_in_the_fleet() {
+    let fleet = Fleet::start(3);
+    for router in &fleet.routers {
+        let (_, end) = run(*router, "draft", "w1", None, r#"{"tokens":20}"#);
+        assert_eq!(end.outcome, Outcome::Done, "{end:?}");
+    }
+    run(fleet.routers[0], "draft", "nobody", None, r#"{"tokens":2}"#);
+    let sum = |name: &str, label: &str| -> f64 {
+        let routers = fleet.routers.iter();
+        routers.map(|router| metric(*router, name, label)).sum()
+    };
+    let own = r#"workspace="w1""#;
+    assert_eq!(sum("balsamchute_requests_total{outcome=\"done\"", own), 3.0);
+    assert_eq!(
+        sum("balsamchute_requests_total", "workspace=\"other\""),
+        1.0
+    );
+    assert_eq!(sum("balsamchute_queue_wait_seconds_count", own), 3.0);
+    assert_eq!(sum("balsamchute_first_token_seconds_count", own), 3.0);
+    assert_eq!(sum("balsamchute_between_tokens_seconds_count", own), 57.0);
+    assert_eq!(sum("balsamchute_total_seconds_count", own), 3.0);
+    assert_eq!(sum("balsamchute_cost_sum", own), 60.0);
+    assert_eq!(sum("balsamchute_routers", ""), 9.0);
+    // Routers that have just met agree on the owner after a moment.
+    let start = Instant::now();
+    while sum("balsamchute_slots{", "service=\"draft\"") != 4.0 {
+        assert!(start.elapsed() < PATIENCE, "routers agree on no owner");
+        thread::sleep(Duration::from_millis(20));
+    }
+    for direction in ["direction=\"in\"", "direction=\"out\""] {
+        let kind = "balsamchute_control_bytes_total{";
+        assert!(sum(kind, direction) > 0.0, "{direction}");
+    }
+}
