Judge liveness by doubts instead of by everybody's heartbeats

Cause: a router counted as dead when its heartbeat had not risen for 2 s. With 350 routers a frame would have to carry 350 entries of about 200 bytes every half second to keep that true; 3 KB/s a node allow some 3 entries.

Change: an exchange that fails raises a doubt, which is passed on, reaches the router itself if it lives and is refuted by its next heartbeat; one that stands for the timeout means death. A refused connection counts at once.

Ruled out: smaller entries alone (350 x 8 bytes x 4 a second is 11 KB/s); the platform's list as the only source, which lags.

Conclusion: cost of an exchange no longer depends on the size of the fleet.

--- a/crates/bench/src/capacity/probes.rs
+++ b/crates/bench/src/capacity/probes.rs
@@ -161,6 +161,7 @@
         from: instance(0),
         config: Stamp::default(),
         members: members(count),
+        doubts: Vec::new(),
         leaving: Vec::new(),
         suspects: Vec::new(),
     }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -103,6 +103,7 @@
             Event::Config(stamp, config) => self.configure(now, stamp, config, actions),
             Event::Listed(asked, listed) => self.listed(now, asked, &listed, actions),
             Event::Exchange(number, frame) => self.exchange(now, number, frame, actions),
+            Event::Unreachable(inner, refused) => self.unreachable(now, inner, refused, actions),
             Event::Exchanged(frame) => self.exchanged(now, &frame, actions),
             Event::Messages(batch) => self.messages(now, batch, actions),
             Event::Undelivered(to, messages) => self.undelivered(now, &to, messages, actions),
@@ -130,7 +131,8 @@
         self.ledger.expire(now);
         self.leaving.expire(now);
         if now >= self.next_beat {
-            self.next_beat = now + self.settings.beat;
+            let beat = self.settings.beat(self.members.alive().count());
+            self.next_beat = now + beat;
             self.beat(now, actions);
         }
         self.resend(actions);
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -1,5 +1,7 @@
 //! Exchanges with other routers, membership and undelivered messages.
 
+use std::net::SocketAddr;
+
 use balsamchute_base::prelude::*;
 use balsamchute_fleet::leaving;
 use balsamchute_fleet::members::{self, Change};
@@ -9,6 +11,9 @@
 use crate::core::Core;
 use crate::event::{Action, Listed};
 
+/// Marks of leaving runners in one frame.
+const MARKS: usize = 32;
+
 impl Core {
     /// Raises the heartbeat and starts the exchanges of this period.
     pub(crate) fn beat(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -27,16 +32,20 @@
             .members
             .partners(&mut self.random, self.settings.fanout)
         {
-            actions.push(Action::Exchange(address, self.frame(now)));
+            let frame = self.frame(now);
+            actions.push(Action::Exchange(address, frame));
         }
     }
 
-    pub(crate) fn frame(&self, now: Time) -> Frame {
+    pub(crate) fn frame(&mut self, now: Time) -> Frame {
+        let entries = self.settings.entries(self.members.alive().count());
+        let members = self.members.entries(&mut self.random, entries);
         Frame {
             from: self.me().instance.clone(),
             config: self.stamp,
-            members: self.members.entries(self.settings.entries),
-            leaving: self.leaving.spread(now, self.settings.entries),
+            members,
+            doubts: self.members.doubts(entries),
+            leaving: self.leaving.spread(now, MARKS),
             suspects: self.suspects.clone(),
         }
     }
@@ -48,16 +57,24 @@
         frame: Frame,
         actions: &mut Vec<Action>,
     ) {
-        actions.push(Action::Answer(number, self.frame(now)));
+        // The answer carries what this frame has brought, a refuted doubt above all.
         self.exchanged(now, &frame, actions);
+        let mut answer = self.frame(now);
+        self.echo(&frame.from, &mut answer);
+        actions.push(Action::Answer(number, answer));
     }
 
     /// Takes in the frame of another router.
     pub(crate) fn exchanged(&mut self, now: Time, frame: &Frame, actions: &mut Vec<Action>) {
         let newer = self.newer(frame);
         let changes = self.members.merge(now, &frame.members);
+        if self.members.merge_doubts(now, &frame.doubts) {
+            self.next_beat = now;
+        }
         let left = !self.leaving.merge(now, &frame.leaving).is_empty();
         if left {
+            // Passed on at once, as a target may leave within seconds.
+            self.next_beat = now;
             self.own_runners(now);
         }
         self.changed(now, &changes, actions);
@@ -75,6 +92,35 @@
         self.grant_all(now, actions);
     }
 
+    /// Adds the receiver's own entry to a frame, from which it learns that what
+    /// it sends arrives here.
+    fn echo(&self, to: &Instance, frame: &mut Frame) {
+        let told = frame.members.iter().any(|member| member.instance == *to);
+        if let (false, Some(member)) = (told, self.members.get(to)) {
+            let services = Vec::new();
+            frame.members.push(Member {
+                services,
+                ..member.clone()
+            });
+        }
+    }
+
+    /// An exchange with another router failed.
+    pub(crate) fn unreachable(
+        &mut self,
+        now: Time,
+        inner: SocketAddr,
+        refused: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        self.members.doubt(now, inner);
+        let gone = self.members.alive().find(|member| member.inner == inner);
+        if let (true, Some(instance)) = (refused, gone.map(|member| member.instance.clone())) {
+            let change = self.members.fail(&instance);
+            self.changed(now, change.as_slice(), actions);
+        }
+    }
+
     /// Returns the entries of a frame that are newer than what is known.
     fn newer<'a>(&self, frame: &'a Frame) -> Vec<&'a Member> {
         let me = &self.me().instance;
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -79,6 +79,7 @@
                     from: member.instance.clone(),
                     config: Stamp::default(),
                     members: vec![member.clone()],
+                    doubts: Vec::new(),
                     leaving: Vec::new(),
                     suspects: Vec::new(),
                 };
@@ -133,11 +134,10 @@
             }
             Action::Ask(ticket, ask) => self.asked.push((at.clone(), ticket, ask)),
             Action::Stopped => self.stopped.push(at.clone()),
-            Action::Exchange(address, frame) => {
-                if let Some(to) = self.reach(at, address) {
-                    waiting.push((to, Event::Exchanged(frame)));
-                }
-            }
+            Action::Exchange(address, frame) => match self.reach(at, address) {
+                Some(to) => waiting.push((to, Event::Exchanged(frame))),
+                None => waiting.push((at.clone(), Event::Unreachable(address, false))),
+            },
             Action::Send(address, to, batch) => match self.reach(at, address) {
                 Some(to) => waiting.push((to, Event::Messages(batch))),
                 None => waiting.push((at.clone(), Event::Undelivered(to, batch.messages))),
