Keep a router's standing work independent of the fleet's size

A test with 40 routers showed that a death was not seen by all: doubts ended with the death at the first router, and a router that knew a later heartbeat ignored them; and with one partner an exchange never went to a router believed dead.

Doubts are passed on for 60 s, and one about an earlier heartbeat has the router probed; the dead are tried beside the living.

One reading of the list a second for 40 routers, 8 a second for 8.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -194,6 +194,8 @@
     Send(SocketAddr, Instance, Batch),
     /// Fetch the configuration from a router that has a newer one.
     Fetch(SocketAddr),
+    /// Read the platform's list of instances.
+    ReadList,
     /// Ask these runners for their load from now on.
     Watch(Vec<(Runner, SocketAddr)>),
     /// Observe how long a request waited for its slot.
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -43,7 +43,7 @@
         }
         if failed {
             self.silent.insert(slot.runner.clone(), now);
-            self.own_runners(now);
+            self.own_runner(now, &slot.runner);
         }
         let end = self.judge(&finish);
         match end {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_base::prelude::*;
+use balsamchute_base::rank;
 use balsamchute_fleet::leaving;
 use balsamchute_fleet::members::{self, Change};
 use balsamchute_wire::exchange::{Frame, Member};
@@ -11,6 +12,9 @@
 use crate::core::Core;
 use crate::event::{Action, Listed};
 
+/// Doubts about routers in one frame.
+const DOUBTS: usize = 8;
+
 /// Marks of leaving runners in one frame.
 const MARKS: usize = 32;
 
@@ -44,7 +48,7 @@
             from: self.me().instance.clone(),
             config: self.stamp,
             members,
-            doubts: self.members.doubts(entries),
+            doubts: self.members.doubts(now, DOUBTS),
             leaving: self.leaving.spread(now, MARKS),
             suspects: self.suspects.clone(),
         }
@@ -116,7 +120,7 @@
         self.members.doubt(now, inner);
         let gone = self.members.alive().find(|member| member.inner == inner);
         if let (true, Some(instance)) = (refused, gone.map(|member| member.instance.clone())) {
-            let change = self.members.fail(&instance);
+            let change = self.members.fail(now, &instance);
             self.changed(now, change.as_slice(), actions);
         }
     }
@@ -156,6 +160,25 @@
         }
     }
 
+    /// Has the platform's list read if it is this router's turn.
+    ///
+    /// In a small fleet every router reads it. In a larger one they take turns,
+    /// since the list names every runner: one reads it each time and passes on
+    /// what is new. A router that hears nobody reads it for itself.
+    pub(crate) fn take_turn(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let size = self.members.alive().count();
+        let turn = now.0 / self.settings.list.as_millis();
+        let names = self
+            .members
+            .serving()
+            .map(|member| member.instance.as_str());
+        let reader = rank::first(&format!("list/{turn}"), names);
+        let mine = reader.is_none_or(|reader| reader == self.me().instance.as_str());
+        if size <= self.settings.small_fleet || mine || self.members.isolated(now) {
+            actions.push(Action::ReadList);
+        }
+    }
+
     /// Takes in the platform's list.
     pub(crate) fn listed(
         &mut self,
@@ -191,9 +214,12 @@
             }
         }
         self.members.seed(asked, &seeds);
-        self.leaving.seed(now, &runners);
-        self.own_runners(now);
-        self.watch(actions);
+        let left = !self.leaving.seed(now, &runners).is_empty();
+        if self.homes.update(self.members.serving()) || left {
+            self.next_beat = now;
+            self.own_runners(now);
+            self.watch(actions);
+        }
         self.grant_all(now, actions);
     }
 
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -25,6 +25,8 @@
     pub keep: Span,
     /// How long the end of a non-idempotent request is kept after its deadline.
     pub retention: Span,
+    /// Time between two readings of the platform's list.
+    pub list: Span,
     /// Fleet size up to which every exchange tells of every router.
     pub small_fleet: usize,
     /// Members told of in one exchange of a larger fleet.
@@ -46,6 +48,7 @@
             attempts: 3,
             keep: Span::from_secs(5),
             retention: Span::from_secs(600),
+            list: Span::from_secs(1),
             small_fleet: 16,
             few_entries: 4,
             slow_beat: Span(1500),
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -322,7 +322,7 @@
         };
         let service = entry.service.clone();
         if self.silent.remove(runner).is_some() {
-            self.own_runners(now);
+            self.own_runner(now, runner);
         }
         if let Some(state) = self.services.get_mut(&service) {
             state
@@ -335,7 +335,7 @@
     /// A runner did not answer: no new work until it does.
     pub(crate) fn silent(&mut self, now: Time, runner: &Runner, _actions: &mut Vec<Action>) {
         self.silent.insert(runner.clone(), now);
-        self.own_runners(now);
+        self.own_runner(now, runner);
     }
 
     /// Queues a message for a router.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -34,6 +34,8 @@
     pub told: BTreeMap<Ticket, Vec<(Instance, Command)>>,
     pub asked: Vec<(Instance, Ticket, Ask)>,
     pub cut: Vec<Instance>,
+    /// Readings of the platform's list that were asked for.
+    pub lists: usize,
     pub stopped: Vec<Instance>,
     addresses: BTreeMap<SocketAddr, Instance>,
 }
@@ -47,6 +49,7 @@
             told: BTreeMap::new(),
             asked: Vec::new(),
             cut: Vec::new(),
+            lists: 0,
             stopped: Vec::new(),
             addresses: BTreeMap::new(),
         };
@@ -132,6 +135,7 @@
                     .or_default()
                     .push((at.clone(), command));
             }
+            Action::ReadList => self.lists += 1,
             Action::Ask(ticket, ask) => self.asked.push((at.clone(), ticket, ask)),
             Action::Stopped => self.stopped.push(at.clone()),
             Action::Exchange(address, frame) => match self.reach(at, address) {
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -206,3 +206,39 @@
         assert!(end.reason.as_deref().unwrap_or_default().contains(name));
     }
 }
+
+#[test]
+fn large_fleet_takes_turns_to_read_the_list() {
+    let mut net = Net::new(40);
+    net.lists = 0;
+    net.pass(20_000);
+    assert!(
+        (19..=21).contains(&net.lists),
+        "{} readings in 20 s",
+        net.lists
+    );
+}
+
+#[test]
+fn every_router_of_a_small_fleet_reads_the_list() {
+    let mut net = Net::new(8);
+    net.lists = 0;
+    net.pass(20_000);
+    assert!(
+        (8 * 19..=8 * 21).contains(&net.lists),
+        "{} readings in 20 s",
+        net.lists
+    );
+}
+
+#[test]
+fn large_fleet_sees_a_death_and_no_other() {
+    let mut net = Net::new(40);
+    let names = net.names();
+    net.cut.push(names[7].clone());
+    net.pass(30_000);
+    for name in names.iter().filter(|name| **name != names[7]) {
+        let alive = net.cores[name].status().members.len();
+        assert_eq!(alive, 39, "router {name}");
+    }
+}
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -22,6 +22,10 @@
 /// Own heartbeats whose times are remembered, more than fall into [`ISOLATION`].
 const BEATS_KEPT: usize = 64;
 
+/// How long a doubt is passed on. It outlives its router's death here, since
+/// others may hear of it later.
+const DOUBT_SPREAD: Span = Span::from_secs(60);
+
 /// One exchange in this many goes, beside the others, to a router believed
 /// dead, which heals a partition while the platform's list is not available.
 const RETRY_DEAD_ONE_IN: u32 = 4;
@@ -84,6 +88,8 @@
     changed: Time,
     /// Since when an exchange with it has failed at its current heartbeat.
     doubted: Option<Time>,
+    /// Whether to exchange with it next.
+    probe: bool,
     alive: bool,
 }
 
@@ -190,13 +196,18 @@
             if doubt.instance == self.me.instance {
                 if doubted >= rank(&self.me) && doubt.incarnation == self.me.incarnation {
                     self.me.beat = doubt.beat + 1;
+                    mine = true;
                 }
-                mine |= doubt.incarnation == self.me.incarnation;
             } else if let Some(peer) = self.peers.get_mut(&doubt.instance)
                 && peer.alive
-                && rank(&peer.member) <= doubted
+                && peer.doubted.is_none()
             {
-                peer.doubted.get_or_insert(now);
+                if rank(&peer.member) <= doubted {
+                    peer.doubted = Some(now);
+                } else {
+                    // It was alive later than the doubt says. Is it still?
+                    peer.probe = peer.member.incarnation == doubt.incarnation;
+                }
             }
         }
         mine
@@ -204,12 +215,12 @@
 
     /// Returns doubts for a frame, the newest first, at most `limit`.
     #[must_use]
-    pub fn doubts(&self, limit: usize) -> Vec<Doubt> {
+    pub fn doubts(&self, now: Time, limit: usize) -> Vec<Doubt> {
         let mut doubted: Vec<(Time, &Member)> = self
             .peers
             .values()
-            .filter(|peer| peer.alive)
             .filter_map(|peer| Some((peer.doubted?, &peer.member)))
+            .filter(|(since, _)| now.since(*since) <= DOUBT_SPREAD)
             .collect();
         doubted.sort_by_key(|(since, _)| std::cmp::Reverse(*since));
         let doubt = |(_, member): (Time, &Member)| Doubt {
@@ -232,8 +243,9 @@
 
     /// Notes that `instance` refused a connection: it counts as dead until its
     /// heartbeat is seen to rise again.
-    pub fn fail(&mut self, instance: &Instance) -> Option<Change> {
+    pub fn fail(&mut self, now: Time, instance: &Instance) -> Option<Change> {
         let peer = self.peers.get_mut(instance)?;
+        peer.doubted.get_or_insert(now);
         let alive = std::mem::replace(&mut peer.alive, false);
         alive.then(|| Change::Left(instance.clone()))
     }
@@ -317,8 +329,8 @@
     }
 
     /// Chooses up to `count` addresses to exchange frames with: routers that
-    /// are alive or listed and not heard of yet, at random, and now and then
-    /// one that is believed dead.
+    /// are alive or listed and not heard of yet, at random, those first about
+    /// which there are doubts; and now and then one more that is believed dead.
     pub fn partners(
         &mut self,
         random: &mut impl rand::Rng,
@@ -328,11 +340,16 @@
         let unheard = self.unheard();
         let mut partners: SmallVec<[SocketAddr; 4]> =
             alive.chain(unheard).sample(random, count).into();
+        let probed = self.peers.values_mut().find(|peer| peer.probe);
+        if let Some(peer) = probed {
+            peer.probe = false;
+            partners.insert(0, peer.member.inner);
+            partners.truncate(count);
+        }
         if random.random_ratio(1, RETRY_DEAD_ONE_IN) || partners.is_empty() {
             let dead = self.peers.values().filter(|peer| !peer.alive);
             partners.extend(dead.map(|peer| peer.member.inner).choose(random));
         }
-        partners.truncate(count);
         partners
     }
 
@@ -383,6 +400,7 @@
             refreshed: now,
             changed: now,
             doubted: None,
+            probe: false,
             alive: true,
         }
     }
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -190,18 +190,18 @@
         known.merge(Time(0), &[member(1, 1, 7)]);
     }
     one.doubt(Time(0), member(1, 1, 7).inner);
-    let doubts = one.doubts(8);
+    let doubts = one.doubts(Time(300), 8);
     assert_eq!(doubts.len(), 1);
     assert!(
         !third.merge_doubts(Time(100), &doubts),
         "it is not about this one"
     );
-    assert_eq!(third.doubts(8), doubts, "it is passed on");
+    assert_eq!(third.doubts(Time(300), 8), doubts, "it is passed on");
     assert!(other.merge_doubts(Time(200), &doubts));
     assert!(other.me().beat > 7);
     for known in [&mut one, &mut third] {
         known.merge(Time(300), &entries(&other));
-        assert!(known.doubts(8).is_empty());
+        assert!(known.doubts(Time(300), 8).is_empty());
         assert!(known.expire(Time(60_000)).is_empty());
     }
 }
@@ -216,17 +216,20 @@
         beat,
     };
     table.merge_doubts(Time(0), &[doubt(2, 6), doubt(1, 99)]);
-    assert!(table.doubts(8).is_empty());
+    assert!(table.doubts(Time(300), 8).is_empty());
     table.merge_doubts(Time(0), &[doubt(2, 7)]);
-    assert_eq!(table.doubts(8).len(), 1);
+    assert_eq!(table.doubts(Time(300), 8).len(), 1);
 }
 
 #[test]
 fn a_refused_connection_counts_as_death_until_the_next_beat() {
     let mut table = table(0);
     table.merge(Time(0), &[member(1, 1, 7)]);
-    assert_eq!(table.fail(&instance(1)), Some(Change::Left(instance(1))));
-    assert_eq!(table.fail(&instance(1)), None);
+    assert_eq!(
+        table.fail(Time(0), &instance(1)),
+        Some(Change::Left(instance(1)))
+    );
+    assert_eq!(table.fail(Time(0), &instance(1)), None);
     table.merge(Time(1), &[member(1, 1, 7)]);
     assert_eq!(names(&table), ["router-0"]);
     table.merge(Time(2), &[member(1, 1, 8)]);
@@ -333,3 +336,35 @@
     }
     assert_eq!(seen.len(), 37, "every other router has its turn");
 }
+
+#[test]
+fn a_doubt_about_an_earlier_beat_has_the_router_probed_once() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut table = table(0);
+    for number in 1..40 {
+        table.merge(Time(0), &[member(number, 1, 7)]);
+    }
+    let doubt = Doubt {
+        instance: instance(9),
+        incarnation: Incarnation(1),
+        beat: 6,
+    };
+    table.merge_doubts(Time(0), &[doubt]);
+    let partners = table.partners(&mut random, 1);
+    assert_eq!(partners.first(), Some(&member(9, 1, 7).inner));
+    let later = (0..5).map(|_| table.partners(&mut random, 1));
+    assert!(later.flatten().any(|inner| inner != member(9, 1, 7).inner));
+}
+
+#[test]
+fn a_single_partner_does_not_keep_the_dead_from_being_tried() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut table = table(0);
+    table.merge(Time(0), &[member(1, 1, 1), member(2, 1, 1)]);
+    table.fail(Time(0), &instance(2));
+    let tried = (0..200).any(|_| {
+        let partners = table.partners(&mut random, 1);
+        partners.contains(&member(2, 1, 1).inner)
+    });
+    assert!(tried);
+}
