Lend slots for longer in large fleets and find their owners by rendezvous

And a router looked for owners only among those whose summary it had heard, which in a fleet of 40 left requests waiting beside free slots (seen in the new test).

--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -48,6 +48,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) suspects: Vec<Suspect>,
     pub(crate) unsent: BTreeMap<Instance, Vec<Message>>,
+    /// Routers that own runners of a service, by rendezvous.
+    pub(crate) owners: BTreeMap<Service, BTreeSet<Instance>>,
     pub(crate) slots: BTreeMap<Runner, u32>,
     pub(crate) deadlines: BTreeSet<(Time, Ticket)>,
     pub(crate) addresses: BTreeMap<Runner, SocketAddr>,
@@ -83,6 +85,7 @@
             ledger: Ledger::new(ledger::Settings::default()),
             suspects: Vec::new(),
             unsent: BTreeMap::new(),
+            owners: BTreeMap::new(),
             slots: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             addresses: BTreeMap::new(),
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -33,6 +33,8 @@
     pub few_entries: usize,
     /// Time between two heartbeats in a larger fleet.
     pub slow_beat: Span,
+    /// How long a lent slot is used again without asking in a larger fleet.
+    pub slow_reuse: Span,
 }
 
 impl Default for Settings {
@@ -52,6 +54,7 @@
             small_fleet: 16,
             few_entries: 4,
             slow_beat: Span(1500),
+            slow_reuse: Span::from_secs(30),
         }
     }
 }
@@ -67,6 +70,19 @@
         }
     }
 
+    /// Returns how long a lent slot may be used again in a fleet of `size`.
+    ///
+    /// A small fleet decides on every request, which keeps its routers closest
+    /// to each other. In a larger one that would cost two messages a request.
+    #[must_use]
+    pub fn reuse(&self, size: usize) -> Span {
+        if size <= self.small_fleet {
+            Span(0)
+        } else {
+            self.slow_reuse
+        }
+    }
+
     /// Returns the time between two heartbeats in a fleet of `size`.
     #[must_use]
     pub fn beat(&self, size: usize) -> Span {
--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -82,8 +82,13 @@
             }
         }
         self.update_limits();
-        for name in config.runners.keys() {
+        self.owners.clear();
+        for (name, runner) in &config.runners {
             self.own_runner(now, name);
+            if let Some(owner) = self.homes.owner(name) {
+                let owners = self.owners.entry(runner.service.clone()).or_default();
+                owners.insert(owner.clone());
+            }
         }
         self.next_refresh = now + REFRESH;
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use balsamchute_wire::config::Stamp;
 use balsamchute_wire::exchange::{Member, Phase};
 use balsamchute_wire::forward::Head;
+use balsamchute_wire::message::{Batch, Message};
 
 /// Two domains, one engine service with two runners of two slots, one plain
 /// service with one runner, three workspaces.
@@ -36,6 +37,8 @@
     pub cut: Vec<Instance>,
     /// Readings of the platform's list that were asked for.
     pub lists: usize,
+    /// Slots that were lent to another router.
+    pub grants: usize,
     pub stopped: Vec<Instance>,
     addresses: BTreeMap<SocketAddr, Instance>,
 }
@@ -50,6 +53,7 @@
             asked: Vec::new(),
             cut: Vec::new(),
             lists: 0,
+            grants: 0,
             stopped: Vec::new(),
             addresses: BTreeMap::new(),
         };
@@ -142,14 +146,27 @@
                 Some(to) => waiting.push((to, Event::Exchanged(frame))),
                 None => waiting.push((at.clone(), Event::Unreachable(address, false))),
             },
-            Action::Send(address, to, batch) => match self.reach(at, address) {
-                Some(to) => waiting.push((to, Event::Messages(batch))),
-                None => waiting.push((at.clone(), Event::Undelivered(to, batch.messages))),
-            },
+            Action::Send(address, to, batch) => self.deliver(at, address, to, batch, waiting),
             _ => {}
         }
     }
 
+    fn deliver(
+        &mut self,
+        at: &Instance,
+        address: SocketAddr,
+        to: Instance,
+        batch: Batch,
+        waiting: &mut Vec<(Instance, Event)>,
+    ) {
+        let is_grant = |message: &&Message| matches!(message, Message::Grant { .. });
+        self.grants += batch.messages.iter().filter(is_grant).count();
+        match self.reach(at, address) {
+            Some(to) => waiting.push((to, Event::Messages(batch))),
+            None => waiting.push((at.clone(), Event::Undelivered(to, batch.messages))),
+        }
+    }
+
     fn reach(&self, from: &Instance, address: SocketAddr) -> Option<Instance> {
         let to = self.addresses.get(&address)?;
         let open = !self.cut.contains(from) && !self.cut.contains(to);
