--- a/crates/claim/src/log.rs
+++ b/crates/claim/src/log.rs
@@ -204,6 +204,10 @@
 
     fn read_claim(&self, now: Time, claim: &Claim) -> Reading {
         let Some(kept) = self.find(now, &claim.workspace, &claim.key) else {
+            if claim.expires < self.at.max(now) {
+                // It would be forgotten with the entry that holds it.
+                return Reading::Final(Verdict::Unavailable);
+            }
             return Reading::Append(Record::Claim(claim.clone()));
         };
         if kept.claim.digest != claim.digest {
--- a/crates/claim/src/writer.rs
+++ b/crates/claim/src/writer.rs
@@ -1,7 +1,7 @@
 //! Reads and extends the log of one shard.
 //!
-//! Entry `n` is stored in slot `n % SLOTS` by a conditional update on the
-//! version that the slot had when it held entry `n - SLOTS`. Slots are never
+//! Entry `n` is stored in slot `n % slots` by a conditional update on the
+//! version that the slot had when it held entry `n - slots`. Slots are never
 //! deleted and their versions only rise, so an update succeeds only for a
 //! writer that has read everything before it, however long it was paused in
 //! between. A slot is used again only after a snapshot covers its old entry.
@@ -9,6 +9,8 @@
 //! A writer has one call to the store under way at a time. Whoever writes, the
 //! log stays correct; that one router usually does only saves conflicts.
 
+use std::collections::BTreeMap;
+
 use balsamchute_base::prelude::*;
 use balsamchute_wire::claim::{Ask, Settled, Verdict};
 use balsamchute_wire::codec;
@@ -19,9 +21,6 @@
 /// Slots of a shard's log. It is part of the stored format.
 pub const SLOTS: u64 = 64;
 
-/// Entries after which a snapshot is written.
-const SNAPSHOT_ENTRIES: u64 = 32;
-
 /// Longest answer that is stored, in bytes over all texts.
 const MAX_ANSWER_BYTES: usize = 2048;
 
@@ -31,6 +30,10 @@
 /// Limits of a writer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
+    /// Slots of the log, the same for the whole fleet.
+    pub slots: u64,
+    /// Entries after which a snapshot is written, at most `slots`.
+    pub snapshot_entries: u64,
     /// Least time between two entries. With 32 shards at 100 ms the fleet
     /// writes at most 320 entries and 10 snapshots a second.
     pub interval: Span,
@@ -52,6 +55,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
+            slots: SLOTS,
+            snapshot_entries: SLOTS / 2,
             interval: Span(100),
             patience: Span(1000),
             backoff: Span(50),
@@ -213,7 +218,7 @@
     saved: Option<Saved>,
     /// Version that each slot had with the entry that the log has read, or
     /// with an older one.
-    versions: [Option<u64>; SLOTS as usize],
+    versions: BTreeMap<u64, u64>,
     call: Call,
     calls: u64,
     /// Calls up to this number saw the end of the log.
@@ -234,7 +239,7 @@
             settings,
             log: Log::new(),
             saved: None,
-            versions: [None; SLOTS as usize],
+            versions: BTreeMap::new(),
             call: Call::None,
             calls: 0,
             current: 0,
@@ -308,10 +313,12 @@
             Read::Found { version, bytes } => match codec::decode::<Entry>(&bytes) {
                 Ok(entry) if entry.seq == wanted => {
                     self.trouble = None;
-                    self.versions[index(slot)] = Some(version);
+                    self.versions.insert(slot, version);
                     self.log.apply(&entry);
                 }
-                Ok(entry) if entry.seq + SLOTS == wanted => self.at_end(slot, version),
+                Ok(entry) if entry.seq + self.settings.slots == wanted => {
+                    self.at_end(slot, version);
+                }
                 // The log has gone round: what was missed is in the snapshot.
                 Ok(entry) if entry.seq > wanted => self.saved = None,
                 // The store answered with an old version, or with damage.
@@ -323,7 +330,7 @@
     /// Notes that the entry after the last one read does not exist.
     fn at_end(&mut self, slot: u64, version: u64) {
         self.trouble = None;
-        self.versions[index(slot)] = Some(version);
+        self.versions.insert(slot, version);
         self.current = self.calls;
     }
 
@@ -340,27 +347,27 @@
         match result {
             Write::Written { version } => {
                 self.trouble = None;
-                self.versions[index(slot)] = Some(version);
+                self.versions.insert(slot, version);
                 let entry = codec::decode(&entry).expect("own entries decode");
                 self.log.apply(&entry);
                 self.current = self.calls;
             }
             // Reading the slot tells whose entry it holds. Claims in it are
             // known by their nonces, so it does not matter who wrote it.
-            Write::Conflict => self.versions[index(slot)] = None,
-            Write::AnswerLost | Write::Failed => {
-                self.versions[index(slot)] = None;
-                if result == Write::Failed {
-                    self.fail(now);
-                }
+            Write::Conflict | Write::AnswerLost => {
+                self.versions.remove(&slot);
             }
+            Write::Failed => self.fail(now),
         }
     }
 
     fn on_snapshot_read(&mut self, now: Time, result: Read) {
         match result {
             Read::Failed => self.fail(now),
-            Read::Missing => self.saved = Some(Saved { seq: 0, version: 0 }),
+            Read::Missing => {
+                self.trouble = None;
+                self.saved = Some(Saved { seq: 0, version: 0 });
+            }
             Read::Found { version, bytes } => match codec::decode::<Snapshot>(&bytes) {
                 Ok(snapshot) => {
                     self.trouble = None;
@@ -422,7 +429,7 @@
             self.start(Call::LoadSnapshot, Action::ReadSnapshot, actions);
             return;
         };
-        if self.log.seq() >= saved.seq + SNAPSHOT_ENTRIES {
+        if self.log.seq() >= saved.seq + self.settings.snapshot_entries {
             self.save(saved, actions);
         } else {
             self.extend(now, actions);
@@ -464,13 +471,13 @@
 
     /// Reads on, or writes the next entry if the end of the log is known.
     fn extend(&mut self, now: Time, actions: &mut Actions) {
-        let slot = (self.log.seq() + 1) % SLOTS;
+        let slot = (self.log.seq() + 1) % self.settings.slots;
         let records = self.records(now, actions);
         let unread = self.pending.iter().any(|pending| {
             pending.after > self.current
                 && matches!(self.log.read(now, &pending.ask), Reading::Current(_))
         });
-        match self.versions[index(slot)] {
+        match self.versions.get(&slot).copied() {
             Some(version) if !unread => {
                 if records.is_empty() {
                     return;
@@ -571,10 +578,6 @@
     }
 }
 
-fn index(slot: u64) -> usize {
-    usize::try_from(slot % SLOTS).expect("slots are few")
-}
-
 fn name(record: &Record) -> (&Workspace, &Key) {
     match record {
         Record::Claim(claim) => (&claim.workspace, &claim.key),
