Add fleet, demo, load and control to the bench

Cause: nothing ran the whole path with faults and audited it. Change: a fleet of router processes over stand-ins, open-loop traffic, YAML workloads, the demo of both deployments, control traffic by kernel counters, age of heartbeats in capacity.

--- a/crates/bench/src/audit/mod.rs
+++ b/crates/bench/src/audit/mod.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_base::prelude::*;
-use balsamchute_wire::record::Outcome;
+use balsamchute_wire::record::{End, Outcome};
 use serde::Serialize;
 
 use crate::caller::call::{History, Reply, Submission};
@@ -65,6 +65,8 @@
     pub wrong_answer: u64,
     /// Streams cut by a router that was killed, paused or cut off.
     pub cuts_by_faults: u64,
+    /// How often each reason was given with an end other than `done`.
+    pub reasons: BTreeMap<String, u64>,
     /// Sentences on the first faults found.
     pub faults: Vec<String>,
 }
@@ -103,15 +105,7 @@
     fn call(&mut self, history: &History, index: &Index<'_>) {
         self.requests += 1;
         match history.last() {
-            Some(Reply::End { end, answer }) => match end.outcome {
-                Outcome::Done => {
-                    self.answered += 1;
-                    self.done(history, answer, end.attempt.as_ref(), index);
-                }
-                Outcome::Failed => self.failed += 1,
-                Outcome::NotRun => self.refused_not_run += 1,
-                Outcome::Unknown => self.unknown += 1,
-            },
+            Some(Reply::End { end, answer }) => self.end(history, end, answer, index),
             Some(Reply::Broken(_)) => {}
             reply => {
                 self.lost += 1;
@@ -120,6 +114,21 @@
         }
     }
 
+    fn end(&mut self, history: &History, end: &End, answer: &str, index: &Index<'_>) {
+        if let Some(reason) = &end.reason {
+            *self.reasons.entry(reason.clone()).or_default() += 1;
+        }
+        match end.outcome {
+            Outcome::Done => {
+                self.answered += 1;
+                self.done(history, answer, end.attempt.as_ref(), index);
+            }
+            Outcome::Failed => self.failed += 1,
+            Outcome::NotRun => self.refused_not_run += 1,
+            Outcome::Unknown => self.unknown += 1,
+        }
+    }
+
     fn done(
         &mut self,
         history: &History,
@@ -189,7 +198,7 @@
                     self.fault(format!("{request} got not_run, but a target began it"));
                 }
             }
-            Reply::End { .. } | Reply::Unreachable(_) => {}
+            Reply::End { .. } | Reply::Unreachable(_) | Reply::Overdue { .. } => {}
         }
     }
 
--- a/crates/bench/src/caller/call.rs
+++ b/crates/bench/src/caller/call.rs
@@ -74,6 +74,11 @@
         /// Tokens that arrived.
         tokens: u64,
     },
+    /// The stream went on past the caller's deadline, and the caller left.
+    Overdue {
+        /// Tokens that arrived.
+        tokens: u64,
+    },
     /// No answer at all.
     Unreachable(String),
     /// The answer breaks the protocol: a missing index, a foreign attempt, a
--- a/crates/bench/src/caller/mod.rs
+++ b/crates/bench/src/caller/mod.rs
@@ -25,6 +25,9 @@
 /// A stream without any byte for so long is taken as cut.
 pub const SILENCE: Span = Span::from_secs(5);
 
+/// How long after its deadline a caller still reads.
+const PATIENCE: Span = Span::from_secs(2);
+
 /// Time for a router to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -167,7 +170,7 @@
         let sent = clock::now();
         let mut reader = Reader::new();
         let reply = match self.post(call, &request, key.as_ref(), router, left) {
-            Ok(response) => read(&mut reader, response),
+            Ok(response) => read(&mut reader, response, sent + left + PATIENCE),
             Err(error) => Reply::Unreachable(error.to_string()),
         };
         Submission {
@@ -211,11 +214,11 @@
     }
 }
 
-fn read(reader: &mut Reader, response: ureq::http::Response<ureq::Body>) -> Reply {
+fn read(reader: &mut Reader, response: ureq::http::Response<ureq::Body>, give_up: Time) -> Reply {
     let status = response.status().as_u16();
     let stream = BufReader::new(response.into_body().into_reader());
     if status == 200 {
-        return reader.read(stream, clock::now);
+        return reader.read(stream, give_up, clock::now);
     }
     let mut body = String::new();
     let limited = std::io::Read::take(stream, MAX_ANSWER_BYTES);
@@ -301,7 +304,7 @@
 
     fn next(&self, reply: &Reply) -> Next {
         match reply {
-            Reply::Broken(_) => Next::Over,
+            Reply::Broken(_) | Reply::Overdue { .. } => Next::Over,
             Reply::Cut { .. } | Reply::Unreachable(_) => Next::Elsewhere,
             Reply::End { end, .. } => match (end.outcome, end.retry_after_ms) {
                 (Outcome::NotRun, Some(after)) => Next::Later(Span(after)),
--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -39,10 +39,15 @@
         self.longest_gap
     }
 
-    /// Reads `stream` to its end record; `now` tells the time of each token.
-    pub fn read(&mut self, mut stream: impl BufRead, now: impl Fn() -> Time) -> Reply {
+    /// Reads `stream` to its end record or until `give_up`; `now` tells the time.
+    pub fn read(
+        &mut self,
+        mut stream: impl BufRead,
+        give_up: Time,
+        now: impl Fn() -> Time,
+    ) -> Reply {
         let mut line = String::new();
-        loop {
+        while now() < give_up {
             line.clear();
             match stream.read_line(&mut line) {
                 Ok(0) | Err(_) => return self.cut(),
@@ -55,6 +60,8 @@
                 }
             }
         }
+        let tokens = self.tokens;
+        Reply::Overdue { tokens }
     }
 
     fn cut(&self) -> Reply {
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The users' deployments at the sizes of the brief.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use balsamchute_base::prelude::*;
@@ -136,6 +137,23 @@
         service_name(self.pools[1].service)
     }
 
+    /// Returns what the runners of a service speak, `None` if there is no such
+    /// service.
+    #[must_use]
+    pub fn kind(&self, service: &Service) -> Option<Kind> {
+        let pool = self
+            .pools
+            .iter()
+            .find(|pool| pool.service == service.as_str());
+        pool.map(|pool| pool.kind)
+    }
+
+    /// Returns the weight of each workspace.
+    #[must_use]
+    pub fn weight_map(&self) -> BTreeMap<Workspace, u32> {
+        self.weights.iter().cloned().collect()
+    }
+
     /// Returns the runners in order.
     #[must_use]
     pub fn places(&self) -> Vec<Place> {
--- /dev/null
+++ b/crates/bench/src/experiments/load.rs
@@ -0,0 +1,153 @@
+//! Open-loop load from a YAML workload, with percentiles for each workspace.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use balsamchute_base::prelude::*;
+use bpaf::{Parser, positional};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::{Options, Run, options};
+use crate::audit::Verdict;
+use crate::caller::call::{History, Reply};
+use crate::deployment::Deployment;
+use crate::error::Error;
+use crate::fleet::{Fleet, Plan};
+use crate::report::{self, Table};
+use crate::traffic::Traffic;
+use crate::workload::Workload;
+
+/// Digits that a histogram keeps.
+const DIGITS: u8 = 3;
+
+/// Percentiles of one workspace in milliseconds.
+#[derive(Debug, Serialize)]
+struct Row {
+    workspace: String,
+    service: String,
+    calls: u64,
+    answered: u64,
+    first_token_ms: [u64; 3],
+    total_ms: [u64; 3],
+    longest_gap_ms: u64,
+}
+
+/// The report.
+#[derive(Debug, Serialize)]
+struct Report {
+    experiment: &'static str,
+    pass: bool,
+    seed: u64,
+    #[serde(flatten)]
+    verdict: Verdict,
+    workspaces: Vec<Row>,
+}
+
+/// Returns the subcommand.
+#[must_use]
+pub fn command() -> Box<dyn Parser<Run>> {
+    let options = options();
+    let file = positional::<PathBuf>("FILE").help("Workload in YAML, see crates/bench/workloads");
+    let both = bpaf::construct!(options, file);
+    let run = both.map(|(options, file)| Box::new(move || run(options, &file)) as Run);
+    let about = "Send an open-loop workload to a fleet and report percentiles for each workspace";
+    run.to_options().descr(about).command("load").boxed()
+}
+
+fn run(options: Options, file: &std::path::Path) -> Result<bool, Error> {
+    let path = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| Error::Read {
+        path: path.clone(),
+        reason: error.to_string(),
+    })?;
+    let workload = Workload::parse(&path, &text)?;
+    let deployment = Deployment::named(&workload.deployment);
+    let deployment = deployment.ok_or_else(|| Error::Workload {
+        path,
+        reason: format!("deployment \"{}\" does not exist", workload.deployment),
+    })?;
+    let fleet = Fleet::start(&Plan::new(deployment.clone()))?;
+    let plan = workload.plan(&deployment, options.seed);
+    let histories = Traffic::start(&fleet.caller(), plan).join();
+    let verdict = fleet.judge(&histories);
+    let report = Report {
+        experiment: "load",
+        pass: verdict.holds(),
+        seed: options.seed,
+        verdict,
+        workspaces: rows(&histories),
+    };
+    println!("{}", table(&report.workspaces));
+    report
+        .verdict
+        .faults
+        .iter()
+        .for_each(|fault| println!("{fault}"));
+    if options.json {
+        report::print_json(&report);
+    }
+    Ok(report.pass)
+}
+
+fn rows(histories: &[History]) -> Vec<Row> {
+    let mut groups: BTreeMap<(&Workspace, &Service), Vec<&History>> = BTreeMap::new();
+    for history in histories {
+        let key = (&history.call.workspace, &history.call.service);
+        groups.entry(key).or_default().push(history);
+    }
+    let rows = groups.into_iter();
+    rows.map(|((workspace, service), group)| row(workspace, service, &group))
+        .collect()
+}
+
+fn row(workspace: &Workspace, service: &Service, group: &[&History]) -> Row {
+    let answered = |history: &&&History| {
+        matches!(history.last(), Some(Reply::End { end, .. })
+            if end.outcome == balsamchute_wire::record::Outcome::Done)
+    };
+    let answered: Vec<&History> = group.iter().filter(answered).copied().collect();
+    let total = |history: &&History| history.over.since(history.wanted);
+    let gap = |history: &&History| history.submissions.last().map(|last| last.longest_gap);
+    Row {
+        workspace: workspace.to_string(),
+        service: service.to_string(),
+        calls: group.len() as u64,
+        answered: answered.len() as u64,
+        first_token_ms: percentiles(answered.iter().filter_map(|one| one.first_token())),
+        total_ms: percentiles(answered.iter().map(total)),
+        longest_gap_ms: answered.iter().filter_map(gap).max().unwrap_or_default().0,
+    }
+}
+
+fn percentiles(spans: impl Iterator<Item = Span>) -> [u64; 3] {
+    let mut histogram: Histogram<u64> = Histogram::new(DIGITS).expect("digits are valid");
+    spans.for_each(|span| histogram.saturating_record(span.as_millis()));
+    [0.5, 0.95, 0.99].map(|quantile| histogram.value_at_quantile(quantile))
+}
+
+fn table(rows: &[Row]) -> Table {
+    let heads = [
+        "workspace",
+        "service",
+        "calls",
+        "answered",
+        "first p50",
+        "p95",
+        "p99",
+        "total p50",
+        "p95",
+        "p99",
+        "longest gap",
+    ];
+    let mut table = Table::new(&heads);
+    for row in rows {
+        let mut cells = vec![row.workspace.clone(), row.service.clone()];
+        let counts = [row.calls, row.answered].into_iter();
+        let times = row.first_token_ms.into_iter().chain(row.total_ms);
+        let all = counts.chain(times).chain([row.longest_gap_ms]);
+        cells.extend(all.map(|number| number.to_string()));
+        table.row(cells);
+    }
+    table
+}
--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -5,8 +5,11 @@
 //! With `--json` its last line of output is one JSON object with `pass`.
 
 pub mod capacity;
+pub mod control;
+pub mod demo;
+pub mod load;
 
-use bpaf::{Parser, long};
+use bpaf::{Parser, long, pure};
 
 use crate::error::Error;
 
@@ -36,8 +39,39 @@
     bpaf::construct!(Options { seed, json })
 }
 
+/// Returns the subcommand of an experiment that takes only [`Options`].
+fn simple(
+    name: &'static str,
+    about: &'static str,
+    run: fn(Options) -> Result<bool, Error>,
+) -> Box<dyn Parser<Run>> {
+    let parser = options().map(move |options| Box::new(move || run(options)) as Run);
+    parser.to_options().descr(about).command(name).boxed()
+}
+
 /// Returns the subcommands of all experiments.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Parser<Run>>> {
-    vec![capacity::command()]
+    vec![
+        simple(
+            "demo",
+            "Bring up both deployments, break things under load and audit every answer",
+            demo::run,
+        ),
+        load::command(),
+        simple(
+            "control",
+            "Measure what control costs a router against nodes, workspaces and runners",
+            control::run,
+        ),
+        capacity::command(),
+    ]
+}
+
+/// Returns the hidden subcommand that runs a router.
+#[must_use]
+pub fn router() -> Box<dyn Parser<Run>> {
+    let run = pure(()).map(|()| Box::new(crate::child::run) as Run);
+    let command = run.to_options().command(crate::fleet::router::SUBCOMMAND);
+    command.hide().boxed()
 }
--- /dev/null
+++ b/crates/bench/src/fleet/target.rs
@@ -0,0 +1,133 @@
+//! A runner's stand-in, of either kind.
+
+use std::net::SocketAddr;
+
+use balsamchute_base::prelude::*;
+use balsamchute_inventory::config::Kind;
+use balsamchute_standin::engine::{self, Engine};
+use balsamchute_standin::plain::{self, Plain};
+use balsamchute_standin::record::{End, Record};
+
+use crate::audit::Execution;
+use crate::deployment::Place;
+use crate::error::Error;
+
+/// A running stand-in of a runner.
+pub struct Target {
+    place: Place,
+    server: Server,
+}
+
+enum Server {
+    Engine(Engine),
+    Plain(Plain),
+}
+
+impl Target {
+    /// Starts the stand-in of `place`; an engine makes so many tokens a second
+    /// for each request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Start`] if it cannot listen.
+    pub fn start(place: Place, tokens_per_second: f64) -> Result<Self, Error> {
+        let server = match place.kind {
+            Kind::Engine => {
+                let settings = engine::Settings::new(&place.runner, place.slots)
+                    .with_speed(tokens_per_second)
+                    .with_fencing(place.fencing);
+                Engine::start(settings).map(Server::Engine)
+            }
+            Kind::Plain => {
+                let settings =
+                    plain::Settings::new(&place.runner, place.slots).with_fencing(place.fencing);
+                Plain::start(settings).map(Server::Plain)
+            }
+        };
+        let server = server.map_err(|error| Error::Start {
+            what: format!("runner {}", place.runner),
+            reason: error.to_string(),
+        })?;
+        Ok(Target { place, server })
+    }
+
+    /// Returns where it stands in the deployment.
+    #[must_use]
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Returns the engine, `None` for a plain service.
+    #[must_use]
+    pub fn engine(&self) -> Option<&Engine> {
+        match &self.server {
+            Server::Engine(engine) => Some(engine),
+            Server::Plain(_) => None,
+        }
+    }
+
+    /// Returns where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        match &self.server {
+            Server::Engine(engine) => engine.address(),
+            Server::Plain(plain) => plain.address(),
+        }
+    }
+
+    /// Kills it: what runs is lost, and it stays away until [`Target::restart`].
+    pub fn kill(&self) {
+        match &self.server {
+            Server::Engine(engine) => engine.kill(),
+            Server::Plain(plain) => plain.kill(),
+        }
+    }
+
+    /// Starts it again at the same address.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Start`] if it cannot listen.
+    pub fn restart(&self) -> Result<(), Error> {
+        let started = match &self.server {
+            Server::Engine(engine) => engine.restart(),
+            Server::Plain(plain) => plain.restart(),
+        };
+        started.map_err(|error| Error::Start {
+            what: format!("runner {}", self.place.runner),
+            reason: error.to_string(),
+        })
+    }
+
+    /// Returns what it executed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a record holds a name that no router could have sent.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        let records = match &self.server {
+            Server::Engine(engine) => engine.records(),
+            Server::Plain(plain) => plain.records(),
+        };
+        records
+            .into_iter()
+            .map(|record| self.execution(record))
+            .collect()
+    }
+
+    fn execution(&self, record: Record) -> Execution {
+        Execution {
+            runner: Runner::new(&self.place.runner).expect("runners have valid names"),
+            service: Service::new(self.place.service).expect("services have valid names"),
+            attempt: Attempt::new(&record.attempt).expect("routers send valid attempts"),
+            workspace: Workspace::new(&record.workspace).expect("routers send valid workspaces"),
+            request: record.request,
+            key: record.key,
+            start: record.started,
+            end: record.finished,
+            cost: record.cost,
+            whole: record.end == Some(End::Done),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,8 +4,10 @@
 //! Each experiment is a file of its own in [`experiments`].
 
 pub mod audit;
+pub mod body;
 pub mod caller;
 pub mod capacity;
+pub mod child;
 pub mod clock;
 pub mod deployment;
 pub mod error;
@@ -13,5 +15,8 @@
 pub mod fleet;
 pub mod links;
 pub mod ports;
+pub mod process;
 pub mod report;
+pub mod sockets;
 pub mod traffic;
+pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -14,6 +14,7 @@
     env_logger::init();
     let mut commands = experiments::all();
     commands.push(experiments::capacity::probe_command());
+    commands.push(experiments::router());
     let parser = bpaf::choice(commands);
     let run = bpaf::Parser::to_options(parser)
         .descr("Demo, load and experiments on a fleet of real routers over stand-ins")
--- a/crates/bench/tests/audit.rs
+++ b/crates/bench/tests/audit.rs
@@ -98,7 +98,12 @@
 
 #[test]
 fn call_without_end_is_lost() {
-    for replies in [vec![], vec![Reply::Unreachable("refused".to_owned())]] {
+    let unreachable = Reply::Unreachable("refused".to_owned());
+    for replies in [
+        vec![],
+        vec![unreachable],
+        vec![Reply::Overdue { tokens: 1 }],
+    ] {
         let verdict = judge(&[history(call("c", None), replies)], &[]);
         assert_eq!(verdict.lost, 1);
         assert!(!verdict.holds());
--- a/crates/bench/tests/stream.rs
+++ b/crates/bench/tests/stream.rs
@@ -25,7 +25,7 @@
 }
 
 fn read(lines: &[String]) -> Reply {
-    Reader::new().read(lines.concat().as_bytes(), || Time(1))
+    Reader::new().read(lines.concat().as_bytes(), Time(9), || Time(1))
 }
 
 #[test]
@@ -70,7 +70,16 @@
     bolero::check!()
         .with_iterations(2000)
         .for_each(|bytes: &[u8]| {
-            let reply = Reader::new().read(bytes, || Time(1));
+            let reply = Reader::new().read(bytes, Time(9), || Time(1));
             assert!(!matches!(reply, Reply::Unreachable(_)));
         });
 }
+
+#[test]
+fn caller_leaves_after_its_deadline() {
+    let lines = [token("a", 0, "one "), "\n".to_owned()].concat();
+    let clock = std::cell::Cell::new(0);
+    let now = || Time(clock.replace(clock.get() + 1));
+    let reply = Reader::new().read(lines.as_bytes(), Time(3), now);
+    assert_eq!(reply, Reply::Overdue { tokens: 1 });
+}
--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -42,7 +42,6 @@
             gone: false,
             head: arrival.head,
         };
-        self.deadlines.insert((entry.deadline, ticket));
         self.requests.insert(ticket, entry);
         self.route(now, ticket, actions);
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 use balsamchute_platform::error::Error as Platform;
-use balsamchute_platform::operator;
 use displaydoc::Display;
 
 /// Exit code of a command line that is wrong.
@@ -53,15 +52,20 @@
     Platform(Platform),
     /// platform holds no configuration at "{0}"
     NoConfiguration(&'static str),
-    /// platform holds a configuration at "{path}" that cannot be used: {reason}
+    /// platform holds a configuration at "{path}" that cannot be read: {reason}
     Stored {
         /// The path.
         path: &'static str,
         /// What went wrong.
         reason: String,
     },
-    /// {0}
-    Operator(operator::Error),
+    /// the configuration has {bytes} bytes as stored, {limit} are allowed
+    TooLarge {
+        /// Size in bytes.
+        bytes: usize,
+        /// The limit in bytes.
+        limit: usize,
+    },
     /// version {base} is no longer current, version {current} by {author} is; nothing was changed
     Race {
         /// The version that the change was made from.
@@ -71,6 +75,11 @@
         /// Who made the current version.
         author: String,
     },
+    /// change {change} was sent but the platform does not say whether it was accepted
+    Unsettled {
+        /// Id of the change.
+        change: String,
+    },
     /// version {version} is accepted but not in force everywhere: {behind}
     Wait {
         /// The version.
@@ -100,7 +109,7 @@
             Error::Faults(_) | Error::Settings { .. } | Error::File { .. } => FAULTS,
             Error::Race { .. } => RACE,
             Error::Wait { .. } => WAIT,
-            Error::Operator(operator::Error::Unsettled(_)) => UNSETTLED,
+            Error::Unsettled { .. } => UNSETTLED,
             Error::Unknown(_) | Error::Fingerprint(_) => UNKNOWN,
             _ => FAILURE,
         };
@@ -119,9 +128,3 @@
         Error::Serve(error)
     }
 }
-
-impl From<operator::Error> for Error {
-    fn from(error: operator::Error) -> Self {
-        Error::Operator(error)
-    }
-}
