--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -34,6 +34,12 @@
         Span(seconds * 1000)
     }
 
+    /// Returns the span without `other`, zero if `other` is longer.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+
     /// Returns the span in milliseconds.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -42,6 +42,7 @@
             gone: false,
             head: arrival.head,
         };
+        self.deadlines.insert((entry.deadline, ticket));
         self.requests.insert(ticket, entry);
         self.route(now, ticket, actions);
     }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -1,6 +1,6 @@
 //! The state machine of one router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -24,6 +24,9 @@
 use crate::settings::Settings;
 use crate::trail::{self, Trail};
 
+/// Time after which a running request is looked at again past its deadline.
+const RECHECK: Span = Span::from_secs(1);
+
 /// The whole state of a router.
 ///
 /// Invariants:
@@ -45,6 +48,10 @@
     pub(crate) ledger: Ledger,
     pub(crate) suspects: Vec<Suspect>,
     pub(crate) unsent: BTreeMap<Instance, Vec<Message>>,
+    /// Routers that own runners of a service, by rendezvous.
+    pub(crate) owners: BTreeMap<Service, BTreeSet<Instance>>,
+    pub(crate) slots: BTreeMap<Runner, u32>,
+    pub(crate) deadlines: BTreeSet<(Time, Ticket)>,
     pub(crate) addresses: BTreeMap<Runner, SocketAddr>,
     pub(crate) silent: BTreeMap<Runner, Time>,
     pub(crate) trail: Trail,
@@ -52,6 +59,8 @@
     pub(crate) next_attempt: u64,
     pub(crate) next_key: u64,
     pub(crate) next_beat: Time,
+    pub(crate) next_list: Time,
+    pub(crate) next_refresh: Time,
     pub(crate) durable: bool,
     pub(crate) stopping: bool,
 }
@@ -76,6 +85,9 @@
             ledger: Ledger::new(ledger::Settings::default()),
             suspects: Vec::new(),
             unsent: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
             addresses: BTreeMap::new(),
             silent: BTreeMap::new(),
             trail: Trail::new(),
@@ -83,6 +95,8 @@
             next_attempt: 0,
             next_key: 0,
             next_beat: Time::default(),
+            next_list: Time::default(),
+            next_refresh: Time::default(),
             durable: true,
             stopping: false,
             settings,
@@ -103,6 +117,7 @@
             Event::Config(stamp, config) => self.configure(now, stamp, config, actions),
             Event::Listed(asked, listed) => self.listed(now, asked, &listed, actions),
             Event::Exchange(number, frame) => self.exchange(now, number, frame, actions),
+            Event::Unreachable(inner, refused) => self.unreachable(now, inner, refused, actions),
             Event::Exchanged(frame) => self.exchanged(now, &frame, actions),
             Event::Messages(batch) => self.messages(now, batch, actions),
             Event::Undelivered(to, messages) => self.undelivered(now, &to, messages, actions),
@@ -130,9 +145,17 @@
         self.ledger.expire(now);
         self.leaving.expire(now);
         if now >= self.next_beat {
-            self.next_beat = now + self.settings.beat;
+            let beat = self.settings.beat(self.members.alive().count());
+            self.next_beat = now + beat;
             self.beat(now, actions);
         }
+        if now >= self.next_list {
+            self.next_list = now + self.settings.list;
+            self.take_turn(now, actions);
+        }
+        if now >= self.next_refresh {
+            self.own_runners(now);
+        }
         self.resend(actions);
         self.grant_all(now, actions);
         self.check_stopped(actions);
@@ -141,18 +164,24 @@
     /// Gives up requests whose deadline has passed while they waited.
     fn expire_requests(&mut self, now: Time, actions: &mut Vec<Action>) {
         use crate::request::Stage;
-        let late: Vec<Ticket> = self
-            .requests
-            .iter()
-            .filter(|(_, entry)| entry.deadline <= now)
-            .filter(|(_, entry)| {
+        let later = self.deadlines.split_off(&(now + Span(1), 0));
+        let due = std::mem::replace(&mut self.deadlines, later);
+        let waits = |ticket: &Ticket| {
+            self.requests.get(ticket).is_some_and(|entry| {
                 matches!(
                     entry.stage,
                     Stage::Waiting | Stage::Claiming | Stage::Joined
                 )
             })
-            .map(|(ticket, _)| *ticket)
-            .collect();
+        };
+        let (late, rest): (Vec<Ticket>, Vec<Ticket>) =
+            due.into_iter().map(|(_, ticket)| ticket).partition(waits);
+        // A request that runs may fail and wait again.
+        let again = rest
+            .into_iter()
+            .filter(|ticket| self.requests.contains_key(ticket));
+        self.deadlines
+            .extend(again.map(|ticket| (now + RECHECK, ticket)));
         for ticket in late {
             let outcome = match self.requests[&ticket].stage {
                 Stage::Joined => Outcome::Unknown,
--- a/crates/dispatch/src/drain.rs
+++ b/crates/dispatch/src/drain.rs
@@ -22,8 +22,10 @@
         self.members.beat(now);
         self.own_runners(now);
         self.watch(actions);
-        for member in self.members.alive().take(TOLD) {
-            actions.push(Action::Exchange(member.inner, self.frame(now)));
+        let told = self.members.alive().take(TOLD);
+        for inner in told.map(|member| member.inner).collect::<Vec<_>>() {
+            let frame = self.frame(now);
+            actions.push(Action::Exchange(inner, frame));
         }
         self.hand_over(now, actions);
         self.check_stopped(actions);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -85,6 +85,9 @@
     Listed(Time, Vec<Listed>),
     /// Another router started an exchange; it is answered under this number.
     Exchange(u64, Frame),
+    /// The router at this address did not answer; `true` if it refused the
+    /// connection, which shows that its process is gone.
+    Unreachable(SocketAddr, bool),
     /// Another router answered an exchange.
     Exchanged(Frame),
     /// Messages of another router.
@@ -191,6 +194,8 @@
     Send(SocketAddr, Instance, Batch),
     /// Fetch the configuration from a router that has a newer one.
     Fetch(SocketAddr),
+    /// Read the platform's list of instances.
+    ReadList,
     /// Ask these runners for their load from now on.
     Watch(Vec<(Runner, SocketAddr)>),
     /// Observe how long a request waited for its slot.
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -43,7 +43,7 @@
         }
         if failed {
             self.silent.insert(slot.runner.clone(), now);
-            self.own_runners(now);
+            self.own_runner(now, &slot.runner);
         }
         let end = self.judge(&finish);
         match end {
@@ -52,7 +52,7 @@
                 let end = self.settle(now, ticket, end, finish.answer, actions);
                 self.remove(ticket);
                 actions.push(Action::Tell(ticket, Command::End(end)));
-                self.release(now, &service, slot, finish.cost, failed, actions);
+                self.reuse(now, &service, slot, finish.cost, failed, actions);
             }
             None => {
                 self.note(
@@ -60,7 +60,7 @@
                     ticket,
                     &format!("attempt ended: {:?}; tried again", finish.ending),
                 );
-                self.release(now, &service, slot, finish.cost, failed, actions);
+                self.reuse(now, &service, slot, finish.cost, failed, actions);
                 self.enqueue(now, ticket, actions);
             }
         }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -1,6 +1,9 @@
 //! Exchanges with other routers, membership and undelivered messages.
 
+use std::net::SocketAddr;
+
 use balsamchute_base::prelude::*;
+use balsamchute_base::rank;
 use balsamchute_fleet::leaving;
 use balsamchute_fleet::members::{self, Change};
 use balsamchute_wire::exchange::{Frame, Member};
@@ -9,6 +12,12 @@
 use crate::core::Core;
 use crate::event::{Action, Listed};
 
+/// Doubts about routers in one frame.
+const DOUBTS: usize = 8;
+
+/// Marks of leaving runners in one frame.
+const MARKS: usize = 32;
+
 impl Core {
     /// Raises the heartbeat and starts the exchanges of this period.
     pub(crate) fn beat(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -27,16 +36,20 @@
             .members
             .partners(&mut self.random, self.settings.fanout)
         {
-            actions.push(Action::Exchange(address, self.frame(now)));
+            let frame = self.frame(now);
+            actions.push(Action::Exchange(address, frame));
         }
     }
 
-    pub(crate) fn frame(&self, now: Time) -> Frame {
+    pub(crate) fn frame(&mut self, now: Time) -> Frame {
+        let entries = self.settings.entries(self.members.alive().count());
+        let members = self.members.entries(&mut self.random, entries);
         Frame {
             from: self.me().instance.clone(),
             config: self.stamp,
-            members: self.members.entries(self.settings.entries),
-            leaving: self.leaving.spread(now, self.settings.entries),
+            members,
+            doubts: self.members.doubts(now, DOUBTS),
+            leaving: self.leaving.spread(now, MARKS),
             suspects: self.suspects.clone(),
         }
     }
@@ -48,16 +61,24 @@
         frame: Frame,
         actions: &mut Vec<Action>,
     ) {
-        actions.push(Action::Answer(number, self.frame(now)));
+        // The answer carries what this frame has brought, a refuted doubt above all.
         self.exchanged(now, &frame, actions);
+        let mut answer = self.frame(now);
+        self.echo(&frame.from, &mut answer);
+        actions.push(Action::Answer(number, answer));
     }
 
     /// Takes in the frame of another router.
     pub(crate) fn exchanged(&mut self, now: Time, frame: &Frame, actions: &mut Vec<Action>) {
         let newer = self.newer(frame);
         let changes = self.members.merge(now, &frame.members);
+        if self.members.merge_doubts(now, &frame.doubts) {
+            self.next_beat = now;
+        }
         let left = !self.leaving.merge(now, &frame.leaving).is_empty();
         if left {
+            // Passed on at once, as a target may leave within seconds.
+            self.next_beat = now;
             self.own_runners(now);
         }
         self.changed(now, &changes, actions);
@@ -75,6 +96,35 @@
         self.grant_all(now, actions);
     }
 
+    /// Adds the receiver's own entry to a frame, from which it learns that what
+    /// it sends arrives here.
+    fn echo(&self, to: &Instance, frame: &mut Frame) {
+        let told = frame.members.iter().any(|member| member.instance == *to);
+        if let (false, Some(member)) = (told, self.members.get(to)) {
+            let services = Vec::new();
+            frame.members.push(Member {
+                services,
+                ..member.clone()
+            });
+        }
+    }
+
+    /// An exchange with another router failed.
+    pub(crate) fn unreachable(
+        &mut self,
+        now: Time,
+        inner: SocketAddr,
+        refused: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        self.members.doubt(now, inner);
+        let gone = self.members.alive().find(|member| member.inner == inner);
+        if let (true, Some(instance)) = (refused, gone.map(|member| member.instance.clone())) {
+            let change = self.members.fail(now, &instance);
+            self.changed(now, change.as_slice(), actions);
+        }
+    }
+
     /// Returns the entries of a frame that are newer than what is known.
     fn newer<'a>(&self, frame: &'a Frame) -> Vec<&'a Member> {
         let me = &self.me().instance;
@@ -110,6 +160,25 @@
         }
     }
 
+    /// Has the platform's list read if it is this router's turn.
+    ///
+    /// In a small fleet every router reads it. In a larger one they take turns,
+    /// since the list names every runner: one reads it each time and passes on
+    /// what is new. A router that hears nobody reads it for itself.
+    pub(crate) fn take_turn(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let size = self.members.alive().count();
+        let turn = now.0 / self.settings.list.as_millis();
+        let names = self
+            .members
+            .serving()
+            .map(|member| member.instance.as_str());
+        let reader = rank::first(&format!("list/{turn}"), names);
+        let mine = reader.is_none_or(|reader| reader == self.me().instance.as_str());
+        if size <= self.settings.small_fleet || mine || self.members.isolated(now) {
+            actions.push(Action::ReadList);
+        }
+    }
+
     /// Takes in the platform's list.
     pub(crate) fn listed(
         &mut self,
@@ -145,9 +214,12 @@
             }
         }
         self.members.seed(asked, &seeds);
-        self.leaving.seed(now, &runners);
-        self.own_runners(now);
-        self.watch(actions);
+        let left = !self.leaving.seed(now, &runners).is_empty();
+        if self.homes.update(self.members.serving()) || left {
+            self.next_beat = now;
+            self.own_runners(now);
+            self.watch(actions);
+        }
         self.grant_all(now, actions);
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -36,6 +36,10 @@
     pub runner: Runner,
     /// Where the runner listens.
     pub address: SocketAddr,
+    /// Until when further requests may be started on the slot without asking.
+    pub until: Time,
+    /// Cost of the requests that ran on the slot before the current one.
+    pub spent: Cost,
 }
 
 /// A request in hand.
--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -14,6 +14,10 @@
 use crate::limits;
 use crate::service::State;
 
+/// Time after which the runners are looked at again, for marks of leaving that
+/// have ended.
+const REFRESH: Span = Span::from_secs(10);
+
 impl Core {
     /// Puts a configuration into force. An older one is ignored.
     pub(crate) fn configure(
@@ -27,6 +31,7 @@
             return;
         }
         self.stamp = stamp;
+        self.slots = limits::slots(&config);
         self.config = config;
         self.update_services();
         if self.me().phase == Phase::Starting {
@@ -65,7 +70,6 @@
     /// Updates which runners this router owns: it alone grants their slots.
     pub(crate) fn own_runners(&mut self, now: Time) {
         self.homes.update(self.members.serving());
-        let me = self.me().instance.clone();
         let config = Arc::clone(&self.config);
         let removed = self
             .addresses
@@ -78,22 +82,36 @@
             }
         }
         self.update_limits();
-        let slots = limits::slots(&config);
+        self.owners.clear();
         for (name, runner) in &config.runners {
-            self.addresses.insert(name.clone(), runner.address);
-            let owned = self.homes.owner(name) == Some(&me);
-            let usable = owned
-                && !self.silent.contains_key(name)
-                && !self.leaving.contains(now, name, runner.address);
-            let Some(state) = self.services.get_mut(&runner.service) else {
-                continue;
-            };
-            if usable {
-                state.lender.set_runner(name, slots[name]);
-            } else {
-                state.lender.remove_runner(name);
+            self.own_runner(now, name);
+            if let Some(owner) = self.homes.owner(name) {
+                let owners = self.owners.entry(runner.service.clone()).or_default();
+                owners.insert(owner.clone());
             }
         }
+        self.next_refresh = now + REFRESH;
+    }
+
+    /// Updates whether this router grants the slots of one runner.
+    pub(crate) fn own_runner(&mut self, now: Time, name: &Runner) {
+        let Some(runner) = self.config.runners.get(name) else {
+            return;
+        };
+        self.addresses.insert(name.clone(), runner.address);
+        let owned = self.homes.owner(name) == Some(&self.members.me().instance);
+        let usable = owned
+            && !self.silent.contains_key(name)
+            && !self.leaving.contains(now, name, runner.address);
+        let Some(state) = self.services.get_mut(&runner.service) else {
+            return;
+        };
+        if usable {
+            let slots = self.slots.get(name).copied().unwrap_or(runner.slots);
+            state.lender.set_runner(name, slots);
+        } else {
+            state.lender.remove_runner(name);
+        }
     }
 
     /// Asks for load reports of the runners that this router owns.
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -5,6 +5,7 @@
 use balsamchute_base::prelude::*;
 use balsamchute_wire::exchange::{Phase, Summary};
 use balsamchute_wire::message::{Batch, Message};
+use rand::seq::IteratorRandom;
 
 use crate::core::Core;
 use crate::event::{Action, Command, Load, Run, Ticket};
@@ -49,6 +50,7 @@
         state
             .lender
             .summary(now, &me, own.virtual_time, own.weight, own.backlog);
+        let reuse = self.settings.reuse(self.members.alive().count());
         let mean = state.queue.mean_cost();
         for grant in state.lender.grant(now, mean) {
             let Some(address) = self.addresses.get(&grant.runner).copied() else {
@@ -65,6 +67,7 @@
                 runner: grant.runner,
                 address,
                 lease: grant.lease,
+                reuse,
             };
             self.send(&grant.to, message, actions);
         }
@@ -78,6 +81,8 @@
             loan,
             runner,
             address,
+            until: Time::default(),
+            spent: Cost(0),
         }
     }
 
@@ -97,7 +102,27 @@
         };
         match item {
             Some(ticket) => self.start(now, ticket, slot, actions),
-            None => self.release(now, service, slot, Cost(0), false, actions),
+            None => self.release(now, service, slot, false, actions),
+        }
+    }
+
+    /// Takes back the slot of a request that has ended: it is used again if its
+    /// owner allows that and somebody waits, else it is released.
+    pub(crate) fn reuse(
+        &mut self,
+        now: Time,
+        service: &Service,
+        mut slot: Slot,
+        cost: Cost,
+        failed: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let lent = slot.owner != self.me().instance;
+        slot.spent += cost;
+        if lent && !failed && now < slot.until {
+            self.use_slot(now, service, slot, actions);
+        } else {
+            self.release(now, service, slot, failed, actions);
         }
     }
 
@@ -157,10 +182,10 @@
         now: Time,
         service: &Service,
         slot: Slot,
-        cost: Cost,
         failed: bool,
         actions: &mut Vec<Action>,
     ) {
+        let cost = slot.spent;
         let me = self.me();
         if slot.owner == me.instance {
             if slot.incarnation == me.incarnation
@@ -218,33 +243,32 @@
         }
     }
 
-    /// Returns the owners to tell of a need: those with most free slots first.
-    fn need_targets(&self, service: &Service) -> Vec<Instance> {
-        let me = &self.me().instance;
-        let mut owners: Vec<(u32, &Instance)> = self
-            .members
-            .serving()
-            .filter(|member| member.instance != *me)
-            .filter_map(|member| {
-                let summary = member
-                    .services
-                    .iter()
-                    .find(|summary| summary.service == *service)?;
-                Some((summary.free, &member.instance))
-            })
-            .collect();
-        owners.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-        let free = owners.iter().filter(|(free, _)| *free > 0).count();
-        let count = if free > 0 {
-            free.min(NEED_TARGETS)
-        } else {
-            NEED_BROADCAST
+    /// Returns the owners to tell of a need: those with most free slots first,
+    /// some at random if none is known to have one.
+    fn need_targets(&mut self, service: &Service) -> Vec<Instance> {
+        let Some(owners) = self.owners.get(service) else {
+            return Vec::new();
         };
-        owners
-            .into_iter()
-            .take(count)
-            .map(|(_, instance)| instance.clone())
-            .collect()
+        let me = &self.members.me().instance;
+        let others = owners.iter().filter(|owner| *owner != me);
+        let mut free: Vec<(u32, &Instance)> = others
+            .clone()
+            .map(|owner| (self.free_slots(owner, service), owner))
+            .filter(|(free, _)| *free > 0)
+            .collect();
+        free.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+        if free.is_empty() {
+            return others.cloned().sample(&mut self.random, NEED_BROADCAST);
+        }
+        let free = free.into_iter().take(NEED_TARGETS);
+        free.map(|(_, owner)| owner.clone()).collect()
+    }
+
+    /// Returns the free slots that a router said it owns, zero if it did not.
+    fn free_slots(&self, owner: &Instance, service: &Service) -> u32 {
+        let services = self.members.get(owner).map(|member| &member.services);
+        let summary = services.and_then(|all| all.iter().find(|own| own.service == *service));
+        summary.map_or(0, |summary| summary.free)
     }
 
     /// Takes in messages of another router.
@@ -272,6 +296,7 @@
                 runner,
                 address,
                 lease: _,
+                reuse,
             } => {
                 let slot = Slot {
                     owner: from.clone(),
@@ -279,6 +304,8 @@
                     loan,
                     runner,
                     address,
+                    until: now + reuse,
+                    spent: Cost(0),
                 };
                 self.use_slot(now, &service, slot, actions);
             }
@@ -322,7 +349,7 @@
         };
         let service = entry.service.clone();
         if self.silent.remove(runner).is_some() {
-            self.own_runners(now);
+            self.own_runner(now, runner);
         }
         if let Some(state) = self.services.get_mut(&service) {
             state
@@ -335,7 +362,7 @@
     /// A runner did not answer: no new work until it does.
     pub(crate) fn silent(&mut self, now: Time, runner: &Runner, _actions: &mut Vec<Action>) {
         self.silent.insert(runner.clone(), now);
-        self.own_runners(now);
+        self.own_runner(now, runner);
     }
 
     /// Queues a message for a router.
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -206,3 +206,75 @@
         assert!(end.reason.as_deref().unwrap_or_default().contains(name));
     }
 }
+
+#[test]
+fn large_fleet_takes_turns_to_read_the_list() {
+    let mut net = Net::new(40);
+    net.lists = 0;
+    net.pass(20_000);
+    assert!(
+        (19..=21).contains(&net.lists),
+        "{} readings in 20 s",
+        net.lists
+    );
+}
+
+#[test]
+fn every_router_of_a_small_fleet_reads_the_list() {
+    let mut net = Net::new(8);
+    net.lists = 0;
+    net.pass(20_000);
+    assert!(
+        (8 * 19..=8 * 21).contains(&net.lists),
+        "{} readings in 20 s",
+        net.lists
+    );
+}
+
+#[test]
+fn large_fleet_sees_a_death_and_no_other() {
+    let mut net = Net::new(40);
+    let names = net.names();
+    net.cut.push(names[7].clone());
+    net.pass(30_000);
+    for name in names.iter().filter(|name| **name != names[7]) {
+        let alive = net.cores[name].status().members.len();
+        assert_eq!(alive, 39, "router {name}");
+    }
+}
+
+/// Runs 40 requests of one router on slots that all belong to others, and
+/// returns the grants that this took.
+fn grants_for_40_requests(routers: u16) -> usize {
+    let mut net = Net::new(routers);
+    let owns = |net: &Net, name: &Instance| net.cores[name].status().services[1].slots > 0;
+    let names = net.names();
+    let at = names.iter().find(|name| !owns(&net, name)).cloned();
+    let at = at.expect("a router that owns no runner of the service");
+    for ticket in 1..=40 {
+        net.arrive(&at, ticket, head("w1", "draft", None));
+    }
+    net.pass(200);
+    net.grants = 0;
+    for _ in 0..20 {
+        for ticket in (1..=40)
+            .filter(|ticket| running(&net, *ticket))
+            .collect::<Vec<_>>()
+        {
+            net.finish(ticket, Ending::Done, 10);
+        }
+        net.pass(100);
+    }
+    assert!((1..=40).all(|ticket| outcome(&net, ticket) == Some(Outcome::Done)));
+    net.grants
+}
+
+#[test]
+fn borrowed_slots_are_granted_for_each_request_in_a_small_fleet() {
+    assert_eq!(grants_for_40_requests(8), 36);
+}
+
+#[test]
+fn borrowed_slots_are_used_again_without_asking_in_a_large_fleet() {
+    assert_eq!(grants_for_40_requests(40), 0);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod error;
 pub mod instance;
+pub mod operator;
 
 pub use client::{Client, Settings};
 pub use error::Error;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::error::Error;
 use crate::input::{Input, Source};
 use crate::traffic;
-use crate::work::{STACK_BYTES, Work};
+use crate::work::{STACK_BYTES, Work, is_refused};
 
 /// Threads that send messages; a router's messages all go through one of them,
 /// so that they stay in order.
@@ -128,12 +128,7 @@
     while let Ok(talk) = receiver.recv() {
         match talk {
             Talk::Exchange(address, frame) => {
-                if let Some(answer) = post(work, address, "exchange", &frame)
-                    .ok()
-                    .and_then(decode)
-                {
-                    work.event(Event::Exchanged(answer));
-                }
+                exchange(work, address, &frame);
             }
             Talk::Fetch(address) => {
                 if let Some(document) = get::<Document>(work, address, "config") {
@@ -144,8 +139,22 @@
     }
 }
 
-/// Why a control message was not delivered: it makes no difference which.
-pub(crate) struct Undelivered;
+fn exchange(work: &Work, address: SocketAddr, frame: &Frame) {
+    match post(work, address, "exchange", frame) {
+        Ok(answer) => {
+            if let Some(answer) = decode(answer) {
+                work.event(Event::Exchanged(answer));
+            }
+        }
+        Err(Undelivered { refused }) => work.event(Event::Unreachable(address, refused)),
+    }
+}
+
+/// A control message was not delivered, or its answer was lost.
+pub(crate) struct Undelivered {
+    /// Whether the other side refused the connection: no process listens there.
+    pub refused: bool,
+}
 
 /// Posts a body to another router and returns the answer's bytes.
 pub(crate) fn post<T: Serialize>(
@@ -166,7 +175,7 @@
     timeout: Duration,
 ) -> Result<Vec<u8>, Undelivered> {
     if !work.is_open(address) {
-        return Err(Undelivered);
+        return Err(Undelivered { refused: false });
     }
     let body = codec::encode(body);
     traffic::sent(work, path, body.len());
@@ -181,10 +190,14 @@
         traffic::answered(work, path, response);
     }
     match response {
-        Ok(mut response) if response.status().is_success() => {
-            response.body_mut().read_to_vec().map_err(|_| Undelivered)
-        }
-        _ => Err(Undelivered),
+        Ok(mut response) if response.status().is_success() => response
+            .body_mut()
+            .read_to_vec()
+            .map_err(|_| Undelivered { refused: false }),
+        Ok(_) => Err(Undelivered { refused: false }),
+        Err(error) => Err(Undelivered {
+            refused: is_refused(&error),
+        }),
     }
 }
 
--- a/crates/router/src/poll.rs
+++ b/crates/router/src/poll.rs
@@ -9,6 +9,7 @@
 use balsamchute_platform::client::{self, Client, Object};
 use balsamchute_platform::instance::{Entry, Kind, State};
 use balsamchute_wire::config::Document;
+use crossbeam_channel::{Receiver, Sender, bounded};
 
 use crate::error::Error;
 use crate::input::{Input, Source};
@@ -24,17 +25,18 @@
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Span = Span(500);
 
-/// Time between two reads of the list of instances.
-const LIST_INTERVAL: Span = Span(1000);
-
-/// Time between two load reports of one runner.
+/// Least time between two load reports of one runner.
 const LOAD_INTERVAL: Span = Span(500);
 
+/// Least time between two load reports of whichever runners.
+const LOAD_PACE: Span = Span(250);
+
 type Watched = Arc<Mutex<Vec<(Runner, SocketAddr)>>>;
 
 /// The runners that are asked for their load.
 pub(crate) struct Polls {
     watched: Watched,
+    lists: Sender<()>,
 }
 
 impl Polls {
@@ -47,10 +49,16 @@
         let watched = Watched::default();
         let config_client = Arc::clone(&client);
         spawn(work, move |work| watch_config(work, &config_client))?;
-        spawn(work, move |work| read_list(work, &client))?;
+        let (lists, asked) = bounded(1);
+        spawn(work, move |work| read_lists(work, &client, &asked))?;
         let runners = Arc::clone(&watched);
         spawn(work, move |work| read_loads(work, &runners))?;
-        Ok(Polls { watched })
+        Ok(Polls { watched, lists })
+    }
+
+    /// Has the platform's list read, unless it is being read.
+    pub fn read_list(&self) {
+        let _ = self.lists.try_send(());
     }
 
     /// Sets the runners to ask.
@@ -117,8 +125,8 @@
     }
 }
 
-fn read_list(work: &Work, client: &Client) {
-    loop {
+fn read_lists(work: &Work, client: &Client, asked: &Receiver<()>) {
+    while asked.recv().is_ok() {
         if work.is_open(work.settings.platform) {
             let asked = work.now();
             match client.instances() {
@@ -129,7 +137,6 @@
                 Err(error) => log::debug!("platform: cannot read the list. {error}"),
             }
         }
-        thread::sleep(LIST_INTERVAL.into());
     }
 }
 
@@ -159,7 +166,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
+        let mut rest = LOAD_INTERVAL;
         for (runner, address) in runners {
+            rest = rest.saturating_sub(LOAD_PACE);
+            thread::sleep(LOAD_PACE.into());
             if !work.is_open(address) {
                 work.event(Event::Silent(runner));
                 continue;
@@ -178,6 +188,6 @@
                 }
             }
         }
-        thread::sleep(LOAD_INTERVAL.into());
+        thread::sleep(rest.into());
     }
 }
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -133,6 +133,11 @@
         .into()
 }
 
+/// Returns whether the error shows that no process listens at the address.
+pub(crate) fn is_refused(error: &ureq::Error) -> bool {
+    matches!(error, ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// Returns whether the error shows that no byte of the request was sent.
 pub(crate) fn is_unsent(error: &ureq::Error) -> bool {
     match error {
@@ -140,7 +145,6 @@
         ureq::Error::Timeout(timeout) => {
             matches!(timeout, ureq::Timeout::Connect | ureq::Timeout::Resolve)
         }
-        ureq::Error::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        _ => false,
+        error => is_refused(error),
     }
 }
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -71,6 +71,19 @@
     pub address: SocketAddr,
 }
 
+/// A router that did not answer some other router.
+///
+/// It counts as dead unless a higher heartbeat of it is seen in time.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Doubt {
+    /// The router.
+    pub instance: Instance,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its highest heartbeat known to the router that doubts.
+    pub beat: u64,
+}
+
 /// A request fingerprint with the crashes that it was part of.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Suspect {
@@ -91,6 +104,8 @@
     pub config: Stamp,
     /// The sender and other routers, the sender first.
     pub members: Vec<Member>,
+    /// Routers that did not answer.
+    pub doubts: Vec<Doubt>,
     /// Runners that leave.
     pub leaving: Vec<Leaving>,
     /// Fingerprints under suspicion.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -23,8 +23,11 @@
         runner: Runner,
         /// Where the runner listens.
         address: SocketAddr,
-        /// How long the borrower may start a request on the slot.
+        /// How long the borrower may take to start a request on the slot.
         lease: Span,
+        /// How long the borrower may start further requests on the slot without
+        /// asking, each after the one before has ended.
+        reuse: Span,
     },
     /// The borrower gives a slot back.
     Release {
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -1,14 +1,13 @@
 //! `balsamchute apply`
 
 use std::path::PathBuf;
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use balsamchute_fleet::change::{self, Verdict};
+use balsamchute_base::prelude::*;
+use balsamchute_fleet::change;
 use balsamchute_inventory::config::Config;
 use balsamchute_inventory::document;
-use balsamchute_platform::client::Client;
-use balsamchute_platform::error::Error as Platform;
+use balsamchute_platform::operator;
 use balsamchute_wire::config::Document;
 use bpaf::Bpaf;
 use serde::Serialize;
@@ -18,9 +17,6 @@
 use crate::output::Output;
 use crate::store::{self, Address};
 
-/// Pause before the platform is asked again.
-const PAUSE: Duration = Duration::from_millis(200);
-
 /// Options of the command.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Options {
@@ -62,10 +58,10 @@
 /// [`Error::Unsettled`] if its fate stayed unknown, [`Error::Wait`] if it did
 /// not come into force in time, and failures of the platform.
 pub fn run(options: &Options) -> Result<(), Error> {
-    let timeout = Duration::from_secs(options.timeout);
+    let timeout = Span::from_secs(options.timeout);
     let config = files::read(&options.files, options.output)?;
     let client = store::client(options.platform.platform);
-    let base = store::read(&client)?;
+    let base = operator::read(&client)?;
     let old = diff::config(&base).unwrap_or_default();
     if options.base.is_some_and(|wanted| wanted != base.version) {
         return Err(lost(options, &config, &base));
@@ -80,15 +76,16 @@
     if text != base.text {
         let id = format!("{:032x}", rand::random::<u128>());
         let change = change::next(&base, &id, &options.author, &text);
-        report.version = write(&client, &change, timeout).map_err(|failure| match failure {
-            Failure::Lost(current) => lost_to(options, &old, &base, &current),
-            Failure::Other(error) => error,
-        })?;
+        report.version =
+            operator::apply(&client, &change, timeout).map_err(|error| match error {
+                operator::Error::Lost(current) => lost_to(options, &old, &base, &current),
+                other => other.into(),
+            })?;
         report.change = Some(id);
     }
     let written = Instant::now();
     if options.wait {
-        wait::until(options.platform.platform, report.version, timeout)?;
+        wait::until(options.platform.platform, report.version, timeout.into())?;
         report.in_force_ms = Some(written.elapsed().as_millis() as u64);
     }
     options.output.print(&report, || text_of(&report));
@@ -105,60 +102,6 @@
     format!("{changes}version {} {state}\n", report.version)
 }
 
-enum Failure {
-    /// The current document, which another operator made.
-    Lost(Document),
-    Other(Error),
-}
-
-/// Writes a change and settles what became of it. Returns its version.
-fn write(client: &Client, change: &Document, timeout: Duration) -> Result<u64, Failure> {
-    let bytes = store::encode(change).map_err(Failure::Other)?;
-    let started = Instant::now();
-    let mut sent = false;
-    loop {
-        match client.put_if(store::PATH, change.version - 1, &bytes) {
-            Ok(version) => return Ok(version),
-            Err(error @ Platform::TooLarge { .. }) => return Err(Failure::Other(error.into())),
-            Err(Platform::Conflict { .. } | Platform::AnswerLost { .. }) => sent = true,
-            Err(error) if started.elapsed() > timeout && !sent => {
-                return Err(Failure::Other(error.into()));
-            }
-            Err(error) => log::warn!("apply: {error}"),
-        }
-        if sent && let Some(version) = settle(client, change)? {
-            return Ok(version);
-        }
-        if started.elapsed() > timeout && sent {
-            let change = change.change.clone();
-            return Err(Failure::Other(Error::Unsettled { change }));
-        }
-        thread::sleep(PAUSE);
-    }
-}
-
-/// Asks the platform what became of a change that was sent. Returns its
-/// version, `None` if that is not known yet.
-fn settle(client: &Client, change: &Document) -> Result<Option<u64>, Failure> {
-    let current = match store::read(client) {
-        Ok(current) => current,
-        Err(error @ Error::Stored { .. }) => return Err(Failure::Other(error)),
-        Err(error) => {
-            log::warn!("apply: {error}");
-            return Ok(None);
-        }
-    };
-    match change::settle(change, &current) {
-        Verdict::Applied(version) => Ok(Some(version)),
-        Verdict::Replaced => {
-            log::warn!("apply: accepted, and replaced since by {}", current.author);
-            Ok(Some(change.version))
-        }
-        Verdict::Open => Ok(None),
-        Verdict::Lost => Err(Failure::Lost(current)),
-    }
-}
-
 #[derive(Serialize)]
 struct Race<'a> {
     base: u64,
--- a/src/commands/diff.rs
+++ b/src/commands/diff.rs
@@ -5,6 +5,7 @@
 use balsamchute_inventory::config::Config;
 use balsamchute_inventory::diff::{self, Change};
 use balsamchute_inventory::document;
+use balsamchute_platform::operator;
 use balsamchute_wire::config::Document;
 use bpaf::Bpaf;
 use serde::Serialize;
@@ -39,7 +40,7 @@
 /// Returns faults in the files and failures of the platform.
 pub fn run(options: &Options) -> Result<(), Error> {
     let new = files::read(&options.files, options.output)?;
-    let current = store::read(&store::client(options.platform.platform))?;
+    let current = operator::read(&store::client(options.platform.platform))?;
     let report = Report {
         version: current.version,
         changes: lines(&config(&current)?, &new),
@@ -60,8 +61,8 @@
     if document.version == 0 {
         return Ok(Config::default());
     }
-    document::parse(&document.text, store::PATH).map_err(|faults| Error::Stored {
-        path: store::PATH,
+    document::parse(&document.text, operator::PATH).map_err(|faults| Error::Stored {
+        path: operator::PATH,
         reason: faults.first().map(ToString::to_string).unwrap_or_default(),
     })
 }
--- a/src/commands/get.rs
+++ b/src/commands/get.rs
@@ -1,5 +1,6 @@
 //! `balsamchute get`
 
+use balsamchute_platform::operator;
 use bpaf::Bpaf;
 
 use crate::error::Error;
@@ -23,9 +24,9 @@
 /// Returns [`Error::NoConfiguration`] if there is none and failures of the
 /// platform.
 pub fn run(options: &Options) -> Result<(), Error> {
-    let document = store::read(&store::client(options.platform.platform))?;
+    let document = operator::read(&store::client(options.platform.platform))?;
     if document.version == 0 {
-        return Err(Error::NoConfiguration(store::PATH));
+        return Err(Error::NoConfiguration(operator::PATH));
     }
     options.output.print(&document, || {
         format!(
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -6,6 +6,7 @@
 
 use balsamchute_base::rank;
 use balsamchute_inventory::config::Config;
+use balsamchute_platform::operator;
 use bpaf::Bpaf;
 use serde::Serialize;
 
@@ -52,7 +53,7 @@
 pub fn run(options: &Options) -> Result<(), Error> {
     let fleet = Client::new().fleet(options.entrance.router)?;
     let config = match options.platform {
-        Some(platform) => diff::config(&store::read(&store::client(platform))?)?,
+        Some(platform) => diff::config(&operator::read(&store::client(platform))?)?,
         None => Config::default(),
     };
     let report = report(fleet, &config);
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use balsamchute_platform::error::Error as Platform;
+use balsamchute_platform::operator;
 use displaydoc::Display;
 
 /// Exit code of a command line that is wrong.
@@ -52,20 +53,15 @@
     Platform(Platform),
     /// platform holds no configuration at "{0}"
     NoConfiguration(&'static str),
-    /// platform holds a configuration at "{path}" that cannot be read: {reason}
+    /// platform holds a configuration at "{path}" that cannot be used: {reason}
     Stored {
         /// The path.
         path: &'static str,
         /// What went wrong.
         reason: String,
     },
-    /// the configuration has {bytes} bytes as stored, {limit} are allowed
-    TooLarge {
-        /// Size in bytes.
-        bytes: usize,
-        /// The limit in bytes.
-        limit: usize,
-    },
+    /// {0}
+    Operator(operator::Error),
     /// version {base} is no longer current, version {current} by {author} is; nothing was changed
     Race {
         /// The version that the change was made from.
@@ -75,11 +71,6 @@
         /// Who made the current version.
         author: String,
     },
-    /// change {change} was sent but the platform does not say whether it was accepted
-    Unsettled {
-        /// Id of the change.
-        change: String,
-    },
     /// version {version} is accepted but not in force everywhere: {behind}
     Wait {
         /// The version.
@@ -109,7 +100,7 @@
             Error::Faults(_) | Error::Settings { .. } | Error::File { .. } => FAULTS,
             Error::Race { .. } => RACE,
             Error::Wait { .. } => WAIT,
-            Error::Unsettled { .. } => UNSETTLED,
+            Error::Operator(operator::Error::Unsettled(_)) => UNSETTLED,
             Error::Unknown(_) | Error::Fingerprint(_) => UNKNOWN,
             _ => FAILURE,
         };
@@ -128,3 +119,9 @@
         Error::Serve(error)
     }
 }
+
+impl From<operator::Error> for Error {
+    fn from(error: operator::Error) -> Self {
+        Error::Operator(error)
+    }
+}
