Store claims from the router, and say unknown to a resend that cannot be decided

Cause: claims of durable keys were always refused. A refusal of a second sending said not_run although the first may have run; a claim whose asker had given up blocked its key for good; a request whose claim holder refuses connections was passed to it again and again; a leaving or full router refused keys that it had run. Change: a thread holds the writers of this router's shards, others call the platform and the writers elsewhere. An ask that fails elsewhere is settled by reading the log here. x-resend marks a key that was sent before. A router gives back its own claims of tries that it gave up. Keys that a router knows pass its limits. /v1/outcome asks the log. A planned stop waits for ends to be stored. Ruled out: saying unknown to every refusal in an outage, which would leave callers of new bookings in doubt without need.

--- a/crates/claim/src/ledger.rs
+++ b/crates/claim/src/ledger.rs
@@ -91,6 +91,15 @@
     expires: Time,
 }
 
+impl State {
+    /// Returns whether it ended before anything was sent, so that it may start
+    /// anew.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        is_not_run(&self.stage)
+    }
+}
+
 /// The end of a key's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ending {
--- a/crates/claim/src/writer.rs
+++ b/crates/claim/src/writer.rs
@@ -439,10 +439,17 @@
     /// Replies to the asks that the log answers already.
     fn answer(&mut self, now: Time, actions: &mut Actions) {
         let (log, current) = (&self.log, self.current);
+        let mut ending: SmallVec<[(Workspace, Key); 4]> = SmallVec::new();
         self.pending.retain(|pending| {
             let verdict = match log.read(now, &pending.ask) {
                 Reading::Final(verdict) => verdict,
+                // An end that waits to be written may change the verdict.
+                Reading::Current(_) if ending.contains(&subject(&pending.ask)) => return true,
                 Reading::Current(verdict) if pending.after <= current => verdict,
+                Reading::Append(Record::Settle { workspace, key, .. }) => {
+                    ending.push((workspace, key));
+                    return true;
+                }
                 Reading::Current(_) | Reading::Append(_) => return true,
             };
             let id = pending.id;
@@ -584,3 +591,13 @@
         Record::Settle { workspace, key, .. } => (workspace, key),
     }
 }
+
+/// Returns the key that an ask is about.
+fn subject(ask: &Ask) -> (Workspace, Key) {
+    match ask {
+        Ask::Claim(claim) => (claim.workspace.clone(), claim.key.clone()),
+        Ask::Settle { workspace, key, .. } | Ask::Look { workspace, key } => {
+            (workspace.clone(), key.clone())
+        }
+    }
+}
--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -49,7 +49,9 @@
 
     fn route(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
         let head = self.requests[&ticket].head.clone();
-        if let Some(end) = self.refusal(&head) {
+        if !self.knows_key(&head)
+            && let Some(end) = self.refusal(&head)
+        {
             return self.refuse(now, ticket, end, actions);
         }
         match self.place(&head) {
@@ -105,7 +107,7 @@
                 } => return self.place_bound(&instance, incarnation),
             }
         }
-        if head.hops >= MAX_HOPS {
+        if head.hops >= MAX_HOPS || self.knows_key(head) {
             return Place::Here;
         }
         match self.home_of(head) {
@@ -186,13 +188,22 @@
             );
             return self.refuse(now, ticket, end, actions);
         }
+        if entry.once() && entry.head.hops >= MAX_HOPS {
+            let end = End::new(
+                Outcome::Unknown,
+                "the router that claimed the key cannot be reached",
+            );
+            return self.refuse(now, ticket, end.with_retry_after(BUSY_RETRY), actions);
+        }
         self.note(now, ticket, "home cannot be reached; queued here");
         self.admit(now, ticket, actions);
     }
 
     /// Queues the request here, after its claim if it needs one.
     pub(crate) fn admit(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
-        if let Some(end) = self.full(now, ticket) {
+        if !self.knows_key(&self.requests[&ticket].head)
+            && let Some(end) = self.full(now, ticket)
+        {
             return self.refuse(now, ticket, end, actions);
         }
         if self.requests[&ticket].once() {
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -214,7 +214,13 @@
             ticket,
             &format!("ended as {:?}: {reason}", end.outcome),
         );
-        let end = self.settle(now, ticket, end, None, actions);
+        let owned = self.owns_key(ticket);
+        let mut end = self.settle(now, ticket, end, None, actions);
+        let head = &self.requests[&ticket].head;
+        let passed_back = head.hops > 0 && end.code == Some(Code::Elsewhere);
+        if head.key.is_some() && head.resend && !owned && !passed_back {
+            end = end.for_resend();
+        }
         self.remove(ticket);
         actions.push(Action::Tell(ticket, Command::End(end)));
     }
--- a/crates/dispatch/src/keyed.rs
+++ b/crates/dispatch/src/keyed.rs
@@ -1,10 +1,12 @@
 //! Non-idempotent requests: claims, repeated keys, recorded ends.
 
 use balsamchute_base::prelude::*;
+use balsamchute_base::rank;
 use balsamchute_claim::bound::{self, Binding};
 use balsamchute_claim::ledger::Begin;
 use balsamchute_wire::claim::{Ask, Claim, Settled, Verdict};
-use balsamchute_wire::forward::MAX_HOPS;
+use balsamchute_wire::exchange::Member;
+use balsamchute_wire::forward::{Head, MAX_HOPS};
 use balsamchute_wire::record::{Code, End, Outcome};
 use rand::RngExt;
 
@@ -16,6 +18,33 @@
 const UNAVAILABLE_RETRY: Span = Span::from_secs(2);
 
 impl Core {
+    /// Returns the router that writes a shard of the claim log.
+    #[must_use]
+    pub fn claim_writer(&self, shard: u32) -> Option<&Member> {
+        let names = self.members.serving().map(|member| &member.instance);
+        let writer = rank::first(&format!("claims-{shard}"), names)?;
+        self.members.get(writer)
+    }
+
+    /// Returns whether this router alone decides about the key of a request, so
+    /// that what did not run here did not run anywhere.
+    pub(crate) fn owns_key(&self, ticket: Ticket) -> bool {
+        let Some(entry) = self.requests.get(&ticket) else {
+            return false;
+        };
+        let bound = |key: &Key| bound::binding(key) != Binding::Durable;
+        entry.claimed || entry.leads && entry.head.key.as_ref().is_some_and(bound)
+    }
+
+    /// Returns whether the key of a request has run here or is under way.
+    pub(crate) fn knows_key(&self, head: &Head) -> bool {
+        let state = head
+            .key
+            .as_ref()
+            .and_then(|key| self.ledger.look(&head.workspace, key));
+        state.is_some_and(|state| !state.is_not_run())
+    }
+
     /// Starts the claim of a request's key.
     pub(crate) fn claim(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
         let nonce = self.random.random();
@@ -138,6 +167,9 @@
         {
             return self.granted(now, ticket, actions);
         }
+        if self.take_over_unused(now, ticket, claim, actions) {
+            return;
+        }
         self.unlist(now, ticket, actions);
         let holder = self.members.get(&claim.holder).cloned();
         match holder.filter(|member| member.incarnation == claim.incarnation) {
@@ -156,6 +188,33 @@
         }
     }
 
+    /// Gives back this router's own claim of an earlier try that was given up
+    /// before anything was sent, and claims the key again.
+    fn take_over_unused(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        claim: &Claim,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let me = self.members.me();
+        let own = claim.holder == me.instance && claim.incarnation == me.incarnation;
+        let (workspace, key) = (&claim.workspace, &claim.key);
+        if !own || !self.ledger.is_unused(workspace, key, claim.nonce) {
+            return false;
+        }
+        self.note(now, ticket, "gave back the claim of an earlier try");
+        let end = End::new(Outcome::NotRun, "given up before it was sent");
+        actions.push(Action::Settle(Ask::Settle {
+            workspace: workspace.clone(),
+            key: key.clone(),
+            nonce: claim.nonce,
+            outcome: Settled { end, answer: None },
+        }));
+        self.ask(now, ticket, actions);
+        true
+    }
+
     fn mismatch(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
         let key = self.requests[&ticket]
             .head
@@ -263,8 +322,13 @@
 
     fn answer_joined(&mut self, joined: &[Ticket], settled: &Settled, actions: &mut Vec<Action>) {
         for &ticket in joined {
+            let resend = self.requests.get(&ticket).is_some_and(|e| e.head.resend);
             if self.remove(ticket) {
-                actions.push(Action::Tell(ticket, Command::Replay(settled.clone())));
+                let mut settled = settled.clone();
+                if resend {
+                    settled.end = settled.end.for_resend();
+                }
+                actions.push(Action::Tell(ticket, Command::Replay(settled)));
             }
         }
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -248,6 +248,7 @@
         hint: None,
         prefix: None,
         // No hops are left: the request is queued where it is sent.
+        resend: false,
         hops: 2,
     }
 }
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -84,8 +84,17 @@
     }
 }
 
+/// Header of a request whose key was sent before.
+pub(crate) const RESEND: &str = "x-resend";
+
 /// Answers a request that has no records with a status and the end record.
 pub(crate) fn refuse(request: Request, end: &End) -> io::Result<()> {
+    let resent = request.headers().iter().any(|h| h.field.equiv(RESEND));
+    let end = &if resent {
+        end.clone().for_resend()
+    } else {
+        end.clone()
+    };
     let body = Record::End(end.clone()).to_line();
     let mut response = Response::from_string(body).with_status_code(status(end));
     response.add_header(header("Content-Type", "application/json"));
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -5,7 +5,6 @@
 
 use balsamchute_base::digest::Digest;
 use balsamchute_base::prelude::*;
-use balsamchute_claim::ledger::Stage;
 use balsamchute_metrics::Load;
 use balsamchute_wire::forward::Head;
 use balsamchute_wire::record::{End, Outcome};
@@ -16,6 +15,7 @@
 use crate::answer::{self, header};
 use crate::attempt;
 use crate::input::{Query, Subject};
+use crate::outcome;
 use crate::work::{STACK_BYTES, Work};
 
 /// When a caller may come back that found all threads taken.
@@ -59,7 +59,7 @@
             reply(request, status.as_ref());
         }
         (Method::Get, "/v1/explain") => explain(work, request, query),
-        (Method::Get, "/v1/outcome") => outcome(work, request, query),
+        (Method::Get, "/v1/outcome") => outcome::serve(work, request, query),
         (Method::Get, "/health") => health(work, request),
         (Method::Get, "/metrics") => metrics(work, request),
         (Method::Get | Method::Post, _) => {
@@ -146,6 +146,7 @@
         deadline: Span(deadline),
         hint: number("x-cost-hint")?.map(Cost),
         prefix: get("x-prefix")?.map(str::to_owned),
+        resend: get(answer::RESEND)?.is_some(),
         hops: 0,
     })
 }
@@ -199,29 +200,6 @@
     reply(request, explanation.as_ref());
 }
 
-/// Answers how a non-idempotent request ended, as far as this router knows.
-fn outcome(work: &Work, request: Request, query: &str) {
-    let workspace = parameter(query, "workspace").and_then(|name| Workspace::new(&name).ok());
-    let key = parameter(query, "key").and_then(|name| Key::new(&name).ok());
-    let (Some(workspace), Some(key)) = (workspace, key) else {
-        return fail(
-            request,
-            400,
-            "parameters \"workspace\" and \"key\" are needed",
-        );
-    };
-    match work.ask(|reply| Query::Key(workspace, key.clone(), reply)) {
-        None => fail(request, 503, "router is too busy to answer"),
-        Some(None) => fail(request, 404, &format!("key \"{key}\" is not known here")),
-        Some(Some(state)) => match state.stage {
-            Stage::Ended(settled) => reply(request, Some(&settled.end)),
-            Stage::Waiting | Stage::Sent(_) => {
-                fail(request, 409, &format!("key \"{key}\" is under way"));
-            }
-        },
-    }
-}
-
 fn health(work: &Work, request: Request) {
     match work.ask(Query::Ready) {
         Some(true) => reply(request, Some(&serde_json::json!({"ready": true}))),
@@ -254,7 +232,7 @@
 }
 
 /// Returns a parameter of a query string.
-fn parameter(query: &str, name: &str) -> Option<String> {
+pub(crate) fn parameter(query: &str, name: &str) -> Option<String> {
     let value = query
         .split('&')
         .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?;
@@ -265,7 +243,7 @@
 }
 
 /// Answers with JSON, or 503 if the actor gave no answer.
-fn reply<T: Serialize>(request: Request, value: Option<&T>) {
+pub(crate) fn reply<T: Serialize>(request: Request, value: Option<&T>) {
     let Some(body) = value.and_then(|value| serde_json::to_string(value).ok()) else {
         return fail(request, 503, "router is too busy to answer");
     };
@@ -274,7 +252,7 @@
     let _ = request.respond(response);
 }
 
-fn fail(request: Request, status: u16, reason: &str) {
+pub(crate) fn fail(request: Request, status: u16, reason: &str) {
     let body = serde_json::json!({"error": reason}).to_string();
     let response = Response::from_string(body)
         .with_status_code(status)
--- a/crates/router/src/inner.rs
+++ b/crates/router/src/inner.rs
@@ -7,7 +7,7 @@
 use balsamchute_dispatch::event::Event;
 use balsamchute_wire::codec;
 use balsamchute_wire::forward::Forward;
-use balsamchute_wire::record::{End, Outcome};
+use balsamchute_wire::record::{Code, End, Outcome};
 use crossbeam_channel::bounded;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -61,7 +61,8 @@
         );
         let _ = answer::refuse(
             request,
-            &end.with_retry_after(balsamchute_base::time::Span(500)),
+            &end.with_code(Code::Elsewhere)
+                .with_retry_after(balsamchute_base::time::Span(500)),
         );
         return;
     };
--- a/crates/router/src/input.rs
+++ b/crates/router/src/input.rs
@@ -48,6 +48,8 @@
     Explain(Subject, Sender<Explanation>),
     /// What this router knows of a key.
     Key(Workspace, Key, Sender<Option<ledger::State>>),
+    /// What the claim log says of a key.
+    Log(Workspace, Key, Sender<claim::Verdict>),
     /// Which configuration is in force.
     Stamp(Sender<Stamp>),
     /// The newest configuration that this router holds.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod inner;
 mod input;
 mod node;
+mod outcome;
 mod peers;
 mod poll;
 mod run;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -118,6 +118,9 @@
             Action::ReadList => self.polls.read_list(),
             Action::Watch(runners) => self.polls.watch(runners),
             Action::Waited(..) => {}
+            Action::Stopped if self.claims.is_open() => {
+                // Told again at the next tick, or ended by the grace time.
+            }
             Action::Stopped => cx.stop(),
         }
     }
@@ -196,6 +199,9 @@
                 let _ = reply.send(explanation);
             }
             Query::Key(workspace, key, reply) => drop(reply.send(self.core.key(&workspace, &key))),
+            Query::Log(workspace, key, reply) => {
+                self.claims.look(&self.core, workspace, key, reply);
+            }
             Query::Stamp(reply) => drop(reply.send(self.core.stamp())),
             Query::Document(reply) => drop(reply.send(self.store.document().clone())),
         }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -56,7 +56,7 @@
     let work = Work::new(settings, hooks, clock, inputs, metrics);
     let peers = Peers::start(&work)?;
     let polls = Polls::start(&work)?;
-    let claims = Claims::new(&work);
+    let claims = Claims::start(&work)?;
     let server = Arc::clone(&callers);
     spawn(&work, move |work| callers::run(&server, work))?;
     for _ in 0..INNER_THREADS {
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -270,3 +270,90 @@
         assert!(sum(kind, direction) > 0.0, "{direction}");
     }
 }
+
+/// Sends a keyed booking to each router in turn until its end is `done`.
+fn book(fleet: &Fleet, key: &str) {
+    let start = Instant::now();
+    for router in fleet.routers.iter().cycle() {
+        let (_, end) = run(*router, "book", "w1", Some(key), r#"{"ms":5}"#);
+        if end.outcome == Outcome::Done {
+            return;
+        }
+        assert!(start.elapsed() < PATIENCE, "{key}: {end:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn durable_key_runs_once_whichever_router_gets_it() {
+    let fleet = Fleet::start(3);
+    for number in 0..20 {
+        let key = format!("booking-{number}");
+        for router in &fleet.routers {
+            let (texts, end) = run(*router, "book", "w1", Some(&key), r#"{"ms":5}"#);
+            assert_eq!(end.outcome, Outcome::Done, "{end:?}");
+            assert_eq!(texts.len(), 1, "{end:?}");
+        }
+    }
+    assert_eq!(fleet.plain.records().len(), 20);
+    let (_, end) = run(
+        fleet.routers[0],
+        "book",
+        "w1",
+        Some("booking-0"),
+        r#"{"ms":6}"#,
+    );
+    let reason = end.reason.expect("a reason");
+    assert!(reason.contains("another body"), "{reason}");
+    assert_eq!(fleet.plain.records().len(), 20);
+}
+
+#[test]
+fn outcome_of_a_durable_key_is_known_at_every_router() {
+    let fleet = Fleet::start(3);
+    book(&fleet, "payout-1");
+    for router in &fleet.routers {
+        let url = format!("http://{router}/v1/outcome?workspace=w1&key=payout-1");
+        // The end is stored a moment after the caller has it.
+        let start = Instant::now();
+        loop {
+            let mut answer = ureq::get(&url).call().expect("an answer");
+            let body = answer.body_mut().read_to_string().expect("a text");
+            let end: End = serde_json::from_str(&body).expect("an end record");
+            if end.outcome == Outcome::Done {
+                break;
+            }
+            assert!(start.elapsed() < PATIENCE, "{end:?}");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+#[test]
+fn durable_key_is_refused_truthfully_while_the_store_is_down_and_runs_later() {
+    let fleet = Fleet::start(2);
+    book(&fleet, "before");
+    fleet.platform.set_down(true);
+    for router in &fleet.routers {
+        let (_, end) = run(*router, "book", "w1", Some("during"), r#"{"ms":5}"#);
+        assert_eq!(end.outcome, Outcome::NotRun, "{end:?}");
+        assert!(end.retry_after_ms.is_some(), "{end:?}");
+    }
+    assert_eq!(fleet.plain.records().len(), 1);
+    fleet.platform.set_down(false);
+    book(&fleet, "during");
+    book(&fleet, "during");
+    assert_eq!(fleet.plain.records().len(), 2);
+}
+
+#[test]
+fn lost_answers_of_the_store_make_nothing_run_twice() {
+    let fleet = Fleet::start(3);
+    fleet.platform.set_answer_loss(0.3);
+    for number in 0..30 {
+        let key = format!("booking-{number}");
+        book(&fleet, &key);
+        book(&fleet, &key);
+    }
+    assert_eq!(fleet.plain.records().len(), 30);
+}
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -20,6 +20,9 @@
     pub hint: Option<Cost>,
     /// Name of its prompt prefix.
     pub prefix: Option<String>,
+    /// Whether the caller has sent the key before, so that an earlier sending
+    /// may have run.
+    pub resend: bool,
     /// Routers that have passed it on, at most [`MAX_HOPS`].
     pub hops: u8,
 }
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -37,6 +37,10 @@
     Deadline,
 }
 
+/// When to ask again about a key whose earlier sending may have run, in
+/// milliseconds.
+const RESEND_RETRY_MS: u64 = 1000;
+
 /// One record.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -107,6 +111,21 @@
         }
     }
 
+    /// Returns what is true for a request whose key was sent before: that this
+    /// sending was not run does not mean that the earlier one was not.
+    #[must_use]
+    pub fn for_resend(mut self) -> Self {
+        if self.outcome == Outcome::NotRun && self.code != Some(Code::Mismatch) {
+            let reason = self.reason.unwrap_or_default();
+            self.reason = Some(format!(
+                "an earlier sending of the key may have run; this one was not: {reason}"
+            ));
+            self.outcome = Outcome::Unknown;
+            self.retry_after_ms = self.retry_after_ms.or(Some(RESEND_RETRY_MS));
+        }
+        self
+    }
+
     /// Sets when a retry can help.
     #[must_use]
     pub fn with_retry_after(mut self, span: Span) -> Self {
