Let the platform's stand-in keep the changes of an object

Cause: the experiment on the configuration needs to know when a change took effect, also one whose answer was lost. Change: Platform::follow and Platform::changes.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use tiny_http::{Method, Request};
 
+use crate::clock;
 use crate::http::{self, Answer, Target};
 use crate::link::Link;
 
@@ -74,6 +75,17 @@
     pub watches: u64,
 }
 
+/// A change of an object.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// When it took effect, by [`crate::clock`].
+    pub at: Time,
+    /// The version that it made.
+    pub version: u64,
+    /// The new value.
+    pub bytes: Vec<u8>,
+}
+
 struct Object {
     version: u64,
     bytes: Vec<u8>,
@@ -88,6 +100,8 @@
 struct Store {
     objects: BTreeMap<String, Object>,
     version: u64,
+    /// Changes of the objects that are followed.
+    followed: BTreeMap<String, Vec<Change>>,
     instances: BTreeMap<String, Instance>,
     /// Lists of the past with the time from which each held, oldest first.
     history: VecDeque<(Instant, Vec<Instance>)>,
@@ -103,6 +117,13 @@
     fn put(&mut self, path: &str, bytes: Vec<u8>) -> u64 {
         self.version += 1;
         let version = self.version;
+        if let Some(changes) = self.followed.get_mut(path) {
+            changes.push(Change {
+                at: clock::now(),
+                version,
+                bytes: bytes.clone(),
+            });
+        }
         let object = Object { version, bytes };
         self.objects.insert(path.to_owned(), object);
         version
@@ -167,6 +188,7 @@
         let store = Store {
             objects: BTreeMap::new(),
             version: 0,
+            followed: BTreeMap::new(),
             instances: BTreeMap::new(),
             history: VecDeque::new(),
             calls: Calls::default(),
@@ -266,6 +288,19 @@
         Some((object.version, object.bytes.clone()))
     }
 
+    /// Keeps every change of an object from now on.
+    pub fn follow(&self, path: &str) {
+        let mut store = self.shared.store();
+        store.followed.entry(path.to_owned()).or_default();
+    }
+
+    /// Returns the changes of an object since [`Platform::follow`].
+    #[must_use]
+    pub fn changes(&self, path: &str) -> Vec<Change> {
+        let store = self.shared.store();
+        store.followed.get(path).cloned().unwrap_or_default()
+    }
+
     /// Returns the paths that start with `prefix`, sorted, without a call.
     #[must_use]
     pub fn paths(&self, prefix: &str) -> Vec<String> {
