Add the experiments config, drain and restart

Cause: time in force, last new work at leaving targets, stops that cut nothing and replacements that lose nothing are to be measured on real routers.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -5,9 +5,14 @@
 //! With `--json` its last line of output is one JSON object with `pass`.
 
 pub mod capacity;
+pub mod config;
 pub mod control;
 pub mod demo;
+pub mod drain;
 pub mod load;
+pub mod restart;
+
+mod steady;
 
 use bpaf::{Parser, long, pure};
 
@@ -64,6 +69,21 @@
             "Measure what control costs a router against nodes, workspaces and runners",
             control::run,
         ),
+        simple(
+            "config",
+            "Change the configuration under faults: time in force, reversions, racing operators",
+            config::run,
+        ),
+        simple(
+            "drain",
+            "Let targets and routers leave under load: last new work, requests cut",
+            drain::run,
+        ),
+        simple(
+            "restart",
+            "Replace routers under load: requests lost, time to serve again",
+            restart::run,
+        ),
         capacity::command(),
     ]
 }
