--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -117,6 +117,10 @@
     }
 }
 
+/// Buffer of a connection for each direction, in bytes. Every request that is
+/// passed on has a connection.
+const BUFFER_BYTES: usize = 8 * 1024;
+
 /// Time to set up a connection to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -127,6 +131,9 @@
         .max_idle_connections(idle)
         .max_idle_connections_per_host(idle.min(4))
         .max_redirects(0)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
+        .max_response_header_size(BUFFER_BYTES)
         .user_agent("")
         .accept("")
         .build()
--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -74,7 +74,7 @@
 
 fn admit(shared: &Shared, generate: &Generate, prompt: Prompt) -> Result<(), Answer> {
     let mut state = shared.state();
-    if state.streams.contains_key(&generate.attempt) {
+    if state.recall(&generate.attempt).is_some() {
         return Err(error(409, "attempt exists"));
     }
     let start = Start {
@@ -105,7 +105,7 @@
 
 fn resume(shared: &Shared, request: Request, attempt: &str, from: u64) {
     let mut state = shared.state();
-    let Some(place) = state.streams.get(attempt).map(|stream| stream.place) else {
+    let Some(place) = state.recall(attempt).map(|stream| stream.place) else {
         drop(state);
         return error(404, "no such stream").send(request);
     };
@@ -116,7 +116,7 @@
 
 fn attach(shared: &Shared, request: Request, attempt: &str, from: u64) {
     let mut state = shared.state();
-    match state.streams.get_mut(attempt) {
+    match state.recall(attempt) {
         Some(stream) => stream.attach(request.into_writer(), from),
         None => {
             drop(state);
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -27,7 +27,10 @@
 /// What an engine has in memory.
 pub(super) struct State {
     pub ledger: Ledger,
+    /// Streams that run or are being read.
     pub streams: IndexMap<String, Stream>,
+    /// Streams that can still be resumed, the first to go first.
+    pub ended: IndexMap<String, Stream>,
     pub cache: Cache,
     /// Models with the time from which they are loaded.
     pub models: IndexMap<String, Time>,
@@ -49,6 +52,7 @@
         Self {
             ledger: Ledger::new(settings.slots, settings.checks_fence),
             streams: IndexMap::new(),
+            ended: IndexMap::new(),
             cache: Cache::new(settings.cache, settings.seed),
             models: first_models(settings),
             orders: Vec::new(),
@@ -67,6 +71,7 @@
     pub fn crash(&mut self, settings: &Settings) {
         self.ledger.crash();
         self.streams.clear();
+        self.ended.clear();
         self.cache.clear();
         self.models = first_models(settings);
         self.fence = 0;
@@ -75,14 +80,17 @@
     }
 
     pub fn cancel(&mut self, attempt: &str) -> bool {
-        let Some(stream) = self.streams.get_mut(attempt) else {
+        let Some(stream) = self.recall(attempt) else {
             return false;
         };
-        if stream.last_line.is_none() {
+        let (place, running) = (stream.place, stream.last_line.is_none());
+        if running {
             stream.end(json!({"error": "cancelled"}).to_string(), clock::now());
-            self.ledger.finish(stream.place, End::Cancelled);
         }
         stream.flush(clock::now());
+        if running {
+            self.ledger.finish(place, End::Cancelled);
+        }
         true
     }
 
@@ -114,15 +122,37 @@
                 self.ledger.finish(stream.place, End::Cancelled);
             }
         }
-        self.streams.retain(|_, stream| {
-            let idle = stream.idle_since.map(|since| now.since(since));
-            stream.last_line.is_none()
-                || stream.has_reader()
-                || idle.is_none_or(|idle| idle <= KEEP)
-        });
+        self.retire(now);
         false
     }
 
+    /// Sets aside the streams that have ended, and drops the oldest of them.
+    fn retire(&mut self, now: Time) {
+        let over =
+            |_: &String, stream: &mut Stream| stream.last_line.is_some() && !stream.has_reader();
+        self.ended.extend(self.streams.extract_if(.., over));
+        let expired = |stream: &Stream| {
+            stream
+                .idle_since
+                .is_none_or(|since| now.since(since) > KEEP)
+        };
+        let count = self
+            .ended
+            .values()
+            .take_while(|stream| expired(stream))
+            .count();
+        self.ended.drain(..count);
+    }
+
+    /// Finds a stream that runs or has ended, and puts it among those that are
+    /// looked after.
+    pub fn recall(&mut self, attempt: &str) -> Option<&mut Stream> {
+        if let Some((attempt, stream)) = self.ended.shift_remove_entry(attempt) {
+            self.streams.insert(attempt, stream);
+        }
+        self.streams.get_mut(attempt)
+    }
+
     /// Time until the next token of any stream.
     pub fn round(&self) -> Duration {
         let rate = self.rate().max(0.001);
--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -12,6 +12,13 @@
 /// Header by which a target attests that a request did not run.
 const NOT_RUN: &str = "x-not-run";
 
+/// Buffer for what a connection receives, in bytes. Every open stream has a
+/// connection, and the library's 128 KiB would be most of its memory.
+const INPUT_BYTES: usize = 4 * 1024;
+
+/// Buffer for what a connection sends, in bytes.
+const OUTPUT_BYTES: usize = 2 * 1024;
+
 /// Longest reason that is read from an answer, in bytes.
 const MAX_REASON_BYTES: u64 = 4096;
 
@@ -48,6 +55,9 @@
         .timeout_per_read(Some(settings.idle.into()))
         .max_idle_connections_per_host(settings.kept_connections)
         .max_idle_connections(usize::MAX)
+        .input_buffer_size(INPUT_BYTES)
+        .output_buffer_size(OUTPUT_BYTES)
+        .max_response_header_size(INPUT_BYTES)
         .build();
     Agent::with_parts(config, Dial::default(), DefaultResolver::default())
 }
--- a/crates/target/src/stream.rs
+++ b/crates/target/src/stream.rs
@@ -15,6 +15,9 @@
 use crate::line::{Line, MAX_LINE_BYTES};
 use crate::settings::Settings;
 
+/// Buffer for the lines of a stream, in bytes. Longer lines pass through it.
+const LINE_BUFFER_BYTES: usize = 1024;
+
 /// A piece of an answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Piece {
@@ -250,7 +253,7 @@
 
 fn lines(answer: Response<Body>) -> Lines {
     let body = answer.into_body().into_with_config();
-    BufReader::new(body.limit(u64::MAX).reader())
+    BufReader::with_capacity(LINE_BUFFER_BYTES, body.limit(u64::MAX).reader())
 }
 
 fn read_line(lines: &mut Lines) -> Result<Line, Lost> {
