Refuse requests that crash their targets, and keep retries within a budget

Cause: a request that crashes its target was retried without end by its caller, and every router retried up to three times whatever the share of failures. A request whose lost attempt had run was called not_run when its deadline passed. Change: fingerprints of workspace, service and body are suspected after the first crash and refused after the second, at every router by the exchange. A suspected one runs on a target without another suspected one; completing clears it. Retries take from a budget, wait a random time and go to another failure domain first. What began is failed, not not_run. The breaker of the claim package is gone: the lender has one. Test changed: a retry now waits for its backoff, so the test of retries lets 50 ms pass; it also checks the number of attempts and the other failure domain.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -6,12 +6,11 @@
 //! - [`bound`] makes and reads keys that one router incarnation alone may run.
 //! - [`ledger`] is a router's own memory of keys.
 //! - [`suspect`] finds requests that crash their targets.
-//! - [`retry`] and [`breaker`] limit what is sent again.
+//! - [`retry`] limits what is sent again.
 //!
 //! Nothing here does I/O or reads a clock.
 
 pub mod bound;
-pub mod breaker;
 pub mod ledger;
 pub mod log;
 pub mod retry;
--- a/crates/claim/src/retry.rs
+++ b/crates/claim/src/retry.rs
@@ -57,7 +57,7 @@
 /// What to do after a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
-    /// Try again at this time, in another failure domain if there is one.
+    /// Try again at this time.
     Retry(Time),
     /// Give up: a repetition could run the request twice.
     Unsafe,
@@ -112,13 +112,3 @@
         Span(random % (longest + 1))
     }
 }
-
-/// Returns the position of the candidate to retry at: one in another failure
-/// domain than those that failed if there is one, else the first candidate.
-#[must_use]
-pub fn elsewhere(candidates: &[&Domain], failed: &[&Domain]) -> Option<usize> {
-    let other = candidates
-        .iter()
-        .position(|domain| !failed.contains(domain));
-    other.or((!candidates.is_empty()).then_some(0))
-}
--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -11,6 +11,7 @@
 use crate::event::{Action, Arrival, Command, Ticket};
 use crate::limits::Count;
 use crate::request::{Entry, Stage};
+use crate::suspects::fingerprint;
 
 /// When a caller that was refused for lack of room may come back.
 const BUSY_RETRY: Span = Span::from_secs(1);
@@ -29,6 +30,9 @@
     pub(crate) fn arrive(&mut self, now: Time, arrival: Arrival, actions: &mut Vec<Action>) {
         let ticket = arrival.ticket;
         let entry = Entry {
+            fingerprint: fingerprint(&arrival.head.workspace, arrival.digest),
+            began: false,
+            avoid: None,
             digest: arrival.digest,
             arrived: now,
             deadline: now + arrival.head.deadline,
@@ -213,8 +217,11 @@
         }
     }
 
-    /// Returns the refusal if the queues have no room for the request.
+    /// Returns the refusal of a request that may not run or has no room.
     fn full(&mut self, now: Time, ticket: Ticket) -> Option<End> {
+        if let Some(end) = self.quarantined(now, self.requests[&ticket].fingerprint) {
+            return Some(end);
+        }
         if self.requests.len() > self.settings.queue {
             let end = End::new(Outcome::NotRun, "queue of this router is full");
             return Some(end.with_code(Code::Limit).with_retry_after(BUSY_RETRY));
@@ -246,7 +253,7 @@
         match entry.stage {
             // The claim may still be granted; its verdict settles the key.
             Stage::Claiming => entry.gone = true,
-            Stage::Waiting | Stage::Joined => {
+            Stage::Waiting | Stage::Joined | Stage::Paused => {
                 let end = End::new(Outcome::NotRun, "the caller went away");
                 self.refuse(now, ticket, end, actions);
             }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -6,11 +6,12 @@
 
 use balsamchute_base::prelude::*;
 use balsamchute_claim::ledger::{self, Ledger};
+use balsamchute_claim::{retry, suspect};
 use balsamchute_fleet::members::{self, Table};
 use balsamchute_fleet::{home, leaving};
 use balsamchute_inventory::config::Config;
 use balsamchute_wire::config::Stamp;
-use balsamchute_wire::exchange::{Member, Phase, Suspect};
+use balsamchute_wire::exchange::{Member, Phase};
 use balsamchute_wire::message::Message;
 use balsamchute_wire::record::{Code, End, Outcome};
 use indexmap::IndexMap;
@@ -46,7 +47,10 @@
     pub(crate) limits: limits::Table,
     pub(crate) requests: IndexMap<Ticket, Entry>,
     pub(crate) ledger: Ledger,
-    pub(crate) suspects: Vec<Suspect>,
+    pub(crate) suspects: suspect::Book,
+    pub(crate) retries: retry::Budget,
+    /// Requests that are kept out of their queues until a time.
+    pub(crate) paused: BTreeSet<(Time, Ticket)>,
     pub(crate) unsent: BTreeMap<Instance, Vec<Message>>,
     /// Routers that own runners of a service, by rendezvous.
     pub(crate) owners: BTreeMap<Service, BTreeSet<Instance>>,
@@ -83,7 +87,12 @@
             limits: limits::Table::default(),
             requests: IndexMap::new(),
             ledger: Ledger::new(ledger::Settings::default()),
-            suspects: Vec::new(),
+            suspects: suspect::Book::new(suspect::Settings::default()),
+            retries: retry::Budget::new(retry::Settings {
+                attempts: settings.attempts,
+                ..retry::Settings::default()
+            }),
+            paused: BTreeSet::new(),
             unsent: BTreeMap::new(),
             owners: BTreeMap::new(),
             slots: BTreeMap::new(),
@@ -144,6 +153,8 @@
         self.expire_requests(now, actions);
         self.ledger.expire(now);
         self.leaving.expire(now);
+        self.suspects.expire(now);
+        self.resume(now, actions);
         if now >= self.next_beat {
             let beat = self.settings.beat(self.members.alive().count());
             self.next_beat = now + beat;
@@ -170,7 +181,7 @@
             self.requests.get(ticket).is_some_and(|entry| {
                 matches!(
                     entry.stage,
-                    Stage::Waiting | Stage::Claiming | Stage::Joined
+                    Stage::Waiting | Stage::Claiming | Stage::Joined | Stage::Paused
                 )
             })
         };
@@ -205,6 +216,11 @@
             return;
         };
         let service = entry.head.service.clone();
+        let mut end = end;
+        if entry.began && end.outcome == Outcome::NotRun {
+            // An earlier attempt ran, at least in part.
+            end.outcome = Outcome::Failed;
+        }
         if let Some(state) = self.services.get_mut(&service) {
             state.queue.remove(ticket);
         }
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -1,11 +1,12 @@
 //! The end of an attempt: outcome, retry, release of the slot.
 
 use balsamchute_base::prelude::*;
+use balsamchute_claim::retry::Failure;
 use balsamchute_wire::record::{End, Outcome};
 
 use crate::core::Core;
 use crate::event::{Action, Command, Ending, Finish, Ticket};
-use crate::request::Stage;
+use crate::request::{Slot, Stage};
 
 /// When a caller may retry a request whose target was lost.
 const LOST_RETRY: Span = Span(200);
@@ -45,7 +46,12 @@
             self.silent.insert(slot.runner.clone(), now);
             self.own_runner(now, &slot.runner);
         }
-        let end = self.judge(&finish);
+        self.observe_ending(now, ticket, &finish.ending);
+        let again = self.again(now, &finish, &slot);
+        let end = match again {
+            Some(_) => None,
+            None => self.judge(now, &finish),
+        };
         match end {
             Some(end) => {
                 self.note(now, ticket, &format!("ended as {:?}", end.outcome));
@@ -61,26 +67,49 @@
                     &format!("attempt ended: {:?}; tried again", finish.ending),
                 );
                 self.reuse(now, &service, slot, finish.cost, failed, actions);
-                self.enqueue(now, ticket, actions);
+                match again {
+                    Some(at) if at > now => self.pause(at, ticket),
+                    _ => self.enqueue(now, ticket, actions),
+                }
             }
         }
     }
 
-    /// Returns how the request ends, `None` if it is tried again.
-    fn judge(&self, finish: &Finish) -> Option<End> {
+    /// Returns when the request is tried again, `None` if it has ended.
+    fn again(&mut self, now: Time, finish: &Finish, slot: &Slot) -> Option<Time> {
+        let failure = match finish.ending {
+            Ending::NotSent(_) | Ending::Refused(_) => Failure::NotRun,
+            // What the caller has seen cannot be taken back.
+            Ending::Lost(_) if finish.tokens == 0 => Failure::MayHaveRun,
+            _ => return None,
+        };
+        let entry = self.requests.get_mut(&finish.ticket)?;
+        entry.began |= failure == Failure::MayHaveRun;
+        let fingerprint = entry.fingerprint;
+        if self.quarantined(now, fingerprint).is_some() {
+            return None;
+        }
+        self.retry_at(now, finish.ticket, failure, slot)
+    }
+
+    /// Returns how the request ends.
+    fn judge(&self, now: Time, finish: &Finish) -> Option<End> {
         let entry = &self.requests[&finish.ticket];
         let attempt = entry.attempt.as_ref()?;
-        let more = entry.attempts < self.settings.attempts;
         let end = match &finish.ending {
             Ending::Done => End::new(Outcome::Done, ""),
             Ending::Answered(reason) => End::new(Outcome::Failed, reason),
-            Ending::NotSent(_) | Ending::Refused(_) if more => return None,
             Ending::NotSent(reason) | Ending::Refused(reason) => {
                 End::new(Outcome::NotRun, reason).with_retry_after(LOST_RETRY)
             }
             Ending::Lost(reason) if entry.once() => End::new(Outcome::Unknown, reason),
-            Ending::Lost(_) if finish.tokens == 0 && more => return None,
-            Ending::Lost(reason) => End::new(Outcome::Failed, reason).with_retry_after(LOST_RETRY),
+            Ending::Lost(reason) => match self.quarantined(now, entry.fingerprint) {
+                Some(end) => End {
+                    outcome: Outcome::Failed,
+                    ..end
+                },
+                None => End::new(Outcome::Failed, reason).with_retry_after(LOST_RETRY),
+            },
             Ending::Cancelled if entry.once() => End::new(Outcome::Unknown, "the caller went away"),
             Ending::Cancelled => End::new(Outcome::Failed, "the caller went away"),
         };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,3 +25,4 @@
 mod service;
 mod setup;
 mod slots;
+mod suspects;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -15,6 +15,9 @@
 /// Doubts about routers in one frame.
 const DOUBTS: usize = 8;
 
+/// Requests that crashed targets in one frame.
+const SUSPECTS: usize = 16;
+
 /// Marks of leaving runners in one frame.
 const MARKS: usize = 32;
 
@@ -50,7 +53,7 @@
             members,
             doubts: self.members.doubts(now, DOUBTS),
             leaving: self.leaving.spread(now, MARKS),
-            suspects: self.suspects.clone(),
+            suspects: self.suspects.suspects(SUSPECTS),
         }
     }
 
@@ -75,6 +78,7 @@
         if self.members.merge_doubts(now, &frame.doubts) {
             self.next_beat = now;
         }
+        self.merge_suspects(now, &frame.suspects);
         let left = !self.leaving.merge(now, &frame.leaving).is_empty();
         if left {
             // Passed on at once, as a target may leave within seconds.
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -19,6 +19,8 @@
     Joined,
     /// It waits for a slot.
     Waiting,
+    /// It waits for a time before it is queued again.
+    Paused,
     /// It runs on a slot.
     Running(Slot),
 }
@@ -49,6 +51,12 @@
     pub head: Head,
     /// Digest of the service's name and the body.
     pub digest: u128,
+    /// What tells it from others whatever its key and id are.
+    pub fingerprint: u128,
+    /// Whether an attempt of it that failed may have run.
+    pub began: bool,
+    /// Failure domain that it stays away from until a time.
+    pub avoid: Option<(Domain, Time)>,
     /// When it came.
     pub arrived: Time,
     /// When it is given up.
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -11,6 +11,7 @@
 use crate::event::{Action, Command, Load, Run, Ticket};
 use crate::limits::Count;
 use crate::request::{Slot, Stage};
+use crate::suspects::Fit;
 
 /// Owners that are told of a need when some of them have free slots.
 const NEED_TARGETS: usize = 2;
@@ -96,13 +97,26 @@
     ) {
         let unfit =
             self.members.isolated(now) || self.leaving.contains(now, &slot.runner, slot.address);
-        let item = match self.services.get_mut(service) {
-            Some(state) if !unfit => state.queue.pop(),
-            _ => None,
-        };
-        match item {
-            Some(ticket) => self.start(now, ticket, slot, actions),
-            None => self.release(now, service, slot, false, actions),
+        if unfit {
+            return self.release(now, service, slot, false, actions);
+        }
+        loop {
+            let item = self.services.get_mut(service).and_then(|s| s.queue.pop());
+            let Some(ticket) = item else {
+                return self.release(now, service, slot, false, actions);
+            };
+            let fit = self.fit(now, ticket, &slot);
+            if let Fit::Runs = fit {
+                return self.start(now, ticket, slot, actions);
+            }
+            if let Some(state) = self.services.get_mut(service) {
+                state.queue.cancel(ticket);
+            }
+            match fit {
+                Fit::Later(span) => self.pause(now + span, ticket),
+                Fit::Never(end) => self.refuse(now, ticket, end, actions),
+                Fit::Runs => {}
+            }
         }
     }
 
@@ -131,6 +145,9 @@
         let entry = &mut self.requests[&ticket];
         let service = entry.head.service.clone();
         let kind = self.services[&service].kind;
+        if entry.attempts == 0 {
+            self.retries.first();
+        }
         entry.attempts += 1;
         entry.attempt = Some(attempt.clone());
         let run = Run {
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -74,6 +74,19 @@
     pub lent: u32,
 }
 
+/// A request that crashed targets.
+#[derive(Clone, Debug, Serialize)]
+pub struct Suspect {
+    /// Digest of workspace, service and body, 32 hexadecimal digits.
+    pub fingerprint: String,
+    /// Attempts that ended in a crash of the target.
+    pub crashes: Vec<Attempt>,
+    /// Times that it was released or cleared.
+    pub releases: u32,
+    /// Whether it is refused.
+    pub refused: bool,
+}
+
 /// What a router knows about a request, workspace or key.
 #[derive(Clone, Debug, Serialize)]
 pub struct Explanation {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -247,8 +247,8 @@
         deadline: Span::from_secs(30),
         hint: None,
         prefix: None,
-        // No hops are left: the request is queued where it is sent.
         resend: false,
+        // No hops are left: the request is queued where it is sent.
         hops: 2,
     }
 }
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -169,13 +169,29 @@
     assert!(running(&net, 1));
 }
 
+/// Returns the runner of the last attempt.
+fn runner(net: &Net, ticket: u64) -> Option<Runner> {
+    match net.last(ticket) {
+        Some((_, Command::Run(run))) => Some(run.runner.clone()),
+        _ => None,
+    }
+}
+
 #[test]
 fn idempotent_request_is_tried_again_unless_tokens_were_passed_on() {
     let mut net = Net::new(1);
     let r0 = net.names()[0].clone();
     net.arrive(&r0, 1, head("w1", "draft", None));
+    let first = runner(&net, 1);
     net.finish(1, Ending::Lost("crash".to_owned()), 0);
+    net.pass(50);
+    assert_eq!(net.told[&1].len(), 2, "one more attempt and no end");
     assert!(running(&net, 1));
+    assert_ne!(
+        runner(&net, 1),
+        first,
+        "the other failure domain goes first"
+    );
     net.finish(1, Ending::Lost("crash".to_owned()), 5);
     assert_eq!(outcome(&net, 1), Some(Outcome::Failed));
 }
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -112,7 +112,7 @@
         (Outcome::Unknown, _) => 504,
         (Outcome::NotRun, Some(Code::NotFound)) => 404,
         (Outcome::NotRun, Some(Code::Mismatch)) => 409,
-        (Outcome::NotRun, Some(Code::Limit)) => 429,
+        (Outcome::NotRun, Some(Code::Limit | Code::Quarantine)) => 429,
         (Outcome::NotRun, Some(Code::Elsewhere | Code::NoClaims | Code::Deadline)) => 503,
         (Outcome::NotRun, None) if end.retry_after_ms.is_some() => 503,
         (Outcome::NotRun, None) => 400,
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -60,6 +60,13 @@
         }
         (Method::Get, "/v1/explain") => explain(work, request, query),
         (Method::Get, "/v1/outcome") => outcome::serve(work, request, query),
+        (Method::Get, "/v1/quarantine") => {
+            let suspects = work.ask(Query::Quarantine);
+            reply(request, suspects.as_ref());
+        }
+        (Method::Post, path) if path.starts_with("/v1/quarantine/") => {
+            release(work, request, &path["/v1/quarantine/".len()..]);
+        }
         (Method::Get, "/health") => health(work, request),
         (Method::Get, "/metrics") => metrics(work, request),
         (Method::Get | Method::Post, _) => {
@@ -200,6 +207,25 @@
     reply(request, explanation.as_ref());
 }
 
+/// Lets requests of a fingerprint run again.
+fn release(work: &Work, request: Request, path: &str) {
+    let fingerprint = path
+        .strip_suffix("/release")
+        .and_then(|digits| u128::from_str_radix(digits, 16).ok());
+    let Some(fingerprint) = fingerprint else {
+        return fail(
+            request,
+            400,
+            &format!("\"{path}\" is no fingerprint to release"),
+        );
+    };
+    match work.ask(|reply| Query::Release(fingerprint, reply)) {
+        Some(true) => reply(request, Some(&serde_json::json!({"released": true}))),
+        Some(false) => fail(request, 404, "fingerprint is not suspected here"),
+        None => fail(request, 503, "router is too busy to answer"),
+    }
+}
+
 fn health(work: &Work, request: Request) {
     match work.ask(Query::Ready) {
         Some(true) => reply(request, Some(&serde_json::json!({"ready": true}))),
--- a/crates/router/src/input.rs
+++ b/crates/router/src/input.rs
@@ -3,7 +3,7 @@
 use balsamchute_base::prelude::*;
 use balsamchute_claim::ledger;
 use balsamchute_dispatch::event::{Arrival, Command, Event};
-use balsamchute_dispatch::view::{Address, Explanation, Status};
+use balsamchute_dispatch::view::{self, Address, Explanation, Status};
 use balsamchute_wire::claim;
 use balsamchute_wire::config::{Document, Stamp};
 use balsamchute_wire::exchange::Frame;
@@ -50,6 +50,10 @@
     Key(Workspace, Key, Sender<Option<ledger::State>>),
     /// What the claim log says of a key.
     Log(Workspace, Key, Sender<claim::Verdict>),
+    /// Which requests crashed their targets.
+    Quarantine(Sender<Vec<view::Suspect>>),
+    /// Lets requests of a fingerprint run again; the answer is whether it was known.
+    Release(u128, Sender<bool>),
     /// Which configuration is in force.
     Stamp(Sender<Stamp>),
     /// The newest configuration that this router holds.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -202,6 +202,13 @@
             Query::Log(workspace, key, reply) => {
                 self.claims.look(&self.core, workspace, key, reply);
             }
+            Query::Quarantine(reply) => {
+                drop(reply.send(self.core.quarantine(self.work.now())));
+            }
+            Query::Release(fingerprint, reply) => {
+                let known = self.core.release_suspect(self.work.now(), fingerprint);
+                let _ = reply.send(known);
+            }
             Query::Stamp(reply) => drop(reply.send(self.core.stamp())),
             Query::Document(reply) => drop(reply.send(self.store.document().clone())),
         }
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -31,6 +31,8 @@
     Limit,
     /// This router cannot serve the request now; another one may.
     Elsewhere,
+    /// The request crashed its targets before.
+    Quarantine,
     /// Claims of durable keys cannot be stored now.
     NoClaims,
     /// The deadline passed while the request waited.
