Keep answering until no caller's address answer names a stopped router

Failed ends after tokens carried the digest of an empty answer, which callers rightly took for a wrong answer.

Change: requests that the actor cannot take any more are answered "not run, elsewhere" or by what is known of their attempt; the process refuses in this way until address answers have run out (5.5 s, at most the grace time) and all answers are written. Ends of broken answers carry the digest of what was passed.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,12 +4,12 @@
 
 use balsamchute_base::digest::Hasher;
 use balsamchute_base::prelude::*;
-use balsamchute_dispatch::event::{Arrival, Command, Event, Finish, Run, Ticket};
+use balsamchute_dispatch::event::{Arrival, Command, Ending, Event, Finish, Run, Ticket};
 use balsamchute_metrics::Metrics;
 use balsamchute_wire::claim::Settled;
 use balsamchute_wire::forward::Head;
-use balsamchute_wire::record::{Record, Token};
-use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
+use balsamchute_wire::record::{Code, End, Outcome, Record, Token};
+use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
 use tiny_http::Request;
 
 use crate::answer::Answer;
@@ -22,9 +22,6 @@
 /// Time between two empty lines to a caller whose request waits.
 pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
-/// Commands that may be on their way to one thread.
-const COMMANDS: usize = 4;
-
 /// A request that a thread serves.
 pub(crate) struct Serving<'a> {
     /// What the threads share.
@@ -45,12 +42,14 @@
     arrived: Time,
     /// When the last token was written.
     last_token: Option<Time>,
+    /// How the request ends if the actor stops first; `None` before an attempt.
+    last: Option<End>,
 }
 
 /// Serves a request until its answer has ended.
 pub(crate) fn serve(work: &Work, request: Request, head: Head, body: &[u8]) {
     let ticket = work.ticket();
-    let (sender, commands) = bounded(COMMANDS);
+    let (sender, commands) = unbounded();
     let arrival = Arrival {
         ticket,
         head: head.clone(),
@@ -67,6 +66,7 @@
         hasher: Hasher::new(),
         arrived: work.now(),
         last_token: None,
+        last: None,
     };
     serving.follow(&commands);
 }
@@ -94,11 +94,25 @@
                         self.work.event(Event::Gone(self.ticket));
                     }
                 }
-                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => return self.abandon(),
             }
         }
     }
 
+    /// Ends the answer without the actor, which has stopped.
+    fn abandon(&mut self) {
+        let end = match self.last.take() {
+            Some(end) => end,
+            None => End::new(
+                Outcome::NotRun,
+                "router is leaving; ask for another address",
+            )
+            .with_code(Code::Elsewhere)
+            .with_retry_after(Span(0)),
+        };
+        let _ = self.answer.end(&end);
+    }
+
     /// Passes the request on. Returns whether its answer has ended.
     fn forward(&mut self, address: std::net::SocketAddr, head: &Head) -> bool {
         match forward(self.work, address, head, self.body, &mut self.answer) {
@@ -116,6 +130,10 @@
     fn run(&mut self, run: &Run) {
         let wait = self.work.now().since(self.arrived);
         self.metrics().observe_wait(self.owner(), wait);
+        self.last = Some(End::new(
+            Outcome::Unknown,
+            "router stopped during the attempt",
+        ));
         let outcome = run::run(self, run);
         self.metrics().observe_cost(self.owner(), outcome.cost);
         let finish = Finish {
@@ -126,9 +144,21 @@
             digest: self.hasher.digest().to_string(),
             answer: outcome.answer,
         };
+        self.last = Some(self.end(&run.attempt, &finish));
         self.work.event(Event::Finish(finish));
     }
 
+    /// Returns the end record of an attempt if nothing more is known.
+    fn end(&self, attempt: &Attempt, finish: &Finish) -> End {
+        if finish.ending == Ending::Done {
+            return End::done(attempt, self.tokens, self.hasher.digest());
+        }
+        let mut end = End::new(Outcome::Unknown, "router stopped after the attempt");
+        end.tokens = self.tokens;
+        end.digest.clone_from(&finish.digest);
+        end.with_attempt(attempt)
+    }
+
     /// Writes one token of the answer.
     ///
     /// # Errors
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -67,7 +67,7 @@
         Ok(response) => copy(head, response, answer),
         Err(error) if is_unsent(&error) => Passed::NotTaken,
         Err(_) if head.key.is_none() => Passed::NotTaken,
-        Err(error) => Passed::Broken(broken(head, 0, &error.to_string())),
+        Err(error) => Passed::Broken(broken(head, &Check::new(), &error.to_string())),
     }
 }
 
@@ -116,10 +116,10 @@
     if head.key.is_none() && check.tokens == 0 {
         return Passed::NotTaken;
     }
-    Passed::Broken(broken(head, check.tokens, reason))
+    Passed::Broken(broken(head, check, reason))
 }
 
-fn broken(head: &Head, tokens: u64, reason: &str) -> End {
+fn broken(head: &Head, check: &Check, reason: &str) -> End {
     let outcome = if head.key.is_some() {
         Outcome::Unknown
     } else {
@@ -129,7 +129,9 @@
         outcome,
         &format!("lost the router that queued the request: {reason}"),
     );
-    end.tokens = tokens;
+    end.tokens = check.tokens;
+    end.digest = check.hasher.digest().to_string();
+    end.attempt.clone_from(&check.attempt);
     end.with_retry_after(Span(200))
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -37,8 +37,11 @@
 /// Inputs taken in between two looks at the clock.
 const BURST: usize = 256;
 
-/// Time after the last answer for its bytes to leave the process.
-const FLUSH: Duration = Duration::from_millis(100);
+/// Longest time for the last answers to leave the process.
+const FLUSH: Duration = Duration::from_secs(2);
+
+/// Time by which the process outlives the address answers that name it.
+const LINGER_MARGIN: Duration = Duration::from_millis(500);
 
 /// Runs a router until it is told to stop and all its work has ended.
 ///
@@ -70,18 +73,31 @@
         work.settings.callers,
         work.settings.inner
     );
-    run(&receiver, grace, |stakker| {
+    let answering = work.clone();
+    let stopped = run(receiver, grace, |stakker| {
         actor!(
             stakker,
             Node::init(work, core, peers, polls, claims),
             ret_shutdown!(stakker)
         )
     });
-    std::thread::sleep(FLUSH);
+    linger(&answering, stopped, grace);
     log::info!("router: \"{instance}\" has stopped.");
     Ok(())
 }
 
+/// Refuses requests until no caller's address answer names this router any more.
+///
+/// A connection that is closed under a request would leave its caller in doubt.
+fn linger(work: &Work, stopped: Option<Instant>, grace: Duration) {
+    let keep = Duration::from(settings::Settings::default().keep) + LINGER_MARGIN;
+    if let Some(stopped) = stopped {
+        let until = stopped + keep.min(grace);
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+    work.wait_idle(FLUSH);
+}
+
 fn listen(setting: &'static str, address: SocketAddr) -> Result<Arc<Server>, Error> {
     let failure = |reason: String| Error::Listen {
         setting,
@@ -129,29 +145,30 @@
     })
 }
 
-/// Feeds inputs to the actor until it stops or the grace time is over.
+/// Feeds inputs to the actor until it stops or the grace time is over. Returns
+/// when the stop was asked for.
 fn run(
-    receiver: &Receiver<Input>,
+    receiver: Receiver<Input>,
     grace: Duration,
     start: impl FnOnce(&mut Stakker) -> stakker::ActorOwn<Node>,
-) {
+) -> Option<Instant> {
     let mut stakker = Stakker::new(Instant::now());
     let node = start(&mut stakker);
     let mut last_tick = Instant::now();
-    let mut stop_by = None;
+    let mut stopped = None;
     loop {
         match receiver.recv_timeout(TICK.saturating_sub(last_tick.elapsed())) {
             Ok(input) => {
                 let burst = std::iter::once(input).chain(receiver.try_iter().take(BURST));
                 for input in burst {
                     if matches!(input, Input::Event(Event::Stop)) {
-                        stop_by.get_or_insert(Instant::now() + grace);
+                        stopped.get_or_insert_with(Instant::now);
                     }
                     call!([node], input(input));
                 }
             }
             Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Disconnected) => return stopped,
         }
         if last_tick.elapsed() >= TICK {
             last_tick = Instant::now();
@@ -159,11 +176,11 @@
         }
         stakker.run(Instant::now(), false);
         if !stakker.not_shutdown() {
-            return;
+            return stopped;
         }
-        if stop_by.is_some_and(|time| Instant::now() >= time) {
+        if stopped.is_some_and(|time| time.elapsed() >= grace) {
             log::warn!("router: the grace time of the planned stop is over.");
-            return;
+            return stopped;
         }
     }
 }
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -19,6 +19,9 @@
 /// Stack of a thread that serves one request, in bytes.
 pub(crate) const STACK_BYTES: usize = 256 * 1024;
 
+/// Time between two looks at whether requests are still being served.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
 /// How long a thread waits for the actor's answer to a question.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -89,6 +92,16 @@
         (before < self.settings.limits.requests).then_some(permit)
     }
 
+    /// Waits until no request is being served, at most for `limit`.
+    pub fn wait_idle(&self, limit: Duration) {
+        let start = std::time::Instant::now();
+        // Requests that were read but not yet counted get a first moment.
+        std::thread::sleep(IDLE_CHECK);
+        while self.busy.load(Ordering::Relaxed) > 0 && start.elapsed() < limit {
+            std::thread::sleep(IDLE_CHECK);
+        }
+    }
+
     /// Sends an input to the actor. One that has stopped takes none.
     pub fn send(&self, input: Input) {
         let _ = self.inputs.send(input);
