Decide which engine holds which model, following demand

Cause: model capacity has to follow demand within the weight store's rate, without thrash and never below what running streams need. Change: pure logic in fleet::placement: owners order their engines by a ranking that all share, with rising fencing numbers, hysteresis, a bucket for loads and draining before an unload. Ruled out: a leader, claims for each load, eviction on first use. Not called by the router yet: requests and inventory know no models.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod home;
 pub mod leaving;
 pub mod members;
+pub mod placement;
