--- a/crates/bench/src/audit/mod.rs
+++ b/crates/bench/src/audit/mod.rs
@@ -109,7 +109,8 @@
             Some(Reply::Broken(_)) => {}
             reply => {
                 self.lost += 1;
-                self.fault(format!("{} is lost after {reply:?}", history.call.id));
+                let id = &history.call.id;
+                self.fault(format!("{id} is lost after {reply:?}: {}", trace(history)));
             }
         }
     }
@@ -219,6 +220,23 @@
     }
 }
 
+/// Returns what became of each submission, with times from the first wish.
+fn trace(history: &History) -> String {
+    let line = |one: &Submission| {
+        let [sent, over] = [one.sent, one.finished].map(|time| time.since(history.wanted).0);
+        let what = match &one.reply {
+            Reply::End { end, .. } => format!("{:?}", end.outcome),
+            Reply::Cut { tokens } => format!("cut at {tokens}"),
+            Reply::Overdue { .. } => "overdue".to_owned(),
+            Reply::Unreachable(_) => "unreachable".to_owned(),
+            Reply::Broken(_) => "broken".to_owned(),
+        };
+        format!("{sent}-{over} ms {} {what}", one.router)
+    };
+    let lines: Vec<_> = history.submissions.iter().map(line).collect();
+    format!("{} ms, {}", history.wanted.0, lines.join(", "))
+}
+
 fn has_key(submission: &Submission, key: &str) -> bool {
     submission
         .key
