--- a/crates/bench/src/caller/mod.rs
+++ b/crates/bench/src/caller/mod.rs
@@ -31,6 +31,9 @@
 /// Time for a router to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Submissions after which an unknown outcome is taken as final.
+const MAX_ASKS: usize = 8;
+
 /// Pause before asking again when no router gave a time.
 const PAUSE: Span = Span(100);
 
@@ -308,12 +311,19 @@
             Reply::Cut { .. } | Reply::Unreachable(_) => Next::Elsewhere,
             Reply::End { end, .. } => match (end.outcome, end.retry_after_ms) {
                 (Outcome::NotRun, Some(after)) => Next::Later(Span(after)),
+                (Outcome::Failed, Some(after)) if self.key.is_none() => Next::Later(Span(after)),
+                // The same key never runs again; its outcome may be known later.
+                (Outcome::Unknown, Some(after)) if self.may_ask_again() => Next::Later(Span(after)),
                 (Outcome::Unknown, _) if self.key.is_none() => Next::Elsewhere,
                 _ => Next::Over,
             },
         }
     }
 
+    fn may_ask_again(&self) -> bool {
+        self.history.submissions.len() < MAX_ASKS
+    }
+
     /// Waits before the next submission; returns whether there is time for one.
     fn pause(&self, span: Span) -> bool {
         let resume = clock::now() + span;
--- a/crates/bench/src/experiments/demo.rs
+++ b/crates/bench/src/experiments/demo.rs
@@ -12,7 +12,7 @@
 use super::Options;
 use crate::audit::service::{Figures, Window};
 use crate::audit::{Execution, Verdict};
-use crate::caller::call::History;
+use crate::caller::call::{History, Reply};
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::error::Error;
@@ -43,6 +43,9 @@
 /// first half of them are the large ones.
 const FLOODING: usize = 6;
 
+/// Calls held past their deadline that are explained.
+const MAX_EXPLAINED: usize = 4;
+
 /// When the fairness of the undisturbed fleet is first looked at.
 const SETTLED: Span = Span(500);
 
@@ -235,9 +238,28 @@
     let in_force = disturb(&mut fleet, start, name, &traffic)?;
     let histories = traffic.join();
     say(name, &format!("all {} calls are over", histories.len()));
+    explain_overdue(name, &histories);
     Ok(judge(&fleet, start, &histories, in_force))
 }
 
+/// Prints what routers say about calls that they held past their deadline.
+fn explain_overdue(name: &str, histories: &[History]) {
+    let last = histories
+        .iter()
+        .filter_map(|history| history.submissions.last());
+    let overdue = last.filter(|one| matches!(one.reply, Reply::Overdue { .. }));
+    for submission in overdue.take(MAX_EXPLAINED) {
+        let (router, request) = (submission.router, &submission.request);
+        let url = format!("http://{router}/v1/explain?request={request}");
+        let answer = ureq::get(url).call();
+        let text = answer.and_then(|mut answer| answer.body_mut().read_to_string());
+        say(
+            name,
+            &format!("{request} at {router}: {}", text.unwrap_or_default()),
+        );
+    }
+}
+
 fn say(name: &str, text: &str) {
     println!("{name}: {text}");
 }
