--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -294,3 +294,21 @@
 fn borrowed_slots_are_used_again_without_asking_in_a_large_fleet() {
     assert_eq!(grants_for_40_requests(40), 0);
 }
+
+/// A booking whose home has just died is claimed and run where it is.
+#[test]
+fn keyed_request_whose_home_is_unreachable_is_claimed_and_runs_here() {
+    let mut net = Net::new(2);
+    for (ticket, name) in net.names().iter().enumerate() {
+        let mut head = head("w1", "book", Some(&format!("k{ticket}")));
+        head.hops = 0;
+        net.arrive(name, ticket as u64, head);
+    }
+    let passed_on = |ticket: &u64| matches!(net.last(*ticket), Some((_, Command::Forward { .. })));
+    let ticket = (0..2).find(passed_on).expect("one of two is not the home");
+    let at = net.names()[ticket as usize].clone();
+    net.event(&at, Event::ForwardFailed(ticket));
+    net.verdict(Verdict::Granted);
+    net.pass(3000);
+    assert!(running(&net, ticket), "{:?}", net.last(ticket));
+}
