Show the calls to the platform and the load reports in the metrics

Cause: the page documented two kinds of control traffic that nobody counted, and the platform's rates are shared by the fleet. Change: balsamchute_platform_calls_total by part and kind; load reports counted as control traffic; the kind platform is gone; requests to targets no longer send the library's user-agent and accept headers.

--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -56,9 +56,7 @@
     Claim,
     /// Configuration passed between routers.
     Config,
-    /// Calls to the platform.
-    Platform,
-    /// Load reports, cache events and orders of targets.
+    /// Load reports of targets.
     Target,
 }
 
@@ -69,7 +67,6 @@
             Control::Slots => "slots",
             Control::Claim => "claim",
             Control::Config => "config",
-            Control::Platform => "platform",
             Control::Target => "target",
         }
     }
@@ -96,6 +93,7 @@
 /// All metrics of a router. Methods may be called from any thread.
 pub struct Metrics {
     registry: Registry,
+    meter: Meter,
     // Dropping it would end the instruments.
     _provider: SdkMeterProvider,
     workspaces: RwLock<Labels>,
@@ -198,6 +196,7 @@
                 "balsamchute_config_version",
                 "Configuration in force.",
             ),
+            meter,
             _provider: provider,
         })
     }
@@ -254,6 +253,27 @@
         self.control_bytes.add(bytes, &labels);
     }
 
+    /// Shows the calls to the platform that `read` returns, by their kind, for a
+    /// `part` of the router. Values must never fall.
+    pub fn watch_calls<F>(&self, part: &'static str, read: F)
+    where
+        F: Fn() -> Vec<(&'static str, u64)> + Send + Sync + 'static,
+    {
+        let counter = self
+            .meter
+            .u64_observable_counter("balsamchute_platform_calls");
+        // The meter keeps the callback.
+        let _ = counter
+            .with_description("Calls to the platform.")
+            .with_callback(move |observer| {
+                for (kind, calls) in read() {
+                    let labels = [KeyValue::new("part", part), KeyValue::new("kind", kind)];
+                    observer.observe(calls, &labels);
+                }
+            })
+            .build();
+    }
+
     /// Sets the load of a service at this router.
     pub fn set_load(&self, service: &Service, load: Load) {
         let labels = [self.service(service)];
--- a/crates/metrics/tests/page.rs
+++ b/crates/metrics/tests/page.rs
@@ -53,6 +53,9 @@
     };
     metrics.set_load(&service[0], load);
     metrics.set_fleet(8, 41);
+    for part in ["poll", "claims"] {
+        metrics.watch_calls(part, || vec![("read", 7), ("write", 9)]);
+    }
     let page = metrics.page().unwrap();
     let labels = "service=\"parecer-llm\",workspace=\"clinic\"";
     let series = |name: &str| value(&page, &format!("balsamchute_{name}{{{labels}"));
@@ -67,6 +70,10 @@
     assert_eq!(value(&page, requests), 1.0);
     let control = "balsamchute_control_bytes_total{direction=\"out\",kind=\"exchange\"}";
     assert_eq!(value(&page, control), 700.0);
+    let calls = "balsamchute_platform_calls_total{kind=\"write\",part=\"claims\"}";
+    assert_eq!(value(&page, calls), 9.0);
+    let calls = "balsamchute_platform_calls_total{kind=\"read\",part=\"poll\"}";
+    assert_eq!(value(&page, calls), 7.0);
     assert_eq!(value(&page, "balsamchute_backlog{"), 5.0);
     assert_eq!(value(&page, "balsamchute_slots{"), 8.0);
     assert_eq!(value(&page, "balsamchute_slots_used{"), 6.0);
--- a/crates/router/src/claims/store.rs
+++ b/crates/router/src/claims/store.rs
@@ -11,6 +11,7 @@
 use super::hub::Input;
 use crate::error::Error;
 use crate::peers::spawn;
+use crate::traffic;
 use crate::work::Work;
 
 /// Threads that call the platform. A writer has one call under way at a time,
@@ -41,6 +42,7 @@
         ..Settings::default()
     };
     let client = Arc::new(Client::new(work.settings.platform, settings));
+    traffic::watch_platform(work, "claims", &client);
     let (calls, receiver) = unbounded();
     for _ in 0..THREADS {
         let (client, hub) = (Arc::clone(&client), hub.clone());
--- a/crates/router/src/poll.rs
+++ b/crates/router/src/poll.rs
@@ -14,6 +14,7 @@
 use crate::error::Error;
 use crate::input::{Input, Source};
 use crate::peers::spawn;
+use crate::traffic;
 use crate::work::Work;
 
 /// Where the configuration is kept.
@@ -46,6 +47,7 @@
             work.settings.platform,
             client::Settings::default(),
         ));
+        traffic::watch_platform(work, "poll", &client);
         let watched = Watched::default();
         let config_client = Arc::clone(&client);
         spawn(work, move |work| watch_config(work, &config_client))?;
@@ -174,7 +176,9 @@
                 work.event(Event::Silent(runner));
                 continue;
             }
-            match client.load(address) {
+            let load = client.load(address);
+            traffic::polled(work, load.is_ok());
+            match load {
                 Ok(load) => {
                     let load = Load {
                         running: load.running,
--- a/crates/router/src/traffic.rs
+++ b/crates/router/src/traffic.rs
@@ -3,7 +3,10 @@
 //! The HTTP libraries do not tell how many bytes they move, so the size of a
 //! head is worked out from its parts.
 
+use std::sync::Arc;
+
 use balsamchute_metrics::{Control, Direction};
+use balsamchute_platform::Client;
 use tiny_http::Request;
 use ureq::Body;
 use ureq::http::Response;
@@ -25,6 +28,10 @@
 /// Bytes around the name and the value of a header.
 const HEADER_BYTES: usize = ": \r\n".len();
 
+/// A load report.
+const LOAD_REPORT: &str =
+    r#"{"age_ms":100,"incarnation":1000000000000,"models":["base"],"running":10,"slots":10}"#;
+
 /// Returns the kind of the control traffic on a path below `/inner/`.
 pub(crate) fn kind(path: &str) -> Control {
     match path {
@@ -71,6 +78,31 @@
     count(work, kind(path), Direction::Out, ANSWER_HEAD_BYTES + body);
 }
 
+/// Counts a load report of a runner, or a request for one that got none.
+pub(crate) fn polled(work: &Work, answered: bool) {
+    let asked = REQUEST_HEAD_BYTES + "/load".len();
+    count(work, Control::Target, Direction::Out, asked);
+    if answered {
+        let report = ANSWER_HEAD_BYTES + LOAD_REPORT.len();
+        count(work, Control::Target, Direction::In, report);
+    }
+}
+
+/// Shows the calls of a client of the platform.
+pub(crate) fn watch_platform(work: &Work, part: &'static str, client: &Arc<Client>) {
+    let client = Arc::clone(client);
+    work.metrics.watch_calls(part, move || {
+        let calls = client.calls();
+        vec![
+            ("read", calls.reads),
+            ("write", calls.writes),
+            ("watch", calls.watches),
+            ("retry", calls.retries),
+            ("refused", calls.refused),
+        ]
+    });
+}
+
 fn count(work: &Work, kind: Control, direction: Direction, bytes: usize) {
     work.metrics.count_control(kind, direction, 1, bytes as u64);
 }
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -265,6 +265,8 @@
         assert!(start.elapsed() < PATIENCE, "routers agree on no owner");
         thread::sleep(Duration::from_millis(20));
     }
+    let watches = "balsamchute_platform_calls_total{kind=\"watch\"";
+    assert!(sum(watches, "part=\"poll\"") >= 3.0);
     for direction in ["direction=\"in\"", "direction=\"out\""] {
         let kind = "balsamchute_control_bytes_total{";
         assert!(sum(kind, direction) > 0.0, "{direction}");
--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -50,6 +50,8 @@
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
+        .user_agent("")
+        .accept("")
         .proxy(None)
         .timeout_connect(Some(settings.connect.into()))
         .timeout_per_read(Some(settings.idle.into()))
