Send non-idempotent requests to targets on connections of their own

Cause: a kept connection that a target closes just then cannot be told from a request that it took, so a booking that never ran could end as unknown. Change: requests with a key use an agent that keeps no connections.

--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -1,5 +1,6 @@
 //! The HTTP agent, made so that a failed connect can be told from all else.
 
+use balsamchute_base::prelude::*;
 use displaydoc::Display;
 use ureq::Agent;
 use ureq::http::Response;
@@ -45,8 +46,38 @@
     }
 }
 
-/// Creates an agent with its own pool of connections.
-pub fn agent(settings: &Settings) -> Agent {
+/// The connections of a client.
+#[derive(Clone, Debug)]
+pub struct Agents {
+    /// Keeps connections for the next call.
+    pub pooled: Agent,
+    /// Makes a connection for each call.
+    pub fresh: Agent,
+}
+
+impl Agents {
+    /// Creates the agents.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            pooled: agent(settings, settings.kept_connections),
+            fresh: agent(settings, 0),
+        }
+    }
+
+    /// Returns the agent for a request.
+    ///
+    /// A kept connection that the target closes cannot be told from a request
+    /// that it took, so a non-idempotent one has a connection of its own.
+    pub fn for_request(&self, key: Option<&Key>) -> &Agent {
+        match key {
+            Some(_) => &self.fresh,
+            None => &self.pooled,
+        }
+    }
+}
+
+fn agent(settings: &Settings, kept_connections: usize) -> Agent {
+    let most = if kept_connections == 0 { 0 } else { usize::MAX };
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
@@ -55,8 +86,8 @@
         .proxy(None)
         .timeout_connect(Some(settings.connect.into()))
         .timeout_per_read(Some(settings.idle.into()))
-        .max_idle_connections_per_host(settings.kept_connections)
-        .max_idle_connections(usize::MAX)
+        .max_idle_connections_per_host(kept_connections)
+        .max_idle_connections(most)
         .input_buffer_size(INPUT_BYTES)
         .output_buffer_size(OUTPUT_BYTES)
         .max_response_header_size(INPUT_BYTES)
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -6,10 +6,10 @@
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use ureq::Body;
 use ureq::http::{Response, StatusCode};
-use ureq::{Agent, Body};
 
-use crate::dial;
+use crate::dial::{self, Agents};
 use crate::error::Error;
 use crate::load::Load;
 use crate::settings::Settings;
@@ -85,7 +85,7 @@
 /// A client, which may be shared between threads and used for any engine.
 #[derive(Clone, Debug)]
 pub struct Client {
-    agent: Agent,
+    agents: Agents,
     settings: Settings,
 }
 
@@ -94,7 +94,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         Self {
-            agent: dial::agent(&settings),
+            agents: Agents::new(&settings),
             settings,
         }
     }
@@ -117,7 +117,8 @@
         generation: &Generation<'_>,
     ) -> Result<Stream, Error> {
         let body = serde_json::to_vec(generation).expect("generations always encode");
-        let request = self.agent.post(format!("http://{target}/generate"));
+        let agent = self.agents.for_request(generation.key);
+        let request = agent.post(format!("http://{target}/generate"));
         let sent = request.content_type("application/json").send(&body[..]);
         let (answer, reason) = match sent {
             Ok(answer) if answer.status() == StatusCode::OK => (Some(answer), String::new()),
@@ -125,7 +126,7 @@
             Err(error) if dial::is_unsent(&error) => return Err(dial::failure(&error)),
             Err(error) => (None, error.to_string()),
         };
-        let (agent, settings) = (&self.agent, &self.settings);
+        let (agent, settings) = (&self.agents.pooled, &self.settings);
         let attempt = generation.attempt;
         Ok(Stream::new(
             agent, settings, target, attempt, answer, reason,
@@ -164,7 +165,11 @@
     /// Panics if the order cannot be encoded, which none does.
     pub fn order(&self, target: SocketAddr, fence: u64, order: &Order) -> Result<(), Error> {
         let body = serde_json::to_vec(&Numbered { fence, order }).expect("orders always encode");
-        let request = self.agent.post(format!("http://{target}/order")).config();
+        let request = self
+            .agents
+            .pooled
+            .post(format!("http://{target}/order"))
+            .config();
         let request = request.timeout_global(Some(self.settings.control.into()));
         let sent = request
             .build()
@@ -200,7 +205,7 @@
     ///
     /// Returns an error if the engine does not take it.
     pub fn import(&self, target: SocketAddr, prefix: &str, state: &[u8]) -> Result<(), Error> {
-        let request = self.agent.put(state_url(target, prefix));
+        let request = self.agents.pooled.put(state_url(target, prefix));
         let answer = request.send(state).map_err(|error| dial::failure(&error))?;
         match answer.status() {
             StatusCode::OK => Ok(()),
@@ -209,7 +214,7 @@
     }
 
     fn get(&self, url: &str) -> Result<Response<Body>, Error> {
-        let request = self.agent.get(url).config();
+        let request = self.agents.pooled.get(url).config();
         let request = request.timeout_global(Some(self.settings.control.into()));
         let answer = request.build().call();
         answer.map_err(|error| dial::failure(&error))
--- a/crates/target/src/plain.rs
+++ b/crates/target/src/plain.rs
@@ -4,10 +4,9 @@
 use std::thread;
 
 use balsamchute_base::prelude::*;
-use ureq::Agent;
 use ureq::http::StatusCode;
 
-use crate::dial;
+use crate::dial::{self, Agents};
 use crate::engine;
 use crate::error::Error;
 use crate::load::Load;
@@ -38,7 +37,7 @@
 /// A client, which may be shared between threads and used for any service.
 #[derive(Clone, Debug)]
 pub struct Client {
-    agent: Agent,
+    agents: Agents,
     settings: Settings,
 }
 
@@ -47,7 +46,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         Self {
-            agent: dial::agent(&settings),
+            agents: Agents::new(&settings),
             settings,
         }
     }
@@ -61,7 +60,8 @@
     /// [`Error::Crashed`] or [`Error::MayHaveRun`] if there is no whole answer.
     pub fn call(&self, target: SocketAddr, call: &Call<'_>) -> Result<Vec<u8>, Error> {
         let mut request = self
-            .agent
+            .agents
+            .for_request(call.key)
             .post(format!("http://{target}/call"))
             .header("x-attempt", call.attempt.as_str())
             .header("x-workspace", call.workspace.as_str())
@@ -102,7 +102,11 @@
     }
 
     fn probe(&self, target: SocketAddr) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
-        let request = self.agent.get(format!("http://{target}/load")).config();
+        let request = self
+            .agents
+            .pooled
+            .get(format!("http://{target}/load"))
+            .config();
         let request = request.timeout_global(Some(self.settings.control.into()));
         request.build().call()
     }
