End every answer when the grace time of a planned stop is over

Change: at the end of the grace time waiting requests are told not_run, streams are ended as failed or unknown and nothing is tried again; the process waits up to two seconds for its threads to write these ends.

--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -67,6 +67,7 @@
     pub(crate) next_refresh: Time,
     pub(crate) durable: bool,
     pub(crate) stopping: bool,
+    pub(crate) closing: bool,
 }
 
 impl Core {
@@ -108,6 +109,7 @@
             next_refresh: Time::default(),
             durable: true,
             stopping: false,
+            closing: false,
             settings,
         }
     }
@@ -134,6 +136,7 @@
             Event::Silent(runner) => self.silent(now, &runner, actions),
             Event::Tick => self.tick(now, actions),
             Event::Stop => self.stop(now, actions),
+            Event::Close => self.end_grace(now, actions),
         }
     }
 
--- a/crates/dispatch/src/drain.rs
+++ b/crates/dispatch/src/drain.rs
@@ -2,6 +2,7 @@
 
 use balsamchute_base::prelude::*;
 use balsamchute_wire::exchange::Phase;
+use balsamchute_wire::record::{Code, End, Outcome};
 
 use crate::core::Core;
 use crate::event::{Action, Ticket};
@@ -55,6 +56,28 @@
         }
     }
 
+    /// The grace time of a planned stop is over: what waits here is told so, and
+    /// what runs is not tried again.
+    pub(crate) fn end_grace(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.closing = true;
+        let waiting: Vec<(Ticket, Outcome)> = self
+            .requests
+            .iter()
+            .filter_map(|(ticket, entry)| match entry.stage {
+                Stage::Waiting | Stage::Claiming => Some((*ticket, Outcome::NotRun)),
+                Stage::Joined => Some((*ticket, Outcome::Unknown)),
+                Stage::Running(_) | Stage::Forwarded => None,
+            })
+            .collect();
+        for (ticket, outcome) in waiting {
+            let end = End::new(outcome, "router has stopped; ask for another address")
+                .with_code(Code::Elsewhere)
+                .with_retry_after(Span(0));
+            self.refuse(now, ticket, end, actions);
+        }
+        self.check_stopped(actions);
+    }
+
     /// Ends the process once nothing is left to finish.
     pub(crate) fn check_stopped(&mut self, actions: &mut Vec<Action>) {
         if self.stopping && self.requests.is_empty() && self.unsent.is_empty() {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -102,6 +102,8 @@
     Tick,
     /// The router is asked to stop.
     Stop,
+    /// The time that it has to stop is over.
+    Close,
 }
 
 /// An entry of the platform's list.
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -86,7 +86,7 @@
         let entry = self.requests.get_mut(&finish.ticket)?;
         entry.began |= failure == Failure::MayHaveRun;
         let fingerprint = entry.fingerprint;
-        if self.quarantined(now, fingerprint).is_some() {
+        if self.closing || self.quarantined(now, fingerprint).is_some() {
             return None;
         }
         self.retry_at(now, finish.ticket, failure, slot)
--- a/crates/dispatch/tests/drain.rs
+++ b/crates/dispatch/tests/drain.rs
@@ -99,6 +99,30 @@
     assert_eq!(net.address(&names[1], "w1").routers, ["127.0.0.1:7001"]);
 }
 
+#[test]
+fn at_the_end_of_the_grace_time_every_request_gets_its_end() {
+    let mut net = Net::new(1);
+    let r0 = net.names()[0].clone();
+    for ticket in 1..=6 {
+        net.arrive(&r0, ticket, head("w1", "draft", None));
+    }
+    net.event(&r0, Event::Stop);
+    net.event(&r0, Event::Close);
+    for ticket in 5..=6 {
+        let waited = matches!(net.last(ticket), Some((_, Command::End(end)))
+            if end.outcome == Outcome::NotRun && end.code == Some(Code::Elsewhere));
+        assert!(waited, "{:?}", net.last(ticket));
+    }
+    for ticket in 1..=4 {
+        net.finish(ticket, Ending::Lost("router has stopped".to_owned()), 0);
+        let ended = matches!(net.last(ticket), Some((_, Command::End(end)))
+            if end.outcome == Outcome::Failed);
+        assert!(ended, "it is not tried again: {:?}", net.last(ticket));
+    }
+    net.pass(100);
+    assert!(net.stopped.contains(&r0));
+}
+
 #[test]
 fn a_router_that_is_cut_off_starts_no_work_after_three_seconds() {
     let mut net = Net::new(2);
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -64,14 +64,19 @@
         .build()
         .send(&codec::encode(&frame)[..]);
     match sent {
-        Ok(response) => copy(head, response, answer),
+        Ok(response) => copy(work, head, response, answer),
         Err(error) if is_unsent(&error) => Passed::NotTaken,
         Err(_) if head.key.is_none() => Passed::NotTaken,
         Err(error) => Passed::Broken(broken(head, &Check::new(), &error.to_string())),
     }
 }
 
-fn copy(head: &Head, response: ureq::http::Response<ureq::Body>, answer: &mut Answer) -> Passed {
+fn copy(
+    work: &Work,
+    head: &Head,
+    response: ureq::http::Response<ureq::Body>,
+    answer: &mut Answer,
+) -> Passed {
     let reader = response
         .into_body()
         .into_with_config()
@@ -80,6 +85,9 @@
     let mut lines = BufReader::new(reader);
     let mut check = Check::new();
     loop {
+        if work.is_closing() {
+            return Passed::Broken(broken(head, check.tokens, "this one has stopped"));
+        }
         let mut line = String::new();
         match lines.by_ref().take(MAX_LINE_BYTES).read_line(&mut line) {
             Ok(count) if count > 0 && line.ends_with('\n') => {}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -119,6 +119,9 @@
     let mut kept = Kept::new(keep);
     let mut cost = Cost(0);
     let ending = loop {
+        if serving.work.is_closing() {
+            break Ending::Lost("router has stopped".to_owned());
+        }
         match stream.next() {
             Some(Ok(Piece::Token { text, .. })) => {
                 cost += Cost(1);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -43,6 +43,9 @@
 /// Time by which the process outlives the address answers that name it.
 const LINGER_MARGIN: Duration = Duration::from_millis(500);
 
+/// Last part of the grace time, in which answers that have not ended are ended.
+const LAST_ENDS: Duration = Duration::from_secs(2);
+
 /// Runs a router until it is told to stop and all its work has ended.
 ///
 /// # Errors
@@ -74,7 +77,7 @@
         work.settings.inner
     );
     let answering = work.clone();
-    let stopped = run(receiver, grace, |stakker| {
+    let stopped = run(receiver, grace, &answering, |stakker| {
         actor!(
             stakker,
             Node::init(work, core, peers, polls, claims),
@@ -150,6 +153,8 @@
 fn run(
     receiver: Receiver<Input>,
     grace: Duration,
+    work: &Work,
+    work: &Work,
     start: impl FnOnce(&mut Stakker) -> stakker::ActorOwn<Node>,
 ) -> Option<Instant> {
     let mut stakker = Stakker::new(Instant::now());
@@ -179,8 +184,12 @@
             return stopped;
         }
         if stopped.is_some_and(|time| time.elapsed() >= grace) {
-            log::warn!("router: the grace time of the planned stop is over.");
             return stopped;
         }
+        let last_ends = grace.saturating_sub(LAST_ENDS).max(grace / 2);
+        if !work.is_closing() && stopped.is_some_and(|time| time.elapsed() >= last_ends) {
+            log::warn!("router: the grace time of the planned stop ends. So do all answers.");
+            work.close();
+        }
     }
 }
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use balsamchute_base::prelude::*;
@@ -46,6 +46,7 @@
     pub metrics: Arc<Metrics>,
     tickets: Arc<AtomicU64>,
     busy: Arc<AtomicUsize>,
+    closing: Arc<AtomicBool>,
 }
 
 /// A place among the requests served at the same time.
@@ -77,6 +78,7 @@
             targets: Targets::new(),
             tickets: Arc::new(AtomicU64::new(1)),
             busy: Arc::default(),
+            closing: Arc::default(),
         }
     }
 
@@ -102,6 +104,18 @@
         }
     }
 
+    /// Ends what is left when the grace time of a planned stop is over.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.event(Event::Close);
+    }
+
+    /// Returns whether the grace time of a planned stop is over. Answers that
+    /// have not ended by then are ended.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     /// Sends an input to the actor. One that has stopped takes none.
     pub fn send(&self, input: Input) {
         let _ = self.inputs.send(input);
