--- a/crates/dispatch/src/drain.rs
+++ b/crates/dispatch/src/drain.rs
@@ -32,13 +32,14 @@
         self.check_stopped(actions);
     }
 
-    /// Passes waiting requests on to their new homes. Those with a key stay:
-    /// the key is claimed by or bound to this life of this router.
+    /// Passes waiting requests on to their new homes. Those with a key stay: the
+    /// key is claimed by or bound to this life of this router. So do those that
+    /// have begun before, of which another router would say that they did not run.
     fn hand_over(&mut self, now: Time, actions: &mut Vec<Action>) {
         let waiting: Vec<Ticket> = self
             .requests
             .iter()
-            .filter(|(_, entry)| entry.stage == Stage::Waiting && !entry.once())
+            .filter(|(_, entry)| entry.stage == Stage::Waiting && !entry.once() && !entry.began)
             .map(|(ticket, _)| *ticket)
             .collect();
         for ticket in waiting {
@@ -64,7 +65,9 @@
             .requests
             .iter()
             .filter_map(|(ticket, entry)| match entry.stage {
-                Stage::Waiting | Stage::Claiming => Some((*ticket, Outcome::NotRun)),
+                Stage::Waiting | Stage::Paused | Stage::Claiming => {
+                    Some((*ticket, Outcome::NotRun))
+                }
                 Stage::Joined => Some((*ticket, Outcome::Unknown)),
                 Stage::Running(_) | Stage::Forwarded => None,
             })
