--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -86,7 +86,7 @@
     let mut check = Check::new();
     loop {
         if work.is_closing() {
-            return Passed::Broken(broken(head, check.tokens, "this one has stopped"));
+            return Passed::Broken(broken(head, &check, "this one has stopped"));
         }
         let mut line = String::new();
         match lines.by_ref().take(MAX_LINE_BYTES).read_line(&mut line) {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -154,7 +154,6 @@
     receiver: Receiver<Input>,
     grace: Duration,
     work: &Work,
-    work: &Work,
     start: impl FnOnce(&mut Stakker) -> stakker::ActorOwn<Node>,
 ) -> Option<Instant> {
     let mut stakker = Stakker::new(Instant::now());
