Never say not_run of a request whose home was lost; drain by owners

Cause: an idempotent request that was passed on and lost before its first token was queued again as if it had not begun, so its deadline could end it as not_run although the lost home had begun it. The actor kept a channel for every request that was passed on. Change: such a request is marked as begun; channels go with the request; the experiment picks the owners.

--- a/crates/bench/src/experiments/drain.rs
+++ b/crates/bench/src/experiments/drain.rs
@@ -3,6 +3,7 @@
 //! planned stop of a router cuts any request.
 
 use balsamchute_base::prelude::*;
+use balsamchute_base::rank;
 use serde::Serialize;
 
 use super::Options;
@@ -111,18 +112,33 @@
     at(4);
     let healthy = say_leaving(fleet, HEALTHY);
     at(10);
-    fleet.cut_routers(&[1], true)?;
+    let router = owner(fleet, CUT_OFF[0]);
+    fleet.cut_routers(&[router], true)?;
     let cut_off = say_leaving(fleet, CUT_OFF);
     at(17);
     fleet.heal_routers()?;
     at(19);
-    fleet.pause_router(2)?;
+    let router = owner(fleet, PAUSED[0]);
+    fleet.pause_router(router)?;
     let paused = say_leaving(fleet, PAUSED);
     at(25);
-    fleet.resume_router(2)?;
+    fleet.resume_router(router)?;
     Ok([healthy, cut_off, paused])
 }
 
+/// Returns the number of the router that hands out the slots of a target: it is
+/// the one that could go on doing so.
+fn owner(fleet: &Fleet, target: usize) -> usize {
+    let runner = &fleet.targets()[target].place().runner;
+    let names = fleet.routers().iter();
+    let names: Vec<&str> = names
+        .map(|router| router.settings().instance.as_str())
+        .collect();
+    let owner = rank::first(runner, names.iter().copied());
+    let owner = owner.and_then(|owner| names.iter().position(|name| *name == owner));
+    owner.unwrap_or_default()
+}
+
 fn say_leaving(fleet: &Fleet, targets: Pair) -> Leave {
     for number in targets {
         let runner = &fleet.targets()[number].place().runner;
--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -175,6 +175,15 @@
         actions.push(Action::Tell(ticket, command));
     }
 
+    /// The home was lost with the request. It is queued here, but nobody may say
+    /// any more that it did not run.
+    pub(crate) fn forward_lost(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
+        if let Some(entry) = self.requests.get_mut(&ticket) {
+            entry.began = true;
+        }
+        self.forward_failed(now, ticket, actions);
+    }
+
     /// The home cannot be reached, and it has not seen the request.
     pub(crate) fn forward_failed(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
         let Some(entry) = self.requests.get(&ticket) else {
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -120,6 +120,7 @@
             Event::Arrive(arrival) => self.arrive(now, arrival, actions),
             Event::Gone(ticket) => self.gone(now, ticket, actions),
             Event::ForwardFailed(ticket) => self.forward_failed(now, ticket, actions),
+            Event::ForwardLost(ticket) => self.forward_lost(now, ticket, actions),
             Event::Forwarded(ticket) => self.drop_request(ticket),
             Event::Progress(ticket, cost) => self.progress(ticket, cost),
             Event::Finish(finish) => self.finish(now, finish, actions),
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -69,6 +69,9 @@
     Gone(Ticket),
     /// A request could not be passed on. No byte reached the other router.
     ForwardFailed(Ticket),
+    /// An idempotent request was passed on and may have begun, but none of its
+    /// answer came.
+    ForwardLost(Ticket),
     /// A request was passed on and its answer has ended or broken off.
     Forwarded(Ticket),
     /// True cost of a running attempt so far.
--- a/crates/dispatch/tests/drain.rs
+++ b/crates/dispatch/tests/drain.rs
@@ -123,6 +123,25 @@
     assert!(net.stopped.contains(&r0));
 }
 
+#[test]
+fn a_request_whose_home_was_lost_is_never_said_not_to_have_run() {
+    for (event, outcome) in [
+        (Event::ForwardFailed as fn(u64) -> Event, Outcome::NotRun),
+        (Event::ForwardLost, Outcome::Failed),
+    ] {
+        let mut net = Net::new(2);
+        let (home, other) = home_and_other(&mut net);
+        for ticket in 1..=4 {
+            net.arrive(&home, ticket, head("w1", "draft", None));
+        }
+        net.arrive(&other, 5, head("w1", "draft", None));
+        net.event(&other, event(5));
+        net.event(&other, Event::Close);
+        let ended = matches!(net.last(5), Some((_, Command::End(end))) if end.outcome == outcome);
+        assert!(ended, "{outcome:?}: {:?}", net.last(5));
+    }
+}
+
 #[test]
 fn a_router_that_is_cut_off_starts_no_work_after_three_seconds() {
     let mut net = Net::new(2);
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -121,6 +121,10 @@
                 self.work.event(Event::ForwardFailed(self.ticket));
                 return false;
             }
+            Passed::Lost => {
+                self.work.event(Event::ForwardLost(self.ticket));
+                return false;
+            }
             Passed::Broken(end) => drop(self.answer.end(&end)),
         }
         self.work.event(Event::Forwarded(self.ticket));
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -29,6 +29,8 @@
     Ended,
     /// Nothing reached the other router, or it attested that it took nothing.
     NotTaken,
+    /// An idempotent request may have begun, but none of its answer came.
+    Lost,
     /// The answer broke off; the end says what is known.
     Broken(End),
 }
@@ -66,7 +68,7 @@
     match sent {
         Ok(response) => copy(work, head, response, answer),
         Err(error) if is_unsent(&error) => Passed::NotTaken,
-        Err(_) if head.key.is_none() => Passed::NotTaken,
+        Err(_) if head.key.is_none() => Passed::Lost,
         Err(error) => Passed::Broken(broken(head, &Check::new(), &error.to_string())),
     }
 }
@@ -122,7 +124,7 @@
 /// Decides what a broken answer means for the caller.
 fn lost(head: &Head, check: &Check, reason: &str) -> Passed {
     if head.key.is_none() && check.tokens == 0 {
-        return Passed::NotTaken;
+        return Passed::Lost;
     }
     Passed::Broken(broken(head, check, reason))
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -65,8 +65,14 @@
                 self.event(cx, Event::Arrive(arrival));
             }
             Input::Event(event) => {
-                if let Event::Exchanged(frame) = &event {
-                    self.store.fetch_from(frame.config);
+                match &event {
+                    Event::Exchanged(frame) => {
+                        self.store.fetch_from(frame.config);
+                    }
+                    Event::Forwarded(ticket) => {
+                        self.commands.remove(ticket);
+                    }
+                    _ => {}
                 }
                 self.event(cx, event);
             }
