Find lost slots among short requests; withdraw needs; measure fairness and idle time

Owners also granted slots on the old need of a light workspace, once each. Change: a grant that cannot be handed over is taken back; all reports over 3 s that show fewer requests than loans give the oldest back; a need is told to as many owners as it has requests and withdrawn once met, not by stale counts of free slots while others wait. Added: experiments fairness and utilisation, with replayed baselines.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -9,8 +9,10 @@
 pub mod control;
 pub mod demo;
 pub mod drain;
+pub mod fairness;
 pub mod load;
 pub mod restart;
+pub mod utilisation;
 
 mod steady;
 
@@ -64,6 +66,16 @@
             demo::run,
         ),
         load::command(),
+        simple(
+            "fairness",
+            "Measure the gap between workspaces and the wait of light ones, against baselines",
+            fairness::run,
+        ),
+        simple(
+            "utilisation",
+            "Measure slot time that is idle while work waits, healthy and under kills",
+            utilisation::run,
+        ),
         simple(
             "control",
             "Measure what control costs a router against nodes, workspaces and runners",
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,6 +1,6 @@
 //! The state of one service at this router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use balsamchute_base::prelude::*;
 use balsamchute_fair::order::{Reading, fleet_time};
@@ -30,6 +30,8 @@
     pub told: Time,
     /// The backlog that was last told.
     pub told_backlog: u32,
+    /// The owners that were told, unless the need was withdrawn.
+    pub told_to: BTreeSet<Instance>,
     /// What other routers published last.
     pub heard: BTreeMap<Instance, Heard>,
 }
@@ -72,6 +74,11 @@
         }
     }
 
+    /// Returns whether requests wait at another router.
+    pub fn is_contended(&self) -> bool {
+        self.heard.values().any(|heard| heard.reading.backlog > 0)
+    }
+
     /// Forgets a router that is gone.
     pub fn forget(&mut self, now: Time, peer: &Instance) {
         self.heard.remove(peer);
--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -1,6 +1,6 @@
 //! What the configuration and the membership make this router responsible for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use balsamchute_base::prelude::*;
@@ -55,6 +55,7 @@
                 lender: Lender::new(&me, lender::Settings::default()),
                 told: Time::default(),
                 told_backlog: 0,
+                told_to: BTreeSet::new(),
                 heard: BTreeMap::new(),
             });
             state.kind = service.kind;
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_base::prelude::*;
+use balsamchute_fair::lender::Grant;
 use balsamchute_wire::exchange::{Phase, Summary};
 use balsamchute_wire::message::{Batch, Message};
 use rand::seq::IteratorRandom;
@@ -13,11 +14,14 @@
 use crate::request::{Slot, Stage};
 use crate::suspects::Fit;
 
-/// Owners that are told of a need when some of them have free slots.
-const NEED_TARGETS: usize = 2;
+/// Owners that are told of a need while some of them have free slots.
+const NEED_TARGETS_FREE: usize = 2;
 
-/// Owners that are told of a need when none is known to have a free slot.
-const NEED_BROADCAST: usize = 8;
+/// Most owners that are told of a need at a time.
+const NEED_TARGETS: u32 = 8;
+
+/// Most owners that a need is withdrawn from.
+const MAX_TOLD: usize = 32;
 
 impl Core {
     /// Hands out the free slots of every service.
@@ -55,6 +59,7 @@
         let mean = state.queue.mean_cost();
         for grant in state.lender.grant(now, mean) {
             let Some(address) = self.addresses.get(&grant.runner).copied() else {
+                self.take_back(now, service, &grant);
                 continue;
             };
             if grant.to == me {
@@ -62,6 +67,10 @@
                 self.use_slot(now, service, slot, actions);
                 continue;
             }
+            if !self.reaches(&grant.to) {
+                self.take_back(now, service, &grant);
+                continue;
+            }
             let message = Message::Grant {
                 loan: grant.loan,
                 service: service.clone(),
@@ -74,6 +83,20 @@
         }
     }
 
+    /// Takes back a slot that cannot be handed over.
+    fn take_back(&mut self, now: Time, service: &Service, grant: &Grant) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.lender.release(now, grant.loan, Cost(0), false);
+            state.lender.summary(now, &grant.to, 0.0, 0.0, 0);
+        }
+    }
+
+    /// Returns whether messages can be sent to a router.
+    fn reaches(&self, to: &Instance) -> bool {
+        let member = self.members.get(to);
+        member.is_some_and(|member| member.phase != Phase::Starting)
+    }
+
     fn own_slot(&self, loan: u64, runner: Runner, address: SocketAddr) -> Slot {
         let me = self.me();
         Slot {
@@ -107,7 +130,8 @@
             };
             let fit = self.fit(now, ticket, &slot);
             if let Fit::Runs = fit {
-                return self.start(now, ticket, slot, actions);
+                self.start(now, ticket, slot, actions);
+                return self.tell_need(now, service, actions);
             }
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.cancel(ticket);
@@ -238,31 +262,55 @@
         }
     }
 
-    /// Tells owners that requests wait here.
+    /// Tells owners that requests wait here, or that none waits any more.
     pub(crate) fn tell_need(&mut self, now: Time, service: &Service, actions: &mut Vec<Action>) {
-        let interval = self.settings.need_interval;
-        let Some(state) = self.services.get_mut(service) else {
+        let Some(state) = self.services.get(service) else {
             return;
         };
         let backlog = state.queue.backlog();
+        if backlog == 0 {
+            return self.withdraw_need(service, actions);
+        }
         let same = backlog == state.told_backlog
-            || (backlog > 0 && state.told_backlog > NEED_BROADCAST as u32);
-        let recent = now.since(state.told) < interval;
+            || (backlog > NEED_TARGETS && state.told_backlog > NEED_TARGETS);
+        let recent = now.since(state.told) < self.settings.need_interval;
         let stale = now.since(state.told) >= self.settings.beat;
-        if backlog == 0 || recent || (same && !stale) {
+        if recent || (same && !stale) {
             return;
         }
-        state.told = now;
-        state.told_backlog = backlog;
         let need = state.summary(service);
-        for owner in self.need_targets(service) {
+        let contended = state.is_contended();
+        let owners = self.need_targets(service, backlog, contended);
+        for owner in &owners {
+            self.send(owner, Message::Need(need.clone()), actions);
+        }
+        if let Some(state) = self.services.get_mut(service) {
+            state.told = now;
+            state.told_backlog = backlog;
+            if state.told_to.len() > MAX_TOLD {
+                state.told_to.clear();
+            }
+            state.told_to.extend(owners);
+        }
+    }
+
+    /// Keeps owners from granting slots that are not needed any more.
+    fn withdraw_need(&mut self, service: &Service, actions: &mut Vec<Action>) {
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        state.told_backlog = 0;
+        let owners = std::mem::take(&mut state.told_to);
+        let need = state.summary(service);
+        for owner in owners {
             self.send(&owner, Message::Need(need.clone()), actions);
         }
     }
 
-    /// Returns the owners to tell of a need: those with most free slots first,
-    /// some at random if none is known to have one.
-    fn need_targets(&mut self, service: &Service) -> Vec<Instance> {
+    /// Returns the owners to tell of a need. While slots are free, a few of
+    /// those that have most; else as many, at random, as could use the next
+    /// free slots.
+    fn need_targets(&mut self, service: &Service, backlog: u32, contended: bool) -> Vec<Instance> {
         let Some(owners) = self.owners.get(service) else {
             return Vec::new();
         };
@@ -274,10 +322,11 @@
             .filter(|(free, _)| *free > 0)
             .collect();
         free.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-        if free.is_empty() {
-            return others.cloned().sample(&mut self.random, NEED_BROADCAST);
+        if free.is_empty() || contended {
+            let count = backlog.clamp(NEED_TARGETS_FREE as u32, NEED_TARGETS);
+            return others.cloned().sample(&mut self.random, count as usize);
         }
-        let free = free.into_iter().take(NEED_TARGETS);
+        let free = free.into_iter().take(NEED_TARGETS_FREE);
         free.map(|(_, owner)| owner.clone()).collect()
     }
 
--- a/crates/fair/src/lender.rs
+++ b/crates/fair/src/lender.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::order::Tag;
+use crate::queue::CREDIT_REQUESTS;
 use crate::runner::{Pool, Standing};
 
 /// How far ahead, in mean requests for each unit of weight, the owner itself may
@@ -174,14 +175,12 @@
     /// the releases of some loans are lost; [`Lender::expire`] returns those.
     pub fn report_load(&mut self, now: Time, runner: &Runner, running: u32, age: Span) {
         self.advance(now);
-        let (loans, lease) = (&self.loans, self.settings.lease);
-        let standing = |loan: u64, at: Time| match loans.get(&loan) {
-            Some(loan) if loan.granted + lease >= at => Standing::Fresh,
-            Some(Loan {
-                orphaned: Some(orphaned),
-                ..
-            }) if orphaned.at < at => Standing::Orphan,
-            _ => Standing::Started,
+        let loans = &self.loans;
+        let standing = |loan: u64| {
+            loans.get(&loan).map(|loan| Standing {
+                granted: loan.granted,
+                orphaned: loan.orphaned.map(|orphaned| orphaned.at),
+            })
         };
         let lost = self.pool.report(runner, running, age, standing);
         self.lost.extend(lost);
@@ -206,8 +205,9 @@
         } else {
             self.now - self.settings.flight
         };
+        let credit = (self.settings.credit.0 as f64).min(CREDIT_REQUESTS * self.mean_cost);
         let floor = Floor {
-            virtual_time: self.clock - self.settings.credit.0 as f64,
+            virtual_time: self.clock - credit,
             until: self.now + self.settings.settle,
         };
         let peer = &mut self.peers[index];
--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -21,10 +21,18 @@
 /// go first.
 const PREFERENCE_DEPTH: usize = 8;
 
+/// Most mean requests that a workspace coming back from idleness may be ahead
+/// by, whatever the credit in cost.
+pub const CREDIT_REQUESTS: f64 = 12.0;
+
+/// Smallest weight; below it tags would grow beyond what a float holds.
+pub const MIN_WEIGHT: f64 = 1e-3;
+
 /// Settings of a queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
-    /// Cost that a workspace coming back from idleness may be ahead by.
+    /// Cost that a workspace coming back from idleness may be ahead by, and no
+    /// more than [`CREDIT_REQUESTS`] mean requests.
     pub credit: Cost,
     /// Estimate of a request's cost before any is known.
     pub estimate: Cost,
@@ -127,11 +135,12 @@
     }
 
     /// Sets the weight of a workspace, which is 1 until then. A weight that is
-    /// not a positive number counts as 1.
+    /// not a positive number counts as 1, one below [`MIN_WEIGHT`] as that.
     pub fn set_weight(&mut self, workspace: &Workspace, weight: f64) {
         let valid = weight.is_finite() && weight > 0.0;
         let flow = self.flow(workspace);
-        self.change(flow, |flow| flow.weight = if valid { weight } else { 1.0 });
+        let weight = if valid { weight.max(MIN_WEIGHT) } else { 1.0 };
+        self.change(flow, |flow| flow.weight = weight);
     }
 
     /// Holds a workspace back, or lets it go on: it has as many requests
@@ -347,7 +356,8 @@
 
     /// Limits what a workspace saved up while it was idle to the credit.
     fn raise_to_clock(&mut self, index: usize) {
-        let floor = self.clock - self.settings.credit.0 as f64 / self.flows[index].weight;
+        let credit = (self.settings.credit.0 as f64).min(CREDIT_REQUESTS * self.mean.value());
+        let floor = self.clock - credit / self.flows[index].weight;
         self.change(index, |flow| flow.finish = flow.finish.max(floor));
     }
 
--- a/crates/fair/src/runner.rs
+++ b/crates/fair/src/runner.rs
@@ -21,19 +21,25 @@
 /// How much later than the runner itself the owner may learn of an end.
 const RELEASE_DELAY: Span = Span(500);
 
-/// How long reports must show fewer requests than loans before loans are taken
-/// for lost.
-const LEAK_PATIENCE: Span = Span(1_000);
+/// How long all reports must show fewer requests than loans before loans are
+/// taken for lost.
+const LEAK_PATIENCE: Span = Span(3_000);
 
-/// What is known of a loan at the time of a load report.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Standing {
-    /// Its request need not have started.
-    Fresh,
-    /// Its request must have started.
-    Started,
-    /// Its request must have started, and its borrower is gone.
-    Orphan,
+/// What is known of a loan.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing {
+    /// When it was granted.
+    pub granted: Time,
+    /// When its borrower was found to be gone, if it was.
+    pub orphaned: Option<Time>,
+}
+
+/// Reports in a row that show fewer requests than loans.
+#[derive(Clone, Copy, Debug)]
+struct Deficit {
+    since: Time,
+    /// The smallest difference.
+    least: usize,
 }
 
 #[derive(Debug, Default)]
@@ -47,7 +53,7 @@
     foreign_until: Time,
     failures: u32,
     paused_until: Time,
-    surplus_since: Option<Time>,
+    deficit: Option<Deficit>,
     indexed: u32,
 }
 
@@ -171,13 +177,13 @@
 
     /// Takes a load report in and returns loans that it shows to be lost.
     ///
-    /// `standing` tells what is known of a loan at the given time.
+    /// `standing` tells what is known of a loan.
     pub(crate) fn report(
         &mut self,
         runner: &Runner,
         running: u32,
         age: Span,
-        standing: impl Fn(u64, Time) -> Standing,
+        standing: impl Fn(u64) -> Option<Standing>,
     ) -> Vec<u64> {
         let Some(index) = self.entries.get_index_of(runner) else {
             return Vec::new();
@@ -240,29 +246,36 @@
         &mut self,
         running: u32,
         taken: Time,
-        standing: impl Fn(u64, Time) -> Standing,
+        standing: impl Fn(u64) -> Option<Standing>,
     ) -> Vec<u64> {
-        let mut started: SmallVec<[u64; 16]> = SmallVec::new();
-        let mut orphans: SmallVec<[u64; 16]> = SmallVec::new();
-        for &loan in &self.loans {
-            match standing(loan, taken) {
-                Standing::Fresh => {}
-                Standing::Started => started.push(loan),
-                Standing::Orphan => orphans.push(loan),
-            }
-        }
-        let surplus = (started.len() + orphans.len()).saturating_sub(running as usize);
-        if surplus == 0 {
-            self.surplus_since = None;
+        // Loans granted later than the report cannot show in it.
+        let loans: SmallVec<[(u64, Standing); 16]> = self
+            .loans
+            .iter()
+            .filter_map(|&loan| Some((loan, standing(loan)?)))
+            .filter(|(_, standing)| standing.granted <= taken)
+            .collect();
+        let missing = loans.len().saturating_sub(running as usize);
+        if missing == 0 {
+            self.deficit = None;
             return Vec::new();
         }
-        let gone = surplus.min(orphans.len());
-        orphans.truncate(gone);
-        let since = *self.surplus_since.get_or_insert(taken);
-        if surplus > gone && taken >= since + LEAK_PATIENCE {
-            self.surplus_since = None;
-            orphans.extend(started.into_iter().take(surplus - gone));
+        let start = Deficit {
+            since: taken,
+            least: missing,
+        };
+        let deficit = self.deficit.get_or_insert(start);
+        deficit.least = deficit.least.min(missing);
+        let Deficit { since, least } = *deficit;
+        let gone = loans
+            .iter()
+            .filter(|(_, one)| one.orphaned.is_some_and(|at| at < taken));
+        let mut lost: Vec<u64> = gone.map(|(loan, _)| *loan).take(missing).collect();
+        if taken >= since + LEAK_PATIENCE {
+            self.deficit = None;
+            let throughout = loans.iter().filter(|(_, one)| one.granted <= since);
+            lost.extend(throughout.map(|(loan, _)| *loan).take(least));
         }
-        orphans.into_vec()
+        lost
     }
 }
--- a/crates/fair/tests/queue.rs
+++ b/crates/fair/tests/queue.rs
@@ -51,6 +51,18 @@
     assert!((9..=11).contains(&small), "{small}");
 }
 
+#[test]
+fn tiny_weight_keeps_tags_finite() {
+    let mut queue = queue();
+    queue.set_weight(&workspace("a"), 9e-307);
+    for item in 0..3 {
+        queue.push(&workspace("a"), item, Some(Cost(u64::MAX)));
+    }
+    let item = queue.pop().unwrap();
+    queue.complete(item, Cost(u64::MAX));
+    assert!(queue.virtual_time().is_finite());
+}
+
 #[test]
 fn charge_ends_at_true_cost_whatever_was_hinted() {
     for hint in [None, Some(Cost(0)), Some(Cost(1)), Some(Cost(u64::MAX))] {
