Add the experiments once and poison

Cause: at most once and poison were proved by models and small tests only. Change: bookings under kills, pauses, cuts and a store that fails; requests that crash their targets beside healthy load. The bench's caller marks a key that it sent before and takes a fresh key after a truthful refusal.

--- a/crates/bench/src/caller/call.rs
+++ b/crates/bench/src/caller/call.rs
@@ -36,6 +36,9 @@
     /// It runs at most once under this durable key. While claims cannot be
     /// stored, the caller takes a bound key from the address answer instead.
     Once(Key),
+    /// It runs at most once under this durable key, whatever the state of the
+    /// store: others send the same key.
+    Durable(Key),
 }
 
 /// One request of a caller to one router.
--- a/crates/bench/src/caller/mod.rs
+++ b/crates/bench/src/caller/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use balsamchute_base::prelude::*;
-use balsamchute_wire::record::{End, Outcome};
+use balsamchute_wire::record::{Code, End, Outcome};
 use serde::Deserialize;
 use ureq::Agent;
 
@@ -105,6 +105,20 @@
         attempt.history
     }
 
+    /// Sends `call` to one router once, whatever comes back.
+    #[must_use]
+    pub fn send_once(&self, router: SocketAddr, call: Call) -> History {
+        let wanted = clock::now();
+        let request = format!("{}.0", call.id);
+        let submission = self.submit(&call, request, None, false, router, call.deadline);
+        History {
+            call,
+            wanted,
+            over: clock::now(),
+            submissions: vec![submission],
+        }
+    }
+
     /// Asks a router what became of a key.
     #[must_use]
     pub fn outcome(&self, router: SocketAddr, workspace: &Workspace, key: &Key) -> Option<End> {
@@ -167,12 +181,13 @@
         call: &Call,
         request: String,
         key: Option<Key>,
+        resend: bool,
         router: SocketAddr,
         left: Span,
     ) -> Submission {
         let sent = clock::now();
         let mut reader = Reader::new();
-        let reply = match self.post(call, &request, key.as_ref(), router, left) {
+        let reply = match self.post(call, &request, key.as_ref(), resend, router, left) {
             Ok(response) => read(&mut reader, response, sent + left + PATIENCE),
             Err(error) => Reply::Unreachable(error.to_string()),
         };
@@ -193,6 +208,7 @@
         call: &Call,
         request: &str,
         key: Option<&Key>,
+        resend: bool,
         router: SocketAddr,
         left: Span,
     ) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
@@ -206,6 +222,9 @@
             .header("x-deadline-ms", left.as_millis().to_string());
         if let Some(key) = key {
             post = post.header("x-key", key.as_str());
+            if resend {
+                post = post.header("x-resend", "1");
+            }
         }
         if let Some(hint) = call.hint {
             post = post.header("x-cost-hint", hint.0.to_string());
@@ -268,9 +287,14 @@
         };
         let call = &self.history.call;
         let request = format!("{}.{}", call.id, self.history.submissions.len());
-        let submission = self
-            .caller
-            .submit(call, request, self.key.clone(), router, left);
+        let submission = self.caller.submit(
+            call,
+            request,
+            self.key.clone(),
+            self.may_have_run(),
+            router,
+            left,
+        );
         let next = self.next(&submission.reply);
         self.history.submissions.push(submission);
         match next {
@@ -286,11 +310,32 @@
         }
     }
 
+    /// Returns whether an earlier submission may have run. One that was refused
+    /// with `not_run` did not, and its key need not be kept.
+    fn may_have_run(&self) -> bool {
+        let mut submissions = self.history.submissions.iter();
+        matches!(self.history.call.repeat, Repeat::Durable(_))
+            || submissions.any(|one| outcome(&one.reply) != Some(Outcome::NotRun))
+    }
+
+    /// Returns whether the last submission was refused since claims cannot be
+    /// stored.
+    fn lacks_claims(&self) -> bool {
+        let last = self.history.last();
+        matches!(last, Some(Reply::End { end, .. }) if end.code == Some(Code::NoClaims))
+    }
+
     fn route(&mut self) -> Option<SocketAddr> {
+        if !self.may_have_run() {
+            self.key = None;
+        }
         let workspace = &self.history.call.workspace;
+        if let Repeat::Durable(key) = &self.history.call.repeat {
+            self.key = Some(key.clone());
+        }
         if let (Repeat::Once(key), None) = (&self.history.call.repeat, &self.key) {
             let address = self.caller.address(workspace, &self.failed)?;
-            if address.durable {
+            if address.durable && !self.lacks_claims() {
                 self.key = Some(key.clone());
             } else {
                 let (router, key) = self.caller.bound_key(workspace, &self.failed)?;
@@ -315,6 +360,8 @@
                 // The same key never runs again; its outcome may be known later.
                 (Outcome::Unknown, Some(after)) if self.may_ask_again() => Next::Later(Span(after)),
                 (Outcome::Unknown, _) if self.key.is_none() => Next::Elsewhere,
+                // The same key is safe to send, and its end may be known by then.
+                (Outcome::Unknown, Some(after)) => Next::Later(Span(after)),
                 _ => Next::Over,
             },
         }
@@ -335,6 +382,14 @@
     }
 }
 
+/// Returns the outcome that a reply tells, `None` if it tells none.
+fn outcome(reply: &Reply) -> Option<Outcome> {
+    match reply {
+        Reply::End { end, .. } => Some(end.outcome),
+        _ => None,
+    }
+}
+
 enum Next {
     Over,
     Elsewhere,
--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -11,6 +11,8 @@
 pub mod drain;
 pub mod fairness;
 pub mod load;
+pub mod once;
+pub mod poison;
 pub mod restart;
 pub mod utilisation;
 
@@ -96,6 +98,16 @@
             "Replace routers under load: requests lost, time to serve again",
             restart::run,
         ),
+        simple(
+            "once",
+            "Book under kills, pauses, cuts and a store that is down, slow and loses answers",
+            once::run,
+        ),
+        simple(
+            "poison",
+            "Send requests that crash their targets: crashes of each, bystanders blamed",
+            poison::run,
+        ),
         capacity::command(),
     ]
 }
--- a/crates/bench/tests/audit.rs
+++ b/crates/bench/tests/audit.rs
@@ -30,7 +30,7 @@
 fn submission(call: &Call, number: usize, reply: Reply) -> Submission {
     let key = match &call.repeat {
         Repeat::Idempotent => None,
-        Repeat::Once(key) => Some(key.clone()),
+        Repeat::Once(key) | Repeat::Durable(key) => Some(key.clone()),
     };
     Submission {
         request: format!("{}.{number}", call.id),
