Claim a key whose home is gone

Cause: the experiment once lost calls. A keyed request that was passed on in vain kept the stage of a forwarded one, so its claim's verdict was dropped and its deadline not watched; its caller got no end. Ruled out: a cycle of routers passing the request to each other; the trail that the experiment now prints for calls without an end showed one hop and a claim.

--- a/crates/bench/src/experiments/once.rs
+++ b/crates/bench/src/experiments/once.rs
@@ -14,7 +14,7 @@
 use super::Options;
 use super::steady;
 use crate::audit::{Execution, Verdict};
-use crate::caller::call::{History, Repeat};
+use crate::caller::call::{History, Repeat, Reply};
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::error::Error;
@@ -42,6 +42,9 @@
 /// Longest time between the two senders of one key.
 const TWIN_DELAY_MS: u64 = 1500;
 
+/// Calls without an end that are explained.
+const EXPLAINED: usize = 4;
+
 /// Least share of the bookings that are served while the store is down.
 const SERVED_BOUND: f64 = 0.99;
 
@@ -82,6 +85,7 @@
     let histories = traffic.join();
     let seconds = clock::now().since(started).as_millis() as f64 / 1000.0;
     let calls = fleet.platform().calls();
+    explain_lost(&fleet, &histories);
     let executions = fleet.executions();
     let verdict = fleet.judge(&histories);
     let (outage_bookings, served) = figures::served(&histories, &outage);
@@ -115,6 +119,25 @@
     Ok(report.pass)
 }
 
+/// Prints what the routers did with the first calls that got no end.
+fn explain_lost(fleet: &Fleet, histories: &[History]) {
+    let lost = histories
+        .iter()
+        .filter(|history| !matches!(history.last(), Some(Reply::End { .. } | Reply::Broken(_))));
+    for submission in lost
+        .filter_map(|history| history.submissions.last())
+        .take(EXPLAINED)
+    {
+        eprintln!(
+            "{} at {}, sent at {}:",
+            submission.request, submission.router, submission.sent.0
+        );
+        for line in fleet.explain(&submission.request) {
+            eprintln!("  {line}");
+        }
+    }
+}
+
 /// Returns the calls: bookings, some of them sent by two senders, and others.
 fn plan(deployment: &Deployment, seed: u64) -> Vec<Planned> {
     let flow = |workspace: &Workspace| Flow {
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -244,6 +244,30 @@
         serde_json::from_slice(&response.body_mut().read_to_vec().ok()?).ok()
     }
 
+    /// Returns the decisions that the routers took about a request, a line each.
+    #[must_use]
+    pub fn explain(&self, request: &str) -> Vec<String> {
+        let mut lines = Vec::new();
+        for router in &self.routers {
+            let settings = router.settings();
+            let url = format!("http://{}/v1/explain?request={request}", settings.callers);
+            let config = ureq::get(url).config();
+            let call = config.timeout_global(Some(STATUS_LIMIT.into())).build();
+            let body = call
+                .call()
+                .and_then(|mut answer| answer.body_mut().read_to_string());
+            let answer: serde_json::Value = body
+                .ok()
+                .and_then(|body| serde_json::from_str(&body).ok())
+                .unwrap_or_default();
+            for part in ["decisions", "waiting"] {
+                let entries = answer[part].as_array().into_iter().flatten();
+                lines.extend(entries.map(|entry| format!("{}: {entry}", settings.instance)));
+            }
+        }
+        lines
+    }
+
     /// Kills a router.
     ///
     /// # Errors
--- a/crates/dispatch/src/keyed.rs
+++ b/crates/dispatch/src/keyed.rs
@@ -50,6 +50,7 @@
         let nonce = self.random.random();
         let entry = &mut self.requests[&ticket];
         entry.nonce = nonce;
+        // It may have been passed on before, in vain.
         entry.stage = Stage::Claiming;
         let workspace = entry.head.workspace.clone();
         let Some(key) = entry.head.key.clone() else {
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -169,6 +169,25 @@
     assert!(running(&net, 1));
 }
 
+#[test]
+fn keyed_request_whose_home_is_gone_is_claimed_and_run_here() {
+    let mut net = Net::new(2);
+    let names = net.names();
+    let mut head = head("w1", "book", Some("k1"));
+    head.hops = 0;
+    for (ticket, name) in (1..).zip(&names) {
+        net.arrive(name, ticket, head.clone());
+        if matches!(net.last(ticket), Some((_, Command::Forward { .. }))) {
+            net.event(name, Event::ForwardFailed(ticket));
+            net.verdict(Verdict::Granted);
+            assert!(running(&net, ticket));
+            return;
+        }
+        net.asked.clear();
+    }
+    panic!("one of the two routers is not the home");
+}
+
 /// Returns the runner of the last attempt.
 fn runner(net: &Net, ticket: u64) -> Option<Runner> {
     match net.last(ticket) {
