--- a/crates/claim/src/writer.rs
+++ b/crates/claim/src/writer.rs
@@ -9,6 +9,8 @@
 //! A writer has one call to the store under way at a time. Whoever writes, the
 //! log stays correct; that one router usually does only saves conflicts.
 
+mod event;
+
 use std::collections::BTreeMap;
 
 use balsamchute_base::prelude::*;
@@ -16,6 +18,8 @@
 use balsamchute_wire::codec;
 use smallvec::SmallVec;
 
+pub use event::{Action, Actions, Event, Read, Write};
+
 use crate::log::{Entry, Log, Reading, Record, Snapshot};
 
 /// Slots of a shard's log. It is part of the stored format.
@@ -68,111 +72,6 @@
     }
 }
 
-/// Result of reading an object.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Read {
-    /// The object as it is.
-    Found {
-        /// Its version.
-        version: u64,
-        /// Its bytes.
-        bytes: Vec<u8>,
-    },
-    /// There is no such object.
-    Missing,
-    /// The store did not answer.
-    Failed,
-}
-
-/// Result of a conditional update.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Write {
-    /// It took effect.
-    Written {
-        /// The new version.
-        version: u64,
-    },
-    /// The object has another version.
-    Conflict,
-    /// It took no effect.
-    Failed,
-    /// It may have taken effect, or may still do so.
-    AnswerLost,
-}
-
-/// What happens to a writer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Event {
-    /// Somebody asks; `id` is unique among asks that wait.
-    Ask {
-        /// Comes back in the reply.
-        id: u64,
-        /// The question.
-        ask: Ask,
-    },
-    /// A slot was read.
-    Read {
-        /// The slot.
-        slot: u64,
-        /// The result.
-        result: Read,
-    },
-    /// A slot was written.
-    Written {
-        /// The slot.
-        slot: u64,
-        /// The result.
-        result: Write,
-    },
-    /// The snapshot was read.
-    SnapshotRead(Read),
-    /// The snapshot was written.
-    SnapshotWritten(Write),
-    /// A time that was asked for has come.
-    Tick,
-}
-
-/// What a writer wants done. Every call to the store has to be answered by
-/// its event, once.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Answer an ask.
-    Reply {
-        /// The ask.
-        id: u64,
-        /// The verdict.
-        verdict: Verdict,
-    },
-    /// Read `claims/SHARD/SLOT`.
-    Read {
-        /// The slot.
-        slot: u64,
-    },
-    /// Update `claims/SHARD/SLOT` if it has the version.
-    Write {
-        /// The slot.
-        slot: u64,
-        /// The version, 0 if it must not exist.
-        version: u64,
-        /// Its new bytes.
-        bytes: Vec<u8>,
-    },
-    /// Read `claims/SHARD/snapshot`.
-    ReadSnapshot,
-    /// Update `claims/SHARD/snapshot` if it has the version.
-    WriteSnapshot {
-        /// The version, 0 if it must not exist.
-        version: u64,
-        /// Its new bytes.
-        bytes: Vec<u8>,
-    },
-    /// Send [`Event::Tick`] at this time.
-    Wake(Time),
-}
-
-/// Actions of one event.
-pub type Actions = SmallVec<[Action; 4]>;
-
 /// The call to the store that is under way.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Call {
@@ -416,9 +315,12 @@
             self.answer(now, actions);
         }
         self.give_up(now, actions);
-        if self.call != Call::None || self.pending.is_empty() {
+        if self.call != Call::None {
             return;
         }
+        if self.pending.is_empty() {
+            return self.prepare(actions);
+        }
         if let Some(trouble) = self.trouble
             && now < trouble.until
         {
@@ -436,6 +338,21 @@
         }
     }
 
+    /// Does what the next entry will need while nobody waits: saves a snapshot
+    /// that is due, or learns the version of the next slot.
+    fn prepare(&mut self, actions: &mut Actions) {
+        let at_end = self.calls > 0 && self.current == self.calls;
+        let (Some(saved), true, None) = (self.saved, at_end, self.trouble) else {
+            return;
+        };
+        let slot = (self.log.seq() + 1) % self.settings.slots;
+        if self.log.seq() >= saved.seq + self.settings.snapshot_entries {
+            self.save(saved, actions);
+        } else if !self.versions.contains_key(&slot) {
+            self.start(Call::Read { slot }, Action::Read { slot }, actions);
+        }
+    }
+
     /// Replies to the asks that the log answers already.
     fn answer(&mut self, now: Time, actions: &mut Actions) {
         let (log, current) = (&self.log, self.current);
