--- a/crates/dispatch/src/keyed.rs
+++ b/crates/dispatch/src/keyed.rs
@@ -288,7 +288,7 @@
         let Some(ending) = self.ledger.end(now, &workspace, &key, settled.clone()) else {
             return settled;
         };
-        self.answer_joined(&ending.joined, &ending.settled, actions);
+        self.answer_joined(now, &ending.joined, &ending.settled, actions);
         ending.settled
     }
 
@@ -319,11 +319,24 @@
             end: end.with_retry_after(UNAVAILABLE_RETRY),
             answer: None,
         };
-        self.answer_joined(&joined, &settled, actions);
+        self.answer_joined(now, &joined, &settled, actions);
     }
 
-    fn answer_joined(&mut self, joined: &[Ticket], settled: &Settled, actions: &mut Vec<Action>) {
+    /// Gives the end of a request to those that joined it. If it did not run, for
+    /// example since its caller went away, the first of them takes its place.
+    fn answer_joined(
+        &mut self,
+        now: Time,
+        joined: &[Ticket],
+        settled: &Settled,
+        actions: &mut Vec<Action>,
+    ) {
+        let again = settled.end.outcome == Outcome::NotRun && !self.closing;
         for &ticket in joined {
+            if again && self.requests.contains_key(&ticket) {
+                self.claim(now, ticket, actions);
+                continue;
+            }
             let resend = self.requests.get(&ticket).is_some_and(|e| e.head.resend);
             if self.remove(ticket) {
                 let mut settled = settled.clone();
--- a/crates/dispatch/tests/drain.rs
+++ b/crates/dispatch/tests/drain.rs
@@ -142,6 +142,31 @@
     }
 }
 
+#[test]
+fn a_resend_takes_the_place_of_a_request_whose_caller_went_away() {
+    let mut net = Net::new(1);
+    let r0 = net.names()[0].clone();
+    let key = net.key(&r0);
+    for ticket in 1..=4 {
+        net.arrive(&r0, ticket, head("w1", "draft", None));
+    }
+    for ticket in 5..=7 {
+        net.arrive(&r0, ticket, head("w1", "draft", Some(key.as_str())));
+    }
+    net.event(&r0, Event::Gone(5));
+    assert!(
+        net.last(6).is_none() && net.last(7).is_none(),
+        "they wait on"
+    );
+    net.finish(1, Ending::Done, 5);
+    assert_eq!(runs(&net, 6), Some(&r0));
+    net.finish(6, Ending::Done, 5);
+    assert!(
+        matches!(net.last(7), Some((_, Command::Replay(_)))),
+        "it joined"
+    );
+}
+
 #[test]
 fn a_router_that_is_cut_off_starts_no_work_after_three_seconds() {
     let mut net = Net::new(2);
