--- a/crates/bench/src/experiments/drain.rs
+++ b/crates/bench/src/experiments/drain.rs
@@ -30,19 +30,16 @@
 
 /// Load on the fleet, which it can still carry when the targets have left.
 const LOAD: Load = Load {
-    engine_share: 0.6,
+    engine_share: 0.4,
     plain_share: 0.2,
     seconds: LOAD_S,
 };
 
-/// Two targets that leave together.
-type Pair = [usize; 2];
-
-/// Numbers of the targets that leave in each scenario: engines, and all but one
-/// of the plain services.
-const HEALTHY: Pair = [0, 12];
-const CUT_OFF: Pair = [1, 13];
-const PAUSED: Pair = [2, 3];
+/// Numbers of the targets that leave in each scenario: half of the engines and
+/// all but one of the plain services.
+const HEALTHY: &[usize] = &[0];
+const CUT_OFF: &[usize] = &[1, 2, 3, 12];
+const PAUSED: &[usize] = &[4, 5, 13];
 
 /// What the run has shown.
 #[derive(Debug, Serialize)]
@@ -63,7 +60,7 @@
 /// When targets were said to leave, by the list.
 #[derive(Clone, Copy)]
 struct Leave {
-    targets: Pair,
+    targets: &'static [usize],
     listed: Time,
 }
 
@@ -139,8 +136,8 @@
     owner.unwrap_or_default()
 }
 
-fn say_leaving(fleet: &Fleet, targets: Pair) -> Leave {
-    for number in targets {
+fn say_leaving(fleet: &Fleet, targets: &'static [usize]) -> Leave {
+    for &number in targets {
         let runner = &fleet.targets()[number].place().runner;
         fleet.platform().set_leaving(runner);
     }
@@ -166,12 +163,13 @@
 
 /// Returns how long after the list said so a leaving target was given work.
 fn last_new_work(fleet: &Fleet, executions: &[Execution], leave: Leave) -> Span {
-    let runners = leave
-        .targets
-        .map(|number| &fleet.targets()[number].place().runner);
+    let leaves = |one: &&Execution| {
+        let mut targets = leave.targets.iter().map(|&number| &fleet.targets()[number]);
+        targets.any(|target| target.place().runner == one.runner.as_str())
+    };
     executions
         .iter()
-        .filter(|one| runners.iter().any(|runner| *runner == one.runner.as_str()))
+        .filter(leaves)
         .map(|one| one.start.since(leave.listed))
         .max()
         .unwrap_or_default()
