--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -16,6 +16,19 @@
 /// When a caller that was refused for lack of room may come back.
 const BUSY_RETRY: Span = Span::from_secs(1);
 
+/// Longest time that is kept back from a deadline for the answer's way.
+const ANSWER_MARGIN: Span = Span(200);
+
+/// Share of a short deadline that is kept back, as a divisor.
+const ANSWER_SHARE: u64 = 10;
+
+/// Returns the time within which a request must have ended here, so that its
+/// caller hears of it before giving up.
+fn answer_by(deadline: Span) -> Span {
+    let share = Span(deadline.as_millis() / ANSWER_SHARE);
+    deadline.saturating_sub(share.min(ANSWER_MARGIN))
+}
+
 /// Where a request is to be queued.
 enum Place {
     /// On this router.
@@ -35,13 +48,14 @@
             avoid: None,
             digest: arrival.digest,
             arrived: now,
-            deadline: now + arrival.head.deadline,
+            deadline: now + answer_by(arrival.head.deadline),
             stage: Stage::Claiming,
             count: Count::None,
             attempts: 0,
             attempt: None,
             nonce: 0,
             leads: false,
+            late: false,
             claimed: false,
             gone: false,
             head: arrival.head,
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -191,12 +191,17 @@
         };
         let (late, rest): (Vec<Ticket>, Vec<Ticket>) =
             due.into_iter().map(|(_, ticket)| ticket).partition(waits);
-        // A request that runs may fail and wait again.
-        let again = rest
-            .into_iter()
-            .filter(|ticket| self.requests.contains_key(ticket));
-        self.deadlines
-            .extend(again.map(|ticket| (now + RECHECK, ticket)));
+        for ticket in rest {
+            let Some(entry) = self.requests.get_mut(&ticket) else {
+                continue;
+            };
+            if matches!(entry.stage, Stage::Running(_)) && !entry.once() {
+                entry.late = true;
+                actions.push(Action::Cancel(ticket));
+            }
+            // A request that runs may fail and wait again.
+            self.deadlines.insert((now + RECHECK, ticket));
+        }
         for ticket in late {
             let outcome = match self.requests[&ticket].stage {
                 Stage::Joined => Outcome::Unknown,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -199,6 +199,8 @@
     Send(SocketAddr, Instance, Batch),
     /// Fetch the configuration from a router that has a newer one.
     Fetch(SocketAddr),
+    /// Cancel the attempt of a request at its target.
+    Cancel(Ticket),
     /// Read the platform's list of instances.
     ReadList,
     /// Ask these runners for their load from now on.
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -2,7 +2,7 @@
 
 use balsamchute_base::prelude::*;
 use balsamchute_claim::retry::Failure;
-use balsamchute_wire::record::{End, Outcome};
+use balsamchute_wire::record::{Code, End, Outcome};
 
 use crate::core::Core;
 use crate::event::{Action, Command, Ending, Finish, Ticket};
@@ -110,6 +110,10 @@
                 },
                 None => End::new(Outcome::Failed, reason).with_retry_after(LOST_RETRY),
             },
+            Ending::Cancelled if entry.late => {
+                End::new(Outcome::Failed, "deadline passed while the request ran")
+                    .with_code(Code::Deadline)
+            }
             Ending::Cancelled if entry.once() => End::new(Outcome::Unknown, "the caller went away"),
             Ending::Cancelled => End::new(Outcome::Failed, "the caller went away"),
         };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -73,6 +73,8 @@
     pub nonce: u64,
     /// Whether it is the one that runs for its key.
     pub leads: bool,
+    /// Whether its attempt was cancelled because its deadline passed.
+    pub late: bool,
     /// Whether a claim for it stands in the log.
     pub claimed: bool,
     /// Whether the caller went away while its claim was being made.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -39,6 +39,8 @@
     pub lists: usize,
     /// Slots that were lent to another router.
     pub grants: usize,
+    /// Requests whose attempts were to be cancelled.
+    pub cancelled: Vec<Ticket>,
     pub stopped: Vec<Instance>,
     addresses: BTreeMap<SocketAddr, Instance>,
 }
@@ -54,6 +56,7 @@
             cut: Vec::new(),
             lists: 0,
             grants: 0,
+            cancelled: Vec::new(),
             stopped: Vec::new(),
             addresses: BTreeMap::new(),
         };
@@ -139,6 +142,7 @@
                     .or_default()
                     .push((at.clone(), command));
             }
+            Action::Cancel(ticket) => self.cancelled.push(ticket),
             Action::ReadList => self.lists += 1,
             Action::Ask(ticket, ask) => self.asked.push((at.clone(), ticket, ask)),
             Action::Stopped => self.stopped.push(at.clone()),
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -6,7 +6,7 @@
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Command, Ending, Event};
 use balsamchute_wire::claim::Verdict;
-use balsamchute_wire::record::Outcome;
+use balsamchute_wire::record::{Code, Outcome};
 
 use common::{Net, head};
 
@@ -331,3 +331,31 @@
     net.pass(3000);
     assert!(running(&net, ticket), "{:?}", net.last(ticket));
 }
+
+#[test]
+fn request_that_runs_past_its_deadline_is_cancelled_and_says_so() {
+    let mut net = Net::new(1);
+    let r0 = net.names()[0].clone();
+    net.arrive(&r0, 1, head("w1", "draft", None));
+    net.arrive(&r0, 2, head("w1", "book", Some("k1")));
+    net.verdict(Verdict::Granted);
+    assert!(running(&net, 1) && running(&net, 2));
+    net.pass(29_700);
+    assert!(net.cancelled.is_empty(), "the deadline is 30 s");
+    net.pass(200);
+    assert_eq!(
+        net.cancelled.first(),
+        Some(&1),
+        "before the caller gives up"
+    );
+    assert!(
+        !net.cancelled.contains(&2),
+        "a non-idempotent request goes on"
+    );
+    net.finish(1, Ending::Cancelled, 5);
+    let Some((_, Command::End(end))) = net.last(1) else {
+        panic!("no end")
+    };
+    assert_eq!(end.outcome, Outcome::Failed);
+    assert_eq!(end.code, Some(Code::Deadline));
+}
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -22,6 +22,12 @@
 /// Time between two empty lines to a caller whose request waits.
 pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
+/// Longest time before the deadline at which a caller is told of an overdue call.
+const DEADLINE_MARGIN: Span = Span(200);
+
+/// When a caller may ask for the end of an overdue call.
+const OVERDUE_RETRY: Span = Span::from_secs(1);
+
 /// A request that a thread serves.
 pub(crate) struct Serving<'a> {
     /// What the threads share.
@@ -152,6 +158,28 @@
         self.work.event(Event::Finish(finish));
     }
 
+    /// Returns the time left for an answer that arrives by the deadline.
+    pub fn left(&self) -> Span {
+        let by = self.arrived + self.head.deadline;
+        let margin = Span(self.head.deadline.as_millis() / 10);
+        let by = by - Span(margin.as_millis().min(DEADLINE_MARGIN.as_millis()));
+        by.since(self.work.now())
+    }
+
+    /// Tells the caller at its deadline that a call still runs.
+    pub fn overdue(&mut self) {
+        let reason = "deadline passed while the call ran; ask for its outcome by its key";
+        let outcome = if self.head.key.is_some() {
+            Outcome::Unknown
+        } else {
+            Outcome::Failed
+        };
+        let end = End::new(outcome, reason)
+            .with_code(Code::Deadline)
+            .with_retry_after(OVERDUE_RETRY);
+        let _ = self.answer.end(&end);
+    }
+
     /// Returns the end record of an attempt if nothing more is known.
     fn end(&self, attempt: &Attempt, finish: &Finish) -> End {
         if finish.ending == Ending::Done {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod attempt;
 mod callers;
+mod cancel;
 mod claims;
 mod clock;
 mod error;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -121,6 +121,7 @@
             }
             Action::Send(address, to, batch) => self.peers.send(address, to, batch),
             Action::Fetch(address) => self.peers.fetch(address),
+            Action::Cancel(ticket) => self.work.cancels.cancel(ticket),
             Action::ReadList => self.polls.read_list(),
             Action::Watch(runners) => self.polls.watch(runners),
             Action::Waited(..) => {}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -10,7 +10,10 @@
 use balsamchute_target::stream::{Piece, Stream};
 use balsamchute_target::{Error, engine, plain};
 
+use crossbeam_channel::bounded;
+
 use crate::attempt::Serving;
+use crate::work::STACK_BYTES;
 
 /// Tokens between two reports of the cost so far.
 const PROGRESS_TOKENS: u64 = 16;
@@ -115,6 +118,10 @@
 /// Passes the tokens of a stream on and counts them.
 fn copy(serving: &mut Serving<'_>, run: &Run, mut stream: Stream) -> Outcome {
     let canceller = stream.canceller();
+    serving
+        .work
+        .cancels
+        .enter(serving.ticket, canceller.clone());
     let keep = serving.head.key.is_some();
     let mut kept = Kept::new(keep);
     let mut cost = Cost(0);
@@ -140,6 +147,7 @@
             None => break Ending::Lost("stream ended without its end".to_owned()),
         }
     };
+    serving.work.cancels.leave(serving.ticket);
     Outcome {
         ending,
         cost,
@@ -149,19 +157,9 @@
 
 fn call(serving: &mut Serving<'_>, run: &Run) -> Outcome {
     let started = Instant::now();
-    let head = serving.head.clone();
-    let call = Call {
-        attempt: &run.attempt,
-        workspace: &head.workspace,
-        request: &head.request,
-        key: head.key.as_ref(),
-        fence: Some(run.fence),
-        body: serving.body,
-        limit: head.deadline + MARGIN,
-    };
-    let result = serving.work.targets.plain.call(run.address, &call);
+    let result = wait(serving, run);
     let cost = Cost((started.elapsed().as_millis() as u64).max(1));
-    let mut kept = Kept::new(head.key.is_some());
+    let mut kept = Kept::new(serving.head.key.is_some());
     let ending = match result {
         Ok(bytes) => {
             let text = String::from_utf8_lossy(&bytes);
@@ -179,6 +177,43 @@
     }
 }
 
+/// Makes a call and waits for its end. At the deadline the caller is told that
+/// the call goes on, and its end is still awaited.
+fn wait(serving: &mut Serving<'_>, run: &Run) -> Result<Vec<u8>, Error> {
+    let work = serving.work;
+    let (head, body) = (serving.head.clone(), serving.body);
+    let call = Call {
+        attempt: &run.attempt,
+        workspace: &head.workspace,
+        request: &head.request,
+        key: head.key.as_ref(),
+        fence: Some(run.fence),
+        body,
+        limit: head.deadline + MARGIN,
+    };
+    let make = &|| work.targets.plain.call(run.address, &call);
+    std::thread::scope(|scope| {
+        let (sender, result) = bounded(1);
+        let spawned = std::thread::Builder::new()
+            .stack_size(STACK_BYTES)
+            .spawn_scoped(scope, move || drop(sender.send(make())));
+        if let Err(error) = spawned {
+            let reason = format!("cannot start a thread: {error}");
+            return Err(Error::NotSent { reason });
+        }
+        match result.recv_timeout(serving.left().into()) {
+            Ok(result) => result,
+            Err(_) => {
+                serving.overdue();
+                let gone = |_| Error::MayHaveRun {
+                    reason: "the call's thread ended without a result".to_owned(),
+                };
+                result.recv().map_err(gone).and_then(|result| result)
+            }
+        }
+    })
+}
+
 fn ending(error: &Error) -> Ending {
     let reason = error.to_string();
     match error {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -16,6 +16,7 @@
 use stakker::{Stakker, actor, call, ret_shutdown};
 use tiny_http::Server;
 
+use crate::cancel::{self, Cancels};
 use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::error::Error;
@@ -59,7 +60,9 @@
     let grace = Duration::from_millis(settings.grace_ms);
     let core = core(&settings, &clock);
     let metrics = Metrics::new(settings.limits.labels).map_err(Error::Metrics)?;
-    let work = Work::new(settings, hooks, clock, inputs, metrics);
+    let (cancels, due) = Cancels::new();
+    let work = Work::new(settings, hooks, clock, inputs, metrics, cancels);
+    spawn(&work, move |_| cancel::run(&due))?;
     let peers = Peers::start(&work)?;
     let polls = Polls::start(&work)?;
     let claims = Claims::start(&work)?;
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -10,6 +10,7 @@
 use balsamchute_metrics::Metrics;
 use crossbeam_channel::{Receiver, Sender, bounded};
 
+use crate::cancel::Cancels;
 use crate::clock::Clock;
 use crate::hooks::Hooks;
 use crate::input::{Input, Query};
@@ -42,6 +43,8 @@
     pub fresh: ureq::Agent,
     /// Clients of targets.
     pub targets: Targets,
+    /// Attempts that can be cancelled.
+    pub cancels: Cancels,
     /// What is counted for operators.
     pub metrics: Arc<Metrics>,
     tickets: Arc<AtomicU64>,
@@ -66,6 +69,7 @@
         clock: Clock,
         inputs: Sender<Input>,
         metrics: Metrics,
+        cancels: Cancels,
     ) -> Self {
         Work {
             metrics: Arc::new(metrics),
@@ -76,6 +80,7 @@
             pooled: agent(64),
             fresh: agent(0),
             targets: Targets::new(),
+            cancels,
             tickets: Arc::new(AtomicU64::new(1)),
             busy: Arc::default(),
             closing: Arc::default(),
