Work out each role's needs from the slopes, with a real router before a synthetic fleet

Cause: docs/CAPACITY.md had slopes, but no sum for each role. Change: probes of a router process that knows 349 others and the whole inventory, of HTTP's own bytes, claim log and metrics; capacity prints roles, limits and platform calls, and fails where a node does not stay within them.

--- a/crates/bench/src/capacity/inventory.rs
+++ b/crates/bench/src/capacity/inventory.rs
@@ -15,11 +15,12 @@
 /// Slots of a synthetic runner.
 const SLOTS: u32 = 8;
 
-/// Returns the address of the thing with this number, in a private network.
+/// Returns the address of the thing with this number, on the loopback network,
+/// where nothing listens.
 #[must_use]
 pub fn address(number: u64) -> SocketAddr {
     let [_, b, c, d] = (number as u32).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, b, c, d), 8_000))
+    SocketAddr::from((Ipv4Addr::new(127, b + 1, c, d), 8_000))
 }
 
 /// Returns the name of a workspace.
--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -7,4 +7,6 @@
 pub mod plot;
 pub mod probe;
 pub mod probes;
+pub mod process;
+pub mod roles;
 pub mod size;
--- a/crates/bench/src/capacity/plot.rs
+++ b/crates/bench/src/capacity/plot.rs
@@ -59,7 +59,13 @@
         .x_label_area_size(28)
         .y_label_area_size(64)
         .build_cartesian_2d(0.0..right, 0.0..top)?;
-    chart.configure_mesh().x_desc(slope.against).draw()?;
+    chart
+        .configure_mesh()
+        .disable_mesh()
+        .x_labels(4)
+        .y_labels(4)
+        .x_desc(slope.against)
+        .draw()?;
     let line = [0.0, right].map(|x| (x, slope.line.at(x).max(0.0)));
     chart.draw_series(LineSeries::new(line, &BLUE))?;
     let points = slope
--- a/crates/bench/src/capacity/probes.rs
+++ b/crates/bench/src/capacity/probes.rs
@@ -1,26 +1,40 @@
 //! The probes.
 
 use std::hint::black_box;
+use std::net::Ipv4Addr;
 
 use balsamchute_base::prelude::*;
+use balsamchute_claim::log::{Entry, Log, Record};
 use balsamchute_fair::lender::{self, Lender};
 use balsamchute_fair::queue::{self, Queue};
 use balsamchute_fleet::home::Cache;
 use balsamchute_fleet::members::{Settings, Table};
 use balsamchute_inventory::{diff, document};
+use balsamchute_metrics::{Metrics, Work};
+use balsamchute_wire::claim::Claim;
 use balsamchute_wire::codec;
 use balsamchute_wire::config::Stamp;
 use balsamchute_wire::exchange::{Frame, Member};
+use balsamchute_wire::record::Outcome;
 
 use super::inventory::{self, instance, member, runner, workspace};
 use super::probe::{Probe, memory, micros};
+use super::process;
 use super::size::Size;
+use crate::process::Usage;
+use crate::sockets::Meter;
 
 /// Share of the workspaces that is backlogged: one in so many.
 const BACKLOGGED_ONE_IN: u64 = 10;
 
+/// Claims that one shard of the log is measured at.
+const CLAIMS: u64 = 3_000;
+
+/// Workspaces with a label of their own, as routers are set up.
+const LABELS: u64 = 64;
+
 /// All probes.
-pub const ALL: [Probe; 15] = [
+pub const ALL: [Probe; 23] = [
     Probe {
         name: "frame-bytes",
         what: "exchange frame, encoded",
@@ -126,6 +140,62 @@
         against: "runners, with 5,800 / 12,000 workspaces for each",
         run: config_diff,
     },
+    Probe {
+        name: "router-memory",
+        what: "router process before 349 others, at rest",
+        unit: "B",
+        against: "runners, with 5,800 / 12,000 workspaces for each",
+        run: |runners| router_usage(runners).resident,
+    },
+    Probe {
+        name: "router-threads",
+        what: "threads of that process",
+        unit: "threads",
+        against: "runners, with 5,800 / 12,000 workspaces for each",
+        run: |runners| router_usage(runners).threads,
+    },
+    Probe {
+        name: "http-bytes",
+        what: "bytes that HTTP adds to an exchange, both ways",
+        unit: "B",
+        against: "bytes of each body",
+        run: http_bytes,
+    },
+    Probe {
+        name: "claim-bytes",
+        what: "entry of the claim log, encoded",
+        unit: "B",
+        against: "claims in it",
+        run: |claims| codec::encode(&entry(1, 0..claims)).len() as f64,
+    },
+    Probe {
+        name: "claim-memory",
+        what: "claim log of one shard",
+        unit: "B",
+        against: "claims kept",
+        run: |claims| memory(|| claim_log(claims)),
+    },
+    Probe {
+        name: "snapshot-bytes",
+        what: "size of a snapshot of the claim log",
+        unit: "B",
+        against: "claims kept",
+        run: |claims| claim_log(claims).bytes() as f64,
+    },
+    Probe {
+        name: "metrics-memory",
+        what: "histograms and counters, 4 services each",
+        unit: "B",
+        against: "workspaces with a label",
+        run: |workspaces| memory(|| metrics(workspaces)),
+    },
+    Probe {
+        name: "metrics-page",
+        what: "scrape page, 4 services each",
+        unit: "B",
+        against: "workspaces with a label",
+        run: metrics_page,
+    },
 ];
 
 /// Returns the probe of that name.
@@ -139,6 +209,10 @@
 pub fn full(probe: &Probe, size: &Size) -> u64 {
     match probe.name {
         "queue-memory" | "queue-micros" => size.workspaces,
+        "http-bytes" => 4_096,
+        "claim-bytes" => 256,
+        "claim-memory" | "snapshot-bytes" => CLAIMS,
+        "metrics-memory" | "metrics-page" => LABELS,
         "lender-memory" | "lender-micros" => size.runners.div_ceil(size.nodes) * 2,
         "frame-bytes" | "frame-micros" | "members-memory" | "expire-micros"
         | "placement-millis" => size.nodes,
@@ -325,3 +399,87 @@
     };
     micros(run) / 1000.0
 }
+
+fn router_usage(runners: u64) -> Usage {
+    let usage = process::usage(runners, workspaces_for(runners));
+    usage.unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// Returns the bytes that HTTP adds to an exchange, both ways together.
+fn http_bytes(body: u64) -> f64 {
+    let server = tiny_http::Server::http((Ipv4Addr::LOCALHOST, 0)).expect("loopback listens");
+    let address = server
+        .server_addr()
+        .to_ip()
+        .expect("server has an IP address");
+    let body = vec![0; body as usize];
+    let answer = body.clone();
+    let serving = std::thread::spawn(move || {
+        let request = server.recv().expect("request comes");
+        let response = tiny_http::Response::from_data(answer);
+        request.respond(response).expect("answer is taken");
+    });
+    let mut meter = Meter::new([address]).expect("ss runs");
+    let agent = ureq::Agent::new_with_defaults();
+    let url = format!("http://{address}/inner/exchange");
+    let mut response = agent
+        .post(url)
+        .send(&body[..])
+        .expect("exchange is answered");
+    let received = response.body_mut().read_to_vec().expect("answer is whole");
+    serving.join().expect("server does not panic");
+    // The agent keeps the connection, so its counts can still be read.
+    meter.update().expect("ss runs");
+    let count = meter.count();
+    (count.received + count.sent) as f64 - (body.len() + received.len()) as f64
+}
+
+fn claim(number: u64) -> Claim {
+    Claim {
+        workspace: workspace(number % letter().workspaces),
+        key: Key::new(&format!("booking-{number:012}")).expect("key is valid"),
+        digest: u128::from(number) << 64,
+        holder: instance(number % letter().nodes),
+        incarnation: Incarnation(1_780_000_000_000),
+        nonce: number << 32,
+        expires: Time(1_780_000_000_000),
+    }
+}
+
+fn entry(seq: u64, claims: std::ops::Range<u64>) -> Entry {
+    Entry {
+        seq,
+        writer: instance(0),
+        incarnation: Incarnation(1_780_000_000_000),
+        at: Time(1),
+        records: claims.map(|number| Record::Claim(claim(number))).collect(),
+    }
+}
+
+fn claim_log(claims: u64) -> Log {
+    let mut log = Log::new();
+    log.apply(&entry(1, 0..claims));
+    log
+}
+
+fn metrics(workspaces: u64) -> Metrics {
+    let metrics = Metrics::new(workspaces as usize).expect("metrics can be set up");
+    let names: Vec<_> = (0..workspaces).map(workspace).collect();
+    let services: Vec<_> = (0..letter().services).map(inventory::service).collect();
+    metrics.add_names(&names, &services);
+    for workspace in &names {
+        for service in &services {
+            let work = Work { workspace, service };
+            metrics.observe_wait(work, Span(10));
+            metrics.observe_first_token(work, Span(500));
+            metrics.observe_between_tokens(work, Span(40));
+            metrics.observe_end(work, Outcome::Done, Span(9_000));
+            metrics.observe_cost(work, Cost(300));
+        }
+    }
+    metrics
+}
+
+fn metrics_page(workspaces: u64) -> f64 {
+    metrics(workspaces).page().expect("page can be made").len() as f64
+}
--- a/crates/bench/src/experiments/capacity.rs
+++ b/crates/bench/src/experiments/capacity.rs
@@ -1,5 +1,6 @@
 //! Measures the slopes of the parts at several sizes, up to those of the fleet
-//! that is expected, and writes the table and the plot of docs/CAPACITY.md.
+//! that is expected, works out what each role needs, and writes the tables and
+//! the plot of docs/CAPACITY.md. It passes if a node stays within its limits.
 
 use std::path::PathBuf;
 
@@ -8,10 +9,11 @@
 
 use super::{Options, Run, options};
 use crate::capacity::probe::{SUBCOMMAND, Slope};
+use crate::capacity::roles::{self, Calls, Role};
 use crate::capacity::size::{Size, machine_memory};
 use crate::capacity::{page, plot, probes};
 use crate::error::Error;
-use crate::report;
+use crate::report::{self, Table};
 
 /// Options of the experiment.
 #[derive(Clone, Debug)]
@@ -27,6 +29,8 @@
 struct Report<'a> {
     experiment: &'static str,
     pass: bool,
+    roles: &'a [Role],
+    calls: Calls,
     slopes: &'a [Slope],
 }
 
@@ -110,20 +114,30 @@
         eprintln!("capacity: {}", probe.name);
         slopes.push(Slope::new(probe, probes::full(probe, &request.size))?);
     }
-    let table = page::table(&slopes);
-    println!("{table}");
+    let roles = roles::roles(&slopes, &request.size);
+    let calls = roles::calls(&request.size);
+    let tables = [
+        page::table(&slopes),
+        roles::table(&roles),
+        roles::calls_table(&calls),
+    ];
+    tables.iter().for_each(|table| println!("{table}"));
     if let Some(path) = &request.page {
-        page::write(path, &table.to_markdown())?;
+        let text: Vec<_> = tables.iter().map(Table::to_markdown).collect();
+        page::write(path, &text.join("\n"))?;
     }
     if let Some(path) = &request.plot {
         plot::write(path, &slopes)?;
     }
+    let pass = roles::fits(&roles);
     if request.common.json {
         report::print_json(&Report {
             experiment: "capacity",
-            pass: true,
+            pass,
+            roles: &roles,
+            calls,
             slopes: &slopes,
         });
     }
-    Ok(true)
+    Ok(pass)
 }
