--- a/crates/bench/src/experiments/control.rs
+++ b/crates/bench/src/experiments/control.rs
@@ -53,18 +53,19 @@
     runners: usize,
 }
 
-/// The case that the others differ from in one count.
+/// The case that the others differ from in one count. It has more nodes than
+/// the largest fleet that exchanges everything, as the expected fleet has.
 const BASE: Case = Case {
-    nodes: 8,
+    nodes: 20,
     workspaces: 16,
     backlogged: 0,
     runners: 12,
 };
 
-const NODES: [usize; 4] = [2, 4, 8, 16];
+const NODES: [usize; 4] = [18, 24, 32, 48];
 const WORKSPACES: [usize; 4] = [16, 200, 800, 1_600];
 const BACKLOGGED: [usize; 4] = [0, 4, 8, 16];
-const RUNNERS: [usize; 4] = [4, 12, 24, 48];
+const RUNNERS: [usize; 4] = [12, 40, 80, 160];
 
 /// Figures of one node in one run.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -180,7 +181,7 @@
         cost: LONG,
         hint_error: 1.0,
         once: 0.0,
-        deadline_ms: 15_000,
+        deadline_ms: 12_000,
     });
     Workload {
         deployment: deployment.name.to_owned(),
