--- a/crates/bench/tests/capacity.rs
+++ b/crates/bench/tests/capacity.rs
@@ -3,6 +3,8 @@
 use balsamchute_bench::capacity::fit::Line;
 use balsamchute_bench::capacity::inventory;
 use balsamchute_bench::capacity::page::{self, END, START};
+use balsamchute_bench::capacity::probe::Slope;
+use balsamchute_bench::capacity::roles;
 use balsamchute_bench::capacity::size::Size;
 use balsamchute_inventory::document;
 
@@ -123,3 +125,48 @@
     let parsed = document::parse(&document::text(&config), "inventory.yaml");
     assert_eq!(parsed.unwrap(), config);
 }
+
+fn slope(name: &'static str, points: &[(f64, f64)]) -> Slope {
+    Slope {
+        name,
+        what: "",
+        unit: "",
+        against: "",
+        points: points.to_vec(),
+        line: Line::new(points),
+    }
+}
+
+#[test]
+fn node_beyond_its_limits_does_not_fit() {
+    let small = [slope(
+        "config-bytes",
+        &[(6_000.0, 500.0), (12_000.0, 1_000.0)],
+    )];
+    assert!(roles::fits(&roles::roles(&small, &Size::letter())));
+    let large = [slope(
+        "config-bytes",
+        &[(6_000.0, 800_000.0), (12_000.0, 1_600_000.0)],
+    )];
+    let over = roles::roles(&large, &Size::letter());
+    assert!(!roles::fits(&over));
+    let relay = over
+        .iter()
+        .find(|role| role.role == "config relay")
+        .unwrap();
+    // 16,000 changes a day of 1.6 MB each.
+    assert!((relay.bytes - 296_296.0).abs() < 1.0, "{relay:?}");
+    let memory = [slope("queue-memory", &[(1.0, 1e8), (2.0, 1e8)])];
+    assert!(!roles::fits(&roles::roles(&memory, &Size::letter())));
+    let core = [slope("placement-millis", &[(1.0, 600.0), (2.0, 600.0)])];
+    assert!(!roles::fits(&roles::roles(&core, &Size::letter())));
+}
+
+#[test]
+fn calls_to_the_platform_are_summed_over_the_fleet() {
+    let calls = roles::calls(&Size::letter());
+    assert!((calls.writes - 330.0).abs() < 0.1, "{calls:?}");
+    assert!((calls.watches - 350.0).abs() < 0.1);
+    // 350 watches end each 20 s, and all of them at each of 16,000 changes a day.
+    assert!((calls.watches_begun - 82.3).abs() < 0.1, "{calls:?}");
+}
