--- a/tests/all/serve.rs
+++ b/tests/all/serve.rs
@@ -23,15 +23,15 @@
 }
 
 /// A router process that is killed when dropped.
-struct Router {
+pub struct Router {
     child: Option<Child>,
     log: String,
-    callers: SocketAddr,
+    pub callers: SocketAddr,
     inner: SocketAddr,
 }
 
 impl Router {
-    fn start(directory: &Directory, name: &str, platform: SocketAddr) -> Self {
+    pub fn start(directory: &Directory, name: &str, platform: SocketAddr) -> Self {
         let (callers, inner) = (free(), free());
         let text = settings(name, callers, inner, platform);
         let file = directory.file(&format!("{name}.yaml"), &text);
@@ -48,7 +48,7 @@
         }
     }
 
-    fn health(&self) -> Option<u16> {
+    pub fn health(&self) -> Option<u16> {
         let agent: ureq::Agent = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(Duration::from_secs(2)))
@@ -77,7 +77,8 @@
     }
 }
 
-fn until(what: &str, mut condition: impl FnMut() -> bool) {
+/// Waits for a condition.
+pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
     let started = Instant::now();
     while !condition() {
         assert!(started.elapsed() < PATIENCE, "never: {what}");
