Serve connections that come at once

Cause: tiny_http gives connections to a pool of threads. If two come while one thread is about to wake up, both may be queued for it, and the second one is served only when some connection ends: with kept connections and long answers, not for as long as callers wait. Ruled out: a lost wake-up in the stand-in, idle connections of the client's pool.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 mod inner;
 mod input;
 mod node;
+mod nudge;
 mod outcome;
 mod peers;
 mod poll;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -27,7 +27,7 @@
 use crate::poll::Polls;
 use crate::settings::Settings;
 use crate::work::Work;
-use crate::{callers, inner};
+use crate::{callers, inner, nudge};
 
 /// Time between two ticks of the state.
 const TICK: Duration = Duration::from_millis(50);
@@ -72,6 +72,9 @@
         let server = Arc::clone(&inner);
         spawn(&work, move |work| inner::run(&server, work))?;
     }
+    for address in [work.settings.callers, work.settings.inner] {
+        spawn(&work, move |_| nudge::run(address))?;
+    }
     watch_signals(&work)?;
     let instance = work.settings.instance.clone();
     log::info!(
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -359,3 +359,30 @@
     }
     assert_eq!(fleet.plain.records().len(), 30);
 }
+
+/// Sends a request on a connection of its own and waits for the answer's start.
+fn ask_health(router: SocketAddr) -> std::io::Result<std::net::TcpStream> {
+    use std::io::{Read, Write};
+    let mut connection = std::net::TcpStream::connect(router)?;
+    connection.set_read_timeout(Some(PATIENCE))?;
+    connection.write_all(b"GET /health HTTP/1.1\r\nHost: router\r\n\r\n")?;
+    connection.read_exact(&mut [0; 12])?;
+    Ok(connection)
+}
+
+#[test]
+fn connections_that_come_at_once_are_all_served_while_all_stay_open() {
+    const CONNECTIONS: usize = 32;
+    let fleet = Fleet::start(1);
+    let router = fleet.routers[0];
+    for _ in 0..10 {
+        let callers: Vec<_> = (0..CONNECTIONS)
+            .map(|_| thread::spawn(move || ask_health(router)))
+            .collect();
+        let open: Vec<_> = callers
+            .into_iter()
+            .map(|caller| caller.join().expect("no panic").expect("an answer"))
+            .collect();
+        assert_eq!(open.len(), CONNECTIONS);
+    }
+}
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -9,9 +9,16 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket, Type};
 
+/// Time between two looks at whether the server has left a connection unserved.
+const NUDGE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long after a new connection these go on.
+const NUDGE_TIME: Duration = Duration::from_secs(1);
+
 /// Stack of a relay thread in bytes.
 const STACK_BYTES: usize = 64 * 1024;
 
@@ -37,6 +44,10 @@
     /// Number of times that the link was opened or closed.
     epoch: u64,
     frozen: bool,
+    /// When the last connection came.
+    last_connection: Option<Instant>,
+    /// The link is gone.
+    stopped: bool,
     /// Connections by the local address of their server side.
     pairs: HashMap<SocketAddr, Pair>,
 }
@@ -86,11 +97,15 @@
             state: Mutex::new(State {
                 epoch: 1,
                 frozen: false,
+                last_connection: None,
+                stopped: false,
                 pairs: HashMap::new(),
             }),
             thawed: Condvar::new(),
         });
         let acceptor = Mutex::new(Some(accept(&shared, listener, 1)?));
+        let nudged = Arc::clone(&shared);
+        spawn("link-nudge", move || nudge(&nudged))?;
         Ok(Self {
             shared,
             _reservation: reservation,
@@ -169,6 +184,7 @@
 impl Drop for Link {
     fn drop(&mut self) {
         self.close();
+        self.shared.state().stopped = true;
     }
 }
 
@@ -198,6 +214,26 @@
     })
 }
 
+/// Connects to the server for a while after each new connection. `tiny_http` may
+/// queue a connection for a thread that is busy with another one; a connection
+/// that ends at once makes a thread look at the queue.
+fn nudge(shared: &Shared) {
+    loop {
+        thread::sleep(NUDGE_INTERVAL);
+        let (stopped, last) = {
+            let state = shared.state();
+            (state.stopped, state.last_connection)
+        };
+        if stopped {
+            return;
+        }
+        if last.is_some_and(|last| last.elapsed() < NUDGE_TIME) {
+            // A failure means that nothing is served at all.
+            let _ = TcpStream::connect(shared.upstream);
+        }
+    }
+}
+
 fn relay(shared: &Arc<Shared>, client: TcpStream, epoch: u64) -> io::Result<()> {
     let server = TcpStream::connect(shared.upstream)?;
     client.set_nodelay(true)?;
@@ -214,6 +250,7 @@
             return Ok(());
         }
         state.pairs.insert(key, pair.clone());
+        state.last_connection = Some(Instant::now());
     }
     let up = (Arc::clone(shared), pair.clone());
     spawn("link-up", move || {
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -372,3 +372,34 @@
     assert_eq!(client.load(engine.address()).unwrap().running, 1);
     stream.canceller().cancel().unwrap();
 }
+
+#[test]
+fn requests_beyond_the_slots_share_the_speed_of_the_slots() {
+    const STREAMS: u64 = 12;
+    const TOKENS: u64 = 50;
+    const SPEED: f64 = 500.0;
+    let engine = start(SPEED);
+    let client = client();
+    thread::scope(|scope| {
+        for number in 0..STREAMS {
+            let (client, target) = (&client, engine.address());
+            scope.spawn(move || {
+                let ids = Ids::new(&format!("a{number}"));
+                let prompt = Prompt::new(TOKENS).with_text(&format!("{number}-"));
+                let body = prompt.to_body();
+                let stream = client.generate(target, &ids.generation(&body));
+                assert_whole(&prompt, &stream.unwrap().collect::<Vec<_>>());
+            });
+        }
+    });
+    let records = engine.records();
+    let first = records.iter().map(|record| record.started).min().unwrap();
+    let last = records.iter().filter_map(|record| record.finished).max();
+    let elapsed = last.unwrap().since(first).as_millis() + 1;
+    // Every stream has its first token at once; the slots make all others.
+    let most = STREAMS as f64 + 4.0 * SPEED * elapsed as f64 / 1000.0;
+    assert!((STREAMS * TOKENS) as f64 <= most, "{elapsed} ms");
+    assert!(engine.busy_ms() <= 4 * elapsed);
+    assert!(engine.peak() <= STREAMS as u32);
+    assert_eq!(engine.running(), 0);
+}
