--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -203,7 +203,11 @@
             self.deadlines.insert((now + RECHECK, ticket));
         }
         for ticket in late {
-            let outcome = match self.requests[&ticket].stage {
+            // One that joined another may have got its end a moment ago.
+            let Some(entry) = self.requests.get(&ticket) else {
+                continue;
+            };
+            let outcome = match entry.stage {
                 Stage::Joined => Outcome::Unknown,
                 _ => Outcome::NotRun,
             };
