Let a few claims in a row go without waiting for the write interval

Change: the pace of 10 entries a second for a shard is an average, with a burst of three. The average stays within the fleet's write budget.

--- a/crates/claim/src/writer.rs
+++ b/crates/claim/src/writer.rs
@@ -38,9 +38,12 @@
     pub slots: u64,
     /// Entries after which a snapshot is written, at most `slots`.
     pub snapshot_entries: u64,
-    /// Least time between two entries. With 32 shards at 100 ms the fleet
-    /// writes at most 320 entries and 10 snapshots a second.
+    /// Time between two entries on average. With 32 shards at 100 ms the
+    /// fleet writes at most 320 entries and 10 snapshots a second.
     pub interval: Span,
+    /// How far entries may run ahead of that, so that a few claims in a row
+    /// need not wait.
+    pub burst: Span,
     /// How long an ask waits for a failing store.
     pub patience: Span,
     /// Wait after the first failure of the store; it doubles with each further one.
@@ -62,6 +65,7 @@
             slots: SLOTS,
             snapshot_entries: SLOTS / 2,
             interval: Span(100),
+            burst: Span(300),
             patience: Span(1000),
             backoff: Span(50),
             longest_backoff: Span(2000),
@@ -123,6 +127,7 @@
     /// Calls up to this number saw the end of the log.
     current: u64,
     pending: Vec<Pending>,
+    /// When the next entry is due at the average pace.
     next_write: Time,
     trouble: Option<Trouble>,
 }
@@ -406,8 +411,9 @@
                 if records.is_empty() {
                     return;
                 }
-                if now < self.next_write {
-                    actions.push(Action::Wake(self.next_write));
+                let due = self.next_write - self.settings.burst;
+                if now < due {
+                    actions.push(Action::Wake(due));
                     return;
                 }
                 self.write(now, slot, version, records, actions);
@@ -464,7 +470,7 @@
             records,
         };
         let bytes = codec::encode(&entry);
-        self.next_write = now + self.settings.interval;
+        self.next_write = self.next_write.max(now) + self.settings.interval;
         let entry = bytes.clone();
         let action = Action::Write {
             slot,
