Give the percentiles of load their range

Cause: a histogram that grows by itself clamps a saturating record to its first range, so times above 2 ms were reported as 2 ms.

--- a/crates/bench/src/experiments/load.rs
+++ b/crates/bench/src/experiments/load.rs
@@ -21,6 +21,9 @@
 /// Digits that a histogram keeps.
 const DIGITS: u8 = 3;
 
+/// Longest time that a histogram tells from longer ones, in milliseconds.
+const LONGEST_MS: u64 = 3_600_000;
+
 /// Percentiles of one workspace in milliseconds.
 #[derive(Debug, Serialize)]
 struct Row {
@@ -120,8 +123,15 @@
     }
 }
 
-fn percentiles(spans: impl Iterator<Item = Span>) -> [u64; 3] {
-    let mut histogram: Histogram<u64> = Histogram::new(DIGITS).expect("digits are valid");
+/// Returns the percentiles 50, 95 and 99 of `spans` in milliseconds.
+///
+/// # Panics
+///
+/// Does not panic: the bounds of the histogram are valid.
+#[must_use]
+pub fn percentiles(spans: impl Iterator<Item = Span>) -> [u64; 3] {
+    let histogram = Histogram::new_with_max(LONGEST_MS, DIGITS);
+    let mut histogram: Histogram<u64> = histogram.expect("bounds are valid");
     spans.for_each(|span| histogram.saturating_record(span.as_millis()));
     [0.5, 0.95, 0.99].map(|quantile| histogram.value_at_quantile(quantile))
 }
