--- a/crates/bench/src/capacity/page.rs
+++ b/crates/bench/src/capacity/page.rs
@@ -77,7 +77,7 @@
 ///
 /// # Errors
 ///
-/// Returns the errors that [`write`] would.
+/// Returns the errors that [`write()`] would.
 pub fn check(path: &Path) -> Result<(), Error> {
     let page = read(path)?;
     if replace(&page, "").is_none() {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,7 +1,7 @@
 //! The router process: sockets, threads and a `stakker` actor around the
 //! decisions of `balsamchute_dispatch`.
 //!
-//! One thread runs the actor ([`node`]), which alone touches the state. Threads
+//! One thread runs the actor (module `node`), which alone touches the state. Threads
 //! that serve callers, other routers and the platform send it inputs and get
 //! commands back. A request has one thread from its arrival to its end.
 
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -55,7 +55,7 @@
 /// # Errors
 ///
 /// Returns faults in the files, [`Error::Race`] if another change came first,
-/// [`Error::Unsettled`] if its fate stayed unknown, [`Error::Wait`] if it did
+/// `operator::Error::Unsettled` if its fate stayed unknown, [`Error::Wait`] if it did
 /// not come into force in time, and failures of the platform.
 pub fn run(options: &Options) -> Result<(), Error> {
     let timeout = Span::from_secs(options.timeout);
