Tell the end of a bound key at every router

Cause: /v1/outcome of a key bound to another router answered 404. Change: the router asks the one that the key is bound to; if that life of it is gone, the end is unknown.

--- a/crates/dispatch/src/keyed.rs
+++ b/crates/dispatch/src/keyed.rs
@@ -45,6 +45,15 @@
         state.is_some_and(|state| !state.is_not_run())
     }
 
+    /// Returns one life of a router, `None` if it is not known to be alive.
+    #[must_use]
+    pub fn router(&self, instance: &Instance, incarnation: Incarnation) -> Option<&Member> {
+        let mut alive = self.members.alive();
+        let me = Some(self.members.me()).into_iter();
+        me.chain(alive.by_ref())
+            .find(|one| one.instance == *instance && one.incarnation == incarnation)
+    }
+
     /// Starts the claim of a request's key.
     pub(crate) fn claim(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
         let nonce = self.random.random();
--- a/crates/router/src/input.rs
+++ b/crates/router/src/input.rs
@@ -1,5 +1,7 @@
 //! What other threads send to the actor.
 
+use std::net::SocketAddr;
+
 use balsamchute_base::prelude::*;
 use balsamchute_claim::ledger;
 use balsamchute_dispatch::event::{Arrival, Command, Event};
@@ -48,6 +50,8 @@
     Explain(Subject, Sender<Explanation>),
     /// What this router knows of a key.
     Key(Workspace, Key, Sender<Option<ledger::State>>),
+    /// Where callers reach one life of a router, if it is alive.
+    Router(Instance, Incarnation, Sender<Option<SocketAddr>>),
     /// What the claim log says of a key.
     Log(Workspace, Key, Sender<claim::Verdict>),
     /// Which requests crashed their targets.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -206,6 +206,10 @@
                 let _ = reply.send(explanation);
             }
             Query::Key(workspace, key, reply) => drop(reply.send(self.core.key(&workspace, &key))),
+            Query::Router(instance, incarnation, reply) => {
+                let router = self.core.router(&instance, incarnation);
+                let _ = reply.send(router.map(|router| router.callers));
+            }
             Query::Log(workspace, key, reply) => {
                 self.claims.look(&self.core, workspace, key, reply);
             }
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -8,8 +8,9 @@
 use balsamchute_wire::claim::Verdict;
 use balsamchute_wire::record::{End, Outcome};
 use crossbeam_channel::bounded;
-use tiny_http::Request;
+use tiny_http::{Request, Response};
 
+use crate::answer::header;
 use crate::callers::{fail, parameter, reply};
 use crate::input::{Input, Query};
 use crate::work::Work;
@@ -35,15 +36,65 @@
         },
         Some(None) => match bound::binding(&key) {
             Binding::Durable => logged(work, request, workspace, &key),
-            Binding::Bound { instance, .. } => {
-                let reason = format!("key \"{key}\" is bound to router \"{instance}\"; ask it");
-                fail(request, 404, &reason);
-            }
+            Binding::Bound {
+                instance,
+                incarnation,
+                ..
+            } => bound_elsewhere(work, request, &instance, incarnation, query),
             Binding::Malformed => fail(request, 400, &format!("key \"{key}\" is malformed")),
         },
     }
 }
 
+/// Answers by the memory of the router that the key is bound to.
+fn bound_elsewhere(
+    work: &Work,
+    request: Request,
+    instance: &Instance,
+    incarnation: Incarnation,
+    query: &str,
+) {
+    if *instance == work.settings.instance && incarnation.0 == work.clock.start().0 {
+        return fail(
+            request,
+            404,
+            "the key is bound to this router, which does not remember it",
+        );
+    }
+    let router = work.ask(|reply| Query::Router(instance.clone(), incarnation, reply));
+    let Some(address) = router.flatten() else {
+        let reason = format!("router \"{instance}\", which the key is bound to, cannot be reached");
+        return reply(request, Some(&End::new(Outcome::Unknown, &reason)));
+    };
+    let url = format!("http://{address}/v1/outcome?{query}");
+    let call = work
+        .pooled
+        .get(url)
+        .config()
+        .timeout_global(Some(LOG_TIMEOUT));
+    let answer = call.build().call().map(|mut answer| {
+        let status = answer.status().as_u16();
+        answer
+            .body_mut()
+            .read_to_string()
+            .map(|body| (status, body))
+    });
+    match answer {
+        Ok(Ok((status, body))) => {
+            let response = Response::from_string(body).with_status_code(status);
+            let _ =
+                request.respond(response.with_header(header("Content-Type", "application/json")));
+        }
+        Ok(Err(error)) | Err(error) => {
+            fail(
+                request,
+                503,
+                &format!("router \"{instance}\" did not answer: {error}"),
+            );
+        }
+    }
+}
+
 /// Answers by the claim log.
 fn logged(work: &Work, request: Request, workspace: Workspace, key: &Key) {
     let (sender, receiver) = bounded(1);
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -198,6 +198,23 @@
         assert_eq!(texts.len(), 1);
     }
     assert_eq!(fleet.plain.records().len(), 1);
+    // Any router tells the end, also while it asks the one that the key is bound to.
+    for router in &fleet.routers {
+        let url = format!("http://{router}/v1/outcome?workspace=w1&key={key}");
+        let mut answer = ureq::get(url).call().expect("an answer");
+        let body = answer.body_mut().read_to_string().expect("a text");
+        let end: End = serde_json::from_str(&body).expect("an end record");
+        assert_eq!(end.outcome, Outcome::Done);
+    }
+    let gone = key.replace("m.r0.", "m.r9.");
+    let url = format!(
+        "http://{}/v1/outcome?workspace=w1&key={gone}",
+        fleet.routers[1]
+    );
+    let mut answer = ureq::get(url).call().expect("an answer");
+    let body = answer.body_mut().read_to_string().expect("a text");
+    let end: End = serde_json::from_str(&body).expect("an end record");
+    assert_eq!(end.outcome, Outcome::Unknown);
 }
 
 #[test]
