Name other routers in the refusal of one that leaves

Cause: a planned stop refuses new work with a pointer elsewhere, which was only the advice to ask for another address. Change: the refusal names up to two routers that serve. Conclusion: the test of the refusal asks for the address and passes.

--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -29,6 +29,9 @@
     deadline.saturating_sub(share.min(ANSWER_MARGIN))
 }
 
+/// Addresses of other routers in the refusal of one that leaves.
+const ADDRESSES: usize = 2;
+
 /// Where a request is to be queued.
 enum Place {
     /// On this router.
@@ -92,10 +95,7 @@
                 );
             }
             Phase::Leaving => {
-                let end = End::new(
-                    Outcome::NotRun,
-                    "router is leaving; ask for another address",
-                );
+                let end = End::new(Outcome::NotRun, &self.elsewhere());
                 return Some(end.with_code(Code::Elsewhere).with_retry_after(Span(0)));
             }
             Phase::Serving => {}
@@ -109,6 +109,20 @@
         None
     }
 
+    /// Tells the callers of a router that leaves where to go.
+    fn elsewhere(&self) -> String {
+        let others: Vec<String> = self
+            .members
+            .serving()
+            .take(ADDRESSES)
+            .map(|member| member.callers.to_string())
+            .collect();
+        match others.is_empty() {
+            true => "router is leaving; ask for another address".to_owned(),
+            false => format!("router is leaving; ask {}", others.join(" or ")),
+        }
+    }
+
     /// Decides which router queues the request.
     fn place(&mut self, head: &Head) -> Place {
         if let Some(key) = &head.key {
--- a/crates/dispatch/tests/drain.rs
+++ b/crates/dispatch/tests/drain.rs
@@ -93,6 +93,8 @@
         (Outcome::NotRun, Some(Code::Elsewhere))
     );
     assert_eq!(end.retry_after_ms, Some(0));
+    let reason = end.reason.as_deref().unwrap_or_default();
+    assert_eq!(reason, "router is leaving; ask 127.0.0.1:7001");
     net.pass(1000);
     let key = net.key(&names[1]);
     assert!(key.as_str().contains("r1"), "the other router serves on");
