--- a/crates/bench/src/contention.rs
+++ b/crates/bench/src/contention.rs
@@ -169,6 +169,9 @@
     pub gap_halves: [f64; 2],
     /// Largest deviation of a backlogged workspace from its share.
     pub share_error: f64,
+    /// Cost served to each backlogged workspace in the window, for each unit of
+    /// weight.
+    pub served: Vec<f64>,
     /// Wait of light workspaces in milliseconds: p50, p95, p99.
     pub light_wait_ms: [u64; 3],
     /// Share of slot time idle while a request waited.
@@ -203,11 +206,13 @@
                 .filter(|(time, _)| (*time >= middle) == later);
             half.map(|(_, gap)| *gap).fold(0.0, f64::max)
         };
+        let served = served(contention, window, executions);
         Findings {
             name: name.to_owned(),
             gap: figures.fairness_gap,
             gap_halves: [worst(false), worst(true)],
-            share_error: share_error(contention, window, executions),
+            share_error: share_error(&served),
+            served,
             light_wait_ms: light_waits(contention, window, histories, executions),
             idle: 1.0 - figures.utilisation,
             backlogged: figures.backlogged,
@@ -216,20 +221,20 @@
     }
 }
 
-fn share_error(contention: &Contention, window: Window, executions: &[Execution]) -> f64 {
-    let served = contention.deployment.weights[..BACKLOGGED]
-        .iter()
-        .map(|(workspace, weight)| {
-            let own = executions.iter().filter(|one| one.workspace == *workspace);
-            let inside = own.filter(|one| one.start >= window.start && one.start < window.end);
-            inside.map(|one| one.cost.0 as f64).sum::<f64>() / f64::from(*weight)
-        });
-    let served: Vec<f64> = served.collect();
+fn served(contention: &Contention, window: Window, executions: &[Execution]) -> Vec<f64> {
+    let backlogged = contention.deployment.weights[..BACKLOGGED].iter();
+    let served = backlogged.map(|(workspace, weight)| {
+        let own = executions.iter().filter(|one| one.workspace == *workspace);
+        let inside = own.filter(|one| one.start >= window.start && one.start < window.end);
+        inside.map(|one| one.cost.0 as f64).sum::<f64>() / f64::from(*weight)
+    });
+    served.collect()
+}
+
+fn share_error(served: &[f64]) -> f64 {
     let mean = served.iter().sum::<f64>() / served.len() as f64;
-    served
-        .iter()
-        .map(|one| (one / mean - 1.0).abs())
-        .fold(0.0, f64::max)
+    let errors = served.iter().map(|one| (one / mean - 1.0).abs());
+    errors.fold(0.0, f64::max)
 }
 
 fn light_waits(
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -30,6 +30,8 @@
     pub told: Time,
     /// The backlog that was last told.
     pub told_backlog: u32,
+    /// The virtual time that was last told.
+    pub told_time: f64,
     /// The owners that were told, unless the need was withdrawn.
     pub told_to: BTreeSet<Instance>,
     /// What other routers published last.
@@ -74,6 +76,14 @@
         }
     }
 
+    /// Returns whether a mean request or more was served since the virtual time
+    /// was last told. Owners that do not know it all serve this router at once,
+    /// and bring it too far ahead.
+    pub fn moved(&self) -> bool {
+        let ahead = self.queue.virtual_time() - self.told_time;
+        ahead * self.queue.weight() >= self.queue.mean_cost()
+    }
+
     /// Returns whether requests wait at another router.
     pub fn is_contended(&self) -> bool {
         self.heard.values().any(|heard| heard.reading.backlog > 0)
--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -55,6 +55,7 @@
                 lender: Lender::new(&me, lender::Settings::default()),
                 told: Time::default(),
                 told_backlog: 0,
+                told_time: 0.0,
                 told_to: BTreeSet::new(),
                 heard: BTreeMap::new(),
             });
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -271,8 +271,10 @@
         if backlog == 0 {
             return self.withdraw_need(service, actions);
         }
-        let same = backlog == state.told_backlog
-            || (backlog > NEED_TARGETS && state.told_backlog > NEED_TARGETS);
+        let small = self.members.alive().count() <= self.settings.small_fleet;
+        let same = (backlog == state.told_backlog
+            || (backlog > NEED_TARGETS && state.told_backlog > NEED_TARGETS))
+            && !(small && state.moved());
         let recent = now.since(state.told) < self.settings.need_interval;
         let stale = now.since(state.told) >= self.settings.beat;
         if recent || (same && !stale) {
@@ -287,6 +289,7 @@
         if let Some(state) = self.services.get_mut(service) {
             state.told = now;
             state.told_backlog = backlog;
+            state.told_time = need.virtual_time;
             if state.told_to.len() > MAX_TOLD {
                 state.told_to.clear();
             }
--- a/crates/fair/src/estimate.rs
+++ b/crates/fair/src/estimate.rs
@@ -34,6 +34,12 @@
         self.value = self.value.max(1.0);
     }
 
+    /// Returns how many costs were added.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
     /// Returns the mean, at least 1.
     #[must_use]
     pub fn value(&self) -> f64 {
--- a/crates/fair/src/lender.rs
+++ b/crates/fair/src/lender.rs
@@ -6,6 +6,7 @@
 use balsamchute_base::prelude::*;
 use indexmap::IndexMap;
 
+use crate::estimate::Mean;
 use crate::order::Tag;
 use crate::queue::CREDIT_REQUESTS;
 use crate::runner::{Pool, Standing};
@@ -14,6 +15,9 @@
 /// be and still be served before another router: its loans need no message.
 pub const LOCAL_ADVANTAGE: f64 = 0.25;
 
+/// Loans that came back after which their own mean cost is used.
+const LEARNT_LOANS: u64 = 8;
+
 /// Settings of a lender.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -121,6 +125,8 @@
     next: u64,
     clock: f64,
     mean_cost: f64,
+    /// What loans have cost.
+    spent: Option<Mean>,
     now: Time,
 }
 
@@ -142,6 +148,7 @@
             next: 0,
             clock: 0.0,
             mean_cost: 1.0,
+            spent: None,
             now: Time(0),
         }
     }
@@ -247,9 +254,15 @@
     }
 
     /// Lends every free slot for which a request waits somewhere.
+    ///
+    /// `mean_cost` is what a loan is expected to cost until enough have come
+    /// back: an owner may have few requests of its own.
     pub fn grant(&mut self, now: Time, mean_cost: f64) -> Vec<Grant> {
         self.advance(now);
-        if mean_cost.is_finite() {
+        let learnt = self.spent.filter(|spent| spent.count() >= LEARNT_LOANS);
+        if let Some(spent) = learnt {
+            self.mean_cost = spent.value();
+        } else if mean_cost.is_finite() {
             self.mean_cost = mean_cost.max(1.0);
         }
         let mut grants = Vec::new();
@@ -268,6 +281,9 @@
     pub fn release(&mut self, now: Time, loan: u64, cost: Cost, failed: bool) -> bool {
         self.advance(now);
         let used = cost > Cost(0) || failed;
+        if cost > Cost(0) && self.loans.contains_key(&loan) {
+            self.spent.get_or_insert_with(|| Mean::new(cost)).add(cost);
+        }
         self.close(loan, failed, used)
     }
 
