--- a/crates/bench/src/experiments/control.rs
+++ b/crates/bench/src/experiments/control.rs
@@ -302,7 +302,7 @@
         runners_a_node * BASE.nodes as f64 - BASE.runners as f64,
     ];
     let at = |line: fn(&Slope) -> Line| {
-        let base = line(&slopes[0]).at(BASE.nodes as f64);
+        let base = line(&slopes[0]).at(BASE.nodes as f64).max(0.0);
         let rise = slopes
             .iter()
             .zip(steps)
