Accept connections again after file descriptors ran out; watch every 200 ms

Cause: tiny_http's accept thread ends for good on one failed accept and panics when it cannot duplicate a socket. A flood of connections that uses up the file descriptors left a router deaf after the flood.

Change: a router connects to its own listeners; a connection that nobody takes for 3 s starts another server on the same socket, while connections of the former go on. The same connection also wakes threads that left one waiting, which a thread of its own did every 50 ms; it is now every 200 ms.

Ruled out: reacting to the error that tiny_http reports, since the panic reports none.

Conclusion: the limit on connections remains the process's own on descriptors.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -10,7 +10,7 @@
 use balsamchute_wire::record::{End, Outcome};
 use rand::RngExt;
 use serde::Serialize;
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Method, Request, Response};
 
 use crate::answer::{self, header};
 use crate::attempt;
@@ -21,27 +21,25 @@
 /// When a caller may come back that found all threads taken.
 const BUSY_RETRY: Span = Span::from_secs(1);
 
-/// Serves requests until the server is unblocked.
-pub(crate) fn run(server: &Server, work: &Work) {
-    for request in server.incoming_requests() {
-        let Some(permit) = work.permit() else {
-            let end = End::new(
-                Outcome::NotRun,
-                "router is full: too many requests are served",
-            );
-            let _ = answer::refuse(request, &end.with_retry_after(BUSY_RETRY));
-            continue;
-        };
-        let work = work.clone();
-        let spawned = thread::Builder::new()
-            .stack_size(STACK_BYTES)
-            .spawn(move || {
-                handle(&work, request);
-                drop(permit);
-            });
-        if let Err(error) = spawned {
-            log::warn!("callers: cannot start a thread. {error}");
-        }
+/// Takes a request and has a thread serve it.
+pub(crate) fn take(work: &Work, request: Request) {
+    let Some(permit) = work.permit() else {
+        let end = End::new(
+            Outcome::NotRun,
+            "router is full: too many requests are served",
+        );
+        let _ = answer::refuse(request, &end.with_retry_after(BUSY_RETRY));
+        return;
+    };
+    let work = work.clone();
+    let spawned = thread::Builder::new()
+        .stack_size(STACK_BYTES)
+        .spawn(move || {
+            handle(&work, request);
+            drop(permit);
+        });
+    if let Err(error) = spawned {
+        log::warn!("callers: cannot start a thread. {error}");
     }
 }
 
--- a/crates/router/src/inner.rs
+++ b/crates/router/src/inner.rs
@@ -11,7 +11,7 @@
 use crossbeam_channel::bounded;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Method, Request, Response};
 
 use crate::answer;
 use crate::attempt;
@@ -34,22 +34,20 @@
 /// How long the claim log may take to answer another router.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Serves requests until the server is unblocked.
-pub(crate) fn run(server: &Server, work: &Work) {
-    for request in server.incoming_requests() {
-        let url = request.url().to_owned();
-        if url != RUN {
-            traffic::received(work, &request);
-        }
-        match (request.method(), url.as_str()) {
-            (Method::Post, RUN) => spawn(work, request, forwarded),
-            (Method::Post, "/inner/claim") => spawn(work, request, claims),
-            (Method::Post, "/inner/messages") => messages(work, request),
-            (Method::Post, "/inner/exchange") => exchange(work, request),
-            (Method::Get, "/inner/config") => config(work, request),
-            (Method::Get, "/inner/stamp") => stamp(work, request),
-            _ => status(work, request, 404),
-        }
+/// Takes a request of another router.
+pub(crate) fn take(work: &Work, request: Request) {
+    let url = request.url().to_owned();
+    if url != RUN {
+        traffic::received(work, &request);
+    }
+    match (request.method(), url.as_str()) {
+        (Method::Post, RUN) => spawn(work, request, forwarded),
+        (Method::Post, "/inner/claim") => spawn(work, request, claims),
+        (Method::Post, "/inner/messages") => messages(work, request),
+        (Method::Post, "/inner/exchange") => exchange(work, request),
+        (Method::Get, "/inner/config") => config(work, request),
+        (Method::Get, "/inner/stamp") => stamp(work, request),
+        _ => status(work, request, 404),
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,7 +1,5 @@
 //! Starting and stopping a router.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use balsamchute_base::prelude::*;
@@ -14,7 +12,6 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::{Stakker, actor, call, ret_shutdown};
-use tiny_http::Server;
 
 use crate::cancel::{self, Cancels};
 use crate::claims::Claims;
@@ -22,12 +19,13 @@
 use crate::error::Error;
 use crate::hooks::Hooks;
 use crate::input::Input;
+use crate::listen::Listener;
 use crate::node::Node;
 use crate::peers::{Peers, spawn};
 use crate::poll::Polls;
 use crate::settings::Settings;
 use crate::work::Work;
-use crate::{callers, inner, nudge};
+use crate::{callers, inner};
 
 /// Time between two ticks of the state.
 const TICK: Duration = Duration::from_millis(50);
@@ -55,8 +53,8 @@
 pub fn serve(settings: Settings, hooks: Hooks) -> Result<(), Error> {
     let clock = Clock::new();
     let (inputs, receiver) = unbounded();
-    let callers = listen("callers", settings.callers)?;
-    let inner = listen("inner", settings.inner)?;
+    let callers = Listener::bind("callers", settings.callers, 1, callers::take)?;
+    let inner = Listener::bind("inner", settings.inner, INNER_THREADS, inner::take)?;
     let grace = Duration::from_millis(settings.grace_ms);
     let core = core(&settings, &clock);
     let metrics = Metrics::new(settings.limits.labels).map_err(Error::Metrics)?;
@@ -66,15 +64,8 @@
     let peers = Peers::start(&work)?;
     let polls = Polls::start(&work)?;
     let claims = Claims::start(&work)?;
-    let server = Arc::clone(&callers);
-    spawn(&work, move |work| callers::run(&server, work))?;
-    for _ in 0..INNER_THREADS {
-        let server = Arc::clone(&inner);
-        spawn(&work, move |work| inner::run(&server, work))?;
-    }
-    for address in [work.settings.callers, work.settings.inner] {
-        spawn(&work, move |_| nudge::run(address))?;
-    }
+    callers.start(&work)?;
+    inner.start(&work)?;
     watch_signals(&work)?;
     let instance = work.settings.instance.clone();
     log::info!(
@@ -107,22 +98,6 @@
     work.wait_idle(FLUSH);
 }
 
-fn listen(setting: &'static str, address: SocketAddr) -> Result<Arc<Server>, Error> {
-    let failure = |reason: String| Error::Listen {
-        setting,
-        address,
-        reason,
-    };
-    let listener = TcpListener::bind(address).map_err(|error| failure(error.to_string()))?;
-    // Accepted sockets inherit this; without it a token may wait for the
-    // acknowledgement of the one before.
-    let no_delay = socket2::SockRef::from(&listener).set_tcp_nodelay(true);
-    no_delay.map_err(|error| failure(error.to_string()))?;
-    Server::from_listener(listener, None)
-        .map(Arc::new)
-        .map_err(|error| failure(error.to_string()))
-}
-
 fn core(settings: &Settings, clock: &Clock) -> Core {
     let me = Member {
         instance: settings.instance.clone(),
