--- a/crates/dispatch/src/setup.rs
+++ b/crates/dispatch/src/setup.rs
@@ -18,6 +18,9 @@
 /// have ended.
 const REFRESH: Span = Span::from_secs(10);
 
+/// Routers that are told of a new configuration at once.
+const SPREAD: usize = 2;
+
 impl Core {
     /// Puts a configuration into force. An older one is ignored.
     pub(crate) fn configure(
@@ -38,11 +41,21 @@
             self.members.me_mut().phase = Phase::Serving;
         }
         self.next_beat = now;
+        self.spread(now, actions);
         self.own_runners(now);
         self.watch(actions);
         self.grant_all(now, actions);
     }
 
+    /// Tells some routers at once that there is a newer configuration, so that it
+    /// reaches all in a number of steps that grows as the logarithm of theirs.
+    fn spread(&mut self, now: Time, actions: &mut Vec<Action>) {
+        for inner in self.members.partners(&mut self.random, SPREAD) {
+            let frame = self.frame(now);
+            actions.push(Action::Exchange(inner, frame));
+        }
+    }
+
     /// Creates missing services and sets the weights. Services with requests
     /// stay until those have ended.
     fn update_services(&mut self) {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use balsamchute_dispatch::event::{Action, Arrival, Command, Ending, Event, Finish, Ticket};
 use balsamchute_dispatch::settings::Settings;
 use balsamchute_dispatch::view::Address;
+use balsamchute_inventory::config::Config;
 use balsamchute_inventory::document;
 use balsamchute_wire::claim::{Ask, Verdict};
 use balsamchute_wire::config::Stamp;
@@ -42,6 +43,10 @@
     /// Requests whose attempts were to be cancelled.
     pub cancelled: Vec<Ticket>,
     pub stopped: Vec<Instance>,
+    /// The configuration that each router was given last.
+    configs: BTreeMap<Instance, (Stamp, Arc<Config>)>,
+    /// Who awaits the answer to an exchange, by its number.
+    exchanges: BTreeMap<u64, Instance>,
     addresses: BTreeMap<SocketAddr, Instance>,
 }
 
@@ -58,6 +63,8 @@
             grants: 0,
             cancelled: Vec::new(),
             stopped: Vec::new(),
+            configs: BTreeMap::new(),
+            exchanges: BTreeMap::new(),
             addresses: BTreeMap::new(),
         };
         for index in 0..count {
@@ -127,6 +134,10 @@
             let Some(core) = self.cores.get_mut(&at) else {
                 continue;
             };
+            if let Event::Config(stamp, config) = &event {
+                let given = (*stamp, Arc::clone(config));
+                self.configs.insert(at.clone(), given);
+            }
             core.handle(now, event, &mut actions);
             for action in actions {
                 self.act(&at, action, &mut waiting);
@@ -147,9 +158,23 @@
             Action::Ask(ticket, ask) => self.asked.push((at.clone(), ticket, ask)),
             Action::Stopped => self.stopped.push(at.clone()),
             Action::Exchange(address, frame) => match self.reach(at, address) {
-                Some(to) => waiting.push((to, Event::Exchanged(frame))),
+                Some(to) => {
+                    let number = self.exchanges.len() as u64;
+                    self.exchanges.insert(number, at.clone());
+                    waiting.push((to, Event::Exchange(number, frame)));
+                }
                 None => waiting.push((at.clone(), Event::Unreachable(address, false))),
             },
+            Action::Answer(number, frame) => {
+                let asker = self.exchanges[&number].clone();
+                waiting.push((asker, Event::Exchanged(frame)));
+            }
+            Action::Fetch(address) => {
+                let given = self.reach(at, address).map(|to| self.configs[&to].clone());
+                if let Some((stamp, config)) = given {
+                    waiting.push((at.clone(), Event::Config(stamp, config)));
+                }
+            }
             Action::Send(address, to, batch) => self.deliver(at, address, to, batch, waiting),
             _ => {}
         }
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -3,9 +3,13 @@
 #[expect(dead_code, reason = "every test file uses a part of it")]
 mod common;
 
+use std::sync::Arc;
+
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Command, Ending, Event};
+use balsamchute_inventory::document;
 use balsamchute_wire::claim::Verdict;
+use balsamchute_wire::config::Stamp;
 use balsamchute_wire::record::{Code, Outcome};
 
 use common::{Net, head};
@@ -359,3 +363,21 @@
     assert_eq!(end.outcome, Outcome::Failed);
     assert_eq!(end.code, Some(Code::Deadline));
 }
+
+/// The platform is out after one router has read the configuration.
+#[test]
+fn new_configuration_reaches_a_large_fleet_by_exchanges_at_once() {
+    let mut net = Net::new(60);
+    let first = net.names()[0].clone();
+    let config = document::parse(common::CONFIG, "test").expect("a sound configuration");
+    let stamp = Stamp {
+        version: 2,
+        ..Stamp::default()
+    };
+    net.event(&first, Event::Config(stamp, Arc::new(config)));
+    net.pass(500);
+    let behind = |name: &&Instance| net.cores[*name].status().config < 2;
+    let names = net.names();
+    let behind: Vec<&Instance> = names.iter().filter(behind).collect();
+    assert!(behind.is_empty(), "{behind:?}");
+}
