Compute the margin before a deadline in one place; drop an action nobody used

Cause: the read-through found the margin kept back from a deadline (a tenth, at most 200 ms) written once in the decisions and again in the thread that serves a request, where the two could drift apart. Every start of a request also emitted an action that the process ignored, since the wait is observed by the thread.

Change: dispatch::deadline::answer_by serves both; Action::Waited and the arrival time kept for it are gone. Behaviour is as before, no test changed.

--- a/crates/dispatch/src/arrival.rs
+++ b/crates/dispatch/src/arrival.rs
@@ -8,6 +8,7 @@
 use balsamchute_wire::record::{Code, End, Outcome};
 
 use crate::core::Core;
+use crate::deadline::answer_by;
 use crate::event::{Action, Arrival, Command, Ticket};
 use crate::limits::Count;
 use crate::request::{Entry, Stage};
@@ -16,19 +17,6 @@
 /// When a caller that was refused for lack of room may come back.
 const BUSY_RETRY: Span = Span::from_secs(1);
 
-/// Longest time that is kept back from a deadline for the answer's way.
-const ANSWER_MARGIN: Span = Span(200);
-
-/// Share of a short deadline that is kept back, as a divisor.
-const ANSWER_SHARE: u64 = 10;
-
-/// Returns the time within which a request must have ended here, so that its
-/// caller hears of it before giving up.
-fn answer_by(deadline: Span) -> Span {
-    let share = Span(deadline.as_millis() / ANSWER_SHARE);
-    deadline.saturating_sub(share.min(ANSWER_MARGIN))
-}
-
 /// Addresses of other routers in the refusal of one that leaves.
 const ADDRESSES: usize = 2;
 
@@ -50,7 +38,6 @@
             began: false,
             avoid: None,
             digest: arrival.digest,
-            arrived: now,
             deadline: now + answer_by(arrival.head.deadline),
             stage: Stage::Claiming,
             count: Count::None,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -205,8 +205,6 @@
     ReadList,
     /// Ask these runners for their load from now on.
     Watch(Vec<(Runner, SocketAddr)>),
-    /// Observe how long a request waited for its slot.
-    Waited(Workspace, Service, Span),
     /// All work is finished and the process may exit.
     Stopped,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - peers exchange membership, summaries and loans.
 
 pub mod core;
+pub mod deadline;
 pub mod event;
 pub mod settings;
 pub mod trail;
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -57,8 +57,6 @@
     pub began: bool,
     /// Failure domain that it stays away from until a time.
     pub avoid: Option<(Domain, Time)>,
-    /// When it came.
-    pub arrived: Time,
     /// When it is given up.
     pub deadline: Time,
     /// Where it stands.
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -187,15 +187,9 @@
             slot.runner, slot.owner
         );
         entry.stage = Stage::Running(slot);
-        let arrived = entry.arrived;
         let workspace = entry.head.workspace.clone();
         let key = entry.head.key.clone();
         self.recount(ticket, Count::Running);
-        actions.push(Action::Waited(
-            workspace.clone(),
-            service,
-            now.since(arrived),
-        ));
         if let Some(key) = key {
             self.ledger.sent(&workspace, &key, &attempt);
         }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use balsamchute_base::digest::Hasher;
 use balsamchute_base::prelude::*;
+use balsamchute_dispatch::deadline::answer_by;
 use balsamchute_dispatch::event::{Arrival, Command, Ending, Event, Finish, Run, Ticket};
 use balsamchute_metrics::Metrics;
 use balsamchute_wire::claim::Settled;
@@ -22,9 +23,6 @@
 /// Time between two empty lines to a caller whose request waits.
 pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
-/// Longest time before the deadline at which a caller is told of an overdue call.
-const DEADLINE_MARGIN: Span = Span(200);
-
 /// When a caller may ask for the end of an overdue call.
 const OVERDUE_RETRY: Span = Span::from_secs(1);
 
@@ -160,9 +158,7 @@
 
     /// Returns the time left for an answer that arrives by the deadline.
     pub fn left(&self) -> Span {
-        let by = self.arrived + self.head.deadline;
-        let margin = Span(self.head.deadline.as_millis() / 10);
-        let by = by - Span(margin.as_millis().min(DEADLINE_MARGIN.as_millis()));
+        let by = self.arrived + answer_by(self.head.deadline);
         by.since(self.work.now())
     }
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -124,7 +124,6 @@
             Action::Cancel(ticket) => self.work.cancels.cancel(ticket),
             Action::ReadList => self.polls.read_list(),
             Action::Watch(runners) => self.polls.watch(runners),
-            Action::Waited(..) => {}
             Action::Stopped if self.claims.is_open() => {
                 // Told again at the next tick, or ended by the grace time.
             }
