Serve the users' platform: one event loop a machine behind a small adapter

Change: the adapter in platform/ decodes settings, manifest, runners, requests and answers; crates/model holds what it decodes into, crates/http frames messages, crates/schedule decides, crates/edge forwards on mio under a stakker actor. Ruled out: tiny_http and ureq, two threads and 74 KiB a stream on 0.25 cores. Conclusion: the path stands; shared prompt parts read again are the largest price.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,8 +1,9 @@
 //! Types that every part of balsamchute shares: names, time, cost and digests.
 //!
-//! Nothing here does I/O. The clock type is [`time::Time`]; only process edges
-//! read a real clock and turn it into one.
+//! Nothing here does I/O but [`clock::Clock`], which process edges read to get a
+//! [`time::Time`].
 
+pub mod clock;
 pub mod cost;
 pub mod digest;
 pub mod id;
--- a/crates/base/src/rank.rs
+++ b/crates/base/src/rank.rs
@@ -5,8 +5,14 @@
 /// Returns the score of `candidate` for `item`; the highest score is responsible.
 #[must_use]
 pub fn score(item: &str, candidate: &str) -> u64 {
+    score_bytes(item.as_bytes(), candidate)
+}
+
+/// Returns the score of `candidate` for an item that is named by bytes.
+#[must_use]
+pub fn score_bytes(item: &[u8], candidate: &str) -> u64 {
     let mut hasher = Xxh3Default::new();
-    hasher.update(item.as_bytes());
+    hasher.update(item);
     hasher.update(&[0]);
     hasher.update(candidate.as_bytes());
     hasher.digest()
--- /dev/null
+++ b/crates/http/src/error.rs
@@ -0,0 +1,26 @@
+//! Why bytes are no proper message.
+
+use displaydoc::Display;
+
+/// A fault of a message.
+#[derive(Clone, Debug, Eq, PartialEq, Display)]
+pub enum Error {
+    /// malformed head: {0}
+    Malformed(String),
+    /// head is longer than {0} bytes
+    HeadTooLong(usize),
+    /// more than one header {0}
+    Repeated(&'static str),
+    /// both Content-Length and Transfer-Encoding are given
+    TwoLengths,
+    /// transfer coding {0:?} is not supported
+    Coding(String),
+    /// content length {0:?} is not a number
+    Length(String),
+    /// malformed chunk: {0}
+    Chunk(&'static str),
+    /// connection closed before the end of the message
+    Truncated,
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/model/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The types that most users of this package need.
+
+pub use crate::manifest::{Limits, Manifest, Repeat, Route};
+pub use crate::prompt::{Part, Prompt};
+pub use crate::runner::{Entry, State};
+pub use crate::settings::Settings;
+pub use balsamchute_base::prelude::*;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,7 +13,6 @@
 mod callers;
 mod cancel;
 mod claims;
-mod clock;
 mod error;
 mod forward;
 mod inner;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use balsamchute_base::clock::Clock;
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::core::Core;
 use balsamchute_dispatch::event::Event;
@@ -15,7 +16,6 @@
 
 use crate::cancel::{self, Cancels};
 use crate::claims::Claims;
-use crate::clock::Clock;
 use crate::error::Error;
 use crate::hooks::Hooks;
 use crate::input::Input;
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use balsamchute_base::clock::Clock;
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Event, Ticket};
 use balsamchute_metrics::Metrics;
 use crossbeam_channel::{Receiver, Sender, bounded};
 
 use crate::cancel::Cancels;
-use crate::clock::Clock;
 use crate::hooks::Hooks;
 use crate::input::{Input, Query};
 use crate::run::Targets;
--- /dev/null
+++ b/crates/schedule/src/place.rs
@@ -0,0 +1,202 @@
+//! Choice of the runner for a request.
+
+use balsamchute_base::rank;
+use balsamchute_model::prelude::*;
+use indexmap::IndexMap;
+
+use crate::held::Held;
+use crate::runner::{Load, Target};
+
+/// Prompt tokens that an engine reads in a millisecond between the steps of its
+/// other requests: a chunk of 1,024 takes about 23 ms beside 40 running ones.
+const READ_RATE: f64 = 44.0;
+
+/// Unread prompt tokens up to which a runner takes requests that are owed:
+/// about 200 ms of reading, half of the shortest usual aim.
+const MAX_UNREAD: u64 = 9_000;
+
+/// Unread prompt tokens up to which a runner counts as idle.
+const IDLE_UNREAD: u64 = 1_500;
+
+/// Share of the slots up to which a runner takes requests that are owed.
+const MAX_FILL: f64 = 0.9;
+
+/// Share of the slots up to which a runner counts as idle.
+const IDLE_FILL: f64 = 0.6;
+
+/// Share of a runner's memory that running requests may fill. The rest keeps
+/// prompt parts and absorbs answers longer than expected.
+const MAX_MEMORY: f64 = 0.8;
+
+/// Share of a prompt's shared parts that the runner which the parts hash to
+/// probably keeps, first and second choice. Every router sends them there.
+const HOME_KEEPS: [f64; 2] = [0.9, 0.4];
+
+/// Milliseconds that a full runner adds to its estimate, as a tie-break among
+/// runners without unread tokens.
+const FILL_PENALTY: f64 = 40.0;
+
+/// Milliseconds that a runner in another failure domain adds.
+const DISTANCE_PENALTY: f64 = 8.0;
+
+/// Milliseconds that a plain request takes, for choice only.
+const PLAIN_WORK: f64 = 40.0;
+
+/// Whether the request goes before others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Claim {
+    /// Its workspace is owed it.
+    Owed,
+    /// Its workspace had its share; only idle runners take it.
+    Spare,
+}
+
+/// Where a request should go.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Choice {
+    To {
+        runner: Runner,
+        /// How long the first event should take.
+        estimate: f64,
+        /// Tokens that the runner has to read.
+        unread: u64,
+    },
+    /// Every runner that could take it is full.
+    Full,
+    /// No runner can take it.
+    Nobody,
+}
+
+/// What the choice depends on beside the request.
+pub(crate) struct View<'a> {
+    pub now: Time,
+    pub domain: &'a str,
+    pub targets: &'a IndexMap<Runner, Target>,
+    pub engine: Option<&'a balsamchute_model::manifest::Engine>,
+}
+
+impl View<'_> {
+    /// Chooses the runner that should answer first. `usable` excludes runners.
+    pub fn choose<F>(&self, held: &Held, claim: Claim, usable: F) -> Choice
+    where
+        F: Fn(&Target) -> bool,
+    {
+        let listed =
+            |t: &&Target| t.entry.service == held.request.service && t.is_ready() && usable(t);
+        let all: Vec<&Target> = self.targets.values().filter(listed).collect();
+        let fresh = |t: &&&Target| !held.tried.contains(&t.entry.runner);
+        let mut candidates: Vec<&Target> = all.iter().filter(fresh).copied().collect();
+        if candidates.is_empty() && held.runs == 0 {
+            candidates = all;
+        }
+        if candidates.is_empty() {
+            return Choice::Nobody;
+        }
+        let healthy: Vec<&Target> = candidates
+            .iter()
+            .filter(|t| !t.is_paused(self.now))
+            .copied()
+            .collect();
+        // With most runners failing, the fault is hardly theirs alone.
+        if healthy.len() * 2 >= candidates.len() {
+            candidates = healthy;
+        }
+        self.best(held, claim, &candidates)
+    }
+
+    fn best(&self, held: &Held, claim: Claim, candidates: &[&Target]) -> Choice {
+        let prompt = held.request.prompt.as_ref();
+        let homes = prompt.map_or([None, None], |prompt| homes(prompt, candidates));
+        let mut best: Option<(f64, &Target, f64, u64)> = None;
+        for &target in candidates {
+            let load = target.load(self.now);
+            if !self.has_room(target, &load, prompt, claim) {
+                continue;
+            }
+            let unread = prompt.map_or(0, |prompt| unread(prompt, target, &homes));
+            let estimate = match prompt {
+                Some(_) => (load.unread + unread) as f64 / READ_RATE * target.slowness(),
+                None => {
+                    PLAIN_WORK * f64::from(load.running + 1) / f64::from(target.entry.slots.max(1))
+                }
+            };
+            let score = estimate + self.penalty(target, &load);
+            if best.is_none_or(|(lowest, ..)| score < lowest) {
+                best = Some((score, target, estimate, unread));
+            }
+        }
+        best.map_or(Choice::Full, |(_, target, estimate, unread)| Choice::To {
+            runner: target.entry.runner.clone(),
+            estimate,
+            unread,
+        })
+    }
+
+    fn has_room(
+        &self,
+        target: &Target,
+        load: &Load,
+        prompt: Option<&Prompt>,
+        claim: Claim,
+    ) -> bool {
+        let slots = f64::from(target.entry.slots);
+        let Some(prompt) = prompt else {
+            return f64::from(load.running) < slots;
+        };
+        let (fill, max_unread) = match claim {
+            Claim::Owed => (MAX_FILL, MAX_UNREAD),
+            Claim::Spare => (IDLE_FILL, IDLE_UNREAD),
+        };
+        let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
+        let needed = u64::from(prompt.tokens_in) + u64::from(prompt.likely_out());
+        let fits =
+            ((load.memory + needed) as f64) < memory as f64 * MAX_MEMORY || load.running == 0;
+        f64::from(load.running) < slots * fill && load.unread <= max_unread && fits
+    }
+
+    fn penalty(&self, target: &Target, load: &Load) -> f64 {
+        let fill = f64::from(load.running) / f64::from(target.entry.slots.max(1));
+        let distance = match target.entry.domain == self.domain {
+            true => 0.0,
+            false => DISTANCE_PENALTY,
+        };
+        let warming = if target.entry.warming > Span(0) {
+            FILL_PENALTY
+        } else {
+            0.0
+        };
+        fill * FILL_PENALTY + distance + warming
+    }
+}
+
+/// Returns the two runners that a prompt's shared parts hash to.
+fn homes<'a>(prompt: &Prompt, candidates: &[&'a Target]) -> [Option<&'a Runner>; 2] {
+    let Some(last) = prompt.shared().last() else {
+        return [None, None];
+    };
+    let item = last.chain.to_le_bytes();
+    let mut first: Option<(u64, &Runner)> = None;
+    let mut second: Option<(u64, &Runner)> = None;
+    for target in candidates {
+        let runner = &target.entry.runner;
+        let score = rank::score_bytes(&item, runner.as_str());
+        if first.is_none_or(|(highest, _)| score > highest) {
+            second = first.replace((score, runner));
+        } else if second.is_none_or(|(highest, _)| score > highest) {
+            second = Some((score, runner));
+        }
+    }
+    [first.map(|(_, r)| r), second.map(|(_, r)| r)]
+}
+
+/// Returns the tokens of the prompt that the runner probably has to read.
+fn unread(prompt: &Prompt, target: &Target, homes: &[Option<&Runner>; 2]) -> u64 {
+    let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
+    let mut kept = f64::from(target.cache.kept(prompt));
+    for (home, keeps) in homes.iter().zip(HOME_KEEPS) {
+        if *home == Some(&target.entry.runner) {
+            kept = kept.max(f64::from(shared) * keeps);
+        }
+    }
+    u64::from(prompt.tokens_in.saturating_sub(kept as u32)).max(1)
+}
--- /dev/null
+++ b/src/commands/edge.rs
@@ -0,0 +1,28 @@
+//! `balsamchute edge`
+
+use bpaf::Bpaf;
+
+use crate::error::Error;
+
+/// Options of the command.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// TOML file with the settings that the platform hands out
+    #[bpaf(
+        long,
+        env(balsamchute_adapter::settings::PATH_VARIABLE),
+        argument("FILE")
+    )]
+    settings: String,
+}
+
+/// Runs a router at the edge of the platform until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`Error::Edge`] for faults in the settings, or if the router cannot
+/// start.
+pub fn run(options: &Options) -> Result<(), Error> {
+    balsamchute_edge::process::serve(&options.settings)?;
+    Ok(())
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod diff;
+mod edge;
 mod explain;
 mod files;
 mod get;
@@ -32,6 +33,12 @@
     /// requests with the addresses of other routers, and exits.
     #[bpaf(command)]
     Serve(#[bpaf(external(serve::options))] serve::Options),
+    /// Runs a router at the edge of the users' platform until it is told to stop
+    ///
+    /// SIGTERM and SIGINT stop it gracefully: it leaves the directory, finishes
+    /// what it has, and exits.
+    #[bpaf(command)]
+    Edge(#[bpaf(external(edge::options))] edge::Options),
     /// Checks inventory and rules and reports every fault
     #[bpaf(command)]
     Check(#[bpaf(external(check::options))] check::Options),
@@ -59,6 +66,11 @@
 }
 
 impl Command {
+    /// Returns whether the command starts a logger of its own.
+    pub fn starts_logger(&self) -> bool {
+        matches!(self, Command::Edge(_))
+    }
+
     /// Runs the command.
     ///
     /// # Errors
@@ -67,6 +79,7 @@
     pub fn run(self) -> Result<(), Error> {
         match self {
             Command::Serve(options) => serve::run(&options),
+            Command::Edge(options) => edge::run(&options),
             Command::Check(options) => check::run(&options),
             Command::Diff(options) => diff::run(&options),
             Command::Apply(options) => apply::run(&options),
--- a/src/error.rs
+++ b/src/error.rs
@@ -49,6 +49,8 @@
     },
     /// router cannot start: {0}
     Serve(balsamchute_router::Error),
+    /// router at the edge: {0}
+    Edge(balsamchute_edge::Error),
     /// platform: {0}
     Platform(Platform),
     /// platform holds no configuration at "{0}"
@@ -125,3 +127,9 @@
         Error::Operator(error)
     }
 }
+
+impl From<balsamchute_edge::Error> for Error {
+    fn from(error: balsamchute_edge::Error) -> Self {
+        Error::Edge(error)
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,8 +18,10 @@
         Ok(command) => command,
         Err(failure) => return usage(&failure),
     };
-    let default = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(default).init();
+    if !command.starts_logger() {
+        let default = env_logger::Env::default().default_filter_or("info");
+        env_logger::Builder::from_env(default).init();
+    }
     match command.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
