Keep requests where their shared prompt parts are; spare work only where nothing is read again

Change: the choice weighs tokens read again; requests beyond the share go only to runners that keep their parts, below 40% of slots and without unread prompts. The log line of each send carries what decided it.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -7,7 +7,7 @@
 use balsamchute_adapter::request::{self, Onward};
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
-use balsamchute_schedule::action::{Action, End, Id};
+use balsamchute_schedule::action::{Action, Basis, End, Id};
 
 use crate::edge::{Edge, Slot};
 use crate::flight::Stash;
@@ -38,7 +38,8 @@
                         id,
                         runner,
                         address,
-                    } => self.send(id, &runner, address),
+                        basis,
+                    } => self.send(id, &runner, address, &basis),
                     Action::Withdraw { id } => self.withdraw(id),
                     Action::Refuse { id, refusal, retry } => self.refuse(id, refusal, retry),
                     Action::Deliver { id } => self.deliver_failure(id),
@@ -49,7 +50,7 @@
     }
 
     /// Sends a request to a runner, over an idle connection if there is one.
-    fn send(&mut self, id: Id, runner: &Runner, address: SocketAddr) {
+    fn send(&mut self, id: Id, runner: &Runner, address: SocketAddr, basis: &Basis) {
         let now = self.now();
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
@@ -59,12 +60,19 @@
         flight.splitter.restart();
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={}",
+            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} served={:.0} unread={} shared={} estimate_ms={} running={} waiting={}",
             flight.name,
             flight.attempts,
             flight.workspace.as_ref().map_or("-", Workspace::as_str),
             flight.manifest,
-            now.since(flight.arrived).0
+            now.since(flight.arrived).0,
+            basis.owed,
+            basis.served,
+            basis.unread,
+            basis.shared,
+            basis.estimate.0,
+            basis.running,
+            basis.waiting
         );
         if let Some(index) = self.take_idle(now, runner) {
             if let Some(flight) = self.flights.get_mut(&id) {
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -59,6 +59,25 @@
     }
 }
 
+/// What decided the choice of a runner, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Whether the workspace was owed the request.
+    pub owed: bool,
+    /// Cost that the workspace was served in the window, fleet-wide.
+    pub served: f64,
+    /// Prompt tokens that the runner probably has to read.
+    pub unread: u64,
+    /// Of these, tokens of shared parts.
+    pub shared: u64,
+    /// How long the first event should take.
+    pub estimate: Span,
+    /// Requests that run there, of all routers.
+    pub running: u32,
+    /// Prompt tokens that wait to be read there, of all routers.
+    pub waiting: u64,
+}
+
 /// What the process is told to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -70,6 +89,8 @@
         runner: Runner,
         /// Its address.
         address: SocketAddr,
+        /// What decided it.
+        basis: Basis,
     },
     /// Stop waiting for the runner that has the request; it goes elsewhere.
     Withdraw {
--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -7,7 +7,7 @@
 use balsamchute_model::prelude::*;
 use indexmap::IndexMap;
 
-use crate::action::{Action, End, Failure, Id, Refusal};
+use crate::action::{Action, Basis, End, Failure, Id, Refusal};
 use crate::budget::Budget;
 use crate::held::{Held, Sent, Stage};
 use crate::place::{Choice, Claim, View};
@@ -361,13 +361,10 @@
         while let Some((workspace, id)) = self.next(service, &blocked) {
             let claim = self.claim(service, workspace.as_ref());
             match self.choose(now, id, claim) {
-                Choice::To {
-                    runner,
-                    estimate,
-                    unread,
-                } => {
+                Choice::To { runner, mut basis } => {
+                    basis.served = self.served(service, workspace.as_ref());
                     self.dequeue(service, &workspace, id);
-                    self.send(now, id, &runner, Span(estimate as u64), unread);
+                    self.send(now, id, &runner, basis);
                 }
                 Choice::Full => return,
                 Choice::Nobody => {
@@ -384,17 +381,13 @@
         blocked: &BTreeSet<Option<Workspace>>,
     ) -> Option<(Option<Workspace>, Id)> {
         let queue = self.queues.get(service)?;
-        let shares = self.shares.get(service);
         let mut best: Option<(f64, &Option<Workspace>, Id)> = None;
         for (workspace, ids) in queue {
             let Some(&id) = ids.front() else { continue };
             if blocked.contains(workspace) {
                 continue;
             }
-            let served = match (shares, workspace) {
-                (Some(shares), Some(workspace)) => shares.served(workspace),
-                _ => 0.0,
-            };
+            let served = self.served(service, workspace.as_ref());
             if best.is_none_or(|(lowest, ..)| served < lowest) {
                 best = Some((served, workspace, id));
             }
@@ -402,6 +395,15 @@
         best.map(|(_, workspace, id)| (workspace.clone(), id))
     }
 
+    /// Returns the cost that a workspace was served lately; nothing is counted
+    /// for requests without one.
+    fn served(&self, service: &Service, workspace: Option<&Workspace>) -> f64 {
+        match (self.shares.get(service), workspace) {
+            (Some(shares), Some(workspace)) => shares.served(workspace),
+            _ => 0.0,
+        }
+    }
+
     fn claim(&self, service: &Service, workspace: Option<&Workspace>) -> Claim {
         let owed = match (self.shares.get(service), workspace) {
             (Some(shares), Some(workspace)) => shares.is_owed(workspace),
@@ -442,12 +444,12 @@
         runners
     }
 
-    fn send(&mut self, now: Time, id: Id, runner: &Runner, estimate: Span, unread: u64) {
+    fn send(&mut self, now: Time, id: Id, runner: &Runner, basis: Basis) {
         let held = &mut self.held[&id];
         let prompt = held.request.prompt.as_ref();
         let memory = prompt.map_or(0, |p| u64::from(p.tokens_in) + u64::from(p.likely_out()));
         let target = &mut self.targets[runner];
-        target.own.add(unread, memory);
+        target.own.add(basis.unread, memory);
         if let Some(prompt) = prompt {
             let engine = self.engines.get(&held.request.service);
             let capacity = engine.map_or(u64::MAX, |engine| engine.memory_tokens);
@@ -458,8 +460,8 @@
         held.stage = Stage::Sent(Sent {
             runner: runner.clone(),
             at: now,
-            estimate,
-            unread,
+            estimate: basis.estimate,
+            unread: basis.unread,
             memory,
             last_event: now,
             events: 0,
@@ -470,6 +472,7 @@
             id,
             runner: runner.clone(),
             address,
+            basis,
         });
     }
 
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -4,6 +4,7 @@
 use balsamchute_model::prelude::*;
 use indexmap::IndexMap;
 
+use crate::action::Basis;
 use crate::held::Held;
 use crate::runner::{Load, Target};
 
@@ -16,22 +17,30 @@
 const MAX_UNREAD: u64 = 9_000;
 
 /// Unread prompt tokens up to which a runner counts as idle.
-const IDLE_UNREAD: u64 = 1_500;
+const IDLE_UNREAD: u64 = 0;
 
 /// Share of the slots up to which a runner takes requests that are owed.
 const MAX_FILL: f64 = 0.9;
 
 /// Share of the slots up to which a runner counts as idle.
-const IDLE_FILL: f64 = 0.6;
+const IDLE_FILL: f64 = 0.4;
 
 /// Share of a runner's memory that running requests may fill. The rest keeps
 /// prompt parts and absorbs answers longer than expected.
-const MAX_MEMORY: f64 = 0.8;
+const MAX_MEMORY: f64 = 0.7;
 
 /// Share of a prompt's shared parts that the runner which the parts hash to
 /// probably keeps, first and second choice. Every router sends them there.
 const HOME_KEEPS: [f64; 2] = [0.9, 0.4];
 
+/// Milliseconds that reading a token of a shared part again adds: reading it
+/// twice costs the fleet more than a wait within the aim.
+const REREAD_PENALTY: f64 = 0.3;
+
+/// Tokens of shared parts that a request beyond its workspace's share may make
+/// a runner read again.
+const MAX_SPARE_REREAD: u64 = 600;
+
 /// Milliseconds that a full runner adds to its estimate, as a tie-break among
 /// runners without unread tokens.
 const FILL_PENALTY: f64 = 40.0;
@@ -56,10 +65,7 @@
 pub(crate) enum Choice {
     To {
         runner: Runner,
-        /// How long the first event should take.
-        estimate: f64,
-        /// Tokens that the runner has to read.
-        unread: u64,
+        basis: Basis,
     },
     /// Every runner that could take it is full.
     Full,
@@ -107,28 +113,41 @@
     fn best(&self, held: &Held, claim: Claim, candidates: &[&Target]) -> Choice {
         let prompt = held.request.prompt.as_ref();
         let homes = prompt.map_or([None, None], |prompt| homes(prompt, candidates));
-        let mut best: Option<(f64, &Target, f64, u64)> = None;
+        let mut best: Option<(f64, &Target, Basis)> = None;
         for &target in candidates {
             let load = target.load(self.now);
             if !self.has_room(target, &load, prompt, claim) {
                 continue;
             }
-            let unread = prompt.map_or(0, |prompt| unread(prompt, target, &homes));
+            let mut basis = Basis {
+                owed: claim == Claim::Owed,
+                running: load.running,
+                waiting: load.unread,
+                ..Basis::default()
+            };
             let estimate = match prompt {
-                Some(_) => (load.unread + unread) as f64 / READ_RATE * target.slowness(),
+                Some(prompt) => {
+                    basis.unread = unread(prompt, target, &homes);
+                    basis.shared = reread(prompt, target, &homes) as u64;
+                    (load.unread + basis.unread) as f64 / READ_RATE * target.slowness()
+                }
                 None => {
                     PLAIN_WORK * f64::from(load.running + 1) / f64::from(target.entry.slots.max(1))
                 }
             };
-            let score = estimate + self.penalty(target, &load);
+            basis.estimate = Span(estimate as u64);
+            if claim == Claim::Spare && basis.shared > MAX_SPARE_REREAD {
+                continue;
+            }
+            let again = basis.shared as f64 * REREAD_PENALTY;
+            let score = estimate + again + self.penalty(target, &load);
             if best.is_none_or(|(lowest, ..)| score < lowest) {
-                best = Some((score, target, estimate, unread));
+                best = Some((score, target, basis));
             }
         }
-        best.map_or(Choice::Full, |(_, target, estimate, unread)| Choice::To {
+        best.map_or(Choice::Full, |(_, target, basis)| Choice::To {
             runner: target.entry.runner.clone(),
-            estimate,
-            unread,
+            basis,
         })
     }
 
@@ -191,12 +210,27 @@
 
 /// Returns the tokens of the prompt that the runner probably has to read.
 fn unread(prompt: &Prompt, target: &Target, homes: &[Option<&Runner>; 2]) -> u64 {
-    let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
+    let kept = kept(prompt, target, homes);
+    u64::from(prompt.tokens_in.saturating_sub(kept as u32)).max(1)
+}
+
+/// Returns the tokens of shared parts that the runner probably has to read.
+fn reread(prompt: &Prompt, target: &Target, homes: &[Option<&Runner>; 2]) -> f64 {
+    (shared(prompt) - kept(prompt, target, homes)).max(0.0)
+}
+
+fn shared(prompt: &Prompt) -> f64 {
+    prompt.shared().iter().map(|p| f64::from(p.tokens)).sum()
+}
+
+/// Returns the tokens of the prompt that the runner probably keeps.
+fn kept(prompt: &Prompt, target: &Target, homes: &[Option<&Runner>; 2]) -> f64 {
+    let shared = shared(prompt);
     let mut kept = f64::from(target.cache.kept(prompt));
     for (home, keeps) in homes.iter().zip(HOME_KEEPS) {
         if *home == Some(&target.entry.runner) {
-            kept = kept.max(f64::from(shared) * keeps);
+            kept = kept.max(shared * keeps);
         }
     }
-    u64::from(prompt.tokens_in.saturating_sub(kept as u32)).max(1)
+    kept
 }
