Let requests that can be on time go before those refused before

Change: a request's age follows from how much less patient its caller is than the most patient one of the route; late requests wait behind fresh ones.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -177,6 +177,7 @@
             repeat: route.repeat,
             stream: route.stream,
             prompt: caller.prompt.clone(),
+            age: self.age(&route.name, left),
             aim: route.aim,
             pause: route.pause,
             deadline: now + left,
@@ -208,6 +209,21 @@
         Ok(work)
     }
 
+    /// Returns how long ago a caller that waits `left` longer asked first: callers
+    /// of a route are equally patient, so the most patient one has just begun.
+    fn age(&mut self, route: &str, left: Span) -> Span {
+        match self.patience.get_mut(route) {
+            Some(longest) => {
+                *longest = left.max(*longest);
+                longest.saturating_sub(left)
+            }
+            None => {
+                self.patience.insert(route.to_owned(), left);
+                Span(0)
+            }
+        }
+    }
+
     fn usable_manifest(&self, now: Time) -> Result<Arc<Manifest>, Rejection> {
         let leaving = self
             .leaving_since
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -75,6 +75,8 @@
     has_runners: bool,
     flights: HashMap<Id, Flight>,
     next_id: Id,
+    // Longest time that callers of a route wait, by its name.
+    patience: HashMap<String, Span>,
     pool: Pool,
     callers: usize,
     body_bytes: usize,
@@ -124,6 +126,7 @@
             has_runners: false,
             flights: HashMap::new(),
             next_id: 0,
+            patience: HashMap::new(),
             pool: Pool::default(),
             callers: 0,
             body_bytes: 0,
--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -60,8 +60,32 @@
     pub retry_window: Span,
 }
 
+/// Waiting requests of one workspace.
+#[derive(Clone, Debug, Default)]
+struct Waiting {
+    /// Those that can be on time, in order of arrival.
+    fresh: VecDeque<Id>,
+    /// Those that are late already, because they were refused before.
+    late: VecDeque<Id>,
+}
+
+impl Waiting {
+    fn first(&self) -> Option<Id> {
+        self.fresh.front().or(self.late.front()).copied()
+    }
+
+    fn of(&mut self, is_late: bool) -> &mut VecDeque<Id> {
+        if is_late { &mut self.late } else { &mut self.fresh }
+    }
+
+    fn remove(&mut self, id: Id) {
+        self.fresh.retain(|&other| other != id);
+        self.late.retain(|&other| other != id);
+    }
+}
+
 /// Requests of one service that wait, by workspace.
-type Queue = BTreeMap<Option<Workspace>, VecDeque<Id>>;
+type Queue = BTreeMap<Option<Workspace>, Waiting>;
 
 /// The decisions of one router.
 #[derive(Clone, Debug)]
@@ -175,10 +199,8 @@
             return;
         }
         let queue = self.queues.entry(service.clone()).or_default();
-        queue
-            .entry(request.workspace.clone())
-            .or_default()
-            .push_back(id);
+        let waiting = queue.entry(request.workspace.clone()).or_default();
+        waiting.of(request.is_late()).push_back(id);
         self.held.insert(id, Held::new(now, request));
         self.pump(now, &service);
     }
@@ -382,8 +404,8 @@
     ) -> Option<(Option<Workspace>, Id)> {
         let queue = self.queues.get(service)?;
         let mut best: Option<(f64, &Option<Workspace>, Id)> = None;
-        for (workspace, ids) in queue {
-            let Some(&id) = ids.front() else { continue };
+        for (workspace, waiting) in queue {
+            let Some(id) = waiting.first() else { continue };
             if blocked.contains(workspace) {
                 continue;
             }
@@ -570,8 +592,13 @@
         let held = &mut self.held[&id];
         held.stage = Stage::Waiting;
         let workspace = held.request.workspace.clone();
+        let is_late = held.request.is_late();
         let queue = self.queues.entry(service).or_default();
-        queue.entry(workspace).or_default().push_front(id);
+        queue
+            .entry(workspace)
+            .or_default()
+            .of(is_late)
+            .push_front(id);
         true
     }
 
@@ -669,9 +696,9 @@
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
-        if let Some(ids) = queue.get_mut(workspace) {
-            ids.retain(|&other| other != id);
-            if ids.is_empty() {
+        if let Some(waiting) = queue.get_mut(workspace) {
+            waiting.remove(id);
+            if waiting.first().is_none() {
                 queue.remove(workspace);
             }
         }
--- a/crates/schedule/src/request.rs
+++ b/crates/schedule/src/request.rs
@@ -15,7 +15,9 @@
     pub stream: bool,
     /// Size of a model request.
     pub prompt: Option<Prompt>,
-    /// Time from the arrival within which the answer is on time.
+    /// Time since its caller asked first, elsewhere or before a refusal.
+    pub age: Span,
+    /// Time from the first asking within which the answer is on time.
     pub aim: Span,
     /// Longest pause between events of a stream that is on time.
     pub pause: Span,
@@ -28,6 +30,12 @@
 }
 
 impl Request {
+    /// Returns whether an answer can no longer be on time.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.age > self.aim
+    }
+
     /// Returns its estimated cost: one for each token read and two for each
     /// token made, or one for a plain request.
     #[must_use]
