--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -24,6 +24,10 @@
 /// answer after the aim still earns a part of its worth.
 const OWED_WAIT_PERCENT: u64 = 120;
 
+/// Part of the share window over which use decays: a workspace that had more
+/// than its share must not go without for a whole window after it.
+const SHARE_DECAY: u64 = 4;
+
 /// Time after which a caller should come back to a service without runners.
 const RETRY_NO_RUNNER: Span = Span(1000);
 
@@ -75,7 +79,11 @@
     }
 
     fn of(&mut self, is_late: bool) -> &mut VecDeque<Id> {
-        if is_late { &mut self.late } else { &mut self.fresh }
+        if is_late {
+            &mut self.late
+        } else {
+            &mut self.fresh
+        }
     }
 
     fn remove(&mut self, id: Id) {
@@ -707,7 +715,7 @@
     fn shares_of(&mut self, service: &Service) -> &mut Shares {
         let is_model = self.engines.contains_key(service);
         let capacity = self.capacity.filter(|_| is_model);
-        let window = self.settings.share_window;
+        let window = Span(self.settings.share_window.0 / SHARE_DECAY);
         self.shares
             .entry(service.clone())
             .or_insert_with(|| Shares::new(window, capacity.map(|tokens| tokens as f64)))
