Serve kinds of a workspace in proportion to what it asks for

Change: within a workspace the kind that got least of what was asked goes first; a spare request without room blocks only its own line.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -173,6 +173,7 @@
             service: route
                 .service(id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32)
                 .clone(),
+            kind: route.name.clone(),
             workspace: workspace.clone(),
             repeat: route.repeat,
             stream: route.stream,
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -60,14 +60,16 @@
         flight.splitter.restart();
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} served={:.0} unread={} shared={} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} level={:.0} unread={} shared={} estimate_ms={} running={} waiting={}",
             flight.name,
             flight.attempts,
             flight.workspace.as_ref().map_or("-", Workspace::as_str),
             flight.manifest,
             now.since(flight.arrived).0,
             basis.owed,
+            basis.cost,
             basis.served,
+            basis.level,
             basis.unread,
             basis.shared,
             basis.estimate.0,
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -64,8 +64,12 @@
 pub struct Basis {
     /// Whether the workspace was owed the request.
     pub owed: bool,
+    /// Estimated cost of the request.
+    pub cost: f64,
     /// Cost that the workspace was served in the window, fleet-wide.
     pub served: f64,
+    /// Most that any workspace is owed in the window.
+    pub level: f64,
     /// Prompt tokens that the runner probably has to read.
     pub unread: u64,
     /// Of these, tokens of shared parts.
--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -14,7 +14,7 @@
 use crate::report::{self, Report};
 use crate::request::Request;
 use crate::runner::{Load, Target};
-use crate::share::{Shares, Usage};
+use crate::share::{Mix, Shares, Usage};
 
 /// Part of the aim that a request which is not owed may wait for an idle
 /// runner. Callers refused within it lose nothing by the wait.
@@ -64,7 +64,7 @@
     pub retry_window: Span,
 }
 
-/// Waiting requests of one workspace.
+/// Waiting requests of one kind and workspace.
 #[derive(Clone, Debug, Default)]
 struct Waiting {
     /// Those that can be on time, in order of arrival.
@@ -74,10 +74,6 @@
 }
 
 impl Waiting {
-    fn first(&self) -> Option<Id> {
-        self.fresh.front().or(self.late.front()).copied()
-    }
-
     fn of(&mut self, is_late: bool) -> &mut VecDeque<Id> {
         if is_late {
             &mut self.late
@@ -90,10 +86,17 @@
         self.fresh.retain(|&other| other != id);
         self.late.retain(|&other| other != id);
     }
+
+    fn is_empty(&self) -> bool {
+        self.fresh.is_empty() && self.late.is_empty()
+    }
 }
 
-/// Requests of one service that wait, by workspace.
-type Queue = BTreeMap<Option<Workspace>, Waiting>;
+/// Whose requests wait together: those of a workspace and a kind.
+type Line = (Option<Workspace>, String);
+
+/// Requests of one service that wait.
+type Queue = BTreeMap<Line, Waiting>;
 
 /// The decisions of one router.
 #[derive(Clone, Debug)]
@@ -105,6 +108,7 @@
     engines: BTreeMap<Service, Engine>,
     capacity: Option<u64>,
     shares: BTreeMap<Service, Shares>,
+    mix: Mix,
     budget: Budget,
     book: Book,
     routers: u32,
@@ -120,6 +124,7 @@
             settings.retry_slack,
             settings.retry_window,
         );
+        let mix = Mix::new(settings.share_window);
         Core {
             settings,
             held: IndexMap::new(),
@@ -128,6 +133,7 @@
             engines: BTreeMap::new(),
             capacity: None,
             shares: BTreeMap::new(),
+            mix,
             budget,
             book: Book::new(suspect::Settings::default()),
             routers: 1,
@@ -198,8 +204,10 @@
     pub fn arrive(&mut self, now: Time, id: Id, request: Request) {
         let service = request.service.clone();
         self.budget.first(now, &service);
+        let cost = request.cost();
+        self.mix
+            .ask(request.workspace.as_ref(), &request.kind, cost);
         if let Some(workspace) = &request.workspace {
-            let cost = request.cost();
             self.shares_of(&service).ask(workspace, cost);
         }
         if let Admission::Refused { .. } = self.book.admit(now, request.fingerprint) {
@@ -207,7 +215,7 @@
             return;
         }
         let queue = self.queues.entry(service.clone()).or_default();
-        let waiting = queue.entry(request.workspace.clone()).or_default();
+        let waiting = queue.entry(line(&request)).or_default();
         waiting.of(request.is_late()).push_back(id);
         self.held.insert(id, Held::new(now, request));
         self.pump(now, &service);
@@ -311,6 +319,7 @@
         for shares in self.shares.values_mut() {
             shares.advance(now);
         }
+        self.mix.advance(now);
         self.book.expire(now);
         self.pump_all(now);
         let ids: Vec<Id> = self.held.keys().copied().collect();
@@ -387,42 +396,46 @@
     /// Sends waiting requests of a service to runners with room, those of the
     /// least served workspace first.
     fn pump(&mut self, now: Time, service: &Service) {
-        let mut blocked: BTreeSet<Option<Workspace>> = BTreeSet::new();
-        while let Some((workspace, id)) = self.next(service, &blocked) {
-            let claim = self.claim(service, workspace.as_ref());
+        let mut blocked: BTreeSet<Line> = BTreeSet::new();
+        while let Some((line, id)) = self.next(service, &blocked) {
+            let claim = self.claim(service, line.0.as_ref());
             match self.choose(now, id, claim) {
                 Choice::To { runner, mut basis } => {
-                    basis.served = self.served(service, workspace.as_ref());
-                    self.dequeue(service, &workspace, id);
+                    basis.cost = self.held[&id].request.cost();
+                    basis.served = self.served(service, line.0.as_ref());
+                    basis.level = self.shares.get(service).map_or(0.0, Shares::level);
+                    self.dequeue(service, &line, id);
                     self.send(now, id, &runner, basis);
                 }
-                Choice::Full => return,
-                Choice::Nobody => {
-                    blocked.insert(workspace);
+                // No runner is left for requests that are owed less.
+                Choice::Full if claim == Claim::Owed => return,
+                Choice::Full | Choice::Nobody => {
+                    blocked.insert(line);
                 }
             }
         }
     }
 
-    /// Returns the first waiting request of the least served workspace.
-    fn next(
-        &self,
-        service: &Service,
-        blocked: &BTreeSet<Option<Workspace>>,
-    ) -> Option<(Option<Workspace>, Id)> {
+    /// Returns the waiting request that goes first: of the least served
+    /// workspace, of the kind that got least of what it asked for, and if
+    /// possible one that can be on time.
+    fn next(&self, service: &Service, blocked: &BTreeSet<Line>) -> Option<(Line, Id)> {
         let queue = self.queues.get(service)?;
-        let mut best: Option<(f64, &Option<Workspace>, Id)> = None;
-        for (workspace, waiting) in queue {
-            let Some(id) = waiting.first() else { continue };
-            if blocked.contains(workspace) {
+        let mut best: Option<((f64, bool, f64), &Line, Id)> = None;
+        for (line, waiting) in queue {
+            let is_late = waiting.fresh.is_empty();
+            let first = waiting.fresh.front().or(waiting.late.front());
+            let Some(&id) = first.filter(|_| !blocked.contains(line)) else {
                 continue;
-            }
+            };
+            let (workspace, kind) = line;
             let served = self.served(service, workspace.as_ref());
-            if best.is_none_or(|(lowest, ..)| served < lowest) {
-                best = Some((served, workspace, id));
+            let order = (served, is_late, self.mix.ratio(workspace.as_ref(), kind));
+            if best.is_none_or(|(lowest, ..)| order < lowest) {
+                best = Some((order, line, id));
             }
         }
-        best.map(|(_, workspace, id)| (workspace.clone(), id))
+        best.map(|(_, line, id)| (line.clone(), id))
     }
 
     /// Returns the cost that a workspace was served lately; nothing is counted
@@ -510,6 +523,8 @@
     fn charge(&mut self, id: Id, sign: f64) {
         let held = &self.held[&id];
         let (service, cost) = (held.request.service.clone(), held.request.cost());
+        let workspace = held.request.workspace.as_ref();
+        self.mix.serve(workspace, &held.request.kind, cost * sign);
         if let Some(workspace) = held.request.workspace.clone() {
             self.shares_of(&service).serve(&workspace, cost * sign);
         }
@@ -599,14 +614,9 @@
         }
         let held = &mut self.held[&id];
         held.stage = Stage::Waiting;
-        let workspace = held.request.workspace.clone();
-        let is_late = held.request.is_late();
+        let (line, is_late) = (line(&held.request), held.request.is_late());
         let queue = self.queues.entry(service).or_default();
-        queue
-            .entry(workspace)
-            .or_default()
-            .of(is_late)
-            .push_front(id);
+        queue.entry(line).or_default().of(is_late).push_front(id);
         true
     }
 
@@ -693,21 +703,21 @@
     /// its service.
     fn forget(&mut self, id: Id) -> Option<Service> {
         let held = self.held.swap_remove(&id)?;
-        let service = held.request.service;
+        let service = held.request.service.clone();
         if matches!(held.stage, Stage::Waiting) {
-            self.dequeue(&service, &held.request.workspace, id);
+            self.dequeue(&service, &line(&held.request), id);
         }
         Some(service)
     }
 
-    fn dequeue(&mut self, service: &Service, workspace: &Option<Workspace>, id: Id) {
+    fn dequeue(&mut self, service: &Service, line: &Line, id: Id) {
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
-        if let Some(waiting) = queue.get_mut(workspace) {
+        if let Some(waiting) = queue.get_mut(line) {
             waiting.remove(id);
-            if waiting.first().is_none() {
-                queue.remove(workspace);
+            if waiting.is_empty() {
+                queue.remove(line);
             }
         }
     }
@@ -722,6 +732,10 @@
     }
 }
 
+fn line(request: &Request) -> Line {
+    (request.workspace.clone(), request.kind.clone())
+}
+
 /// Returns whether a request waits so long for its runner that another one
 /// would probably answer sooner.
 fn stalls(now: Time, held: &Held, sent: &Sent) -> bool {
--- a/crates/schedule/src/request.rs
+++ b/crates/schedule/src/request.rs
@@ -7,6 +7,8 @@
 pub struct Request {
     /// The service that it asks for.
     pub service: Service,
+    /// Its kind: the name of its route.
+    pub kind: String,
     /// Who it is for; `None` on public routes without a key.
     pub workspace: Option<Workspace>,
     /// Whether it may run more than once.
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -179,3 +179,65 @@
         f64::INFINITY
     }
 }
+
+/// How much of what a workspace asks for it is served, by kind of request.
+///
+/// Within a workspace's share, kinds that need a certain runner would yield to
+/// those that can run anywhere. The kind that got least of what was asked goes
+/// first instead.
+#[derive(Clone, Debug)]
+pub struct Mix {
+    window: Span,
+    decayed: Time,
+    usage: BTreeMap<Option<Workspace>, BTreeMap<String, Usage>>,
+}
+
+impl Mix {
+    /// Creates a mix that counts over `window`.
+    #[must_use]
+    pub fn new(window: Span) -> Self {
+        Mix {
+            window,
+            decayed: Time(0),
+            usage: BTreeMap::new(),
+        }
+    }
+
+    /// Records a request that arrived here.
+    pub fn ask(&mut self, workspace: Option<&Workspace>, kind: &str, cost: f64) {
+        self.entry(workspace, kind).asked += cost;
+    }
+
+    /// Records a request that was sent to a runner, or takes it back.
+    pub fn serve(&mut self, workspace: Option<&Workspace>, kind: &str, cost: f64) {
+        let usage = self.entry(workspace, kind);
+        usage.served = (usage.served + cost).max(0.0);
+    }
+
+    /// Lets the counts decay to `now`.
+    pub fn advance(&mut self, now: Time) {
+        let age = now.since(self.decayed).0 as f64;
+        let factor = (-age / self.window.0.max(1) as f64).exp();
+        self.decayed = now;
+        for kinds in self.usage.values_mut() {
+            for usage in kinds.values_mut() {
+                usage.decay(factor);
+            }
+            kinds.retain(|_, usage| usage.asked + usage.served > NEGLIGIBLE);
+        }
+        self.usage.retain(|_, kinds| !kinds.is_empty());
+    }
+
+    /// Returns the part of what was asked that was served.
+    #[must_use]
+    pub fn ratio(&self, workspace: Option<&Workspace>, kind: &str) -> f64 {
+        let kinds = self.usage.get(&workspace.cloned());
+        let usage = kinds.and_then(|kinds| kinds.get(kind));
+        usage.map_or(0.0, |usage| usage.served / usage.asked.max(1.0))
+    }
+
+    fn entry(&mut self, workspace: Option<&Workspace>, kind: &str) -> &mut Usage {
+        let kinds = self.usage.entry(workspace.cloned()).or_default();
+        kinds.entry(kind.to_owned()).or_default()
+    }
+}
