--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -60,7 +60,7 @@
         flight.splitter.restart();
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} level={:.0} unread={} shared={} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} level={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             flight.name,
             flight.attempts,
             flight.workspace.as_ref().map_or("-", Workspace::as_str),
@@ -72,6 +72,7 @@
             basis.level,
             basis.unread,
             basis.shared,
+            basis.chain,
             basis.estimate.0,
             basis.running,
             basis.waiting
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -74,6 +74,8 @@
     pub unread: u64,
     /// Of these, tokens of shared parts.
     pub shared: u64,
+    /// Digest of the prompt's shared parts, 0 without any.
+    pub chain: u64,
     /// How long the first event should take.
     pub estimate: Span,
     /// Requests that run there, of all routers.
--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -18,7 +18,7 @@
 
 /// Part of the aim that a request which is not owed may wait for an idle
 /// runner. Callers refused within it lose nothing by the wait.
-const SPARE_WAIT: u64 = 8;
+const SPARE_WAIT: u64 = 4;
 
 /// Waits of requests that are owed, as a multiple of the aim in percent: an
 /// answer after the aim still earns a part of its worth.
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -129,6 +129,7 @@
                 Some(prompt) => {
                     basis.unread = unread(prompt, target, &homes);
                     basis.shared = reread(prompt, target, &homes) as u64;
+                    basis.chain = prompt.shared().last().map_or(0, |part| part.chain);
                     (load.unread + basis.unread) as f64 / READ_RATE * target.slowness()
                 }
                 None => {
