--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -36,7 +36,7 @@
 
 /// Time after which a caller whose workspace had its share should come back:
 /// half of the usual share window.
-const RETRY_OVER_SHARE: Span = Span(2000);
+const RETRY_OVER_SHARE: Span = Span(400);
 
 /// Time after which a caller may send a request that crashes runners again.
 const RETRY_CRASHES: Span = Span::from_secs(30);
