--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -541,7 +541,8 @@
     /// may have crashed it.
     fn judge(&mut self, now: Time, id: Id, sent: &Sent, end: End) {
         let fingerprint = self.held[&id].request.fingerprint;
-        let attempt = Attempt::new(&format!("{}.{id}", self.settings.origin));
+        let number = self.held[&id].tried.len();
+        let attempt = Attempt::new(&format!("{}.{id}.{number}", self.settings.origin));
         let Some(target) = self.targets.get_mut(&sent.runner) else {
             return;
         };
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -37,7 +37,8 @@
 pub struct Shares {
     window: Span,
     capacity: Option<f64>,
-    decayed: Time,
+    // `None` until the first advance, before which nothing decays.
+    decayed: Option<Time>,
     own: BTreeMap<Workspace, Usage>,
     peers: BTreeMap<Instance, Reported>,
     // Sum over the peers, as of the last advance.
@@ -55,7 +56,7 @@
         Shares {
             window,
             capacity,
-            decayed: Time(0),
+            decayed: None,
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
             others: BTreeMap::new(),
@@ -98,8 +99,9 @@
 
     /// Lets the counts decay to `now` and computes the share again.
     pub fn advance(&mut self, now: Time) {
-        let factor = self.factor(now.since(self.decayed));
-        self.decayed = now;
+        let age = now.since(self.decayed.unwrap_or(now));
+        let factor = self.factor(age);
+        self.decayed = Some(now);
         for usage in self.own.values_mut() {
             usage.decay(factor);
         }
@@ -188,7 +190,8 @@
 #[derive(Clone, Debug)]
 pub struct Mix {
     window: Span,
-    decayed: Time,
+    // `None` until the first advance, before which nothing decays.
+    decayed: Option<Time>,
     usage: BTreeMap<Option<Workspace>, BTreeMap<String, Usage>>,
 }
 
@@ -198,7 +201,7 @@
     pub fn new(window: Span) -> Self {
         Mix {
             window,
-            decayed: Time(0),
+            decayed: None,
             usage: BTreeMap::new(),
         }
     }
@@ -216,9 +219,9 @@
 
     /// Lets the counts decay to `now`.
     pub fn advance(&mut self, now: Time) {
-        let age = now.since(self.decayed).0 as f64;
+        let age = now.since(self.decayed.unwrap_or(now)).0 as f64;
         let factor = (-age / self.window.0.max(1) as f64).exp();
-        self.decayed = now;
+        self.decayed = Some(now);
         for kinds in self.usage.values_mut() {
             for usage in kinds.values_mut() {
                 usage.decay(factor);
--- /dev/null
+++ b/crates/schedule/tests/common/mod.rs
@@ -0,0 +1,116 @@
+//! A router's decisions with two services: one of model engines, one plain.
+
+use std::net::SocketAddr;
+
+use balsamchute_model::manifest::{Engine, Offer};
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::Core;
+use balsamchute_schedule::action::{Action, Id};
+use balsamchute_schedule::core::Settings;
+use balsamchute_schedule::request::Request;
+
+pub const NOW: Time = Time(1_000_000);
+
+/// Tokens a second that the engines produce.
+pub const CAPACITY: u64 = 100_000;
+
+pub fn service(name: &str) -> Service {
+    Service::new(name).unwrap()
+}
+
+pub fn runner(name: &str) -> Runner {
+    Runner::new(name).unwrap()
+}
+
+pub fn workspace(name: &str) -> Option<Workspace> {
+    Some(Workspace::new(name).unwrap())
+}
+
+pub fn entry(name: &str, of: &str, slots: u32) -> Entry {
+    Entry {
+        runner: runner(name),
+        service: service(of),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: "a".to_owned(),
+        slots,
+        state: State::Ready,
+        warming: Span(0),
+        born: 1,
+    }
+}
+
+/// Creates the decisions of a router; `retries` is the fleet's slack of repeats.
+pub fn core(retries: u32) -> Core {
+    let mut core = Core::new(Settings {
+        origin: "r1.1".to_owned(),
+        domain: "a".to_owned(),
+        share_window: Span(4000),
+        retry_ratio: 0.2,
+        retry_slack: retries,
+        retry_window: Span(10_000),
+    });
+    let engine = Engine {
+        slots: 64,
+        memory_tokens: 400_000,
+        event_tokens: 5,
+    };
+    let offer = |name: &str, engine| Offer {
+        service: service(name),
+        connections: 100,
+        engine,
+    };
+    let limits = Limits {
+        tokens_per_second: Some(CAPACITY),
+        ..Limits::default()
+    };
+    let manifest = Manifest::new(1, Vec::new())
+        .with_offers(vec![offer("model", Some(engine)), offer("plain", None)])
+        .with_limits(limits);
+    core.set_manifest(&manifest);
+    core
+}
+
+pub fn plain(repeat: Repeat, attempts: u32) -> Request {
+    Request {
+        service: service("plain"),
+        kind: "plain".to_owned(),
+        workspace: workspace("w1"),
+        repeat,
+        stream: false,
+        prompt: None,
+        age: Span(0),
+        aim: Span(200),
+        pause: Span(200),
+        deadline: NOW + Span(1000),
+        attempts,
+        fingerprint: 1,
+    }
+}
+
+/// Creates a model request of a workspace whose prompt begins with `part`.
+pub fn model(of: &str, part: u64, tokens: u32) -> Request {
+    Request {
+        service: service("model"),
+        kind: "model".to_owned(),
+        workspace: workspace(of),
+        repeat: Repeat::Resumable,
+        stream: true,
+        prompt: Some(Prompt::new(
+            tokens,
+            50,
+            &[(part, tokens / 2), (99, tokens / 2)],
+        )),
+        deadline: NOW + Span(15_000),
+        aim: Span(800),
+        ..plain(Repeat::Resumable, 2)
+    }
+}
+
+/// Returns the runners that requests were sent to.
+pub fn sent(actions: &[Action]) -> Vec<(Id, String)> {
+    let sends = actions.iter().filter_map(|action| match action {
+        Action::Send { id, runner, .. } => Some((*id, runner.as_str().to_owned())),
+        _ => None,
+    });
+    sends.collect()
+}
