--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod ask;
 mod check;
 mod command;
+mod edge;
 mod serve;
