--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -342,7 +342,7 @@
     match stream.read_to_end(&mut bytes) {
         Ok(_) => {}
         Err(error) if error.kind() == ErrorKind::ConnectionReset => {
-            bytes.extend_from_slice(b"<reset>")
+            bytes.extend_from_slice(b"<reset>");
         }
         Err(error) => panic!("the connection fails: {error}"),
     }
