Leave idle runners to workspaces that are behind at other routers

Ruled out: order inside a router, which was right at each of them. Change: from the sums of all routers each knows the even part of what is served; a workspace 20% ahead of it takes only runners below 20% of their slots. The test failed before the change.

--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -448,11 +448,11 @@
     }
 
     fn claim(&self, service: &Service, workspace: Option<&Workspace>) -> Claim {
-        let owed = match (self.shares.get(service), workspace) {
-            (Some(shares), Some(workspace)) => shares.is_owed(workspace),
-            _ => true,
-        };
-        if owed { Claim::Owed } else { Claim::Spare }
+        match (self.shares.get(service), workspace) {
+            (Some(shares), Some(workspace)) if shares.is_ahead(workspace) => Claim::Ahead,
+            (Some(shares), Some(workspace)) if !shares.is_owed(workspace) => Claim::Spare,
+            _ => Claim::Owed,
+        }
     }
 
     fn choose(&self, now: Time, id: Id, claim: Claim) -> Choice {
@@ -649,7 +649,7 @@
         let claim = self.claim(&request.service, request.workspace.as_ref());
         let longest = match claim {
             Claim::Owed => Span(request.aim.0 * OWED_WAIT_PERCENT / 100),
-            Claim::Spare => Span(request.aim.0 / SPARE_WAIT),
+            Claim::Spare | Claim::Ahead => Span(request.aim.0 / SPARE_WAIT),
         };
         let is_up = now.since(held.arrived) >= longest && !held.begun;
         if !is_up && now < request.deadline {
@@ -666,7 +666,7 @@
             let refusal = match (any, claim) {
                 (false, _) => Refusal::NoRunner,
                 (true, Claim::Owed) => Refusal::Saturated,
-                (true, Claim::Spare) => Refusal::OverShare,
+                (true, Claim::Spare | Claim::Ahead) => Refusal::OverShare,
             };
             self.refuse(id, refusal);
         }
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -25,6 +25,10 @@
 /// Share of the slots up to which a runner counts as idle.
 const IDLE_FILL: f64 = 0.4;
 
+/// Share of the slots up to which a runner takes requests of workspaces that
+/// are ahead of others.
+const AHEAD_FILL: f64 = 0.2;
+
 /// Share of a runner's memory that running requests may fill. The rest keeps
 /// prompt parts and absorbs answers longer than expected.
 const MAX_MEMORY: f64 = 0.7;
@@ -58,6 +62,9 @@
     Owed,
     /// Its workspace had its share; only idle runners take it.
     Spare,
+    /// As spare, and the workspace is ahead of others that ask for more,
+    /// perhaps at other routers: what is idle goes to those first.
+    Ahead,
 }
 
 /// Where a request should go.
@@ -137,7 +144,7 @@
                 }
             };
             basis.estimate = Span(estimate as u64);
-            if claim == Claim::Spare && basis.shared > MAX_SPARE_REREAD {
+            if claim != Claim::Owed && basis.shared > MAX_SPARE_REREAD {
                 continue;
             }
             let again = basis.shared as f64 * REREAD_PENALTY;
@@ -166,6 +173,7 @@
         let (fill, max_unread) = match claim {
             Claim::Owed => (MAX_FILL, MAX_UNREAD),
             Claim::Spare => (IDLE_FILL, IDLE_UNREAD),
+            Claim::Ahead => (AHEAD_FILL, IDLE_UNREAD),
         };
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
         let needed = u64::from(prompt.tokens_in) + u64::from(prompt.likely_out());
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -44,8 +44,13 @@
     // Sum over the peers, as of the last advance.
     others: BTreeMap<Workspace, Usage>,
     level: f64,
+    even: f64,
 }
 
+/// Served cost, as a multiple of the even part, above which a workspace is
+/// ahead of others.
+const AHEAD: f64 = 1.2;
+
 /// Below this cost a workspace is dropped from the sums.
 const NEGLIGIBLE: f64 = 0.01;
 
@@ -61,6 +66,7 @@
             peers: BTreeMap::new(),
             others: BTreeMap::new(),
             level: f64::INFINITY,
+            even: f64::INFINITY,
         }
     }
 
@@ -111,7 +117,14 @@
         self.peers
             .retain(|_, reported| now.since(reported.at) < horizon);
         self.others = self.sum_peers(now);
-        self.level = self.max_min();
+        self.level = match self.capacity {
+            Some(capacity) => self.max_min(capacity * self.window.0 as f64 / 1000.0),
+            None => f64::INFINITY,
+        };
+        self.even = match self.capacity {
+            Some(_) => self.max_min(self.total_served()).max(self.level),
+            None => f64::INFINITY,
+        };
     }
 
     /// Returns the cost that the workspace was served in the window, fleet-wide.
@@ -129,6 +142,13 @@
         self.served(workspace) < self.level
     }
 
+    /// Returns whether the workspace has clearly more than its even part of what
+    /// the fleet serves, beyond its share included, while others ask for more.
+    #[must_use]
+    pub fn is_ahead(&self, workspace: &Workspace) -> bool {
+        self.served(workspace) > self.even * AHEAD
+    }
+
     /// Returns the most that any workspace is owed in the window.
     #[must_use]
     pub fn level(&self) -> f64 {
@@ -156,19 +176,21 @@
         sums
     }
 
+    fn total_served(&self) -> f64 {
+        let all = self.own.values().chain(self.others.values());
+        all.map(|usage| usage.served).sum()
+    }
+
     /// Returns the level at which what workspaces ask for, cut at the level,
-    /// adds up to the capacity of the window.
-    fn max_min(&self) -> f64 {
-        let Some(capacity) = self.capacity else {
-            return f64::INFINITY;
-        };
+    /// adds up to `total`.
+    fn max_min(&self, total: f64) -> f64 {
         let mut asked: BTreeMap<&Workspace, f64> = BTreeMap::new();
         for (workspace, usage) in self.own.iter().chain(&self.others) {
             *asked.entry(workspace).or_default() += usage.asked;
         }
         let mut asked: Vec<f64> = asked.into_values().collect();
         asked.sort_by(f64::total_cmp);
-        let mut left = capacity * self.window.0 as f64 / 1000.0;
+        let mut left = total;
         let mut count = asked.len();
         for demand in asked {
             let even = left / count as f64;
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -258,3 +258,36 @@
             }
         });
 }
+
+#[test]
+fn idle_runners_go_first_to_those_behind_at_other_routers() {
+    let mut core = engines(1);
+    core.tick(NOW);
+    let usage = |workspace: &str, served| report::Usage {
+        service: service("model"),
+        workspace: name(workspace),
+        asked: 1e6,
+        served,
+    };
+    let report = Report {
+        usage: vec![usage("ahead", 6e5), usage("behind", 2e5)],
+        ..Report::default()
+    };
+    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    // The runner has read all prompts and runs a quarter of its slots.
+    for id in 0..16 {
+        core.arrive(NOW, id, model("light", 1, 100));
+        core.take_actions();
+        core.written(id);
+        core.progress(NOW, id, 1);
+    }
+    core.tick(NOW);
+    core.arrive(NOW, 100, model("ahead", 1, 100));
+    assert_eq!(sent(&core.take_actions()), []);
+    core.arrive(NOW, 101, model("behind", 1, 100));
+    let next: Vec<Id> = sent(&core.take_actions())
+        .into_iter()
+        .map(|(id, _)| id)
+        .collect();
+    assert_eq!(next, [101]);
+}
