--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -11,6 +11,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
 use balsamchute_schedule::request::Request as Work;
+use balsamchute_wire::record::Outcome;
 
 use crate::caller::{Fault, Incoming, Phase as CallerPhase};
 use crate::edge::{Edge, Slot};
@@ -133,6 +134,7 @@
                     self.manifest_version(),
                     rejection.reason
                 );
+                self.report.rejected(rejection.status);
                 self.reject(now, index, name.as_deref(), &rejection);
             }
         }
@@ -201,6 +203,8 @@
             upstream: None,
             attempts: 0,
             first: None,
+            last: None,
+            service: work.service.clone(),
             stash: None,
             head,
             body,
@@ -323,6 +327,9 @@
                 flight.attempts,
                 now.since(flight.arrived).0
             );
+            let total = now.since(flight.arrived);
+            self.report
+                .ended(&flight, Outcome::Unknown, "caller_gone", total);
             self.core.leave(now, id.unwrap_or_default());
             self.act();
         }
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -5,6 +5,7 @@
 use balsamchute_http::write;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Failure, Id, Refusal};
+use balsamchute_wire::record::Outcome;
 
 use crate::edge::{Edge, Slot};
 use crate::flight::{Answered, Flight};
@@ -50,6 +51,10 @@
             answer::encode(caller.socket.out(), &head, Body::Chunked, caller.close);
             flight.answered = Answered::Partly;
             flight.first = Some(now);
+            self.report.first(flight, now.since(flight.arrived));
+        }
+        if let Some(last) = flight.last.replace(now) {
+            self.report.pause(flight, now.since(last));
         }
         write::chunk(caller.socket.out(), &bytes);
         let caller = flight.caller;
@@ -90,6 +95,12 @@
             now.since(flight.arrived).0,
             flight.splitter.events()
         );
+        let outcome = match head.status {
+            200..=299 => Outcome::Done,
+            _ => Outcome::Failed,
+        };
+        let total = now.since(flight.arrived);
+        self.report.ended(&flight, outcome, "runner_failed", total);
         self.answered(now, flight.caller);
     }
 
@@ -118,6 +129,9 @@
             now.since(flight.arrived).0,
             retry.0
         );
+        let total = now.since(flight.arrived);
+        self.report
+            .ended(&flight, Outcome::NotRun, refusal.as_str(), total);
         self.answer_own(now, &flight, 503, Some(retry), refusal.as_str());
     }
 
@@ -136,6 +150,9 @@
             flight.is_answered(),
             now.since(flight.arrived).0
         );
+        let total = now.since(flight.arrived);
+        self.report
+            .ended(&flight, Outcome::Unknown, failure.as_str(), total);
         if flight.is_answered() {
             if let Some(Slot::Caller(caller)) = self.slots.get_mut(flight.caller) {
                 caller.socket.flush();
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -31,6 +31,7 @@
 use crate::output::Output;
 use crate::peers::{Phase, Table};
 use crate::registry::Registry;
+use crate::report::Report;
 use crate::server;
 use crate::socket::{Input, Socket};
 use crate::sync::Sync;
@@ -68,6 +69,7 @@
     slots: Slab<Slot>,
     scratch: Vec<u8>,
     output: Output,
+    report: Report,
     core: Core,
     manifest: Option<Arc<Manifest>>,
     manifest_bytes: Vec<u8>,
@@ -101,8 +103,12 @@
     /// # Errors
     ///
     /// Returns [`Error::Listen`] if an address cannot be used.
-    pub fn new(settings: Settings, poller: Poller, output: Output) -> Result<Self, Error> {
-        let clock = Clock::new();
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        poller: Poller,
+        output: Output,
+    ) -> Result<Self, Error> {
         let now = clock.now();
         let core = Core::new(core::Settings {
             origin: format!("{}.{}", settings.instance, clock.start().0),
@@ -119,6 +125,7 @@
             slots: Slab::new(),
             scratch: vec![0; READ_BYTES],
             output,
+            report: Report::new().map_err(Error::Metrics)?,
             core,
             manifest: None,
             manifest_bytes: Vec::new(),
@@ -176,6 +183,14 @@
             let socket = listener(address)?;
             self.add_listener(address, Slot::Server(socket, purpose))?;
         }
+        let metrics = listener(listen.metrics).and_then(|socket| {
+            let slot = Slot::Server(socket, server::Purpose::Metrics);
+            self.add_listener(listen.metrics, slot)
+        });
+        if let Err(error) = metrics {
+            // Serving goes before being measured.
+            log::warn!(target: "process", "event=no_metrics reason={:?}", error.to_string());
+        }
         let bound = UdpSocket::bind(listen.peers);
         let datagrams = bound.map_err(|error| listen_error(listen.peers, error))?;
         self.datagrams = self.add_listener(listen.peers, Slot::Datagrams(datagrams))?;
--- a/crates/edge/src/edge/questions.rs
+++ b/crates/edge/src/edge/questions.rs
@@ -20,6 +20,9 @@
 /// Longest silence of a connection for questions.
 const QUESTION_IDLE: Span = Span::from_secs(10);
 
+/// Path of the metrics, as in `deploy/system.toml`.
+const METRICS_PATH: &str = "/metrics";
+
 const JSON: &str = "application/json";
 const MESSAGE_PACK: &str = "application/msgpack";
 const TEXT: &str = "text/plain";
@@ -88,6 +91,7 @@
                 true => (200, TEXT, Vec::new()),
                 false => (503, TEXT, b"not serving".to_vec()),
             },
+            (Purpose::Metrics, _) if head.path() == METRICS_PATH => self.metrics_page(now),
             (Purpose::Peers, _) if head.path() == VIEW_PATH => {
                 let version = head.query("manifest").and_then(|text| text.parse().ok());
                 match rmp_serde::to_vec(&self.view(version.unwrap_or(0))) {
@@ -105,6 +109,18 @@
         }
     }
 
+    fn metrics_page(&self, now: Time) -> (u16, &'static str, Vec<u8>) {
+        let routers = self.peers.alive(now).count() + 1;
+        let runners = self.registry.entries().count();
+        match self.report.page(routers, self.manifest_version(), runners) {
+            Ok(page) => (200, TEXT, page.into_bytes()),
+            Err(error) => {
+                log::error!(target: "process", "event=metrics_failed error={:?}", error.to_string());
+                (500, TEXT, Vec::new())
+            }
+        }
+    }
+
     /// Returns the routers that callers may use.
     fn routers(&self, now: Time) -> Vec<SocketAddr> {
         let serving = self
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -77,6 +77,7 @@
             basis.running,
             basis.waiting
         );
+        self.report.sent(flight, now.since(flight.arrived));
         if let Some(index) = self.take_idle(now, runner) {
             if let Some(flight) = self.flights.get_mut(&id) {
                 flight.upstream = Some(index);
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -226,7 +226,9 @@
         let Some(sync) = self.syncs.get_mut(&kind) else {
             return;
         };
-        match sync.answer(now, answer) {
+        let news = sync.answer(now, answer);
+        self.report.store_call(!matches!(news, News::Failed(_)));
+        match news {
             News::Failed(reason) => {
                 if self.store_failed.is_none() {
                     log::warn!(target: "store", "event=store_lost kind={kind:?} reason={reason:?}");
@@ -329,6 +331,7 @@
             manifest.routes.len()
         );
         self.core.set_manifest(&manifest);
+        self.report.set_manifest(&manifest);
         self.manifest = Some(Arc::new(manifest));
         self.manifest_bytes = bytes.to_vec();
     }
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -19,6 +19,8 @@
         /// The system's error.
         error: std::io::Error,
     },
+    /// {0}
+    Metrics(balsamchute_metrics::Error),
     /// event loop: {0}
     Poll(std::io::Error),
 }
--- a/crates/edge/src/flight.rs
+++ b/crates/edge/src/flight.rs
@@ -36,6 +36,7 @@
     /// Version of the manifest that it is handled by.
     pub manifest: u64,
     pub workspace: Option<Workspace>,
+    pub service: Service,
     pub arrived: Time,
     pub deadline: Time,
     /// Event after which the caller wants the stream to go on.
@@ -48,6 +49,8 @@
     pub attempts: u32,
     /// When the first part of the answer went to the caller.
     pub first: Option<Time>,
+    /// When the last part went to the caller.
+    pub last: Option<Time>,
     pub stash: Option<Stash>,
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod flight;
 mod frame;
 mod output;
+mod report;
 mod server;
 mod socket;
 mod upstream;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use balsamchute_adapter::settings;
+use balsamchute_base::clock::Clock;
 use balsamchute_model::prelude::*;
 use mio::{Events, Poll};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -33,7 +34,8 @@
 /// the event loop fails.
 pub fn serve(path: &str) -> Result<(), Error> {
     let settings = read_settings(path)?;
-    let output = Output::start();
+    let clock = Clock::new();
+    let output = Output::start(&settings.instance, clock);
     let poll = Poll::new().map_err(Error::Poll)?;
     let poller = poll.registry().try_clone().map_err(Error::Poll)?;
     let stop = Arc::new(AtomicBool::new(false));
@@ -42,7 +44,7 @@
     }
     let reload = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGHUP, reload.clone()).map_err(Error::Poll)?;
-    let edge = Edge::new(settings, poller, output.clone())?;
+    let edge = Edge::new(settings, clock, poller, output.clone())?;
     let ended = turn(poll, edge, path, &stop, &reload);
     output.flush();
     ended
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -20,6 +20,8 @@
     Directory,
     /// Calls of other routers.
     Peers,
+    /// Reads of the metrics.
+    Metrics,
 }
 
 /// A connection that asks small questions.
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -111,6 +111,10 @@
     used: Gauge<u64>,
     routers: Gauge<u64>,
     config: Gauge<u64>,
+    reasons: Counter<u64>,
+    runners: Gauge<u64>,
+    memory: Gauge<u64>,
+    processor: Gauge<f64>,
 }
 
 impl Metrics {
@@ -196,6 +200,17 @@
                 "balsamchute_config_version",
                 "Configuration in force.",
             ),
+            reasons: counter(
+                &meter,
+                "balsamchute_reasons",
+                "Refusals, failures, repeats and lost calls, by reason.",
+            ),
+            runners: gauge(&meter, "balsamchute_runners", "Runners that are listed."),
+            memory: gauge(&meter, "balsamchute_memory_bytes", "Resident memory."),
+            processor: meter
+                .f64_gauge("balsamchute_processor_seconds")
+                .with_description("Processor time since the start.")
+                .build(),
             meter,
             _provider: provider,
         })
@@ -288,6 +303,23 @@
         self.config.record(config, &[]);
     }
 
+    /// Counts an event by its kind and reason. Both come from closed sets.
+    pub fn count_reason(&self, kind: &'static str, reason: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("reason", reason)];
+        self.reasons.add(1, &labels);
+    }
+
+    /// Sets the number of runners that are listed.
+    pub fn set_runners(&self, runners: u64) {
+        self.runners.record(runners, &[]);
+    }
+
+    /// Sets what the process uses.
+    pub fn set_process(&self, memory_bytes: u64, processor_seconds: f64) {
+        self.memory.record(memory_bytes, &[]);
+        self.processor.record(processor_seconds, &[]);
+    }
+
     /// Returns the page in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -48,6 +48,8 @@
     pub directory: SocketAddr,
     /// Calls and datagrams of other routers.
     pub peers: SocketAddr,
+    /// Reads of the metrics.
+    pub metrics: SocketAddr,
 }
 
 /// All settings of a process.
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,6 +1,8 @@
 //! `balsamchute explain`
 
 use std::fmt::Write;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
 
 use balsamchute_wire::record::End;
 use bpaf::Bpaf;
@@ -9,14 +11,15 @@
 use crate::error::Error;
 use crate::output::Output;
 use crate::router::{Client, Entrance, Fleet};
+use crate::trail::Trail;
 
 /// Options of the command.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Options {
     #[bpaf(external(crate::output::output))]
     output: Output,
-    #[bpaf(external(crate::router::entrance))]
-    entrance: Entrance,
+    #[bpaf(external(source))]
+    source: Source,
     /// The workspace that a key belongs to, to show the recorded outcome as well
     #[bpaf(long, argument("WORKSPACE"))]
     workspace: Option<String>,
@@ -25,6 +28,19 @@
     name: String,
 }
 
+/// Where decisions are read from.
+#[derive(Clone, Debug, Bpaf)]
+enum Source {
+    /// Log lines of routers
+    Log {
+        /// File with log lines of one or more routers; "-" reads standard input
+        #[bpaf(long("log"), argument("FILE"))]
+        file: String,
+    },
+    /// Routers that answer now
+    Routers(#[bpaf(external(crate::router::entrance))] Entrance),
+}
+
 /// What one router knows.
 #[derive(Debug, Deserialize, Serialize)]
 struct Explanation {
@@ -57,15 +73,47 @@
     silent: Vec<String>,
 }
 
-/// Asks every router what it knows of the name.
+/// Reads the way of a request from log lines, or asks every router what it
+/// knows of the name.
 ///
 /// # Errors
 ///
-/// Returns [`Error::Unknown`] if none knows anything and [`Error::Router`] if
-/// the router that was named does not answer.
+/// Returns [`Error::Unknown`] if nothing is known, [`Error::File`] if the log
+/// cannot be read and [`Error::Router`] if the router that was named does not
+/// answer.
 pub fn run(options: &Options) -> Result<(), Error> {
+    match &options.source {
+        Source::Log { file } => explain_log(options, file),
+        Source::Routers(entrance) => explain_routers(options, entrance),
+    }
+}
+
+fn explain_log(options: &Options, file: &str) -> Result<(), Error> {
+    let failed = |error: std::io::Error| Error::File {
+        file: file.to_owned(),
+        reason: error.to_string(),
+    };
+    let input: Box<dyn BufRead> = match file {
+        "-" => Box::new(std::io::stdin().lock()),
+        _ => Box::new(BufReader::new(File::open(file).map_err(failed)?)),
+    };
+    let trail = Trail::read(&options.name, input).map_err(failed)?;
+    if trail.skipped > 0 {
+        log::warn!(
+            "{} lines are none of a router's and were skipped",
+            trail.skipped
+        );
+    }
+    if trail.lines.is_empty() {
+        return Err(Error::Unknown(options.name.clone()));
+    }
+    options.output.print(&trail, || trail.text());
+    Ok(())
+}
+
+fn explain_routers(options: &Options, entrance: &Entrance) -> Result<(), Error> {
     let client = Client::new();
-    let fleet = client.fleet(options.entrance.router)?;
+    let fleet = client.fleet(entrance.router)?;
     let report = report(options, &client, &fleet);
     if report.routers.is_empty() && report.outcome.is_none() {
         return Err(Error::Unknown(options.name.clone()));
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod check_settings;
 mod diff;
 mod edge;
 mod explain;
@@ -42,6 +43,9 @@
     /// Checks inventory and rules and reports every fault
     #[bpaf(command)]
     Check(#[bpaf(external(check::options))] check::Options),
+    /// Checks the settings file of a router at the edge
+    #[bpaf(command("check-settings"))]
+    CheckSettings(#[bpaf(external(check_settings::options))] check_settings::Options),
     /// Shows what applying the files would change
     #[bpaf(command)]
     Diff(#[bpaf(external(diff::options))] diff::Options),
@@ -81,6 +85,7 @@
             Command::Serve(options) => serve::run(&options),
             Command::Edge(options) => edge::run(&options),
             Command::Check(options) => check::run(&options),
+            Command::CheckSettings(options) => check_settings::run(&options),
             Command::Diff(options) => diff::run(&options),
             Command::Apply(options) => apply::run(&options),
             Command::Get(options) => get::run(&options),
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod output;
 mod router;
 mod store;
+mod trail;
 
 use std::process::ExitCode;
 
--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Stdio};
+use std::process::Child;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -233,7 +233,9 @@
     pub ready: SocketAddr,
     pub directory: SocketAddr,
     pub peers: SocketAddr,
-    // Holds the settings file.
+    pub settings_file: String,
+    pub log_file: String,
+    // Holds the files.
     _directory: Directory,
 }
 
@@ -266,17 +268,19 @@
         );
         let folder = Directory::new(&format!("edge-{name}-{}", callers.port()));
         let file = folder.file("settings.toml", &text);
+        let log_file = folder.file("log", "");
+        let writer = std::fs::File::create(&log_file).expect("the log can be written");
         let mut command = command(&["edge", "--settings", &file]);
-        let child = command
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the router starts");
+        command.env("RUST_LOG", "info").stdout(writer);
+        let child = command.spawn().expect("the router starts");
         Router {
             child,
             callers,
             ready,
             directory,
             peers,
+            settings_file: file,
+            log_file,
             _directory: folder,
         }
     }
@@ -292,6 +296,11 @@
         });
     }
 
+    /// Returns what it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_file).expect("the log can be read")
+    }
+
     pub fn signal(&self, signal: nix::sys::signal::Signal) {
         let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
         nix::sys::signal::kill(pid, signal).expect("it runs");
