--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -4,7 +4,7 @@
 use balsamchute_http::head::Response;
 use balsamchute_http::write;
 use balsamchute_model::prelude::*;
-use balsamchute_schedule::action::{Failure, Id, Refusal};
+use balsamchute_schedule::action::{Basis, Failure, Id, Refusal};
 use balsamchute_wire::record::Outcome;
 
 use crate::edge::{Edge, Slot};
@@ -115,17 +115,21 @@
     }
 
     /// Answers that a request has not run.
-    pub(super) fn refuse(&mut self, id: Id, refusal: Refusal, retry: Span) {
+    pub(super) fn refuse(&mut self, id: Id, refusal: Refusal, retry: Span, basis: &Basis) {
         let now = self.now();
         let Some(flight) = self.take_flight(id) else {
             return;
         };
         log::info!(
             target: "request",
-            "event=refused request={} reason={} workspace={} waited_ms={} retry_ms={}",
+            "event=refused request={} reason={} workspace={} cost={:.0} served={:.0} level={:.0} attempts={} waited_ms={} retry_ms={}",
             flight.name,
             refusal.as_str(),
             flight.workspace.as_ref().map_or("-", Workspace::as_str),
+            basis.cost,
+            basis.served,
+            basis.level,
+            flight.attempts,
             now.since(flight.arrived).0,
             retry.0
         );
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -41,7 +41,12 @@
                         basis,
                     } => self.send(id, &runner, address, &basis),
                     Action::Withdraw { id } => self.withdraw(id),
-                    Action::Refuse { id, refusal, retry } => self.refuse(id, refusal, retry),
+                    Action::Refuse {
+                        id,
+                        refusal,
+                        retry,
+                        basis,
+                    } => self.refuse(id, refusal, retry, &basis),
                     Action::Deliver { id } => self.deliver_failure(id),
                     Action::Fail { id, failure } => self.fail(id, failure),
                 }
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -84,6 +84,19 @@
     pub waiting: u64,
 }
 
+impl Basis {
+    /// Takes cost, use and share from `other`.
+    #[must_use]
+    pub fn with_share(self, other: &Basis) -> Self {
+        Basis {
+            cost: other.cost,
+            served: other.served,
+            level: other.level,
+            ..self
+        }
+    }
+}
+
 /// What the process is told to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -111,6 +124,8 @@
         refusal: Refusal,
         /// When sending it again may succeed.
         retry: Span,
+        /// What decided it, as far as it was looked at.
+        basis: Basis,
     },
     /// Deliver the failure that the runner answered.
     Deliver {
--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -400,10 +400,8 @@
         while let Some((line, id)) = self.next(service, &blocked) {
             let claim = self.claim(service, line.0.as_ref());
             match self.choose(now, id, claim) {
-                Choice::To { runner, mut basis } => {
-                    basis.cost = self.held[&id].request.cost();
-                    basis.served = self.served(service, line.0.as_ref());
-                    basis.level = self.shares.get(service).map_or(0.0, Shares::level);
+                Choice::To { runner, basis } => {
+                    let basis = basis.with_share(&self.basis(service, &self.held[&id]));
                     self.dequeue(service, &line, id);
                     self.send(now, id, &runner, basis);
                 }
@@ -438,6 +436,17 @@
         best.map(|(_, line, id)| (line.clone(), id))
     }
 
+    /// Returns what speaks for or against a request apart from runners.
+    fn basis(&self, service: &Service, held: &Held) -> Basis {
+        let workspace = held.request.workspace.as_ref();
+        Basis {
+            cost: held.request.cost(),
+            served: self.served(service, workspace),
+            level: self.shares.get(service).map_or(0.0, Shares::level),
+            ..Basis::default()
+        }
+    }
+
     /// Returns the cost that a workspace was served lately; nothing is counted
     /// for requests without one.
     fn served(&self, service: &Service, workspace: Option<&Workspace>) -> f64 {
@@ -697,7 +706,15 @@
             Refusal::OverShare => RETRY_OVER_SHARE,
             Refusal::Crashes => RETRY_CRASHES,
         };
-        self.actions.push(Action::Refuse { id, refusal, retry });
+        let basis = self.held.get(&id).map_or_else(Basis::default, |held| {
+            self.basis(&held.request.service, held)
+        });
+        self.actions.push(Action::Refuse {
+            id,
+            refusal,
+            retry,
+            basis,
+        });
     }
 
     /// Drops a request whose attempt, if any, is off its runner's load; returns
--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -260,7 +260,7 @@
         let text = format!(
             "node_name = \"{name}\"\nzone = \"a\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
              heartbeat_ms = 1200\n[listen]\nfront = \"{callers}\"\nready = \"{ready}\"\ndirectory = \"{directory}\"\n\
-             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = 1000\n[bounds]\ndrain_ms = 2000\n\
+             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = 4100\n[bounds]\ndrain_ms = 2000\n\
              grace_s = 8\napply_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 54\n\
              quota_window_s = 4\nttl_max_s = 5\n[provider]\naddress = \"{store}\"\n",
             port = peers.port(),
@@ -301,8 +301,12 @@
         std::fs::read_to_string(&self.log_file).expect("the log can be read")
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: nix::sys::signal::Signal) {
-        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        let pid = nix::unistd::Pid::from_raw(self.pid() as i32);
         nix::sys::signal::kill(pid, signal).expect("it runs");
     }
 
