--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -1,5 +1,6 @@
 //! `balsamchute edge` with a store, runners and callers on loopback.
 
+mod doors;
 mod world;
 
 use std::io::{Read, Write};
