Close the longest idle callers' connections when there are too many

The router had 2,460 open connections, its limit, since refused callers come back on new ones and leave the old ones idle for 15 s; it dropped new ones. Change: the 64 longest idle connections make room. The test failed before the change. The field of the share in log lines was called level, as the log level; renamed.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -32,6 +32,10 @@
 /// Share of the machine's memory that waiting bodies may use.
 const BODY_MEMORY: f64 = 0.3;
 
+/// Idle connections that are closed at once when there are too many, so that the
+/// search for them is rare.
+const EVICTED: usize = 64;
+
 /// Longest time that a closing connection waits for its peer.
 const CLOSING_TIME: Span = Span(1000);
 
@@ -345,6 +349,25 @@
         Some(flight)
     }
 
+    /// Closes the connections that have been idle longest, to make room for new
+    /// ones; returns whether there were any.
+    pub(super) fn evict_callers(&mut self) -> bool {
+        let idle = self.slots.iter().filter_map(|(index, slot)| match slot {
+            Slot::Caller(connection) if matches!(connection.phase, CallerPhase::Idle) => {
+                Some((connection.since, index))
+            }
+            _ => None,
+        });
+        let mut idle: Vec<(Time, usize)> = idle.collect();
+        idle.sort_unstable();
+        idle.truncate(EVICTED);
+        for &(_, index) in &idle {
+            self.close(index);
+        }
+        log::info!(target: "caller", "event=idle_closed count={} open={}", idle.len(), self.callers);
+        !idle.is_empty()
+    }
+
     /// Closes callers' connections whose time is up.
     pub(super) fn sweep_callers(&mut self, now: Time) {
         let limits = self
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -122,7 +122,7 @@
         };
         log::info!(
             target: "request",
-            "event=refused request={} reason={} workspace={} cost={:.0} served={:.0} level={:.0} attempts={} waited_ms={} retry_ms={}",
+            "event=refused request={} reason={} workspace={} cost={:.0} served={:.0} share={:.0} attempts={} waited_ms={} retry_ms={}",
             flight.name,
             refusal.as_str(),
             flight.workspace.as_ref().map_or("-", Workspace::as_str),
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -334,7 +334,7 @@
             }
             _ => {
                 let limit = self.settings.machine.descriptors as f64 * CALLER_DESCRIPTORS;
-                if self.callers as f64 >= limit {
+                if self.callers as f64 >= limit && !self.evict_callers() {
                     log::warn!(target: "caller", "event=connection_refused open={}", self.callers);
                     return;
                 }
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -65,7 +65,7 @@
         flight.splitter.restart();
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} level={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             flight.name,
             flight.attempts,
             flight.workspace.as_ref().map_or("-", Workspace::as_str),
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -506,3 +506,22 @@
     let checked = run(&["check-settings", &router.settings_file]);
     assert_eq!(checked.code, 0, "{checked:?}");
 }
+
+#[test]
+fn idle_connections_make_room_for_new_callers() {
+    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let router = Router::start_small("small", store.address, 100);
+    router.wait_ready();
+    let text = request("POST", "/once/x", "", "").replace("Connection: close\r\n", "");
+    let mut kept = Vec::new();
+    for turn in 0..200 {
+        let mut caller = connect(router.callers);
+        caller.write_all(text.as_bytes()).expect("the router reads");
+        let answer = read_message(&mut caller);
+        assert!(answer.is_some(), "connection {turn} is not served");
+        kept.push(caller);
+    }
+}
--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -245,6 +245,12 @@
         Router::start_at(name, "127.0.0.1", free("127.0.0.1").port(), store, &[])
     }
 
+    /// Starts a router that may use only so many descriptors.
+    pub fn start_small(name: &str, store: SocketAddr, descriptors: usize) -> Self {
+        let port = free("127.0.0.1").port();
+        Router::start_with(name, "127.0.0.1", port, store, &[], descriptors)
+    }
+
     /// Starts a router at an address, with the port for routers that is the
     /// same on all machines.
     pub fn start_at(
@@ -253,6 +259,17 @@
         port: u16,
         store: SocketAddr,
         seeds: &[SocketAddr],
+    ) -> Self {
+        Router::start_with(name, ip, port, store, seeds, 4100)
+    }
+
+    fn start_with(
+        name: &str,
+        ip: &str,
+        port: u16,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        descriptors: usize,
     ) -> Self {
         let [callers, ready, directory] = [free(ip), free(ip), free(ip)];
         let peers = SocketAddr::new(callers.ip(), port);
@@ -260,7 +277,7 @@
         let text = format!(
             "node_name = \"{name}\"\nzone = \"a\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
              heartbeat_ms = 1200\n[listen]\nfront = \"{callers}\"\nready = \"{ready}\"\ndirectory = \"{directory}\"\n\
-             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = 4100\n[bounds]\ndrain_ms = 2000\n\
+             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = {descriptors}\n[bounds]\ndrain_ms = 2000\n\
              grace_s = 8\napply_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 54\n\
              quota_window_s = 4\nttl_max_s = 5\n[provider]\naddress = \"{store}\"\n",
             port = peers.port(),
