Let a request that left a silent runner wait anew for another one

Cause: explain showed a stream withdrawn from a silent runner after 1,014 ms and failed 21 ms later: its wait was counted from its arrival. A failure that a runner had answered was replaced by a timeout if no second attempt came about. Change: waits count from the time of queueing; the runner's own failure is delivered. The test failed before the change.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -139,9 +139,15 @@
         self.answer_own(now, &flight, 503, Some(retry), refusal.as_str());
     }
 
-    /// Answers that a request failed, or cuts an answer that has begun.
+    /// Answers that a request failed, with the runner's own failure if there is
+    /// one, or cuts an answer that has begun.
     pub(super) fn fail(&mut self, id: Id, failure: Failure) {
         let now = self.now();
+        let has_answer = self.flights.get(&id).is_some_and(|f| f.stash.is_some());
+        if has_answer && !self.is_answered(id) {
+            self.deliver_failure(id);
+            return;
+        }
         let Some(flight) = self.take_flight(id) else {
             return;
         };
--- a/crates/schedule/src/core.rs
+++ b/crates/schedule/src/core.rs
@@ -624,6 +624,7 @@
         }
         let held = &mut self.held[&id];
         held.stage = Stage::Waiting;
+        held.waiting_since = now;
         let (line, is_late) = (line(&held.request), held.request.is_late());
         let queue = self.queues.entry(service).or_default();
         queue.entry(line).or_default().of(is_late).push_front(id);
@@ -660,7 +661,7 @@
             Claim::Owed => Span(request.aim.0 * OWED_WAIT_PERCENT / 100),
             Claim::Spare | Claim::Ahead => Span(request.aim.0 / SPARE_WAIT),
         };
-        let is_up = now.since(held.arrived) >= longest && !held.begun;
+        let is_up = now.since(held.waiting_since) >= longest && !held.begun;
         if !is_up && now < request.deadline {
             return;
         }
--- a/crates/schedule/src/held.rs
+++ b/crates/schedule/src/held.rs
@@ -41,7 +41,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Held {
     pub request: Request,
-    pub arrived: Time,
+    /// When it began to wait, at its arrival or after an attempt.
+    pub waiting_since: Time,
     pub stage: Stage,
     /// Runners that it was sent to.
     pub tried: SmallVec<[Runner; 2]>,
@@ -59,7 +60,7 @@
     pub fn new(now: Time, request: Request) -> Self {
         Held {
             request,
-            arrived: now,
+            waiting_since: now,
             stage: Stage::Waiting,
             tried: SmallVec::new(),
             runs: 0,
--- a/crates/schedule/tests/once.rs
+++ b/crates/schedule/tests/once.rs
@@ -215,3 +215,19 @@
         "{actions:?}"
     );
 }
+
+#[test]
+fn a_request_that_left_a_silent_runner_may_wait_for_another_one() {
+    let mut core = core(100);
+    core.set_runner(NOW, entry("m1", "model", 64));
+    core.arrive(NOW, 1, model("w1", 7, 1000));
+    core.take_actions();
+    core.written(1);
+    core.set_runner(NOW, entry("m2", "model", 0));
+    core.tick(NOW + Span(1500));
+    assert_eq!(core.take_actions(), [Action::Withdraw { id: 1 }]);
+    core.tick(NOW + Span(1520));
+    assert_eq!(core.take_actions(), [], "the other runner is full for now");
+    core.set_runner(NOW + Span(1600), entry("m2", "model", 64));
+    assert_eq!(sent(&core.take_actions()), [(1, "m2".to_owned())]);
+}
