--- /dev/null
+++ b/crates/schedule/benches/admission.rs
@@ -0,0 +1,130 @@
+//! Time of one admission decision: a request arrives while others wait and the
+//! runners are full, and leaves again.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+
+use balsamchute_model::manifest::{Engine, Offer};
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::Core;
+use balsamchute_schedule::action::Id;
+use balsamchute_schedule::core::Settings;
+use balsamchute_schedule::request::Request;
+use criterion::{Criterion, criterion_group, criterion_main};
+
+const NOW: Time = Time(1_000_000);
+
+/// A fleet's size.
+#[derive(Clone, Copy)]
+struct Size {
+    workspaces: u64,
+    runners: u64,
+    waiting: u64,
+}
+
+fn service() -> Service {
+    Service::new("model").expect("a name")
+}
+
+fn request(number: u64, size: Size) -> Request {
+    let workspace = format!("w{}", number % size.workspaces);
+    Request {
+        service: service(),
+        kind: format!("kind-{}", number % 3),
+        workspace: Some(Workspace::new(&workspace).expect("a name")),
+        repeat: Repeat::Resumable,
+        stream: true,
+        prompt: Some(Prompt::new(
+            4000,
+            100,
+            &[(number % 160, 2000), (number, 2000)],
+        )),
+        age: Span(0),
+        aim: Span(800),
+        pause: Span(200),
+        deadline: NOW + Span(15_000),
+        attempts: 2,
+        fingerprint: u128::from(number),
+    }
+}
+
+/// Returns decisions with full runners and waiting requests.
+fn full(size: Size) -> Core {
+    let mut core = Core::new(Settings {
+        origin: "r1.1".to_owned(),
+        domain: "a".to_owned(),
+        share_window: Span(4000),
+        retry_ratio: 0.2,
+        retry_slack: 50,
+        retry_window: Span(10_000),
+    });
+    let engine = Engine {
+        slots: 64,
+        memory_tokens: 400_000,
+        event_tokens: 5,
+    };
+    let offer = Offer {
+        service: service(),
+        connections: 300,
+        engine: Some(engine),
+    };
+    core.set_manifest(&Manifest::new(1, Vec::new()).with_offers(vec![offer]));
+    for number in 0..size.runners {
+        core.set_runner(
+            NOW,
+            Entry {
+                runner: Runner::new(&format!("i-{number}")).expect("a name"),
+                service: service(),
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: "a".to_owned(),
+                slots: 64,
+                state: State::Ready,
+                warming: Span(0),
+                born: 1,
+            },
+        );
+    }
+    // Each runner takes three of these before its unread prompts are too many.
+    for number in 0..size.waiting + 3 * size.runners {
+        core.arrive(NOW, number, request(number, size));
+    }
+    core.take_actions();
+    core
+}
+
+fn admission(criterion: &mut Criterion) {
+    let sizes = [
+        (
+            "16 workspaces, 15 runners, 500 waiting",
+            Size {
+                workspaces: 16,
+                runners: 15,
+                waiting: 500,
+            },
+        ),
+        (
+            "30 workspaces, 95 runners, 5000 waiting",
+            Size {
+                workspaces: 30,
+                runners: 95,
+                waiting: 5000,
+            },
+        ),
+    ];
+    for (name, size) in sizes {
+        let mut core = full(size);
+        let mut id: Id = 1_000_000;
+        // The request leaves again, so that every turn sees the same fleet.
+        criterion.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                id += 1;
+                core.arrive(NOW, id, request(id, size));
+                core.leave(NOW, id);
+                black_box(core.take_actions());
+            });
+        });
+    }
+}
+
+criterion_group!(benches, admission);
+criterion_main!(benches);
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod core;
 mod held;
 mod place;
+mod queue;
 pub mod report;
 pub mod request;
 pub mod runner;
