--- a/crates/edge/src/edge/questions.rs
+++ b/crates/edge/src/edge/questions.rs
@@ -84,7 +84,10 @@
                 let routers = self.routers(now);
                 match routers.is_empty() {
                     true => (503, TEXT, b"no router takes requests".to_vec()),
-                    false => (200, JSON, directory::addresses(&routers, ADDRESS_TTL)),
+                    false => {
+                        let ttl = ADDRESS_TTL.min(self.settings.bounds.address_ttl);
+                        (200, JSON, directory::addresses(&routers, ttl))
+                    }
                 }
             }
             (Purpose::Ready, Some(Question::Ready)) => match self.is_serving() {
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -1,17 +1,12 @@
 //! The settings of one process, as the platform hands them out.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 
 use balsamchute_base::prelude::*;
 
 /// Time and rate bounds that the operator promises or asks for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// Longest time to take a new manifest into force.
-    pub apply: Span,
-    /// Longest time that new work may still go to a leaving runner.
-    pub drain: Span,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Span,
     /// Repeats for each request to a service, over all routers.
@@ -33,8 +28,6 @@
     pub memory_bytes: u64,
     /// File descriptors.
     pub descriptors: usize,
-    /// Share of a core.
-    pub cpu_share: f64,
 }
 
 /// Addresses that the process listens on.
@@ -61,14 +54,10 @@
     pub domain: String,
     /// Addresses to listen on.
     pub listen: Listen,
-    /// Ports that are the same on all machines, for traffic between routers.
-    pub ports: RangeInclusive<u16>,
     /// Routers to ask first; some may be down.
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Interval at which runners write to the store.
-    pub heartbeat: Span,
     /// Bounds.
     pub bounds: Bounds,
     /// Limits of the machine.
--- a/crates/schedule/src/core/dispatch.rs
+++ b/crates/schedule/src/core/dispatch.rs
@@ -53,6 +53,9 @@
             }
             let (workspace, kind) = head.line;
             let served = self.served(service, workspace.as_ref());
+            if best.is_some_and(|((lowest, ..), _)| served > lowest) {
+                continue;
+            }
             let ratio = self.mix.ratio(workspace.as_ref(), kind);
             let order = (served, head.is_late, ratio);
             if best.is_none_or(|(lowest, _)| order < lowest) {
--- a/crates/schedule/src/core/mod.rs
+++ b/crates/schedule/src/core/mod.rs
@@ -133,7 +133,7 @@
         match self.targets.get_mut(&entry.runner) {
             Some(target) => target.update(entry),
             None => {
-                let target = Target::new(now, entry);
+                let target = Target::new(entry);
                 self.targets.insert(target.entry.runner.clone(), target);
             }
         }
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -119,13 +119,16 @@
 
     fn best(&self, held: &Held, claim: Claim, candidates: &[&Target]) -> Choice {
         let prompt = held.request.prompt.as_ref();
+        let with_load = candidates.iter().map(|t| (*t, t.load(self.now)));
+        let open: Vec<(&Target, Load)> = with_load
+            .filter(|(target, load)| self.has_room(target, load, prompt, claim))
+            .collect();
+        if open.is_empty() {
+            return Choice::Full;
+        }
         let homes = prompt.map_or([None, None], |prompt| homes(prompt, candidates));
         let mut best: Option<(f64, &Target, Basis)> = None;
-        for &target in candidates {
-            let load = target.load(self.now);
-            if !self.has_room(target, &load, prompt, claim) {
-                continue;
-            }
+        for (target, load) in open {
             let mut basis = Basis {
                 owed: claim == Claim::Owed,
                 running: load.running,
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -89,8 +89,6 @@
     pub cache: Cache,
     /// Connections that broke lately.
     pub breaks: SmallVec<[Break; 4]>,
-    /// When it was first listed here.
-    pub since: Time,
     peers: BTreeMap<Instance, (Time, Load)>,
     health: Health,
     slowness: f64,
@@ -99,13 +97,12 @@
 impl Target {
     /// Creates a runner without load.
     #[must_use]
-    pub fn new(now: Time, entry: Entry) -> Self {
+    pub fn new(entry: Entry) -> Self {
         Target {
             entry,
             own: Load::default(),
             cache: Cache::new(),
             breaks: SmallVec::new(),
-            since: now,
             peers: BTreeMap::new(),
             health: Health::default(),
             slowness: 1.0,
