--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -525,3 +525,26 @@
         kept.push(caller);
     }
 }
+
+#[test]
+fn bytes_that_make_no_sense_at_any_port_harm_no_request() {
+    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
+    let (_store, router) = world(&[&runner]);
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    for bytes in [&b""[..], b"\xff\x00\xc1", &[0x91; 2000]] {
+        socket
+            .send_to(bytes, router.peers)
+            .expect("the datagram leaves");
+    }
+    for address in [router.ready, router.directory, router.peers, router.callers] {
+        let answer = ask(address, "\x01\x02 no request\r\n\r\n");
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 400 "),
+            "{answer}"
+        );
+        // A connection that sends nothing is left alone.
+        drop(connect(address));
+    }
+    let answer = ask(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(answer.ends_with("done"), "{answer}");
+}
