Give each router of a test a loopback address of its own

Change: routers listen on fixed ports below the ephemeral range, each on its own address in 127.0.0.0/8, which its process and a counter choose.

--- a/tests/all/command.rs
+++ b/tests/all/command.rs
@@ -1,7 +1,9 @@
 //! Runs the shipped binary.
 
+use std::net::IpAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use balsamchute_standin::platform::Platform;
 
@@ -64,6 +66,15 @@
     Platform::start(([127, 0, 0, 1], 0).into()).expect("a free port")
 }
 
+/// Returns the address of a machine that nobody else uses, so that its ports are
+/// free whatever other tests connect to: the whole of 127.0.0.0/8 is loopback.
+pub fn machine() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    IpAddr::from([127, 64 + high % 128, low, number])
+}
+
 /// A directory that is removed at the end of a test.
 pub struct Directory(PathBuf);
 
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -341,9 +341,8 @@
     let (store, router) = world(&[&runner]);
     let away = Store::start();
     away.set_down(true);
-    let port = router.peers.port();
     // Seeds name any port of the other machine.
-    let other = Router::start_at("r2", "127.0.0.2", port, away.address, &[router.callers]);
+    let other = Router::start_beside("r2", away.address, &[router.callers]);
     other.wait_ready();
     let with =
         |key: &str| request("POST", "/once/x", "", "").replace("Token k1", &format!("Token {key}"));
--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -10,7 +10,7 @@
 
 use serde_json::{Value, json};
 
-use crate::command::{Directory, command};
+use crate::command::{Directory, command, machine};
 
 /// Longest time for anything to come true.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -18,10 +18,11 @@
 /// Longest silence that a caller bears.
 const SILENCE: Duration = Duration::from_secs(30);
 
-fn free(ip: &str) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
-}
+/// Ports of a router's machine, below those that the system hands out itself.
+const CALLERS: u16 = 7301;
+const READY: u16 = 7302;
+const DIRECTORY: u16 = 7303;
+const PEERS: u16 = 7304;
 
 /// Reads a message's head and, with `Content-Length`, its body; `None` if the
 /// connection ends before.
@@ -242,37 +243,23 @@
 impl Router {
     /// Starts a router on a machine of its own.
     pub fn start(name: &str, store: SocketAddr) -> Self {
-        Router::start_at(name, "127.0.0.1", free("127.0.0.1").port(), store, &[])
+        Router::start_with(name, store, &[], 4100)
     }
 
     /// Starts a router that may use only so many descriptors.
     pub fn start_small(name: &str, store: SocketAddr, descriptors: usize) -> Self {
-        let port = free("127.0.0.1").port();
-        Router::start_with(name, "127.0.0.1", port, store, &[], descriptors)
+        Router::start_with(name, store, &[], descriptors)
     }
 
-    /// Starts a router at an address, with the port for routers that is the
-    /// same on all machines.
-    pub fn start_at(
-        name: &str,
-        ip: &str,
-        port: u16,
-        store: SocketAddr,
-        seeds: &[SocketAddr],
-    ) -> Self {
-        Router::start_with(name, ip, port, store, seeds, 4100)
+    /// Starts a router that is told of others.
+    pub fn start_beside(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Router::start_with(name, store, seeds, 4100)
     }
 
-    fn start_with(
-        name: &str,
-        ip: &str,
-        port: u16,
-        store: SocketAddr,
-        seeds: &[SocketAddr],
-        descriptors: usize,
-    ) -> Self {
-        let [callers, ready, directory] = [free(ip), free(ip), free(ip)];
-        let peers = SocketAddr::new(callers.ip(), port);
+    fn start_with(name: &str, store: SocketAddr, seeds: &[SocketAddr], descriptors: usize) -> Self {
+        let ip = machine();
+        let at = |port| SocketAddr::new(ip, port);
+        let [callers, ready, directory, peers] = [at(CALLERS), at(READY), at(DIRECTORY), at(PEERS)];
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "node_name = \"{name}\"\nzone = \"a\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
@@ -283,7 +270,7 @@
             port = peers.port(),
             seeds = seeds.join(","),
         );
-        let folder = Directory::new(&format!("edge-{name}-{}", callers.port()));
+        let folder = Directory::new(&format!("edge-{name}-{ip}"));
         let file = folder.file("settings.toml", &text);
         let log_file = folder.file("log", "");
         let writer = std::fs::File::create(&log_file).expect("the log can be written");
--- a/tests/all/serve.rs
+++ b/tests/all/serve.rs
@@ -6,14 +6,18 @@
 
 use balsamchute_standin::platform::{Instance, Kind, Platform, State};
 
-use crate::command::{Directory, INVENTORY, Run, command, end, platform, run};
+use crate::command::{Directory, INVENTORY, Run, command, end, machine, platform, run};
 
 /// Longest time for anything to come true.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Port of addresses in these tests, below those that the system hands out
+/// itself.
+const PORT: u16 = 7001;
+
+/// Returns an address that nobody else uses.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    SocketAddr::new(machine(), PORT)
 }
 
 fn settings(name: &str, callers: SocketAddr, inner: SocketAddr, platform: SocketAddr) -> String {
