Copy an answer's head once a stream; send own answers in one place

Cause: a read of the whole change. The head of a runner's answer, with all its fields, was cloned for every event of a stream though only the first one sends it; two methods encoded own answers alike; the limits in force were looked up twice in the same words; a comment said that routers which were never heard yield, which they do not. Change: one method sends own answers, one returns the limits; the head is copied for the first event only. Behaviour stays as it is; no test was changed.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use balsamchute_adapter::answer::{self, Own};
+use balsamchute_adapter::answer::Own;
 use balsamchute_adapter::request;
 use balsamchute_base::digest::Hasher;
 use balsamchute_http::event::Splitter;
@@ -59,6 +59,16 @@
         self.retry = Some(retry);
         self
     }
+
+    fn own<'a>(&'a self, id: Option<&'a str>, close: bool) -> Own<'a> {
+        Own {
+            status: self.status,
+            id,
+            retry: self.retry,
+            reason: &self.reason,
+            close,
+        }
+    }
 }
 
 impl Edge {
@@ -99,10 +109,7 @@
     /// Goes on with the bytes that a caller has sent.
     pub(super) fn advance_caller(&mut self, index: usize) {
         let now = self.now();
-        let limits = self
-            .manifest
-            .as_ref()
-            .map_or_else(Limits::default, |manifest| manifest.limits);
+        let limits = self.limits();
         let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
             return;
         };
@@ -250,22 +257,15 @@
         }
     }
 
+    /// Returns the limits in force towards callers.
+    fn limits(&self) -> Limits {
+        let manifest = self.manifest.as_ref();
+        manifest.map_or_else(Limits::default, |manifest| manifest.limits)
+    }
+
     /// Answers a request that goes no further and reads the next one.
     fn reject(&mut self, now: Time, index: usize, name: Option<&str>, rejection: &Rejection) {
-        let leaving = self.leaving_since.is_some();
-        let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
-            return;
-        };
-        connection.close |= leaving;
-        let own = Own {
-            status: rejection.status,
-            id: name,
-            retry: rejection.retry,
-            reason: &rejection.reason,
-            close: connection.close,
-        };
-        answer::encode_own(connection.socket.out(), &own);
-        self.answered(now, index);
+        self.send_own(now, index, rejection.own(name, false));
     }
 
     /// Sends what is left of an answer and goes on to the next request.
@@ -287,11 +287,7 @@
     }
 
     fn answer_and_close(&mut self, index: usize, name: Option<&str>, rejection: &Rejection) {
-        let now = self.now();
-        if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
-            connection.close = true;
-        }
-        self.reject(now, index, name, rejection);
+        self.send_own(self.now(), index, rejection.own(name, true));
     }
 
     /// Sends what waits for a caller; lets its runner go on if that was paused.
@@ -370,10 +366,7 @@
 
     /// Closes callers' connections whose time is up.
     pub(super) fn sweep_callers(&mut self, now: Time) {
-        let limits = self
-            .manifest
-            .as_ref()
-            .map_or_else(Limits::default, |manifest| manifest.limits);
+        let limits = self.limits();
         let leaving = self.leaving_since.is_some();
         let mut gone = Vec::new();
         let mut slow = Vec::new();
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -42,11 +42,12 @@
         if bytes.is_empty() {
             return true;
         }
-        let head = answer.head.clone();
+        // Only the first part of an answer brings its head along.
+        let head = (!flight.is_answered()).then(|| answer.head.clone());
         let Some(Slot::Caller(caller)) = self.slots.get_mut(flight.caller) else {
             return false;
         };
-        if !flight.is_answered() {
+        if let Some(head) = head {
             caller.close |= leaving;
             answer::encode(caller.socket.out(), &head, Body::Chunked, caller.close);
             flight.answered = Answered::Partly;
@@ -186,19 +187,26 @@
         retry: Option<Span>,
         reason: &str,
     ) {
+        let own = Own {
+            status,
+            id: Some(&flight.name),
+            retry,
+            reason,
+            close: false,
+        };
+        self.send_own(now, flight.caller, own);
+    }
+
+    /// Sends an answer of the router's own and goes on to the next request. The
+    /// connection ends with it if the caller or the router wants so.
+    pub(super) fn send_own(&mut self, now: Time, index: usize, own: Own<'_>) {
         let leaving = self.leaving_since.is_some();
-        if let Some(Slot::Caller(caller)) = self.slots.get_mut(flight.caller) {
-            caller.close |= leaving;
-            let own = Own {
-                status,
-                id: Some(&flight.name),
-                retry,
-                reason,
-                close: caller.close,
-            };
-            answer::encode_own(caller.socket.out(), &own);
+        if let Some(Slot::Caller(caller)) = self.slots.get_mut(index) {
+            caller.close |= leaving | own.close;
+            let close = caller.close;
+            answer::encode_own(caller.socket.out(), &Own { close, ..own });
         }
-        self.answered(now, flight.caller);
+        self.answered(now, index);
     }
 
     fn is_answered(&self, id: Id) -> bool {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -17,7 +17,7 @@
 /// Interval of datagrams to routers that are not heard.
 const SLOW_INTERVAL: Span = Span(1000);
 
-/// Routers known at most; those that were never heard yield.
+/// Addresses of routers that are learnt at most; later ones are not taken in.
 const MAX_PEERS: usize = 1000;
 
 /// Addresses that one datagram names at most.
