Keep the line of each refused request; write lines as JSON on demand

Change: the allowance is by event, and the lines of refused, rejected and failed requests are outside it (the 64 KiB that wait for standard output still bound them). `--log-format json` or BALSAMCHUTE_LOG_FORMAT writes JSON objects; one type reads both formats, and `explain` uses it.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,7 +6,9 @@
 //! of a core and 110 MB. Decisions are in `balsamchute-schedule`, the platform's
 //! names and formats in `balsamchute-adapter`.
 
+pub mod allowance;
 pub mod error;
+pub mod line;
 pub mod peers;
 pub mod process;
 pub mod registry;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -14,6 +14,7 @@
 
 use crate::edge::{Edge, slot_of};
 use crate::error::Error;
+use crate::line::Format;
 use crate::output::Output;
 
 /// Events that one turn of the loop takes at most.
@@ -26,16 +27,17 @@
 /// Longest sleep of the loop; the periodic work sets a shorter one.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
 
-/// Serves with the settings file at `path` until SIGTERM or SIGINT.
+/// Serves with the settings file at `path` until SIGTERM or SIGINT, with log
+/// lines in `format`.
 ///
 /// # Errors
 ///
 /// Returns [`Error`] if the settings cannot be used, an address is taken, or
 /// the event loop fails.
-pub fn serve(path: &str) -> Result<(), Error> {
+pub fn serve(path: &str, format: Format) -> Result<(), Error> {
     let settings = read_settings(path)?;
     let clock = Clock::new();
-    let output = Output::start(&settings.instance, clock);
+    let output = Output::start(&settings.instance, clock, format);
     let poll = Poll::new().map_err(Error::Poll)?;
     let poller = poll.registry().try_clone().map_err(Error::Poll)?;
     let stop = Arc::new(AtomicBool::new(false));
--- a/src/commands/edge.rs
+++ b/src/commands/edge.rs
@@ -1,5 +1,6 @@
 //! `balsamchute edge`
 
+use balsamchute_edge::line::Format;
 use bpaf::Bpaf;
 
 use crate::error::Error;
@@ -14,6 +15,14 @@
         argument("FILE")
     )]
     settings: String,
+    /// Format of the log lines on standard output: logfmt or json
+    #[bpaf(
+        long,
+        env("BALSAMCHUTE_LOG_FORMAT"),
+        argument("FORMAT"),
+        fallback(Format::Logfmt)
+    )]
+    log_format: Format,
 }
 
 /// Runs a router at the edge of the platform until it is told to stop.
@@ -23,6 +32,6 @@
 /// Returns [`Error::Edge`] for faults in the settings, or if the router cannot
 /// start.
 pub fn run(options: &Options) -> Result<(), Error> {
-    balsamchute_edge::process::serve(&options.settings)?;
+    balsamchute_edge::process::serve(&options.settings, options.log_format)?;
     Ok(())
 }
--- a/src/trail.rs
+++ b/src/trail.rs
@@ -3,92 +3,12 @@
 use std::collections::BTreeSet;
 use std::io::BufRead;
 
+use balsamchute_edge::line::Line;
 use serde::Serialize;
 
 /// Event of the line that sends a request to a runner.
 const SEND: &str = "send";
 
-/// A log line with fields.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct Line {
-    /// Milliseconds since the Unix epoch, by the clock of the instance.
-    pub at: u64,
-    /// The router that wrote it.
-    pub instance: String,
-    /// What happened.
-    pub event: String,
-    /// All other fields in order.
-    pub fields: Vec<(String, String)>,
-}
-
-impl Line {
-    /// Parses a line, `None` if it is none of a router's.
-    ///
-    /// Whatever stands before the first field, such as a collector's prefix, is
-    /// ignored.
-    pub fn parse(text: &str) -> Option<Self> {
-        let mut at = None;
-        let mut instance = None;
-        let mut event = None;
-        let mut fields = Vec::new();
-        for (name, value) in pairs(text)? {
-            match name.as_str() {
-                "at" => at = value.parse().ok(),
-                "instance" if instance.is_none() => instance = Some(value),
-                "event" => event = Some(value),
-                _ => fields.push((name, value)),
-            }
-        }
-        Some(Line {
-            at: at?,
-            instance: instance?,
-            event: event?,
-            fields,
-        })
-    }
-
-    /// Returns the value of a field.
-    pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(own, _)| own == name);
-        found.map(|(_, value)| value.as_str())
-    }
-}
-
-/// Splits `name=value` pairs; a value may be a quoted text with escapes.
-fn pairs(text: &str) -> Option<Vec<(String, String)>> {
-    let mut pairs = Vec::new();
-    let mut rest = text.trim();
-    while !rest.is_empty() {
-        let word_end = rest.find(' ').unwrap_or(rest.len());
-        let Some(equals) = rest[..word_end].find('=') else {
-            rest = rest[word_end..].trim_start();
-            continue;
-        };
-        let (name, after) = (&rest[..equals], &rest[equals + 1..]);
-        let length = match after.starts_with('"') {
-            true => quoted_length(after)?,
-            false => after.find(' ').unwrap_or(after.len()),
-        };
-        let value = after[..length].trim_matches('"');
-        pairs.push((name.to_owned(), value.to_owned()));
-        rest = after[length..].trim_start();
-    }
-    Some(pairs)
-}
-
-/// Returns the length of a quoted text, `None` if it was cut short.
-fn quoted_length(text: &str) -> Option<usize> {
-    let mut escaped = false;
-    for (at, character) in text.char_indices().skip(1) {
-        match character {
-            '"' if !escaped => return Some(at + 1),
-            '\\' => escaped = !escaped,
-            _ => escaped = false,
-        }
-    }
-    None
-}
-
 /// The lines that explain one request.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Trail {
