Give workspaces behind others runners nearly idle

Only those above 1.2 times the even part were held back, so that 0.6 of it was usual and chance did the rest. Change: a workspace below 0.9 times the even part may use a runner that still reads up to 2,200 tokens, or has up to 60% of its slots taken; one above 1.1 times only runners below 20%. Those between use idle runners as before. Test: a_runner_still_reading_goes_to_those_behind_at_other_routers, fails before.

--- a/crates/schedule/src/core/attempt.rs
+++ b/crates/schedule/src/core/attempt.rs
@@ -145,7 +145,7 @@
         let claim = self.claim(&request.service, request.workspace.as_ref());
         let longest = match claim {
             Claim::Owed => Span(request.aim.0 * OWED_WAIT_PERCENT / 100),
-            Claim::Spare | Claim::Ahead => Span(request.aim.0 / SPARE_WAIT),
+            Claim::Behind | Claim::Spare | Claim::Ahead => Span(request.aim.0 / SPARE_WAIT),
         };
         let is_up = now.since(held.waiting_since) >= longest && !held.begun;
         if !is_up && now < request.deadline {
@@ -162,7 +162,7 @@
             let refusal = match (any, claim) {
                 (false, _) => Refusal::NoRunner,
                 (true, Claim::Owed) => Refusal::Saturated,
-                (true, Claim::Spare | Claim::Ahead) => Refusal::OverShare,
+                (true, Claim::Behind | Claim::Spare | Claim::Ahead) => Refusal::OverShare,
             };
             self.refuse(id, refusal);
         }
--- a/crates/schedule/src/core/dispatch.rs
+++ b/crates/schedule/src/core/dispatch.rs
@@ -87,8 +87,13 @@
 
     pub(super) fn claim(&self, service: &Service, workspace: Option<&Workspace>) -> Claim {
         match (self.shares.get(service), workspace) {
-            (Some(shares), Some(workspace)) if shares.is_ahead(workspace) => Claim::Ahead,
-            (Some(shares), Some(workspace)) if !shares.is_owed(workspace) => Claim::Spare,
+            (Some(shares), Some(workspace)) if !shares.is_owed(workspace) => {
+                match (shares.is_behind(workspace), shares.is_ahead(workspace)) {
+                    (true, _) => Claim::Behind,
+                    (false, true) => Claim::Ahead,
+                    (false, false) => Claim::Spare,
+                }
+            }
             _ => Claim::Owed,
         }
     }
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -25,6 +25,14 @@
 /// Share of the slots up to which a runner counts as idle.
 const IDLE_FILL: f64 = 0.4;
 
+/// Share of the slots up to which a runner takes requests of workspaces that
+/// are behind others: above what is left of a runner that counts as idle.
+const BEHIND_FILL: f64 = 0.6;
+
+/// Unread prompt tokens up to which a runner takes requests of workspaces that
+/// are behind others: a usual prompt, 50 ms of reading.
+const BEHIND_UNREAD: u64 = 2_200;
+
 /// Share of the slots up to which a runner takes requests of workspaces that
 /// are ahead of others.
 const AHEAD_FILL: f64 = 0.2;
@@ -60,6 +68,9 @@
 pub(crate) enum Claim {
     /// Its workspace is owed it.
     Owed,
+    /// Its workspace had its share, but less than others have beyond theirs:
+    /// runners nearly idle take it, which others must leave alone.
+    Behind,
     /// Its workspace had its share; only idle runners take it.
     Spare,
     /// As spare, and the workspace is ahead of others that ask for more,
@@ -175,6 +186,7 @@
         };
         let (fill, max_unread) = match claim {
             Claim::Owed => (MAX_FILL, MAX_UNREAD),
+            Claim::Behind => (BEHIND_FILL, BEHIND_UNREAD),
             Claim::Spare => (IDLE_FILL, IDLE_UNREAD),
             Claim::Ahead => (AHEAD_FILL, IDLE_UNREAD),
         };
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -54,7 +54,11 @@
 
 /// Served cost, as a multiple of the even part, above which a workspace is
 /// ahead of others.
-const AHEAD: f64 = 1.2;
+const AHEAD: f64 = 1.1;
+
+/// Served cost, as a multiple of the even part, below which a workspace is
+/// behind others.
+const BEHIND: f64 = 0.9;
 
 /// Below this cost a workspace is dropped from the sums.
 const NEGLIGIBLE: f64 = 0.01;
@@ -158,6 +162,13 @@
         self.served(workspace) > self.even * AHEAD
     }
 
+    /// Returns whether the workspace has clearly less than its even part of what
+    /// the fleet serves.
+    #[must_use]
+    pub fn is_behind(&self, workspace: &Workspace) -> bool {
+        self.served(workspace) < self.even * BEHIND
+    }
+
     /// Returns the most that any workspace is owed in the window.
     #[must_use]
     pub fn level(&self) -> f64 {
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -307,3 +307,32 @@
         .collect();
     assert_eq!(next, [101]);
 }
+
+#[test]
+fn a_runner_still_reading_goes_to_those_behind_at_other_routers() {
+    let mut core = engines(1);
+    core.tick(NOW);
+    let usage = |workspace: &str, served| report::Usage {
+        service: service("model"),
+        workspace: name(workspace),
+        asked: 1e6,
+        served,
+    };
+    let report = Report {
+        usage: vec![usage("even", 4e5), usage("behind", 3e5)],
+        ..Report::default()
+    };
+    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    // The runner is idle but for one prompt that it still reads.
+    core.arrive(NOW, 0, model("light", 1, 500));
+    core.take_actions();
+    core.tick(NOW);
+    core.arrive(NOW, 1, model("even", 1, 500));
+    assert_eq!(sent(&core.take_actions()), []);
+    core.arrive(NOW, 2, model("behind", 1, 500));
+    let next: Vec<Id> = sent(&core.take_actions())
+        .into_iter()
+        .map(|(id, _)| id)
+        .collect();
+    assert_eq!(next, [2]);
+}
