Begin the wait for lapsed entries before the answer that lacks them

Cause: after an outage the store's first answer may be a watch that names lapsed entries as removed. The wait of two seconds, in which such entries are renewed, began after the answer was used (only a whole list was handled in order), so those runners were out of use at once. An outage of the calls for runners alone could also be ended by the answer to another call. Change: one place ends the outage before news is used; a failure of the runners' own calls counts by itself.

--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -226,17 +226,29 @@
         let Some(sync) = self.syncs.get_mut(&kind) else {
             return;
         };
+        let was_failing = sync.is_failing();
         let news = sync.answer(now, answer);
         self.report.store_call(!matches!(news, News::Failed(_)));
-        match news {
-            News::Failed(reason) => {
-                if self.store_failed.is_none() {
-                    log::warn!(target: "store", "event=store_lost kind={kind:?} reason={reason:?}");
-                    self.store_failed = Some(now);
-                }
-                return;
+        if let News::Failed(reason) = news {
+            if self.store_failed.is_none() {
+                log::warn!(target: "store", "event=store_lost kind={kind:?} reason={reason:?}");
+                self.store_failed = Some(now);
             }
-            News::Nothing => {}
+            return;
+        }
+        self.store_heard = Some(now);
+        let failed = self.store_failed.take();
+        if let Some(since) = failed {
+            let away = now.since(since);
+            log::info!(target: "store", "event=store_regained kind={kind:?} away_ms={}", away.0);
+        }
+        // The wait for lapsed entries begins before the answer that may lack
+        // them is used.
+        if failed.is_some() || (was_failing && kind == Kind::Runners) {
+            self.registry.store_returned(now);
+        }
+        match news {
+            News::Failed(_) | News::Nothing => {}
             News::All(objects, revision) => self.take_list(now, kind, objects, revision),
             News::Changes(changes, revision) => {
                 if kind == Kind::Runners {
@@ -247,12 +259,6 @@
                 }
             }
         }
-        self.store_heard = Some(now);
-        if let Some(since) = self.store_failed.take() {
-            let away = now.since(since);
-            log::info!(target: "store", "event=store_regained away_ms={}", away.0);
-            self.registry.store_returned(now);
-        }
     }
 
     fn take_list(&mut self, now: Time, kind: Kind, objects: Vec<Object>, revision: u64) {
@@ -264,10 +270,6 @@
             }
             Kind::Runners => {
                 let entries = objects.iter().filter_map(decode_runner).collect();
-                // The wait for lapsed entries begins before the list is used.
-                if self.store_failed.is_some() {
-                    self.registry.store_returned(now);
-                }
                 let changes = self.registry.replace(now, entries, revision);
                 self.has_runners = true;
                 for change in changes {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -78,6 +78,12 @@
         })
     }
 
+    /// Returns whether the calls failed since the last answer.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.pause > Span(0)
+    }
+
     /// Takes in the answer to the last call, `None` if there was none.
     pub fn answer(&mut self, now: Time, answer: Option<(u16, &[u8])>) -> News {
         self.calling = false;
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use crate::command::{Directory, run};
 use nix::sys::signal::Signal;
@@ -375,6 +375,29 @@
     eventually("the new one serves", || get().ends_with("second"));
 }
 
+#[test]
+fn entries_that_lapse_while_the_store_is_away_stay_until_they_can_be_renewed() {
+    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
+    let (store, router) = world(&[&runner]);
+    store.set_down_for(Some("servers"));
+    eventually("the outage is noticed", || {
+        router.log().contains("event=store_lost kind=Runners")
+    });
+    store.put("servers", "i-0", None);
+    let returned = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .expect("a clock after 1970");
+    store.set_down_for(None);
+    let gone = || {
+        let log = router.log();
+        let line = log.lines().find(|line| line.contains("event=runner_gone"))?;
+        line.strip_prefix("at=")?.split(' ').next()?.parse().ok()
+    };
+    eventually("the runner is gone", || gone().is_some());
+    let after = gone().map_or(0, |at: u128| at.saturating_sub(returned.as_millis()));
+    assert!(after >= 2000, "gone after {after} ms");
+}
+
 #[test]
 fn a_planned_stop_finishes_what_is_in_hand() {
     let runner = Runner::start(|head, stream| {
--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -56,6 +56,13 @@
     revision: u64,
     objects: Vec<(String, String, u64, Option<Value>)>,
     down: bool,
+    down_kind: Option<String>,
+}
+
+impl Objects {
+    fn is_down(&self, kind: &str) -> bool {
+        self.down || self.down_kind.as_deref() == Some(kind)
+    }
 }
 
 /// A store that keeps objects and answers lists and watches.
@@ -100,6 +107,13 @@
         lock.lock().expect("no thread panicked").down = down;
         changed.notify_all();
     }
+
+    /// Answers 503 to calls about one kind from now on, or no longer.
+    pub fn set_down_for(&self, kind: Option<&str>) {
+        let (lock, changed) = &*self.state;
+        lock.lock().expect("no thread panicked").down_kind = kind.map(str::to_owned);
+        changed.notify_all();
+    }
 }
 
 fn serve_store(mut stream: TcpStream, shared: &(Mutex<Objects>, Condvar)) {
@@ -122,7 +136,7 @@
     let path = target.trim_start_matches("/-/objects/");
     let (kind, query) = path.split_once('?').unwrap_or((path, ""));
     let mut state = lock.lock().expect("no thread panicked");
-    if state.down {
+    if state.is_down(kind) {
         return (503, json!({}));
     }
     if method != Some("GET") {
@@ -157,7 +171,7 @@
             .map(|(_, name, _, value)| json!({"object": object(name, value), "deleted": value.is_none()}))
             .collect();
         let left = until.saturating_duration_since(Instant::now());
-        if state.down {
+        if state.is_down(kind) {
             return (503, json!({}));
         }
         if !events.is_empty() || left.is_zero() {
