Exchange by hubs in large fleets, and let hubs follow the store for all

Cause: each router sent ten datagrams a second to each other one and kept three watches of the store. Ruled out: a longer interval (loads of runners 1.5 s old let every router fill the same runner); fixed partitions of runners (idle capacity while work waits); rosters of whole reports (50 KB to each router each 100 ms). Change: from 20 routers on, the oldest router of each failure domain is its hub. Members send their report to it, hubs tell each other the sums of their domains, and each member gets the sum of all others and who is alive. A hub that falls silent is replaced by the next oldest; until it answers the domain's routers tell each other that they live. Members take manifest and runners from their hub and ask the store only while the hub has none. Idle connections to a runner are shared out by the limit in the manifest (Pool::limit).

Small fleets exchange as before.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -5,9 +5,10 @@
 use balsamchute_model::prelude::*;
 
 use crate::edge::{Edge, Slot};
-use crate::frame::{Frame, MAX_DATAGRAM, Phase};
+use crate::frame::{Card, Frame, MAX_DATAGRAM, Phase};
+use crate::peers::Outgoing;
 
-/// Interval of datagrams to each router that is heard.
+/// Interval of datagrams to each router that is exchanged with.
 const EXCHANGE_INTERVAL: Span = Span(100);
 
 /// Time after SIGTERM before which the process does not exit: callers that
@@ -40,11 +41,8 @@
         self.core.set_routers(heard + 1);
     }
 
-    /// Sends a datagram to every router that one is due to.
-    pub(super) fn send_frames(&mut self, now: Time) {
-        self.exchanged = now;
-        let due = self.peers.due(now);
-        let frame = Frame {
+    fn card(&self, now: Time) -> Card {
+        Card {
             instance: self.settings.instance.clone(),
             incarnation: self.clock.start().0,
             domain: self.settings.domain.clone(),
@@ -54,10 +52,27 @@
             manifest: self.manifest_version(),
             revision: self.registry.revision(),
             has_store: self.has_store(now),
-            known: self.peers.named(now),
-            report: self.core.report(),
-        };
-        let bytes = match rmp_serde::to_vec(&frame) {
+        }
+    }
+
+    /// Sends the datagrams that are due.
+    pub(super) fn send_frames(&mut self, now: Time) {
+        self.exchanged = now;
+        let card = self.card(now);
+        if self.peers.update(now, &card) {
+            log::info!(target: "peer", "event=exchange_changed tier={:?} routers={}", self.peers.tier(), self.peers.alive(now).count() + 1);
+            self.core.forget_peers();
+        }
+        for outgoing in self.peers.outgoing(now, &card, &self.core.report()) {
+            self.send_frame(&outgoing);
+        }
+    }
+
+    fn send_frame(&self, outgoing: &Outgoing) {
+        if outgoing.to.is_empty() {
+            return;
+        }
+        let bytes = match rmp_serde::to_vec(&outgoing.frame) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(target: "peer", "event=encode_failed error={:?}", error.to_string());
@@ -67,7 +82,7 @@
         let Some(Slot::Datagrams(socket)) = self.slots.get(self.datagrams) else {
             return;
         };
-        for address in due {
+        for &address in &outgoing.to {
             if let Err(error) = socket.send_to(&bytes, address) {
                 log::debug!(target: "peer", "event=send_failed peer={address} error={:?}", error.to_string());
             }
@@ -87,7 +102,7 @@
                 Err(_) => continue,
             };
             match rmp_serde::from_slice(&self.scratch[..length]) {
-                Ok(frame) => self.hear(&frame),
+                Ok(frame) => self.hear(frame),
                 Err(error) => {
                     log::warn!(target: "peer", "event=datagram_ignored bytes={length} reason={:?}", error.to_string());
                 }
@@ -95,10 +110,13 @@
         }
     }
 
-    fn hear(&mut self, frame: &Frame) {
+    fn hear(&mut self, frame: Frame) {
         let now = self.now();
-        if self.peers.hear(now, frame) {
-            self.core.merge(now, &frame.instance, &frame.report);
+        let sender = frame.sender.peers;
+        if let Some(name) = self.peers.hear(now, frame)
+            && let Some(report) = self.peers.report(sender)
+        {
+            self.core.merge(now, &name, report);
         }
     }
 
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -30,12 +30,13 @@
 use crate::flight::Flight;
 use crate::output::Output;
 use crate::peers::{Phase, Table};
+use crate::pool::Pool;
 use crate::registry::Registry;
 use crate::report::Report;
 use crate::server;
 use crate::socket::{Input, Socket};
 use crate::sync::Sync;
-use crate::upstream::{self, Pool};
+use crate::upstream;
 
 /// Interval at which waits and time limits are looked at.
 const TICK: Duration = Duration::from_millis(20);
@@ -134,7 +135,7 @@
             flights: HashMap::new(),
             next_id: 0,
             patience: HashMap::new(),
-            pool: Pool::default(),
+            pool: Pool::new(),
             callers: 0,
             body_bytes: 0,
             syncs: kinds.map(|kind| (kind, Sync::new(kind))).into(),
@@ -287,7 +288,7 @@
     /// Moves from starting to serving, and from leaving to the exit.
     fn advance_phase(&mut self, now: Time) {
         match self.phase {
-            Phase::Starting if self.manifest.is_some() && self.has_runners => {
+            Phase::Starting if self.is_complete() => {
                 self.phase = Phase::Serving;
                 log::info!(
                     target: "process",
@@ -302,6 +303,11 @@
         }
     }
 
+    /// Returns whether manifest and runners are known.
+    fn is_complete(&self) -> bool {
+        self.manifest.is_some() && self.has_runners
+    }
+
     fn manifest_version(&self) -> u64 {
         self.manifest
             .as_ref()
--- a/crates/edge/src/edge/questions.rs
+++ b/crates/edge/src/edge/questions.rs
@@ -129,8 +129,8 @@
         let serving = self
             .peers
             .alive(now)
-            .filter(|peer| peer.frame.phase == Phase::Serving);
-        let mut routers: Vec<SocketAddr> = serving.map(|peer| peer.frame.callers).collect();
+            .filter(|peer| peer.card.phase == Phase::Serving);
+        let mut routers: Vec<SocketAddr> = serving.map(|peer| peer.card.callers).collect();
         if self.is_serving() {
             routers.push(self.settings.listen.callers);
         }
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -11,6 +11,7 @@
 
 use crate::edge::{Edge, Slot};
 use crate::flight::Stash;
+use crate::pool::Pool;
 use crate::socket::{Input, Socket};
 use crate::upstream::{Connection, Phase};
 
@@ -413,13 +414,27 @@
                 connection.since = now;
                 connection.input = Vec::new();
                 let runner = connection.runner.clone();
-                self.pool.put(&runner, index);
+                let limit = self.idle_limit(now, &runner);
+                if let Some(oldest) = self.pool.put(&runner, index, limit) {
+                    self.close(oldest);
+                }
             }
             None => self.close(index),
         }
         Some((answer.head, answer.body))
     }
 
+    /// Returns how many idle connections to a runner are kept.
+    fn idle_limit(&self, now: Time, runner: &Runner) -> usize {
+        let service = self.registry.get(runner).map(|entry| &entry.service);
+        let offers = self.manifest.as_ref().map(|manifest| &manifest.offers);
+        let offer = service.and_then(|service| offers?.get(service));
+        let window = self.settings.bounds.retry_window;
+        let routers = self.peers.heard_within(now, window) + 1;
+        // A runner that is no longer listed gets no more requests.
+        offer.map_or(0, |offer| Pool::limit(offer.connections, routers))
+    }
+
     /// Ends an attempt whose answer cannot be used.
     pub(super) fn invalid(&mut self, index: usize, id: Id, reason: &str) {
         let now = self.now();
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -9,7 +9,8 @@
 
 use crate::client::{Connection, Purpose};
 use crate::edge::{Edge, Slot};
-use crate::frame::{VIEW_PATH, View};
+use crate::frame::{Card, VIEW_PATH, View};
+use crate::peers::Tier;
 use crate::registry::Change;
 use crate::socket::{Input, Socket};
 use crate::sync::News;
@@ -32,7 +33,11 @@
 impl Edge {
     /// Makes the calls to the store that are due.
     pub(super) fn follow_store(&mut self, now: Time) {
+        let follows = self.follows_store(now);
         for kind in [Kind::Manifest, Kind::Runners, Kind::Routers] {
+            if !follows {
+                break;
+            }
             let call = self.syncs.get_mut(&kind).and_then(|sync| sync.call(now));
             if let Some((call, time)) = call {
                 self.call_store(now, kind, &call, time);
@@ -48,6 +53,17 @@
         self.ask_peer(now);
     }
 
+    /// Returns whether this router asks the store itself: a member of a large
+    /// fleet learns all from its hub, unless the store turns the hub away.
+    fn follows_store(&self, now: Time) -> bool {
+        let Tier::Member(hub) = self.peers.tier() else {
+            return true;
+        };
+        let mut alive = self.peers.alive(now);
+        let has_store = alive.any(|peer| peer.card.peers == hub && peer.card.has_store);
+        !has_store || !self.is_complete()
+    }
+
     /// Returns whether the store answered lately.
     pub(super) fn has_store(&self, now: Time) -> bool {
         let heard = self
@@ -375,15 +391,21 @@
         }
         let is_cut = !self.has_store(now);
         let (version, revision) = (self.manifest_version(), self.registry.revision());
-        let newer = |frame: &crate::frame::Frame| {
-            frame.manifest > version || (is_cut && frame.revision > revision)
+        let hub = match self.peers.tier() {
+            Tier::Member(hub) => Some(hub),
+            Tier::Direct | Tier::Hub => None,
+        };
+        let newer = |card: &Card| {
+            let is_asked = hub.is_none_or(|hub| hub == card.peers);
+            is_asked && (card.manifest > version || (is_cut && card.revision > revision))
         };
         let peer = self
             .peers
             .alive(now)
-            .filter(|peer| newer(&peer.frame))
-            .max_by_key(|peer| (peer.frame.manifest, peer.frame.revision))
-            .map(|peer| peer.frame.peers);
+            .map(|peer| &peer.card)
+            .filter(|card| newer(card))
+            .max_by_key(|card| (card.manifest, card.revision))
+            .map(|card| card.peers);
         let Some(peer) = peer else { return };
         self.view_asked = Some(now);
         let Some(index) = self.open(peer, Purpose::View(peer)) else {
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -23,10 +23,10 @@
     Leaving,
 }
 
-/// The periodic datagram of a router.
+/// What a router says of itself.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct Frame {
-    /// The sender.
+pub struct Card {
+    /// Its name.
     pub instance: Instance,
     /// Its life: wall-clock time of its start.
     pub incarnation: u64,
@@ -44,8 +44,39 @@
     pub revision: u64,
     /// Whether the store answered it lately.
     pub has_store: bool,
-    /// Other routers that it hears.
+}
+
+/// Whose requests and runners a report counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Scope {
+    /// Those of the sender.
+    Own,
+    /// Those of all routers of the sender's failure domain.
+    Domain,
+    /// Those of all routers but the one that it is sent to.
+    Fleet,
+}
+
+/// A router that another one tells of.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Listed {
+    /// What it said of itself.
+    pub card: Card,
+    /// How long ago.
+    pub age: Span,
+}
+
+/// The periodic datagram of a router.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Frame {
+    /// The sender.
+    pub sender: Card,
+    /// Addresses of other routers that it hears.
     pub known: Vec<SocketAddr>,
+    /// Routers that it hears, for those that do not hear them themselves.
+    pub roster: Vec<Listed>,
+    /// Whose requests and runners the report counts.
+    pub scope: Scope,
     /// Requests and runners.
     pub report: Report,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod line;
 pub mod peers;
+pub mod pool;
 pub mod process;
 pub mod registry;
 pub mod sync;
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -43,6 +43,12 @@
         self.revision
     }
 
+    /// Returns a runner.
+    #[must_use]
+    pub fn get(&self, runner: &Runner) -> Option<&Entry> {
+        self.entries.get(runner)
+    }
+
     /// Returns the runners.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -1,7 +1,5 @@
 //! A connection to a runner.
 
-use std::collections::HashMap;
-
 use balsamchute_adapter::answer::{self, Verdict};
 use balsamchute_http::Error;
 use balsamchute_http::body::Decoder;
@@ -133,31 +131,3 @@
         Some(now + idle)
     }
 }
-
-/// Idle connections by runner, the most recently used last.
-#[derive(Debug, Default)]
-pub(crate) struct Pool {
-    idle: HashMap<Runner, Vec<usize>>,
-}
-
-impl Pool {
-    /// Adds the connection in `slot`.
-    pub fn put(&mut self, runner: &Runner, slot: usize) {
-        self.idle.entry(runner.clone()).or_default().push(slot);
-    }
-
-    /// Takes the most recently used connection.
-    pub fn take(&mut self, runner: &Runner) -> Option<usize> {
-        self.idle.get_mut(runner)?.pop()
-    }
-
-    /// Removes the connection in `slot`.
-    pub fn remove(&mut self, runner: &Runner, slot: usize) {
-        if let Some(slots) = self.idle.get_mut(runner) {
-            slots.retain(|&other| other != slot);
-            if slots.is_empty() {
-                self.idle.remove(runner);
-            }
-        }
-    }
-}
--- a/crates/schedule/src/core/mod.rs
+++ b/crates/schedule/src/core/mod.rs
@@ -330,6 +330,16 @@
         self.pump_all(now);
     }
 
+    /// Forgets what other routers reported, because it will come in other parts.
+    pub fn forget_peers(&mut self) {
+        for shares in self.shares.values_mut() {
+            shares.forget_peers();
+        }
+        for target in self.targets.values_mut() {
+            target.forget_peers();
+        }
+    }
+
     /// Counts the request's estimated cost, `sign` times, as served.
     fn charge(&mut self, id: Id, sign: f64) {
         let held = &self.held[&id];
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -149,6 +149,11 @@
         self.peers.insert(peer.clone(), (now, load));
     }
 
+    /// Forgets what peers have under way there.
+    pub fn forget_peers(&mut self) {
+        self.peers.clear();
+    }
+
     /// Returns how many times as long as usual it takes to read a prompt.
     #[must_use]
     pub fn slowness(&self) -> f64 {
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -108,6 +108,11 @@
         self.peers.insert(peer.clone(), reported);
     }
 
+    /// Forgets what peers counted.
+    pub fn forget_peers(&mut self) {
+        self.peers.clear();
+    }
+
     /// Returns what this router counted.
     pub fn own(&self) -> impl Iterator<Item = (&Workspace, &Usage)> {
         self.own.iter()
