Take newer runners from hubs whatever the store said before

A runner that left at 28.6 s was sent a request at 31.76 s. Ruled out: the hub (all other members knew within 100 ms), a frozen router. Change: which router to ask is decided in one pure place (Table::newer): members ask their hub, hubs each other, others only if the store does not answer. So that lists and watches may come after a peer's newer view, those that are older than what is known are not used. Test: newer_runners_come_from_hubs_though_the_store_answered_lately, fails before.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -119,6 +119,7 @@
             Err(fault) => {
                 let (status, reason) = describe(&fault);
                 log::info!(target: "request", "event=unreadable status={status} reason={reason:?}");
+                self.report.rejected(status);
                 self.answer_and_close(index, None, &Rejection::new(status, reason));
             }
         }
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -9,8 +9,7 @@
 
 use crate::client::{Connection, Purpose};
 use crate::edge::{Edge, Slot};
-use crate::frame::{Card, VIEW_PATH, View};
-use crate::peers::Tier;
+use crate::frame::{VIEW_PATH, View};
 use crate::registry::Change;
 use crate::socket::{Input, Socket};
 use crate::sync::News;
@@ -257,6 +256,10 @@
             News::All(objects, revision) => self.take_list(now, kind, objects, revision),
             News::Changes(changes, revision) => {
                 if kind == Kind::Runners {
+                    if revision <= self.registry.revision() {
+                        // Another router told of them already.
+                        return;
+                    }
                     self.registry.advance_to(revision);
                 }
                 for change in changes {
@@ -273,6 +276,10 @@
                     self.take_change(now, kind, StoreChange::Set(object));
                 }
             }
+            Kind::Runners if revision < self.registry.revision() => {
+                // The watch from there on brings the rest again.
+                log::info!(target: "store", "event=list_outdated revision={revision} known={}", self.registry.revision());
+            }
             Kind::Runners => {
                 let entries = objects.iter().filter_map(decode_runner).collect();
                 let changes = self.registry.replace(now, entries, revision);
@@ -378,25 +385,10 @@
         if recently {
             return;
         }
-        let is_cut = !self.has_store(now);
-        let (version, revision) = (self.manifest_version(), self.registry.revision());
-        let hub = match self.peers.tier() {
-            Tier::Member(hub) => Some(hub),
-            Tier::Direct | Tier::Hub => None,
-        };
-        let newer = |card: &Card| {
-            let is_asked = hub.is_none_or(|hub| hub == card.peers);
-            is_asked && (card.manifest > version || (is_cut && card.revision > revision))
-        };
-        let peer = self
-            .peers
-            .alive(now)
-            .map(|peer| &peer.card)
-            .filter(|card| newer(card))
-            .max_by_key(|card| (card.manifest, card.revision))
-            .map(|card| card.peers);
+        let peer = self.peers.newer(now, &self.card(now));
         let Some(peer) = peer else { return };
         self.view_asked = Some(now);
+        let version = self.manifest_version();
         let Some(index) = self.open(peer, Purpose::View(peer)) else {
             return;
         };
@@ -423,7 +415,8 @@
         if !view.manifest.is_empty() {
             self.take_manifest(&view.manifest);
         }
-        if view.revision > self.registry.revision() && !self.has_store(now) {
+        let relies = self.peers.relies_on_others(&self.card(now));
+        if view.revision > self.registry.revision() && relies {
             log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={}", view.revision);
             let changes = self.registry.replace(now, view.runners, view.revision);
             self.has_runners = true;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -236,6 +236,33 @@
         !any && older < FOLLOWERS
     }
 
+    /// Returns whether this router takes runners from others. In a large fleet
+    /// all do: members from their hub, and hubs from each other, because one
+    /// whose watch went silent would keep its whole domain behind. In a small
+    /// one only those that the store does not answer.
+    #[must_use]
+    pub fn relies_on_others(&self, me: &Card) -> bool {
+        self.tier != Tier::Direct || !me.has_store
+    }
+
+    /// Returns the router to ask for a newer manifest or newer runners, if one
+    /// has them.
+    #[must_use]
+    pub fn newer(&self, now: Time, me: &Card) -> Option<SocketAddr> {
+        let relies = self.relies_on_others(me);
+        let is_newer =
+            |card: &&Card| card.manifest > me.manifest || (relies && card.revision > me.revision);
+        let is_asked = |card: &&Card| match self.tier {
+            Tier::Member(hub) => card.peers == hub,
+            Tier::Direct | Tier::Hub => true,
+        };
+        self.alive(now)
+            .map(|peer| &peer.card)
+            .filter(|card| is_asked(card) && is_newer(card))
+            .max_by_key(|card| (card.manifest, card.revision))
+            .map(|card| card.peers)
+    }
+
     /// Returns whom this router exchanges with.
     #[must_use]
     pub fn tier(&self) -> Tier {
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -265,6 +265,26 @@
     assert_eq!(followers(&fleet), 5);
 }
 
+#[test]
+fn newer_runners_come_from_hubs_though_the_store_answered_lately() {
+    let mut fleet = Fleet::new(90);
+    fleet.steps(40);
+    // The hub of domain c knows more.
+    fleet.routers[2].card.revision = 2;
+    fleet.steps(5);
+    let newer = |index: usize| {
+        let router = &fleet.routers[index];
+        router.table.newer(fleet.now, &router.card)
+    };
+    assert_eq!(newer(7), Some(fleet.routers[2].card.peers), "a member of c");
+    assert_eq!(
+        newer(6),
+        None,
+        "a member of b, whose hub does not know more yet"
+    );
+    assert_eq!(newer(0), Some(fleet.routers[2].card.peers), "another hub");
+}
+
 #[test]
 fn a_fleet_that_shrinks_exchanges_all_with_all_again() {
     let mut fleet = Fleet::new(40);
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -81,17 +81,9 @@
     pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
         let mut space = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Request::new(&mut space);
-        let length = match parsed.parse(bytes) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if bytes.len() > limit => {
-                return Err(Error::HeadTooLong(limit));
-            }
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(error) => return Err(Error::Malformed(error.to_string())),
+        let Some(length) = length(parsed.parse(bytes), bytes.len(), limit)? else {
+            return Ok(None);
         };
-        if length > limit {
-            return Err(Error::HeadTooLong(limit));
-        }
         let head = Request {
             method: parsed.method.unwrap_or_default().to_owned(),
             target: parsed.path.unwrap_or_default().to_owned(),
@@ -118,7 +110,7 @@
     /// Returns whether the sender keeps the connection open.
     #[must_use]
     pub fn keeps_open(&self) -> bool {
-        self.is_modern && !self.fields.lists("connection", "close")
+        keeps_open(self.is_modern, &self.fields)
     }
 }
 
@@ -145,13 +137,8 @@
     pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
         let mut space = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut space);
-        let length = match parsed.parse(bytes) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if bytes.len() > limit => {
-                return Err(Error::HeadTooLong(limit));
-            }
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(error) => return Err(Error::Malformed(error.to_string())),
+        let Some(length) = length(parsed.parse(bytes), bytes.len(), limit)? else {
+            return Ok(None);
         };
         let head = Response {
             status: parsed.code.unwrap_or_default(),
@@ -165,6 +152,24 @@
     /// Returns whether the sender keeps the connection open.
     #[must_use]
     pub fn keeps_open(&self) -> bool {
-        self.is_modern && !self.fields.lists("connection", "close")
+        keeps_open(self.is_modern, &self.fields)
     }
 }
+
+/// Returns the length of a head that is whole, `None` if its end is missing.
+fn length(
+    parsed: httparse::Result<usize>,
+    received: usize,
+    limit: usize,
+) -> Result<Option<usize>, Error> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length <= limit => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if received <= limit => Ok(None),
+        Ok(_) => Err(Error::HeadTooLong(limit)),
+        Err(error) => Err(Error::Malformed(error.to_string())),
+    }
+}
+
+fn keeps_open(is_modern: bool, fields: &Fields) -> bool {
+    is_modern && !fields.lists("connection", "close")
+}
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -14,29 +14,22 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use world::{
-    Router, Runner, Store, ask, connect, eventually, field, read_message, respond, respond_whole,
+    Offered, Router, Runner, Store, ask, connect, eventually, field, read_message, respond,
+    respond_whole,
 };
 
 fn entry(address: SocketAddr, service: &str) -> Option<Value> {
-    Some(
-        json!({"service": service, "address": address.to_string(), "zone": "a", "slots": 6,
-        "state": "ready", "cold_left_ms": 0, "sequence": 1}),
-    )
+    Some(world::entry(address, service, 6))
 }
 
 fn manifest(version: u64, keys: &[&str]) -> Option<Value> {
-    let route = |name: &str, prefix: &str, kind: &str, resume: bool| {
-        json!({"name": name, "host": "h", "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
-            "slo_ms": 2000, "service": "s", "max_attempts": 2, "public": prefix == "/open/",
-            "can_resume": resume, "gap_aim_ms": 2000})
-    };
-    Some(json!({"version": version, "routes": [
-        route("stream", "/stream/", "stream", true), route("once", "/once/", "non_idempotent", false),
-        route("safe", "/safe/", "idempotent", false), route("open", "/open/", "idempotent", false)],
-        "services": [{"name": "s", "max_conns": 100}],
-        "limits": {"max_header_bytes": 4096, "max_body_bytes": 100_000, "header_timeout_ms": 1000,
-            "idle_timeout_ms": 15000},
-        "tenants": [{"name": "w1", "api_keys": keys}]}))
+    let routes = [
+        Offered::new("stream", "stream", 8000).resumed(),
+        Offered::new("once", "non_idempotent", 8000),
+        Offered::new("safe", "idempotent", 8000),
+        Offered::new("open", "idempotent", 8000).public(),
+    ];
+    Some(world::manifest(version, &routes, keys))
 }
 
 /// Starts a router before these runners.
--- a/tests/all/edge/world.rs
+++ b/tests/all/edge/world.rs
@@ -184,6 +184,65 @@
     }
 }
 
+/// Returns a runner's object in the store.
+pub fn entry(address: SocketAddr, service: &str, slots: u32) -> Value {
+    json!({"service": service, "address": address.to_string(), "zone": "a", "slots": slots,
+        "state": "ready", "cold_left_ms": 0, "sequence": 1})
+}
+
+/// A route to service `s` under `/NAME/`.
+pub struct Offered {
+    name: &'static str,
+    kind: &'static str,
+    is_public: bool,
+    is_resumed: bool,
+    longest_ms: u64,
+}
+
+impl Offered {
+    /// Creates a route whose answers last `longest_ms`, with a quarter of it as aim
+    /// and pause.
+    pub fn new(name: &'static str, kind: &'static str, longest_ms: u64) -> Self {
+        Offered {
+            name,
+            kind,
+            is_public: false,
+            is_resumed: false,
+            longest_ms,
+        }
+    }
+
+    /// Lets callers without a key use it.
+    pub fn public(mut self) -> Self {
+        self.is_public = true;
+        self
+    }
+
+    /// Lets streams go on at another runner.
+    pub fn resumed(mut self) -> Self {
+        self.is_resumed = true;
+        self
+    }
+
+    fn object(&self) -> Value {
+        json!({"name": self.name, "host": "h", "path_prefix": format!("/{}/", self.name),
+            "kind": self.kind, "timeout_ms": self.longest_ms,
+            "slo_ms": self.longest_ms / 4, "service": "s",
+            "max_attempts": 2, "public": self.is_public, "can_resume": self.is_resumed,
+            "gap_aim_ms": self.longest_ms / 4})
+    }
+}
+
+/// Returns the manifest's object in the store.
+pub fn manifest(version: u64, routes: &[Offered], keys: &[&str]) -> Value {
+    let routes: Vec<Value> = routes.iter().map(Offered::object).collect();
+    json!({"version": version, "routes": routes,
+        "services": [{"name": "s", "max_conns": 5000}],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 100_000, "header_timeout_ms": 1000,
+            "idle_timeout_ms": 15000},
+        "tenants": [{"name": "w1", "api_keys": keys}]})
+}
+
 /// A runner whose answers a test writes by hand.
 pub struct Runner {
     pub address: SocketAddr,
