Let requests that ran already go on before others

Change: a request that may have run is owed its repeat, and goes first. Test: a_request_that_ran_goes_on_before_others_though_its_workspace_had_its_share, fails before.

--- a/crates/schedule/src/core/attempt.rs
+++ b/crates/schedule/src/core/attempt.rs
@@ -142,7 +142,7 @@
     fn check_wait(&mut self, now: Time, id: Id) {
         let held = &self.held[&id];
         let request = &held.request;
-        let claim = self.claim(&request.service, request.workspace.as_ref());
+        let claim = self.claim(held);
         let longest = match claim {
             Claim::Owed => Span(request.aim.0 * OWED_WAIT_PERCENT / 100),
             Claim::Behind | Claim::Spare | Claim::Ahead => Span(request.aim.0 / SPARE_WAIT),
--- a/crates/schedule/src/core/dispatch.rs
+++ b/crates/schedule/src/core/dispatch.rs
@@ -26,7 +26,7 @@
     pub(super) fn pump(&mut self, now: Time, service: &Service) {
         let mut blocked: BTreeSet<Line> = BTreeSet::new();
         while let Some((line, id)) = self.next(service, &blocked) {
-            let claim = self.claim(service, line.0.as_ref());
+            let claim = self.claim(&self.held[&id]);
             match self.choose(now, id, claim) {
                 Choice::To { runner, basis } => {
                     let basis = basis.with_share(&self.basis(service, &self.held[&id]));
@@ -42,22 +42,23 @@
         }
     }
 
-    /// Returns the waiting request that goes first: of the least served
-    /// workspace, of the kind that got least of what it asked for, and if
-    /// possible one that can be on time.
+    /// Returns the waiting request that goes first: one that ran already, else of
+    /// the least served workspace, of the kind that got least of what it asked
+    /// for, and if possible one that can be on time.
     fn next(&self, service: &Service, blocked: &BTreeSet<Line>) -> Option<(Line, Id)> {
-        let mut best: Option<((f64, bool, f64), Head<'_>)> = None;
+        let mut best: Option<((bool, f64, bool, f64), Head<'_>)> = None;
         for head in self.queues.get(service)?.heads() {
             if blocked.contains(head.line) {
                 continue;
             }
             let (workspace, kind) = head.line;
+            let is_first = self.held[&head.id].runs == 0;
             let served = self.served(service, workspace.as_ref());
-            if best.is_some_and(|((lowest, ..), _)| served > lowest) {
+            if best.is_some_and(|((first, lowest, ..), _)| (is_first, served) > (first, lowest)) {
                 continue;
             }
             let ratio = self.mix.ratio(workspace.as_ref(), kind);
-            let order = (served, head.is_late, ratio);
+            let order = (is_first, served, head.is_late, ratio);
             if best.is_none_or(|(lowest, _)| order < lowest) {
                 best = Some((order, head));
             }
@@ -85,8 +86,14 @@
         }
     }
 
-    pub(super) fn claim(&self, service: &Service, workspace: Option<&Workspace>) -> Claim {
-        match (self.shares.get(service), workspace) {
+    /// Returns how a request stands against others. One that ran already was
+    /// counted as served: its workspace is owed the rest.
+    pub(super) fn claim(&self, held: &Held) -> Claim {
+        let request = &held.request;
+        if held.runs > 0 {
+            return Claim::Owed;
+        }
+        match (self.shares.get(&request.service), &request.workspace) {
             (Some(shares), Some(workspace)) if !shares.is_owed(workspace) => {
                 match (shares.is_behind(workspace), shares.is_ahead(workspace)) {
                     (true, _) => Claim::Behind,
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -336,3 +336,33 @@
         .collect();
     assert_eq!(next, [2]);
 }
+
+#[test]
+fn a_request_that_ran_goes_on_before_others_though_its_workspace_had_its_share() {
+    let mut core = engines(2);
+    core.tick(NOW);
+    let report = Report {
+        usage: vec![report::Usage {
+            service: service("model"),
+            workspace: name("w1"),
+            asked: 1e6,
+            served: 6e5,
+        }],
+        ..Report::default()
+    };
+    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    core.arrive(NOW, 0, model("w1", 1, 100));
+    let first = sent(&core.take_actions());
+    // Both runners are busy with prompts that they still read.
+    for id in 1..5 {
+        core.arrive(NOW, id, model("light", id, 2500));
+    }
+    core.take_actions();
+    core.tick(NOW);
+    core.written(0);
+    core.progress(NOW, 0, 3);
+    core.end(NOW, 0, End::Broke);
+    let next = sent(&core.take_actions());
+    assert_eq!(next.len(), 1, "it goes on at once");
+    assert_ne!(next[0].1, first[0].1);
+}
