Show in a request's way that its router was killed

Change: a way without an end shows the next start of its router. Test: explain_shows_the_start_of_a_router_that_was_killed_with_the_request.

--- a/src/trail.rs
+++ b/src/trail.rs
@@ -9,11 +9,18 @@
 /// Event of the line that sends a request to a runner.
 const SEND: &str = "send";
 
+/// Event of the first line of a process.
+const START: &str = "start";
+
+/// Events after which a router has a request no longer in hand.
+const ENDS: [&str; 5] = ["answered", "caller_gone", "failed", "refused", "rejected"];
+
 /// The lines that explain one request.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Trail {
-    /// Lines about the request, and about runners that it was sent to while it
-    /// was in hand, in order of time.
+    /// Lines about the request, about runners that it was sent to while it was
+    /// in hand, and about the next start of a router that it did not end at, in
+    /// order of time.
     pub lines: Vec<Line>,
     /// Lines that are none of a router's.
     pub skipped: usize,
@@ -28,6 +35,7 @@
     pub fn read(request: &str, input: impl BufRead) -> std::io::Result<Self> {
         let mut own = Vec::new();
         let mut about_runners = Vec::new();
+        let mut starts = Vec::new();
         let mut skipped = 0;
         for text in input.split(b'\n') {
             let text = text?;
@@ -36,11 +44,14 @@
                 Some(line) if line.get("request").is_none() && line.get("runner").is_some() => {
                     about_runners.push(line);
                 }
+                Some(line) if line.event == START => starts.push(line),
                 Some(_) => {}
                 None => skipped += 1,
             }
         }
-        Ok(Trail::new(own, about_runners, skipped))
+        let mut trail = Trail::new(own, about_runners, skipped);
+        trail.add_start(starts);
+        Ok(trail)
     }
 
     fn new(own: Vec<Line>, about_runners: Vec<Line>, skipped: usize) -> Self {
@@ -61,6 +72,22 @@
         Trail { lines, skipped }
     }
 
+    /// Adds the next start of the router that had the request last, unless the
+    /// request ended there: a process that is killed leaves no line.
+    fn add_start(&mut self, starts: Vec<Line>) {
+        let Some(last) = self.lines.last() else {
+            return;
+        };
+        if ENDS.contains(&last.event.as_str()) {
+            return;
+        }
+        let next = starts
+            .into_iter()
+            .filter(|start| start.instance == last.instance && start.at > last.at)
+            .min_by_key(|start| start.at);
+        self.lines.extend(next);
+    }
+
     /// Returns the trail as text, a line for each event with the time since the
     /// first one.
     pub fn text(&self) -> String {
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -511,6 +511,21 @@
     assert!(way.err.contains("2 lines"), "{way:?}");
 }
 
+#[test]
+fn explain_shows_the_start_of_a_router_that_was_killed_with_the_request() {
+    let text = "at=5 instance=r1 part=process event=start incarnation=5\n\
+        at=10 instance=r1 part=request event=send request=q runner=i-1\n\
+        at=10 instance=r1 part=request event=send request=p runner=i-1\n\
+        at=12 instance=r1 part=request event=answered request=p status=200\n\
+        at=20 instance=r2 part=process event=start incarnation=20\n\
+        at=30 instance=r1 part=process event=start incarnation=30\n";
+    let folder = Directory::new("explain-start");
+    let file = folder.file("log", text);
+    let explain = |id: &str| run(&["explain", "--log", &file, id]).out;
+    assert!(explain("q").contains("20 ms  r1  start  incarnation=30"));
+    assert!(!explain("p").contains("  start  "));
+}
+
 #[test]
 fn settings_are_checked_without_serving() {
     let folder = Directory::new("check-settings");
