Accept callers in turns, so that those in hand go first

It accepted all that waited in one turn of the loop, and callers that had left were noticed over half a second late. Change: a turn accepts 16 callers; the rest follow in the next turns, without a sleep between them. `event=accepts_wait` says so. Test: callers_that_come_at_once_are_accepted_in_turns.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -47,6 +47,10 @@
 /// Bytes that one read takes at most.
 const READ_BYTES: usize = 64 * 1024;
 
+/// Connections of callers that one turn of the loop accepts at most. Requests in
+/// hand, and callers that leave, must not wait for all that flood a router.
+const MAX_ACCEPTED: usize = 16;
+
 /// Share of the descriptors that callers' connections may use.
 const CALLER_DESCRIPTORS: f64 = 0.6;
 
@@ -81,6 +85,7 @@
     // Longest time that callers of a route wait, by its name.
     patience: HashMap<String, Span>,
     pool: Pool,
+    callers_listener: usize,
     callers: usize,
     body_bytes: usize,
     syncs: BTreeMap<Kind, Sync>,
@@ -95,6 +100,8 @@
     leaving_since: Option<Time>,
     swept: Time,
     exchanged: Time,
+    // Whether more connections may wait to be accepted than a turn took.
+    accepts_more: bool,
     done: bool,
 }
 
@@ -136,6 +143,7 @@
             next_id: 0,
             patience: HashMap::new(),
             pool: Pool::new(),
+            callers_listener: 0,
             callers: 0,
             body_bytes: 0,
             syncs: kinds.map(|kind| (kind, Sync::new(kind))).into(),
@@ -150,6 +158,7 @@
             leaving_since: None,
             swept: now,
             exchanged: now,
+            accepts_more: false,
             done: false,
             settings,
         };
@@ -174,7 +183,7 @@
     fn listen(&mut self) -> Result<(), Error> {
         let listen = self.settings.listen;
         let callers = listener(listen.callers)?;
-        self.add_listener(listen.callers, Slot::Callers(callers))?;
+        self.callers_listener = self.add_listener(listen.callers, Slot::Callers(callers))?;
         let servers = [
             (listen.ready, server::Purpose::Ready),
             (listen.directory, server::Purpose::Directory),
@@ -212,6 +221,19 @@
         Ok(index)
     }
 
+    /// Accepts connections of callers that the last turn left waiting.
+    pub fn accept_more(&mut self, _cx: CX![]) {
+        if std::mem::take(&mut self.accepts_more) {
+            self.accept(self.callers_listener);
+            self.act();
+        }
+    }
+
+    /// Returns whether connections of callers wait to be accepted.
+    pub fn accepts_more(&self) -> bool {
+        self.accepts_more
+    }
+
     /// Returns whether the process may exit.
     pub fn is_done(&self) -> bool {
         self.done
@@ -315,7 +337,12 @@
     }
 
     fn accept(&mut self, token: usize) {
-        loop {
+        for count in 0.. {
+            if count == MAX_ACCEPTED && token == self.callers_listener {
+                log::info!(target: "caller", "event=accepts_wait open={}", self.callers);
+                self.accepts_more = true;
+                return;
+            }
             let accepted = match &self.slots[token] {
                 Slot::Callers(listener) | Slot::Server(listener, _) => listener.accept(),
                 _ => return,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -75,7 +75,11 @@
     let mut read_again = Instant::now() + READ_AGAIN;
     let mut events = Events::with_capacity(MAX_EVENTS);
     loop {
-        let sleep = stakker.next_wait_max(Instant::now(), MAX_SLEEP, false);
+        let waits = edge.query(&mut stakker, |edge, _| edge.accepts_more());
+        let sleep = match waits {
+            Some(true) => Duration::ZERO,
+            _ => stakker.next_wait_max(Instant::now(), MAX_SLEEP, false),
+        };
         match poll.poll(&mut events, Some(sleep)) {
             Ok(()) => {}
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -97,6 +101,7 @@
         for event in &events {
             call!([edge], ready(slot_of(event)));
         }
+        call!([edge], accept_more());
         stakker.run(Instant::now(), false);
         let done = edge.query(&mut stakker, |edge, _| edge.is_done());
         if done.unwrap_or(true) {
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -558,6 +558,28 @@
     }
 }
 
+#[test]
+fn callers_that_come_at_once_are_accepted_in_turns() {
+    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
+    let (_store, router) = world(&[&runner]);
+    router.signal(Signal::SIGSTOP);
+    let text = request("POST", "/once/x", "", "");
+    let mut callers: Vec<TcpStream> = (0..40).map(|_| connect(router.callers)).collect();
+    for caller in &mut callers {
+        caller
+            .write_all(text.as_bytes())
+            .expect("the socket is open");
+    }
+    router.signal(Signal::SIGCONT);
+    for caller in &mut callers {
+        let (head, _) = read_message(caller).expect("an answer");
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    }
+    eventually("the log says so", || {
+        router.log().contains("event=accepts_wait")
+    });
+}
+
 #[test]
 fn bytes_that_make_no_sense_at_any_port_harm_no_request() {
     let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
