Share the fixtures of tests that repeated them; split the edge's tests

Change: serve_elsewhere and sent_ids in the tests of shares, one start in the bench; tests about the store and about logs, metrics and on-call commands stand in files of their own. No assertion, bound or input is changed; the bench's long sleep says why. Ruled out: the other pairs of the report are lists of constants and alike only in shape.

--- a/benches/front.rs
+++ b/benches/front.rs
@@ -53,6 +53,15 @@
     pages.parse::<u64>().expect("a number") * PAGE_BYTES
 }
 
+/// Starts a router before one runner.
+fn start(store: &Store, runner: &Runner) -> Router {
+    let entry = world::entry(runner.address, "s", 5000);
+    store.put("servers", "i-1", Some(entry));
+    let router = Router::start("bench", store.address);
+    router.wait_ready();
+    router
+}
+
 /// Streams that are open through a router.
 struct Streams {
     _router: Router,
@@ -73,16 +82,12 @@
             stream.set_nodelay(true).expect("the socket is open");
             let end = stream.try_clone().expect("descriptors are left");
             kept.lock().expect("no thread panicked").push(end);
-            thread::sleep(Duration::from_secs(600));
+            // The stream stays open for as long as the bench runs: it ends with
+            // this thread.
+            thread::sleep(Duration::from_millis(LONGEST_MS));
             false
         });
-        store.put(
-            "servers",
-            "i-1",
-            Some(world::entry(runner.address, "s", 5000)),
-        );
-        let router = Router::start("bench", store.address);
-        router.wait_ready();
+        let router = start(store, &runner);
         let before = resident(router.pid());
         let mut callers = Vec::new();
         for id in 0..count {
@@ -192,13 +197,7 @@
         holds &= streams.memory <= MAX_STREAM_BYTES;
     }
     let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
-    store.put(
-        "servers",
-        "i-1",
-        Some(world::entry(runner.address, "s", 5000)),
-    );
-    let router = Router::start("bench", store.address);
-    router.wait_ready();
+    let router = start(&store, &runner);
     let (own, reference) = (load(router.callers), load(forwarder(runner.address)));
     println!(
         "{own:.0} requests a second over {LOAD_CONNECTIONS} connections, {reference:.0} through tiny_http and ureq"
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -106,6 +106,27 @@
     core
 }
 
+/// Lets another router report what it served these workspaces, each of which
+/// asked for more.
+fn serve_elsewhere(core: &mut Core, served: &[(&str, f32)]) {
+    let usage = served.iter().map(|&(workspace, served)| report::Usage {
+        service: service("model"),
+        workspace: name(workspace),
+        asked: 1e6,
+        served,
+    });
+    let report = Report {
+        usage: usage.collect(),
+        ..Report::default()
+    };
+    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+}
+
+/// Returns the requests that were sent.
+fn sent_ids(actions: &[Action]) -> Vec<Id> {
+    sent(actions).into_iter().map(|(id, _)| id).collect()
+}
+
 /// Ends a request that was sent, with one event.
 fn finish(core: &mut Core, now: Time, id: Id) {
     core.written(id);
@@ -154,17 +175,7 @@
     let mut core = engines(1);
     core.tick(NOW);
     // Another router served it many times what the engines produce.
-    let usage = report::Usage {
-        service: service("model"),
-        workspace: name("heavy"),
-        asked: 1e6,
-        served: 1e6,
-    };
-    let report = Report {
-        usage: vec![usage],
-        ..Report::default()
-    };
-    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    serve_elsewhere(&mut core, &[("heavy", 1e6)]);
     core.tick(NOW);
     for id in 0..200 {
         core.arrive(NOW, id, model("heavy", 1, 8000));
@@ -279,17 +290,7 @@
 fn idle_runners_go_first_to_those_behind_at_other_routers() {
     let mut core = engines(1);
     core.tick(NOW);
-    let usage = |workspace: &str, served| report::Usage {
-        service: service("model"),
-        workspace: name(workspace),
-        asked: 1e6,
-        served,
-    };
-    let report = Report {
-        usage: vec![usage("ahead", 6e5), usage("behind", 2e5)],
-        ..Report::default()
-    };
-    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    serve_elsewhere(&mut core, &[("ahead", 6e5), ("behind", 2e5)]);
     // The runner has read all prompts and runs a quarter of its slots.
     for id in 0..16 {
         core.arrive(NOW, id, model("light", 1, 100));
@@ -301,10 +302,7 @@
     core.arrive(NOW, 100, model("ahead", 1, 100));
     assert_eq!(sent(&core.take_actions()), []);
     core.arrive(NOW, 101, model("behind", 1, 100));
-    let next: Vec<Id> = sent(&core.take_actions())
-        .into_iter()
-        .map(|(id, _)| id)
-        .collect();
+    let next = sent_ids(&core.take_actions());
     assert_eq!(next, [101]);
 }
 
@@ -312,17 +310,7 @@
 fn a_runner_still_reading_goes_to_those_behind_at_other_routers() {
     let mut core = engines(1);
     core.tick(NOW);
-    let usage = |workspace: &str, served| report::Usage {
-        service: service("model"),
-        workspace: name(workspace),
-        asked: 1e6,
-        served,
-    };
-    let report = Report {
-        usage: vec![usage("even", 4e5), usage("behind", 3e5)],
-        ..Report::default()
-    };
-    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    serve_elsewhere(&mut core, &[("even", 4e5), ("behind", 3e5)]);
     // The runner is idle but for one prompt that it still reads.
     core.arrive(NOW, 0, model("light", 1, 500));
     core.take_actions();
@@ -330,10 +318,7 @@
     core.arrive(NOW, 1, model("even", 1, 500));
     assert_eq!(sent(&core.take_actions()), []);
     core.arrive(NOW, 2, model("behind", 1, 500));
-    let next: Vec<Id> = sent(&core.take_actions())
-        .into_iter()
-        .map(|(id, _)| id)
-        .collect();
+    let next = sent_ids(&core.take_actions());
     assert_eq!(next, [2]);
 }
 
@@ -341,16 +326,7 @@
 fn a_request_that_ran_goes_on_before_others_though_its_workspace_had_its_share() {
     let mut core = engines(2);
     core.tick(NOW);
-    let report = Report {
-        usage: vec![report::Usage {
-            service: service("model"),
-            workspace: name("w1"),
-            asked: 1e6,
-            served: 6e5,
-        }],
-        ..Report::default()
-    };
-    core.merge(NOW, &Instance::new("r2").unwrap(), &report);
+    serve_elsewhere(&mut core, &[("w1", 6e5)]);
     core.arrive(NOW, 0, model("w1", 1, 100));
     let first = sent(&core.take_actions());
     // Both runners are busy with prompts that they still read.
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -1,6 +1,8 @@
 //! `balsamchute edge` with a store, runners and callers on loopback.
 
 mod doors;
+mod oncall;
+mod store;
 mod world;
 
 use std::io::{Read, Write};
@@ -8,9 +10,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
-use crate::command::{Directory, run};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use world::{
@@ -307,92 +308,6 @@
     });
 }
 
-#[test]
-fn keys_and_routes_follow_the_manifest_and_never_go_back() {
-    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
-    let (store, router) = world(&[&runner]);
-    let with =
-        |key: &str| request("GET", "/safe/x", "", "").replace("Token k1", &format!("Token {key}"));
-    let status = |key: &str| ask(router.callers, &with(key))[9..12].to_owned();
-    assert_eq!(
-        (status("k1"), status("k2")),
-        ("200".to_owned(), "401".to_owned())
-    );
-    store.put("config", "main", manifest(5, &["k2"]));
-    eventually("the new key works", || status("k2") == "200");
-    assert_eq!(status("k1"), "401");
-    store.put("config", "main", manifest(3, &["k1"]));
-    store.put("config", "main", Some(json!({"version": "damaged"})));
-    store.put("config", "main", manifest(6, &["k2", "k3"]));
-    eventually("the newest key works", || status("k3") == "200");
-    assert_eq!(status("k1"), "401");
-}
-
-#[test]
-fn a_router_that_the_store_turns_away_learns_from_another_one() {
-    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
-    let (store, router) = world(&[&runner]);
-    let away = Store::start();
-    away.set_down(true);
-    // Seeds name any port of the other machine.
-    let other = Router::start_beside("r2", away.address, &[router.callers]);
-    other.wait_ready();
-    let with =
-        |key: &str| request("POST", "/once/x", "", "").replace("Token k1", &format!("Token {key}"));
-    assert!(ask(other.callers, &with("k1")).ends_with("done"));
-    store.put("config", "main", manifest(2, &["k2"]));
-    eventually("the new manifest arrives", || {
-        ask(other.callers, &with("k2")).ends_with("done")
-    });
-    assert!(ask(other.callers, &with("k1")).starts_with("HTTP/1.1 401 "));
-    store.put("servers", "i-0", None);
-    eventually("the leaving runner is known", || {
-        ask(other.callers, &with("k2")).starts_with("HTTP/1.1 503 ")
-    });
-}
-
-#[test]
-fn a_runner_that_leaves_gets_no_new_requests() {
-    let first = Runner::start(|head, stream| respond_whole(stream, head, "first"));
-    let second = Runner::start(|head, stream| respond_whole(stream, head, "second"));
-    let (store, router) = world(&[&first, &second]);
-    let mut draining = entry(first.address, "s").expect("an entry");
-    draining["state"] = json!("draining");
-    store.put("servers", "i-0", Some(draining));
-    store.put("servers", "i-1", None);
-    let get = || ask(router.callers, &request("POST", "/once/x", "", ""));
-    eventually("both are gone", || get().starts_with("HTTP/1.1 503 "));
-    let answer = get();
-    assert!(field(&answer, "retry-after").is_some(), "{answer}");
-    store.put("servers", "i-2", entry(second.address, "s"));
-    eventually("the new one serves", || get().ends_with("second"));
-}
-
-#[test]
-fn entries_that_lapse_while_the_store_is_away_stay_until_they_can_be_renewed() {
-    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
-    let (store, router) = world(&[&runner]);
-    store.set_down_for(Some("servers"));
-    eventually("the outage is noticed", || {
-        router.log().contains("event=store_lost kind=Runners")
-    });
-    store.put("servers", "i-0", None);
-    let returned = SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .expect("a clock after 1970");
-    store.set_down_for(None);
-    let gone = || {
-        let log = router.log();
-        let line = log
-            .lines()
-            .find(|line| line.contains("event=runner_gone"))?;
-        line.strip_prefix("at=")?.split(' ').next()?.parse().ok()
-    };
-    eventually("the runner is gone", || gone().is_some());
-    let after = gone().map_or(0, |at: u128| at.saturating_sub(returned.as_millis()));
-    assert!(after >= 2000, "gone after {after} ms");
-}
-
 #[test]
 fn a_planned_stop_finishes_what_is_in_hand() {
     let runner = Runner::start(|head, stream| {
@@ -463,82 +378,6 @@
     }
 }
 
-#[test]
-fn metrics_and_logs_tell_what_became_of_a_request() {
-    let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
-    let (_store, router) = world(&[&runner]);
-    ask(router.callers, &request("POST", "/once/x", "", ""));
-    let unknown = request("GET", "/safe/x", "", "").replace("Token k1", "Token k2");
-    ask(router.callers, &unknown.replace("q1", "q2"));
-    eventually("both requests are in the log", || {
-        let log = router.log();
-        log.contains("event=answered request=q1") && log.contains("event=rejected request=q2")
-    });
-    let explain = |id: &str| run(&["explain", "--log", &router.log_file, id]);
-    let way = explain("q1");
-    assert_eq!(way.code, 0, "{way:?}");
-    assert!(
-        way.out.contains("  send  ") && way.out.contains("  answered  "),
-        "{}",
-        way.out
-    );
-    assert!(way.out.contains("runner=i-0"), "{}", way.out);
-    assert!(explain("q2").out.contains("the API key is not known"));
-    assert_eq!(explain("q3").code, 7);
-}
-
-#[test]
-fn explain_skips_lines_of_others_and_keeps_the_order_of_time() {
-    let text = "12.1 r2 at=30 instance=r2 level=info part=request event=answered request=q status=200\n\
-        not a line of ours\nat=10 instance=r1 level=info part=request event=send request=q runner=i-1 waited_ms=3\n\
-        at=20 instance=r1 level=info part=runner event=no_connection runner=i-1 refused=true\n\
-        at=99 instance=r1 level=info part=runner event=no_connection runner=i-1 refused=true\n\
-        at=25 instance=r1 part=request event=failed request=q reason=\"cut sh";
-    let folder = Directory::new("explain-log");
-    let file = folder.file("log", text);
-    let way = run(&["explain", "--log", &file, "q"]);
-    let events: Vec<String> = way
-        .out
-        .lines()
-        .map(|line| {
-            line.split_whitespace()
-                .nth(3)
-                .unwrap_or_default()
-                .to_owned()
-        })
-        .collect();
-    assert_eq!(events, ["send", "no_connection", "answered"], "{way:?}");
-    assert!(way.err.contains("2 lines"), "{way:?}");
-}
-
-#[test]
-fn explain_shows_the_start_of_a_router_that_was_killed_with_the_request() {
-    let text = "at=5 instance=r1 part=process event=start incarnation=5\n\
-        at=10 instance=r1 part=request event=send request=q runner=i-1\n\
-        at=10 instance=r1 part=request event=send request=p runner=i-1\n\
-        at=12 instance=r1 part=request event=answered request=p status=200\n\
-        at=20 instance=r2 part=process event=start incarnation=20\n\
-        at=30 instance=r1 part=process event=start incarnation=30\n";
-    let folder = Directory::new("explain-start");
-    let file = folder.file("log", text);
-    let explain = |id: &str| run(&["explain", "--log", &file, id]).out;
-    assert!(explain("q").contains("20 ms  r1  start  incarnation=30"));
-    assert!(!explain("p").contains("  start  "));
-}
-
-#[test]
-fn settings_are_checked_without_serving() {
-    let folder = Directory::new("check-settings");
-    let faulty = folder.file("settings.toml", "node_name = \"r1\"\nzone = 3\n");
-    let checked = run(&["check-settings", &faulty]);
-    assert_eq!(checked.code, 3, "{checked:?}");
-    assert!(checked.err.contains("zone"), "{checked:?}");
-    let store = Store::start();
-    let router = Router::start("r1", store.address);
-    let checked = run(&["check-settings", &router.settings_file]);
-    assert_eq!(checked.code, 0, "{checked:?}");
-}
-
 #[test]
 fn idle_connections_make_room_for_new_callers() {
     let runner = Runner::start(|head, stream| respond_whole(stream, head, "done"));
