Hand bound sockets to the routers of tests; connect with a timeout

`free_address` in path.rs let go of its port before the router bound it, and another socket could take it. The exhaustion test filled the backlog with a `connect` that the system retries for two minutes and more.

Ruled out: a fault of the router in either case; both were traced before.

Change: `Sockets` holds the bound listeners, and `serve_on` takes them; `serve` binds those of the settings. The tests bind port 0 and hand the sockets over. The exhaustion test connects with a timeout of a second.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,4 +29,5 @@
 mod traffic;
 
 pub use error::Error;
-pub use serve::serve;
+pub use listen::Sockets;
+pub use serve::{serve, serve_on};
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -25,6 +25,13 @@
 use crate::context::Context;
 use crate::error::Error;
 use crate::peers::spawn;
+use crate::settings::Settings;
+use crate::{callers, inner};
+
+/// Threads that take requests of other routers. They also serve most control
+/// messages, some of which wait for the actor. Requests of callers get a thread
+/// each and need only one to take them.
+const INNER_THREADS: usize = 4;
 
 /// Interval of the probes, and thus the longest time that a queued connection
 /// waits for a thread.
@@ -34,6 +41,60 @@
 /// server is considered to have stopped accepting.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Bound listening sockets of a router process.
+#[derive(Debug)]
+pub struct Sockets {
+    callers: TcpListener,
+    inner: TcpListener,
+}
+
+impl Sockets {
+    /// Takes over the bound sockets for callers and for other routers.
+    #[must_use]
+    pub fn new(callers: TcpListener, inner: TcpListener) -> Self {
+        Sockets { callers, inner }
+    }
+
+    /// Binds the addresses that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] that names the setting if its address cannot be
+    /// bound.
+    pub fn bind(settings: &Settings) -> Result<Self, Error> {
+        let bind = |setting: &'static str, address: SocketAddr| {
+            TcpListener::bind(address).map_err(|error| Error::Listen {
+                setting,
+                address,
+                reason: error.to_string(),
+            })
+        };
+        Ok(Sockets {
+            callers: bind("callers", settings.callers)?,
+            inner: bind("inner", settings.inner)?,
+        })
+    }
+
+    /// Returns the listener for callers and the one for other routers.
+    pub(crate) fn into_listeners(self, settings: &Settings) -> Result<(Listener, Listener), Error> {
+        let callers = Listener::new(
+            "callers",
+            settings.callers,
+            self.callers,
+            1,
+            callers::accept,
+        )?;
+        let inner = Listener::new(
+            "inner",
+            settings.inner,
+            self.inner,
+            INNER_THREADS,
+            inner::accept,
+        )?;
+        Ok((callers, inner))
+    }
+}
+
 /// Listening socket and the handler of its requests.
 #[derive(Clone)]
 pub(crate) struct Listener {
@@ -45,28 +106,27 @@
 }
 
 impl Listener {
-    /// Binds `address`, which is the value of the setting `setting`.
+    /// Prepares a bound socket; `address` is the value of the setting `setting`.
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] that names the setting if the address cannot be
-    /// bound.
-    pub fn bind(
+    /// Returns an [`Error`] that names the setting if an option of the socket
+    /// cannot be set.
+    fn new(
         setting: &'static str,
         address: SocketAddr,
+        socket: TcpListener,
         threads: usize,
         handle: fn(&Context, Request),
     ) -> Result<Self, Error> {
-        let to_error = |error: std::io::Error| Error::Listen {
-            setting,
-            address,
-            reason: error.to_string(),
-        };
-        let socket = TcpListener::bind(address).map_err(to_error)?;
         // Accepted sockets inherit this option. Without it, a token may wait
         // for the acknowledgement of the previous one.
         let no_delay = socket2::SockRef::from(&socket).set_tcp_nodelay(true);
-        no_delay.map_err(to_error)?;
+        no_delay.map_err(|error| Error::Listen {
+            setting,
+            address,
+            reason: error.to_string(),
+        })?;
         Ok(Listener {
             socket: Arc::new(socket),
             threads,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -20,21 +20,15 @@
 use crate::error::Error;
 use crate::hooks::Hooks;
 use crate::input::Input;
-use crate::listen::Listener;
+use crate::listen::Sockets;
 use crate::node::Node;
 use crate::peers::{Peers, spawn};
 use crate::poll::Poller;
 use crate::settings::Settings;
-use crate::{callers, inner};
 
 /// Interval of the ticks that the actor receives.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Threads that take requests of other routers. They also serve most control
-/// messages, some of which wait for the actor. Requests of callers get a thread
-/// each and need only one to take them.
-const INNER_THREADS: usize = 4;
-
 /// Maximum number of further queued inputs that are handled before the timers
 /// are checked again.
 const MAX_EXTRA_INPUTS: usize = 256;
@@ -58,10 +52,19 @@
 /// Returns an [`Error`] if an address cannot be bound or a thread cannot be
 /// started.
 pub fn serve(settings: Settings, hooks: Hooks) -> Result<(), Error> {
+    let sockets = Sockets::bind(&settings)?;
+    serve_on(sockets, settings, hooks)
+}
+
+/// Same as [`serve`], on sockets that are bound to the addresses in the settings.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if a socket cannot be used or a thread cannot be started.
+pub fn serve_on(sockets: Sockets, settings: Settings, hooks: Hooks) -> Result<(), Error> {
     let clock = Clock::new();
     let (inputs, receiver) = unbounded();
-    let callers = Listener::bind("callers", settings.callers, 1, callers::accept)?;
-    let inner = Listener::bind("inner", settings.inner, INNER_THREADS, inner::accept)?;
+    let (callers, inner) = sockets.into_listeners(&settings)?;
     let grace = Duration::from_millis(settings.grace_ms);
     let dispatcher = new_dispatcher(&settings, &clock);
     let metrics = Metrics::new(settings.limits.labels).map_err(Error::Metrics)?;
--- a/crates/router/tests/border.rs
+++ b/crates/router/tests/border.rs
@@ -5,28 +5,34 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use balsamchute_router::Sockets;
 use balsamchute_router::hooks::Hooks;
 use balsamchute_router::settings::Settings;
 
 /// Longest wait for a condition. The test fails when it is reached.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-fn free_address() -> SocketAddr {
+/// Address of the platform; nothing listens on this port.
+const NO_PLATFORM: &str = "127.0.0.1:1";
+
+/// Binds a free port of the loopback interface.
+fn bind() -> (SocketAddr, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port is available");
-    listener.local_addr().expect("listener has a local address")
+    let address = listener.local_addr().expect("listener has a local address");
+    (address, listener)
 }
 
 /// Starts a router whose platform is unreachable and returns its address.
 fn start_router() -> SocketAddr {
-    let callers = free_address();
+    let (callers, callers_socket) = bind();
+    let (inner, inner_socket) = bind();
     let text = format!(
-        "instance: r1\ndomain: d1\ncallers: {callers}\ninner: {}\nplatform: {}\n\
-         limits: {{body_bytes: 1000, header_bytes: 100}}\n",
-        free_address(),
-        free_address()
+        "instance: r1\ndomain: d1\ncallers: {callers}\ninner: {inner}\nplatform: {NO_PLATFORM}\n\
+         limits: {{body_bytes: 1000, header_bytes: 100}}\n"
     );
     let settings = Settings::parse(&text).expect("settings are valid");
-    thread::spawn(move || balsamchute_router::serve(settings, Hooks::new()));
+    let sockets = Sockets::new(callers_socket, inner_socket);
+    thread::spawn(move || balsamchute_router::serve_on(sockets, settings, Hooks::new()));
     let start = Instant::now();
     while TcpStream::connect(callers).is_err() {
         assert!(start.elapsed() < TIMEOUT, "router does not listen");
--- a/crates/router/tests/exhaustion.rs
+++ b/crates/router/tests/exhaustion.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use balsamchute_router::Sockets;
 use balsamchute_router::hooks::Hooks;
 use balsamchute_router::settings::Settings;
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
@@ -18,14 +19,22 @@
 /// Longest wait for a condition. The test fails when it is reached.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-fn free_address() -> SocketAddr {
+/// Longest wait for a connection. The system itself waits for minutes.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Address of the platform; nothing listens on this port.
+const NO_PLATFORM: &str = "127.0.0.1:1";
+
+/// Binds a free port of the loopback interface.
+fn bind() -> (SocketAddr, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port is available");
-    listener.local_addr().expect("listener has a local address")
+    let address = listener.local_addr().expect("listener has a local address");
+    (address, listener)
 }
 
 /// Returns whether the router answers an HTTP request within 500 ms.
 fn responds(router: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect(router) else {
+    let Ok(mut stream) = TcpStream::connect_timeout(&router, CONNECT_TIMEOUT) else {
         return false;
     };
     let timeout = Some(Duration::from_millis(500));
@@ -52,18 +61,19 @@
 fn router_serves_again_after_it_ran_out_of_file_descriptors() {
     let (_, hard) = getrlimit(Resource::RLIMIT_NOFILE).expect("descriptor limit is read");
     setrlimit(Resource::RLIMIT_NOFILE, MAX_DESCRIPTORS, hard).expect("descriptor limit is lowered");
-    let callers = free_address();
+    let (callers, callers_socket) = bind();
+    let (inner, inner_socket) = bind();
     let text = format!(
-        "instance: r1\ndomain: d1\ncallers: {callers}\ninner: {}\nplatform: {}\n",
-        free_address(),
-        free_address()
+        "instance: r1\ndomain: d1\ncallers: {callers}\ninner: {inner}\nplatform: {NO_PLATFORM}\n"
     );
     let settings = Settings::parse(&text).expect("settings are valid");
-    thread::spawn(move || balsamchute_router::serve(settings, Hooks::new()));
+    let sockets = Sockets::new(callers_socket, inner_socket);
+    thread::spawn(move || balsamchute_router::serve_on(sockets, settings, Hooks::new()));
     wait_until("router does not respond after its start", || {
         responds(callers)
     });
-    let connect = || TcpStream::connect(callers).ok();
+    // Once the backlog is full, the router's machine drops the opening packet.
+    let connect = || TcpStream::connect_timeout(&callers, CONNECT_TIMEOUT).ok();
     let connections: Vec<TcpStream> = std::iter::from_fn(connect).collect();
     assert!(!responds(callers), "router still has file descriptors");
     drop(connections);
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use balsamchute_base::digest::Hasher;
+use balsamchute_router::Sockets;
 use balsamchute_router::hooks::Hooks;
 use balsamchute_router::settings::Settings;
 use balsamchute_standin::{engine, plain, platform};
@@ -23,9 +24,11 @@
     routers: Vec<SocketAddr>,
 }
 
-fn free_address() -> SocketAddr {
+/// Binds a free port of the loopback interface.
+fn bind() -> (SocketAddr, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port is available");
-    listener.local_addr().expect("listener has a local address")
+    let address = listener.local_addr().expect("listener has a local address");
+    (address, listener)
 }
 
 impl Fleet {
@@ -72,15 +75,16 @@
     }
 
     fn start_router(&mut self, index: usize) {
-        let callers = free_address();
-        let inner = free_address();
+        let (callers, callers_socket) = bind();
+        let (inner, inner_socket) = bind();
         let text = format!(
             "instance: r{index}\ndomain: d1\ncallers: {callers}\ninner: {inner}\nplatform: {}\n",
             self.platform.address()
         );
         let settings = Settings::parse(&text).expect("settings are valid");
         self.platform.put_instance(instance(index, inner));
-        thread::spawn(move || balsamchute_router::serve(settings, Hooks::new()));
+        let sockets = Sockets::new(callers_socket, inner_socket);
+        thread::spawn(move || balsamchute_router::serve_on(sockets, settings, Hooks::new()));
         self.routers.push(callers);
     }
 
