--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -25,6 +25,15 @@
     View(SocketAddr),
 }
 
+/// Complete response to a call.
+#[derive(Debug)]
+pub(crate) struct Message {
+    pub head: Response,
+    pub body: Vec<u8>,
+    /// Whether the connection can carry another call.
+    pub is_reusable: bool,
+}
+
 /// A client connection that carries one call at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -66,16 +75,12 @@
         self.socket.flush();
     }
 
-    /// Parses received bytes. Returns status, body and whether the connection
-    /// can be reused, once the response is complete.
+    /// Parses received bytes. Returns the response once it is complete.
     ///
     /// # Errors
     ///
     /// Returns an error if the bytes are not a valid response.
-    pub fn receive(
-        &mut self,
-        bytes: &[u8],
-    ) -> Result<Option<(u16, Vec<u8>, bool)>, balsamchute_http::Error> {
+    pub fn receive(&mut self, bytes: &[u8]) -> Result<Option<Message>, balsamchute_http::Error> {
         self.input.extend_from_slice(bytes);
         if self.head.is_none() {
             let Some((head, length)) = Response::parse(&self.input, MAX_HEAD_BYTES)? else {
@@ -94,13 +99,13 @@
 
     /// Handles the end of the input. Returns the response if its body extends
     /// to the end of the connection.
-    pub fn handle_eof(&mut self) -> Option<(u16, Vec<u8>, bool)> {
+    pub fn handle_eof(&mut self) -> Option<Message> {
         let (_, decoder) = self.head.as_mut()?;
         decoder.finish().ok()?;
         self.take_response()
     }
 
-    fn take_response(&mut self) -> Option<(u16, Vec<u8>, bool)> {
+    fn take_response(&mut self) -> Option<Message> {
         let is_done = self
             .head
             .as_ref()
@@ -111,6 +116,10 @@
         let (head, _) = self.head.take()?;
         self.deadline = None;
         let is_reusable = head.is_keep_alive() && self.input.is_empty();
-        Some((head.status, std::mem::take(&mut self.body), is_reusable))
+        Some(Message {
+            head,
+            body: std::mem::take(&mut self.body),
+            is_reusable,
+        })
     }
 }
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -122,6 +122,7 @@
     fn receive_frame(&mut self, frame: Frame) {
         let now = self.now();
         let sender = frame.sender.peers;
+        self.observe_era(now, frame.sender.revision.era, None);
         if let Some(source) = self.peers.receive(now, frame)
             && let Some(report) = self.peers.report(sender)
         {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -7,7 +7,7 @@
 mod runners;
 mod store;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,6 +44,13 @@
 /// Interval of the scan for connections that exceed a timeout.
 const SWEEP_INTERVAL: Span = Span(100);
 
+/// Time for which a router that starts waits to hear from a peer that serves: a few
+/// intervals of the exchange.
+const PEER_WAIT: Span = Span(500);
+
+/// Time for which a router that starts waits for the view of a peer that serves.
+const VIEW_WAIT: Span = Span(2000);
+
 /// Size of the read buffer, which bounds a single read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -80,6 +87,8 @@
     // Manifest as the operator wrote it, for the views of other routers.
     manifest_bytes: Vec<u8>,
     registry: Registry,
+    // Listed runners whose malformed notices were logged.
+    malformed_notices: BTreeSet<Runner>,
     // Whether a full list of runners was received, possibly an empty one.
     is_runner_list_loaded: bool,
     transactions: HashMap<Id, Transaction>,
@@ -96,10 +105,17 @@
     watch_connections: BTreeMap<Kind, usize>,
     // Whether this router's object was written to the store, or is being written.
     announced: bool,
+    // Time from which on the object may be written.
+    announce_at: Time,
+    // Era of the store; `None` before the first response that names one.
+    store_era: Option<u64>,
     last_store_response: Option<Time>,
     // Time of the first failed call since the last response of the store.
     store_failed_since: Option<Time>,
     last_view_request: Option<Time>,
+    // Whether a peer's view was applied since the start.
+    has_peer_view: bool,
+    started: Time,
     peers: Table,
     peer_socket: usize,
     phase: Phase,
@@ -144,7 +160,8 @@
             scheduler,
             manifest: None,
             manifest_bytes: Vec::new(),
-            registry: Registry::new(),
+            registry: Registry::new(settings.heartbeat),
+            malformed_notices: BTreeSet::new(),
             is_runner_list_loaded: false,
             transactions: HashMap::new(),
             next_id: 0,
@@ -156,9 +173,13 @@
             watchers: kinds.map(|kind| (kind, Watcher::new(kind))).into(),
             watch_connections: BTreeMap::new(),
             announced: false,
+            announce_at: now,
+            store_era: None,
             last_store_response: None,
             store_failed_since: None,
             last_view_request: None,
+            has_peer_view: false,
+            started: now,
             peers: Table::new(settings.listen.peers),
             peer_socket: 0,
             phase: Phase::Starting,
@@ -320,7 +341,7 @@
     /// Moves from starting to serving, and from leaving to the exit.
     fn advance_phase(&mut self, now: Time) {
         match self.phase {
-            Phase::Starting if self.is_synced() => {
+            Phase::Starting if self.is_synced() && self.is_introduced(now) => {
                 self.phase = Phase::Serving;
                 log::info!(
                     target: "process",
@@ -335,6 +356,21 @@
         }
     }
 
+    /// Returns whether the peers were asked for what the store may have lost: a later
+    /// manifest, and runners that left. Ends when no peer answers in time.
+    fn is_introduced(&self, now: Time) -> bool {
+        let waited = now.since(self.started);
+        let has_serving_peer = self
+            .peers
+            .alive(now)
+            .any(|peer| peer.descriptor.phase == Phase::Serving);
+        let max_wait = match has_serving_peer {
+            true => VIEW_WAIT,
+            false => PEER_WAIT,
+        };
+        self.has_peer_view || self.peers.is_empty() || waited >= max_wait
+    }
+
     /// Returns whether the manifest and the runner list are loaded.
     fn is_synced(&self) -> bool {
         self.manifest.is_some() && self.is_runner_list_loaded
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_adapter::request::{self, Forwarded};
-use balsamchute_adapter::response::Classification;
+use balsamchute_adapter::response::{self, Classification};
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
@@ -122,7 +122,9 @@
         address: SocketAddr,
     ) -> io::Result<usize> {
         let socket = Socket::connect(address)?;
-        let connection = Connection::new(now, socket, runner.clone(), id);
+        let entry = self.registry.get(runner);
+        let started_at = entry.map_or(0, |entry| entry.started_at);
+        let connection = Connection::new(now, socket, runner.clone(), started_at, id);
         let index = self.slots.insert(Slot::Upstream(Box::new(connection)));
         if let Err(error) = self.register(index) {
             self.close(index);
@@ -317,7 +319,7 @@
             };
             if connection.response.is_none() {
                 match connection.parse_head(&transaction.request_id, &transaction.head.method) {
-                    Ok(true) => {}
+                    Ok(true) => self.read_notices(index),
                     Ok(false) => return,
                     Err(error) => {
                         let reason = error.to_string();
@@ -335,6 +337,40 @@
         }
     }
 
+    /// Passes on to the scheduler what the runner says of itself in the head of a
+    /// response. Another runner at the address does not speak for it.
+    fn read_notices(&mut self, index: usize) {
+        let now = self.now();
+        let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
+            return;
+        };
+        let Some(response) = &connection.response else {
+            return;
+        };
+        if response.classification == Classification::Misdirected {
+            return;
+        }
+        let (runner, started_at) = (connection.runner.clone(), connection.started_at);
+        let leaving = response::says_leaving(&response.head);
+        let pause = response::pause(&response.head);
+        for error in [leaving.as_ref().err(), pause.as_ref().err()]
+            .into_iter()
+            .flatten()
+        {
+            self.stats.count_malformed("runner_notice");
+            if self.malformed_notices.insert(runner.clone()) {
+                log::warn!(target: "runner", "event=notice_ignored runner={runner} reason={:?}", error.to_string());
+            }
+        }
+        if leaving == Ok(true) && self.scheduler.record_leaving(&runner, started_at) {
+            log::info!(target: "runner", "event=runner_leaves runner={runner} started_at={started_at} source=answer");
+        }
+        if let Ok(Some(pause)) = pause {
+            log::info!(target: "runner", "event=runner_paused runner={runner} pause_ms={}", pause.0);
+            self.scheduler.record_pause(now, &runner, started_at, pause);
+        }
+    }
+
     /// Decodes the buffered part of a response body and forwards or completes the
     /// response.
     fn advance_body(&mut self, index: usize, id: Id) -> Advance {
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -5,14 +5,15 @@
 
 use balsamchute_adapter::store::{self, Change as StoreChange, Kind, Object, Request};
 use balsamchute_adapter::{manifest, runner};
+use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
 
-use crate::client::{Connection, Purpose};
+use crate::client::{Connection, Message, Purpose};
 use crate::edge::{Edge, Slot};
 use crate::frame::{VIEW_PATH, View};
 use crate::registry::Change;
 use crate::socket::{Input, Socket};
-use crate::watcher::Update;
+use crate::watcher::{Response, Update};
 
 /// Timeout of a write to the store.
 const WRITE_TIMEOUT: Span = Span(1000);
@@ -27,6 +28,10 @@
 /// than a watch without changes takes: 2.5 s, and at most 3.2 s until it times out.
 const MAX_RESPONSE_AGE: Span = Span(3500);
 
+/// Time over which the routers write their objects again to a restored store, so
+/// that hundreds of them stay within its write rate.
+const ANNOUNCE_SPREAD: Span = Span(2000);
+
 /// Interval at which routers are listed; datagrams propagate changes sooner.
 const ROUTER_LIST_INTERVAL: Span = Span::from_secs(20);
 
@@ -46,7 +51,7 @@
                 self.call_store(now, kind, &call, timeout);
             }
         }
-        if !self.announced && self.has_store(now) {
+        if !self.announced && now >= self.announce_at && self.has_store(now) {
             self.announced = true;
             let listen = self.settings.listen;
             let call = Request::replace_router(&self.settings.instance, listen.peers);
@@ -126,9 +131,7 @@
                         return;
                     };
                     match connection.receive(&self.read_buffer[..length]) {
-                        Ok(Some((status, body, is_reusable))) => {
-                            self.handle_client_response(index, status, &body, is_reusable);
-                        }
+                        Ok(Some(message)) => self.handle_client_response(index, &message),
                         Ok(None) => {}
                         Err(error) => {
                             log::warn!(target: "store", "event=invalid_answer reason={:?}", error.to_string());
@@ -144,8 +147,12 @@
                         _ => None,
                     };
                     match response {
-                        Some((status, body, _)) => {
-                            self.handle_client_response(index, status, &body, false);
+                        Some(message) => {
+                            let message = Message {
+                                is_reusable: false,
+                                ..message
+                            };
+                            self.handle_client_response(index, &message);
                         }
                         None => self.handle_client_failure(index),
                     }
@@ -159,31 +166,71 @@
         }
     }
 
-    fn handle_client_response(
-        &mut self,
-        index: usize,
-        status: u16,
-        body: &[u8],
-        is_reusable: bool,
-    ) {
+    fn handle_client_response(&mut self, index: usize, message: &Message) {
         let now = self.now();
         let Some(Slot::Client(connection)) = self.slots.get(index) else {
             return;
         };
         let purpose = connection.purpose;
-        if !is_reusable || !matches!(purpose, Purpose::Watch(_)) {
+        if !message.is_reusable || !matches!(purpose, Purpose::Watch(_)) {
             self.close_client(index);
         }
+        let status = message.head.status;
         match purpose {
             Purpose::Watch(kind) => {
-                self.handle_store_response(now, kind, Some((status, body)));
+                let response = Response {
+                    status,
+                    era: self.decode_era(message),
+                    body: &message.body,
+                };
+                self.handle_store_response(now, kind, Some(response));
                 self.poll_store(now);
             }
             Purpose::Announce => self.handle_announce_response(now, status),
-            Purpose::View(peer) => self.apply_view(now, peer, status, body),
+            Purpose::View(peer) => self.apply_view(now, peer, status, &message.body),
         }
     }
 
+    /// Returns the era that the store named; a malformed one is logged and ignored.
+    fn decode_era(&self, message: &Message) -> Option<u64> {
+        store::decode_era(&message.head).unwrap_or_else(|error| {
+            log::warn!(target: "store", "event=era_ignored reason={:?}", error.to_string());
+            self.stats.count_malformed("store_era");
+            None
+        })
+    }
+
+    /// Takes note of the era in which the store answered `kind`, or in which a peer
+    /// knows it. A later era means that the store came back from an older copy: what
+    /// was read has no meaning there, and what this router wrote may be lost.
+    pub(super) fn observe_era(&mut self, now: Time, era: u64, kind: Option<Kind>) {
+        let known = self.store_era;
+        // A peer that has read nothing yet names era 0.
+        if known.is_some_and(|known| era <= known) || (era == 0 && kind.is_none()) {
+            return;
+        }
+        self.store_era = Some(era);
+        let Some(known) = known else { return };
+        log::warn!(target: "store", "event=store_restored era={era} before={known} manifest={} revision={}", self.manifest_version(), self.registry.revision());
+        self.registry.record_store_recovery(now);
+        let stale: Vec<Kind> = self.watchers.keys().copied().collect();
+        for other in stale {
+            let watcher = &self.watchers[&other];
+            if Some(other) == kind || watcher.era() >= era {
+                continue;
+            }
+            if let Some(&index) = self.watch_connections.get(&other) {
+                self.close_client(index);
+            }
+            if let Some(watcher) = self.watchers.get_mut(&other) {
+                watcher.enter_era(era);
+            }
+        }
+        let spread = rank::score("announce", self.settings.instance.as_str()) % ANNOUNCE_SPREAD.0;
+        self.announced = false;
+        self.announce_at = now + Span(spread);
+    }
+
     fn handle_client_failure(&mut self, index: usize) {
         let now = self.now();
         let Some(Slot::Client(connection)) = self.slots.get(index) else {
@@ -238,11 +285,12 @@
     }
 
     /// Processes a response of the store, or `None` for a failed call.
-    fn handle_store_response(&mut self, now: Time, kind: Kind, response: Option<(u16, &[u8])>) {
+    fn handle_store_response(&mut self, now: Time, kind: Kind, response: Option<Response<'_>>) {
         let Some(watcher) = self.watchers.get_mut(&kind) else {
             return;
         };
         let was_failing = watcher.is_failing();
+        let era = response.and_then(|response| response.era);
         let update = watcher.handle_response(now, response);
         self.stats
             .count_store_call(!matches!(update, Update::Failed(_)));
@@ -254,6 +302,9 @@
             return;
         }
         self.last_store_response = Some(now);
+        if let Some(era) = era {
+            self.observe_era(now, era, Some(kind));
+        }
         let failed_since = self.store_failed_since.take();
         if let Some(since) = failed_since {
             let outage = now.since(since);
@@ -282,7 +333,7 @@
         }
     }
 
-    fn apply_list(&mut self, now: Time, kind: Kind, objects: Vec<Object>, revision: u64) {
+    fn apply_list(&mut self, now: Time, kind: Kind, objects: Vec<Object>, revision: Revision) {
         match kind {
             Kind::Manifest | Kind::Routers => {
                 for object in objects {
@@ -390,6 +441,7 @@
                     "event=runner_gone runner={runner} revision={}",
                     self.registry.revision()
                 );
+                self.malformed_notices.remove(&runner);
                 self.scheduler.remove_runner(&runner);
             }
         }
@@ -431,9 +483,16 @@
                 return;
             }
         };
+        self.has_peer_view = true;
+        self.observe_era(now, view.revision.era, None);
         if !view.manifest.is_empty() {
             self.apply_manifest(&view.manifest);
         }
+        for entry in view.held {
+            if let Some(change) = self.registry.hold(now, entry) {
+                self.apply_runner_change(now, change);
+            }
+        }
         let accepts_runners = self.peers.accepts_peer_runners(&self.descriptor(now));
         if view.revision > self.registry.revision() && accepts_runners {
             log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={}", view.revision);
@@ -454,6 +513,7 @@
         View {
             manifest,
             runners: self.registry.entries().cloned().collect(),
+            held: self.registry.held().cloned().collect(),
             revision: self.registry.revision(),
         }
     }
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -42,7 +42,7 @@
     /// Version of the manifest in force, 0 without one.
     pub manifest: u64,
     /// Store revision up to which the router's runner list is current.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the store responded recently to the router.
     pub has_store: bool,
 }
@@ -84,7 +84,8 @@
     pub report: Report,
 }
 
-/// Configuration that a router without a store connection reads from a peer.
+/// Configuration that a router reads from a peer: one that has just started, has no
+/// store connection, or follows a hub.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct View {
     /// Manifest as the operator wrote it; empty if the requester's is current.
@@ -92,6 +93,9 @@
     pub manifest: Vec<u8>,
     /// Entries of all runners in use.
     pub runners: Vec<Entry>,
+    /// Entries of runners that left before the store was restored and are listed there
+    /// again.
+    pub held: Vec<Entry>,
     /// Store revision up to which the runners are current.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Returns whether no other router is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// Records a frame. Returns the source name under which its report is to be
     /// merged, or `None` if the report does not count at this tier.
     pub fn receive(&mut self, now: Time, frame: Frame) -> Option<Instance> {
--- a/crates/edge/src/peers/source.rs
+++ b/crates/edge/src/peers/source.rs
@@ -4,7 +4,7 @@
 
 use balsamchute_model::prelude::*;
 
-use crate::peers::{Descriptor, Table, Tier, election_rank};
+use crate::peers::{Descriptor, Phase, Table, Tier, election_rank};
 
 /// Routers of a failure domain that read from the store while no other live
 /// router has a store connection. If the store rejects a third of the machines,
@@ -41,9 +41,17 @@
     }
 
     /// Returns the router to request a newer manifest or runner list from, if
-    /// any has one.
+    /// any has one. A router that starts requests the view of any router that serves.
     #[must_use]
     pub fn newer_peer(&self, now: Time, local: &Descriptor) -> Option<SocketAddr> {
+        if local.phase == Phase::Starting {
+            return self
+                .alive(now)
+                .map(|peer| &peer.descriptor)
+                .filter(|descriptor| descriptor.phase == Phase::Serving)
+                .max_by_key(|descriptor| (descriptor.manifest, descriptor.revision))
+                .map(|descriptor| descriptor.peers);
+        }
         let accepts_runners = self.accepts_peer_runners(local);
         let is_newer = |descriptor: &&Descriptor| {
             descriptor.manifest > local.manifest
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -4,6 +4,11 @@
 //! unavailable, entries expire although their runners are alive. They reappear
 //! soon after the store recovers, so a removal seen shortly after a recovery
 //! takes effect only after [`REMOVAL_GRACE`].
+//!
+//! A store that comes back from an older copy lists runners as they were when the
+//! copy was made. Its first list does not undo what was known of a runner: one that
+//! drains or has restarted stays as it is, and one that was removed is held back
+//! until its entry expires in the store, or the runner itself writes it again.
 
 use balsamchute_model::prelude::*;
 use indexmap::IndexMap;
@@ -11,6 +16,12 @@
 /// Time after a store recovery in which the platform restores expired entries.
 pub const REMOVAL_GRACE: Span = Span(2000);
 
+/// Check-in intervals of a runner after which the store removes its entry.
+const EXPIRY_INTERVALS: u64 = 3;
+
+/// Upper bound of the removed runners that are remembered, the latest ones.
+const MAX_DEPARTED: usize = 1024;
+
 /// A change to the runners in use.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -20,26 +31,42 @@
     Removed(Runner),
 }
 
-/// Runners in use, with deferred removals.
+/// Entry that takes effect later.
+#[derive(Clone, Debug)]
+struct Held {
+    entry: Entry,
+    due: Time,
+}
+
+/// Runners in use, with deferred removals and entries that are held back.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: IndexMap<Runner, Entry>,
     // Times at which deferred removals take effect.
     deferred_removals: IndexMap<Runner, Time>,
     store_recovered: Option<Time>,
-    revision: u64,
+    // Time after which the store removes the entry of a runner that is gone.
+    expiry: Span,
+    held: IndexMap<Runner, Held>,
+    // Start times of the runners that were removed, the oldest removal first.
+    departed: IndexMap<Runner, u64>,
+    revision: Revision,
 }
 
 impl Registry {
-    /// Creates a registry without runners.
+    /// Creates a registry without runners. Runners write to the store every
+    /// `heartbeat`.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(heartbeat: Span) -> Self {
+        Registry {
+            expiry: Span(heartbeat.0 * EXPIRY_INTERVALS) + REMOVAL_GRACE,
+            ..Self::default()
+        }
     }
 
     /// Returns the store revision up to which changes are applied.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -59,15 +86,38 @@
         self.store_recovered = Some(now);
     }
 
+    /// Returns the entries that are held back.
+    pub fn held(&self) -> impl Iterator<Item = &Entry> {
+        self.held.values().map(|held| &held.entry)
+    }
+
+    /// Holds an entry back that another router holds back, unless the runner has
+    /// restarted since. Returns the removal if the runner was in use.
+    pub fn hold(&mut self, now: Time, entry: Entry) -> Option<Change> {
+        let runner = entry.runner.clone();
+        if let Some(known) = self.entries.get(&runner)
+            && known.started_at > entry.started_at
+        {
+            return None;
+        }
+        let due = now + self.expiry;
+        self.held.insert(runner.clone(), Held { entry, due });
+        let known = self.entries.shift_remove(&runner);
+        known.map(|_| Change::Removed(runner))
+    }
+
     /// Inserts or updates an entry. Returns `None` if nothing changed.
     pub fn set(&mut self, entry: Entry) -> Option<Change> {
         self.deferred_removals.shift_remove(&entry.runner);
+        self.departed.shift_remove(&entry.runner);
+        self.held.shift_remove(&entry.runner);
         let previous = self.entries.insert(entry.runner.clone(), entry.clone());
         (previous.as_ref() != Some(&entry)).then_some(Change::Set(entry))
     }
 
     /// Removes a runner, or defers the removal shortly after a store recovery.
     pub fn remove(&mut self, now: Time, runner: &Runner) -> Option<Change> {
+        self.held.shift_remove(runner);
         let entry = self.entries.get(runner)?;
         let grace_end = self
             .store_recovered
@@ -78,45 +128,89 @@
                 None
             }
             _ => {
-                self.deferred_removals.shift_remove(runner);
-                self.entries.shift_remove(runner);
+                self.discard(runner);
                 Some(Change::Removed(runner.clone()))
             }
         }
     }
 
-    /// Replaces all entries by a full list as of `revision`.
-    pub fn replace(&mut self, now: Time, entries: Vec<Entry>, revision: u64) -> Vec<Change> {
+    fn discard(&mut self, runner: &Runner) {
+        self.deferred_removals.shift_remove(runner);
+        let Some(entry) = self.entries.shift_remove(runner) else {
+            return;
+        };
+        self.departed.insert(entry.runner, entry.started_at);
+        if self.departed.len() > MAX_DEPARTED {
+            self.departed.shift_remove_index(0);
+        }
+    }
+
+    /// Replaces all entries by a full list as of `revision`. The first list of a
+    /// later era does not bring back runners that were removed.
+    pub fn replace(&mut self, now: Time, entries: Vec<Entry>, revision: Revision) -> Vec<Change> {
+        let is_restored = revision.era > self.revision.era;
         self.advance_to(revision);
-        let missing: Vec<Runner> = self
-            .entries
-            .keys()
-            .filter(|runner| !entries.iter().any(|entry| entry.runner == **runner))
+        let is_listed = |runner: &Runner| entries.iter().any(|entry| entry.runner == *runner);
+        let known = self.entries.keys().chain(self.held.keys());
+        let missing: Vec<Runner> = known
+            .filter(|&runner| !is_listed(runner))
             .cloned()
             .collect();
         let removed = missing.iter().filter_map(|runner| self.remove(now, runner));
         let mut changes: Vec<Change> = removed.collect();
-        changes.extend(entries.into_iter().filter_map(|entry| self.set(entry)));
+        for entry in entries {
+            if self.is_outdated(&entry) {
+                self.deferred_removals.shift_remove(&entry.runner);
+            } else if self.is_held_back(&entry, is_restored) {
+                let due = now + self.expiry;
+                let runner = entry.runner.clone();
+                self.held.entry(runner).or_insert(Held { entry, due });
+            } else {
+                changes.extend(self.set(entry));
+            }
+        }
         changes
     }
 
+    /// Returns whether a listed entry is older than what is known of the runner. A
+    /// process that drains never accepts requests again.
+    fn is_outdated(&self, listed: &Entry) -> bool {
+        self.entries.get(&listed.runner).is_some_and(|known| {
+            listed.started_at < known.started_at
+                || (listed.started_at == known.started_at
+                    && known.state == State::Draining
+                    && listed.state == State::Ready)
+        })
+    }
+
+    fn is_held_back(&self, listed: &Entry, is_restored: bool) -> bool {
+        let held = self.held.get(&listed.runner);
+        let held_start = held.map(|held| held.entry.started_at);
+        let departed = self.departed.get(&listed.runner).copied();
+        held_start
+            .or(departed.filter(|_| is_restored))
+            .is_some_and(|started_at| listed.started_at <= started_at)
+    }
+
     /// Records that changes up to `revision` are applied.
-    pub fn advance_to(&mut self, revision: u64) {
+    pub fn advance_to(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
     }
 
-    /// Applies the deferred removals that are due.
+    /// Applies the deferred removals and the entries held back that are due.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
-        let expired: Vec<Runner> = self
-            .deferred_removals
-            .iter()
+        let due = self.deferred_removals.iter();
+        let expired: Vec<Runner> = due
             .filter(|(_, due)| now >= **due)
             .map(|(runner, _)| runner.clone())
             .collect();
+        let due = self.held.values().filter(|held| now >= held.due);
+        let released: Vec<Entry> = due.map(|held| held.entry.clone()).collect();
         for runner in &expired {
-            self.deferred_removals.shift_remove(runner);
-            self.entries.shift_remove(runner);
+            self.discard(runner);
         }
-        expired.into_iter().map(Change::Removed).collect()
+        let mut changes: Vec<Change> = expired.into_iter().map(Change::Removed).collect();
+        changes.extend(released.into_iter().filter_map(|entry| self.set(entry)));
+        changes
     }
 }
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -105,6 +105,11 @@
         self.metrics.count_reason("rejected", reason);
     }
 
+    /// Counts a malformed value that the store or a runner sent, by its kind.
+    pub fn count_malformed(&self, kind: &'static str) {
+        self.metrics.count_reason("malformed", kind);
+    }
+
     /// Counts a call to the store by its result.
     pub fn count_store_call(&self, succeeded: bool) {
         let reason = if succeeded { "answered" } else { "failed" };
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -51,6 +51,8 @@
 pub(crate) struct Connection {
     pub socket: Socket,
     pub runner: Runner,
+    /// Start time of the runner's process when the connection was made.
+    pub started_at: u64,
     pub phase: Phase,
     /// Time at which the phase began.
     pub since: Time,
@@ -64,10 +66,11 @@
 
 impl Connection {
     /// Creates a connection that is being established for a request.
-    pub fn new(now: Time, socket: Socket, runner: Runner, id: Id) -> Self {
+    pub fn new(now: Time, socket: Socket, runner: Runner, started_at: u64, id: Id) -> Self {
         Connection {
             socket,
             runner,
+            started_at,
             phase: Phase::Connecting(id),
             since: now,
             input: Vec::new(),
--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -19,15 +19,26 @@
 
 const STATUS_OK: u16 = 200;
 
+/// Response of the store to a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Response<'a> {
+    /// HTTP status code.
+    pub status: u16,
+    /// Era that the store named; `None` if it named none.
+    pub era: Option<u64>,
+    /// Body of the response.
+    pub body: &'a [u8],
+}
+
 /// Result of a call to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
     /// The list is incomplete, or must be read again.
     Incomplete,
     /// The full list and its revision.
-    Snapshot(Vec<Object>, u64),
+    Snapshot(Vec<Object>, Revision),
     /// Changes since the previous revision, and the new revision.
-    Changes(Vec<Change>, u64),
+    Changes(Vec<Change>, Revision),
     /// The call failed for this reason.
     Failed(String),
 }
@@ -43,6 +54,8 @@
 pub struct Watcher {
     kind: Kind,
     state: State,
+    // Latest era of the store, 0 before the first response.
+    era: u64,
     objects: Vec<Object>,
     next_call_at: Time,
     retry_delay: Span,
@@ -56,6 +69,7 @@
         Watcher {
             kind,
             state: State::Listing { after: None },
+            era: 0,
             objects: Vec::new(),
             next_call_at: Time(0),
             retry_delay: Span(0),
@@ -87,28 +101,56 @@
         self.retry_delay > Span(0)
     }
 
-    /// Processes the response to the last call: status and body, or `None` if
-    /// there was no response.
-    pub fn handle_response(&mut self, now: Time, response: Option<(u16, &[u8])>) -> Update {
+    /// Processes the response to the last call, or `None` if there was no
+    /// response.
+    pub fn handle_response(&mut self, now: Time, response: Option<Response<'_>>) -> Update {
         self.is_calling = false;
-        let (status, body) = match response {
-            Some(response) => response,
-            None => return self.fail(now, "no answer".to_owned()),
+        let Some(Response { status, era, body }) = response else {
+            return self.fail(now, "no answer".to_owned());
         };
+        let era = era.unwrap_or(self.era);
+        if era < self.era {
+            return self.fail(now, format!("answer of era {era}, known is {}", self.era));
+        }
+        let is_restored = std::mem::replace(&mut self.era, era) < era;
         match (&self.state, status) {
+            // The revision or the pages read so far belong to the previous era.
+            (State::Watching { .. } | State::Listing { after: Some(_) }, _) if is_restored => {
+                self.restart();
+                Update::Incomplete
+            }
             (State::Listing { .. }, STATUS_OK) => self.apply_page(now, body),
             (State::Watching { .. }, STATUS_OK) => self.apply_changes(now, body),
             // The store does not accept a watch from this revision; with 410, it no
             // longer has the changes since then. Only a full list recovers them.
             (State::Watching { .. }, 400 | 404 | 410) => {
-                self.state = State::Listing { after: None };
-                self.objects.clear();
+                self.restart();
                 Update::Incomplete
             }
             _ => self.fail(now, format!("status {status}")),
         }
     }
 
+    /// Drops the call in flight and begins a full list, because the store is in the
+    /// later `era`. The caller closes the connection of the call.
+    pub fn enter_era(&mut self, era: u64) {
+        self.era = era;
+        self.is_calling = false;
+        self.next_call_at = Time(0);
+        self.restart();
+    }
+
+    /// Returns the latest era of the store that the watcher knows.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    fn restart(&mut self) {
+        self.state = State::Listing { after: None };
+        self.objects.clear();
+    }
+
     /// Schedules a full list at `at` instead of a watch.
     pub fn list_again(&mut self, at: Time) {
         self.state = State::Listing { after: None };
@@ -138,7 +180,8 @@
         self.state = State::Watching {
             revision: page.revision,
         };
-        Update::Snapshot(std::mem::take(&mut self.objects), page.revision)
+        let revision = Revision::new(self.era, page.revision);
+        Update::Snapshot(std::mem::take(&mut self.objects), revision)
     }
 
     fn apply_changes(&mut self, now: Time, body: &[u8]) -> Update {
@@ -151,7 +194,8 @@
         self.state = State::Watching {
             revision: changes.revision,
         };
-        Update::Changes(changes.changes, changes.revision)
+        let revision = Revision::new(self.era, changes.revision);
+        Update::Changes(changes.changes, revision)
     }
 }
 
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -27,7 +27,7 @@
         peers: peer_address(port),
         phase: Phase::Serving,
         manifest: 1,
-        revision: 1,
+        revision: Revision::new(1, 1),
         has_store: true,
     }
 }
@@ -60,6 +60,7 @@
             kv_tokens: 100 * running,
         }],
         suspects: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -308,7 +309,7 @@
     let mut fleet = Fleet::new(90);
     fleet.steps(40);
     // The hub of domain c has a newer revision.
-    fleet.routers[2].descriptor.revision = 2;
+    fleet.routers[2].descriptor.revision = Revision::new(1, 2);
     fleet.steps(5);
     let newer_peer = |index: usize| {
         let router = &fleet.routers[index];
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -4,11 +4,31 @@
 
 use balsamchute_adapter::store::{Change as StoreChange, Kind};
 use balsamchute_edge::registry::{Change, REMOVAL_GRACE, Registry};
-use balsamchute_edge::watcher::{Update, Watcher};
+use balsamchute_edge::watcher::{Response, Update, Watcher};
 use balsamchute_model::prelude::*;
 
 const NOW: Time = Time(1_000_000);
 
+/// Check-in interval of the runners.
+const HEARTBEAT: Span = Span(1200);
+
+/// Returns a response of a store in era 1.
+fn response(status: u16, body: &[u8]) -> Option<Response<'_>> {
+    response_of_era(1, status, body)
+}
+
+fn response_of_era(era: u64, status: u16, body: &[u8]) -> Option<Response<'_>> {
+    Some(Response {
+        status,
+        era: Some(era),
+        body,
+    })
+}
+
+fn revision(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn runner(name: &str) -> Runner {
     Runner::new(name).unwrap()
 }
@@ -37,25 +57,25 @@
     );
     let first_page = br#"{"items":[{"metadata":{"name":"a"},"spec":1}],"has_more":true,"at":5}"#;
     assert_eq!(
-        watcher.handle_response(NOW, Some((200, first_page))),
+        watcher.handle_response(NOW, response(200, first_page)),
         Update::Incomplete
     );
     let (next_call, _) = watcher.next_call(NOW).unwrap();
     assert_ne!(next_call, call);
     let last_page = br#"{"items":[{"metadata":{"name":"b"},"spec":2}],"has_more":false,"at":6}"#;
-    let Update::Snapshot(objects, revision) = watcher.handle_response(NOW, Some((200, last_page)))
+    let Update::Snapshot(objects, at) = watcher.handle_response(NOW, response(200, last_page))
     else {
         panic!("expected a complete list");
     };
     let names: Vec<&str> = objects.iter().map(|object| object.name.as_str()).collect();
-    assert_eq!((names, revision), (vec!["a", "b"], 6));
+    assert_eq!((names, at), (vec!["a", "b"], revision(6)));
     let (watch, _) = watcher.next_call(NOW).unwrap();
     assert!(watch.target.contains("watch=6"), "{}", watch.target);
     let change = br#"{"events":[{"deleted":true,"object":{"metadata":{"name":"a"}}}],"at":8}"#;
-    let update = watcher.handle_response(NOW, Some((200, change)));
+    let update = watcher.handle_response(NOW, response(200, change));
     assert_eq!(
         update,
-        Update::Changes(vec![StoreChange::Removed("a".to_owned())], 8)
+        Update::Changes(vec![StoreChange::Removed("a".to_owned())], revision(8))
     );
 }
 
@@ -65,10 +85,13 @@
 fn a_watch_from_a_compacted_revision_lists_again() {
     let mut watcher = Watcher::new(Kind::Manifest);
     watcher.next_call(NOW);
-    watcher.handle_response(NOW, Some((200, br#"{"items":[],"has_more":false,"at":5}"#)));
+    watcher.handle_response(
+        NOW,
+        response(200, br#"{"items":[],"has_more":false,"at":5}"#),
+    );
     watcher.next_call(NOW);
     assert_eq!(
-        watcher.handle_response(NOW, Some((410, b""))),
+        watcher.handle_response(NOW, response(410, b"")),
         Update::Incomplete
     );
     let (call, _) = watcher.next_call(NOW).unwrap();
@@ -83,7 +106,7 @@
     for _ in 0..6 {
         assert!(watcher.next_call(now).is_some());
         assert!(matches!(
-            watcher.handle_response(now, Some((503, b""))),
+            watcher.handle_response(now, response(503, b"")),
             Update::Failed(_)
         ));
         let failed_at = now;
@@ -106,7 +129,7 @@
         let mut watcher = Watcher::new(Kind::Manifest);
         watcher.next_call(NOW);
         assert!(matches!(
-            watcher.handle_response(NOW, Some((200, body))),
+            watcher.handle_response(NOW, response(200, body)),
             Update::Failed(_)
         ));
     }
@@ -114,7 +137,7 @@
 
 #[test]
 fn a_runner_is_removed_at_once_without_a_store_outage() {
-    let mut registry = Registry::new();
+    let mut registry = Registry::new(HEARTBEAT);
     registry.set(entry("a", State::Ready));
     let change = registry.remove(NOW, &runner("a"));
     assert_eq!(change, Some(Change::Removed(runner("a"))));
@@ -125,13 +148,13 @@
 /// at its recovery would leave live runners without requests.
 #[test]
 fn entries_that_expired_during_an_outage_may_reappear() {
-    let mut registry = Registry::new();
+    let mut registry = Registry::new(HEARTBEAT);
     registry.set(entry("a", State::Ready));
     registry.set(entry("b", State::Ready));
     registry.set(entry("c", State::Draining));
     registry.record_store_recovery(NOW);
     // Draining runners are removed without a grace period.
-    let changes = registry.replace(NOW, Vec::new(), 9);
+    let changes = registry.replace(NOW, Vec::new(), revision(9));
     assert_eq!(changes, [Change::Removed(runner("c"))]);
     assert_eq!(registry.set(entry("a", State::Ready)), None);
     assert_eq!(registry.expire(NOW + Span(REMOVAL_GRACE.0 - 1)), []);
@@ -141,3 +164,141 @@
     );
     assert_eq!(registry.entries().count(), 1);
 }
+
+/// Starts a watcher that has read a list and watches from revision 5 of era 1.
+fn watching(kind: Kind) -> Watcher {
+    let mut watcher = Watcher::new(kind);
+    watcher.next_call(NOW);
+    let list = br#"{"items":[],"has_more":false,"at":5}"#;
+    watcher.handle_response(NOW, response(200, list));
+    watcher.next_call(NOW);
+    watcher
+}
+
+/// A restored store gives revisions out again. Changes after revision 5 of the old era
+/// say nothing about those before revision 5 of the new one.
+#[test]
+fn a_watch_that_ends_in_a_later_era_lists_again() {
+    let mut watcher = watching(Kind::Runners);
+    let changes = br#"{"events":[],"at":7}"#;
+    let update = watcher.handle_response(NOW, response_of_era(2, 200, changes));
+    assert_eq!(update, Update::Incomplete);
+    let (call, _) = watcher.next_call(NOW).unwrap();
+    assert!(!call.target.contains("watch"), "{}", call.target);
+    let list = br#"{"items":[],"has_more":false,"at":4}"#;
+    let update = watcher.handle_response(NOW, response_of_era(2, 200, list));
+    assert_eq!(update, Update::Snapshot(Vec::new(), Revision::new(2, 4)));
+}
+
+/// The pages read before the restore and those after it are not one list.
+#[test]
+fn a_list_that_crosses_a_restore_begins_again() {
+    let mut watcher = Watcher::new(Kind::Runners);
+    watcher.next_call(NOW);
+    let first = br#"{"items":[{"metadata":{"name":"a"},"spec":1}],"has_more":true,"at":5}"#;
+    watcher.handle_response(NOW, response(200, first));
+    watcher.next_call(NOW);
+    let last = br#"{"items":[{"metadata":{"name":"b"},"spec":1}],"has_more":false,"at":3}"#;
+    let update = watcher.handle_response(NOW, response_of_era(2, 200, last));
+    assert_eq!(update, Update::Incomplete);
+    let (call, _) = watcher.next_call(NOW).unwrap();
+    assert!(!call.target.contains("after_rev"), "{}", call.target);
+}
+
+#[test]
+fn an_answer_of_an_earlier_era_is_not_used() {
+    let mut watcher = watching(Kind::Runners);
+    watcher.enter_era(2);
+    watcher.next_call(NOW);
+    let list = br#"{"items":[],"has_more":false,"at":9}"#;
+    let update = watcher.handle_response(NOW, response(200, list));
+    assert!(matches!(update, Update::Failed(_)), "{update:?}");
+}
+
+fn started(name: &str, state: State, started_at: u64) -> Entry {
+    Entry {
+        started_at,
+        ..entry(name, state)
+    }
+}
+
+/// The copy is older than the drain of `a`, the restart of `b` and the end of `c`. All
+/// three would get requests that they must not get.
+#[test]
+fn a_restored_list_does_not_undo_what_is_known_of_a_runner() {
+    let mut registry = Registry::new(HEARTBEAT);
+    let before = [
+        started("a", State::Draining, 1),
+        started("b", State::Ready, 7),
+        started("c", State::Ready, 1),
+        started("d", State::Ready, 1),
+    ];
+    registry.replace(NOW, before.to_vec(), revision(90));
+    registry.remove(NOW, &runner("c"));
+    let copy = [
+        started("a", State::Ready, 1),
+        started("b", State::Ready, 1),
+        started("c", State::Ready, 1),
+        started("d", State::Ready, 1),
+        started("e", State::Ready, 1),
+    ];
+    registry.record_store_recovery(NOW);
+    let changes = registry.replace(NOW, copy.to_vec(), Revision::new(2, 40));
+    assert_eq!(changes, [Change::Set(copy[4].clone())]);
+    assert_eq!(registry.revision(), Revision::new(2, 40));
+    assert_eq!(registry.get(&runner("a")), Some(&before[0]));
+    assert_eq!(registry.get(&runner("b")), Some(&before[1]));
+    assert_eq!(registry.get(&runner("c")), None);
+    let held: Vec<&Entry> = registry.held().collect();
+    assert_eq!(held, [&copy[2]]);
+    // A list of the same era that still has the entry does not release it.
+    assert_eq!(
+        registry.replace(NOW, copy.to_vec(), Revision::new(2, 41)),
+        []
+    );
+}
+
+/// A runner that is held back may be alive: its entry had expired before the restore,
+/// and it renews it without a change that a watch would show.
+#[test]
+fn an_entry_held_back_is_used_if_it_outlives_the_expiry_of_a_runner_that_is_gone() {
+    let list = vec![entry("c", State::Ready)];
+    let held = || {
+        let mut registry = Registry::new(HEARTBEAT);
+        registry.replace(NOW, list.clone(), revision(90));
+        registry.remove(NOW, &runner("c"));
+        registry.replace(NOW, list.clone(), Revision::new(2, 40));
+        registry
+    };
+    let expiry = Span(3 * HEARTBEAT.0) + REMOVAL_GRACE;
+    let mut registry = held();
+    assert_eq!(registry.expire(NOW + Span(expiry.0 - 1)), []);
+    let released = [Change::Set(list[0].clone())];
+    assert_eq!(registry.expire(NOW + expiry), released);
+    // The runner writes its entry itself.
+    let mut registry = held();
+    assert_eq!(registry.set(list[0].clone()), Some(released[0].clone()));
+    // The store removes the entry.
+    let mut registry = held();
+    assert_eq!(registry.remove(NOW, &runner("c")), None);
+    assert_eq!(registry.expire(NOW + expiry), []);
+}
+
+/// A router that starts after the restore has nothing to compare the copy with.
+#[test]
+fn a_router_that_starts_holds_back_what_its_peer_holds_back() {
+    let listed = entry("c", State::Ready);
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.replace(NOW, vec![listed.clone()], Revision::new(2, 40));
+    let change = registry.hold(NOW, listed.clone());
+    assert_eq!(change, Some(Change::Removed(runner("c"))));
+    let mut registry = Registry::new(HEARTBEAT);
+    assert_eq!(registry.hold(NOW, listed.clone()), None);
+    let list = vec![listed.clone()];
+    assert_eq!(registry.replace(NOW, list, Revision::new(2, 40)), []);
+    // A later process of the runner is another matter.
+    let restarted = started("c", State::Ready, 2);
+    let list = vec![restarted.clone()];
+    let changes = registry.replace(NOW, list, Revision::new(2, 41));
+    assert_eq!(changes, [Change::Set(restarted)]);
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod manifest;
 pub mod prelude;
 pub mod prompt;
+pub mod revision;
 pub mod runner;
 pub mod settings;
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -62,6 +62,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Interval at which a runner writes to the store that it is alive.
+    pub heartbeat: Span,
     /// Bounds that the operator sets.
     pub bounds: Bounds,
     /// Limits on the memory and file descriptors of the process.
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -21,6 +21,9 @@
     CrashesRunners,
     /// Runners rejected the request, and it may not be retried.
     Rejected,
+    /// All runners asked this router for a pause that is longer than the request may
+    /// wait.
+    Paused,
 }
 
 impl Refusal {
@@ -33,6 +36,7 @@
             Refusal::OverShare => "over_share",
             Refusal::CrashesRunners => "crashes_runners",
             Refusal::Rejected => "rejected",
+            Refusal::Paused => "runners_paused",
         }
     }
 }
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -5,12 +5,13 @@
 //! current time and carry out the returned actions. The modules are [`share`]
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
-//! has cached) and [`budget`] (retry budget, split over all routers);
+//! has cached), [`notice`] (what runners say of themselves in answers) and [`budget`] (retry budget, split over all routers);
 //! [`scheduler::Scheduler`] combines them.
 
 pub mod action;
 pub mod budget;
 pub mod cache;
+pub mod notice;
 mod pending;
 mod place;
 mod queue;
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::action::Rationale;
+use crate::notice::Notices;
 use crate::pending::Pending;
 use crate::runner::{Load, Target};
 
@@ -110,6 +111,7 @@
     pub now: Time,
     pub domain: &'a str,
     pub targets: &'a IndexMap<Runner, Target>,
+    pub notices: &'a Notices,
     pub engine: Option<&'a balsamchute_model::manifest::Engine>,
 }
 
@@ -121,7 +123,9 @@
         F: Fn(&Target) -> bool,
     {
         let is_candidate = |target: &&Target| {
-            target.entry.service == pending.request.service && target.is_ready() && usable(target)
+            target.entry.service == pending.request.service
+                && self.is_open(target)
+                && usable(target)
         };
         let ready: Vec<&Target> = self.targets.values().filter(is_candidate).collect();
         let is_untried = |target: &&&Target| !pending.tried.contains(&target.entry.runner);
@@ -145,6 +149,14 @@
         self.choose_best(pending, priority, &candidates)
     }
 
+    /// Returns whether a runner accepts requests of this router, by its entry and by
+    /// what it said in answers.
+    fn is_open(&self, target: &Target) -> bool {
+        target.is_ready()
+            && !self.notices.is_leaving(&target.entry)
+            && self.notices.paused_until(self.now, &target.entry).is_none()
+    }
+
     fn choose_best(&self, pending: &Pending, priority: Priority, candidates: &[&Target]) -> Choice {
         let prompt = pending.request.prompt.as_ref();
         let with_load = candidates
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -7,6 +7,8 @@
 use balsamchute_wire::exchange::Suspect;
 use serde::{Deserialize, Serialize};
 
+use crate::notice::Leaving;
+
 /// Usage of a service by one workspace through one router, decayed over a
 /// quarter of the share window.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -47,8 +49,13 @@
     pub loads: Vec<Load>,
     /// Fingerprints of requests that were in flight when a runner crashed.
     pub suspects: Vec<Suspect>,
+    /// Processes of runners that said in an answer that they leave.
+    pub leaving: Vec<Leaving>,
 }
 
+/// Runners that leave and are reported at most, by one router and by a sum.
+pub(crate) const MAX_LEAVING: usize = 64;
+
 /// Suspected requests that a sum holds at most.
 const MAX_SUM_SUSPECTS: usize = 16;
 
@@ -65,6 +72,7 @@
     usage: BTreeMap<(Service, Workspace), (f32, f32)>,
     loads: BTreeMap<Runner, Load>,
     suspects: Vec<Suspect>,
+    leaving: Vec<Leaving>,
 }
 
 impl Sum {
@@ -100,6 +108,11 @@
                 self.suspects.push(suspect.clone());
             }
         }
+        for leaving in &report.leaving {
+            if self.leaving.len() < MAX_LEAVING && !self.leaving.contains(leaving) {
+                self.leaving.push(leaving.clone());
+            }
+        }
     }
 
     /// Returns the sum without a report that was added. A hub sends the result
@@ -147,6 +160,7 @@
             usage: usage.collect(),
             loads,
             suspects: self.suspects,
+            leaving: self.leaving,
         }
     }
 }
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -174,9 +174,18 @@
                 Span(request.latency_target.0 / SURPLUS_WAIT_DIVISOR)
             }
         };
+        let wait_end = (pending.waiting_since + max_wait).min(request.deadline);
         // An answer that has begun can only be continued or cut off, so such a
         // request waits until its deadline.
-        let is_wait_over = now.since(pending.waiting_since) >= max_wait && !pending.answer_begun;
+        let is_wait_over = now >= wait_end && !pending.answer_begun;
+        let opening = self.next_opening(now, &request.service);
+        if let (Opening::At(opens_at), 0) = (opening, pending.possible_runs)
+            && opens_at >= wait_end
+        {
+            self.refuse_for(id, Refusal::Paused, opens_at.since(now));
+            self.cancel(now, id);
+            return;
+        }
         if !is_wait_over && now < request.deadline {
             return;
         }
@@ -184,22 +193,36 @@
             let failure = Failure::Timeout;
             self.actions.push(Action::Fail { id, failure });
         } else {
-            let has_ready_runner = self
-                .targets
-                .values()
-                .any(|target| target.entry.service == request.service && target.is_ready());
-            let refusal = match (has_ready_runner, priority) {
-                (false, _) => Refusal::NoRunner,
-                (true, Priority::WithinShare) => Refusal::Saturated,
-                (true, Priority::Behind | Priority::Surplus | Priority::Ahead) => {
-                    Refusal::OverShare
-                }
+            let refusal = match (opening, priority) {
+                (Opening::Unknown, _) => Refusal::NoRunner,
+                (_, Priority::WithinShare) => Refusal::Saturated,
+                (_, Priority::Behind | Priority::Surplus | Priority::Ahead) => Refusal::OverShare,
             };
             self.refuse(id, refusal);
         }
         self.cancel(now, id);
     }
 
+    /// Returns when a runner of the service next accepts requests of this router, by
+    /// the runners' entries and by what they said in answers.
+    fn next_opening(&self, now: Time, service: &Service) -> Opening {
+        let mut opening = Opening::Unknown;
+        for target in self.targets.values() {
+            if target.entry.service != *service
+                || !target.is_ready()
+                || self.notices.is_leaving(&target.entry)
+            {
+                continue;
+            }
+            opening = match (self.notices.paused_until(now, &target.entry), opening) {
+                (None, _) => return Opening::Now,
+                (Some(until), Opening::At(earliest)) => Opening::At(earliest.min(until)),
+                (Some(until), _) => Opening::At(until),
+            };
+        }
+        opening
+    }
+
     /// Moves a request from a stalled runner to another one, if a retry is
     /// permitted.
     fn abandon_attempt(&mut self, now: Time, id: Id, dispatch: &Dispatch) {
@@ -224,7 +247,12 @@
             Refusal::Saturated | Refusal::Rejected => RETRY_AFTER_SATURATED,
             Refusal::OverShare => RETRY_AFTER_OVER_SHARE,
             Refusal::CrashesRunners => RETRY_AFTER_CRASHES,
+            Refusal::Paused => RETRY_AFTER_SATURATED,
         };
+        self.refuse_for(id, refusal, retry_after);
+    }
+
+    fn refuse_for(&mut self, id: Id, refusal: Refusal, retry_after: Span) {
         let rationale = self
             .pending
             .get(&id)
@@ -240,6 +268,17 @@
     }
 }
 
+/// Time at which a service accepts requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Opening {
+    /// A runner accepts requests.
+    Now,
+    /// All runners want no request before this time.
+    At(Time),
+    /// There is no runner that will accept requests.
+    Unknown,
+}
+
 /// Returns whether an attempt has made no progress for so long that another
 /// runner would probably answer sooner. Before the first event of a stream, the
 /// limit is the latency target or three estimates, whichever is longer, plus
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -121,6 +121,7 @@
             now,
             domain: &self.settings.domain,
             targets: &self.targets,
+            notices: &self.notices,
             engine: self.engines.get(&pending.request.service),
         };
         match self.crash_suspects.admit(now, pending.request.fingerprint) {
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::action::{Action, End, Failure, Id, Refusal};
 use crate::budget::Budget;
+use crate::notice::Notices;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::queue::{Flow, Queue, flow};
 use crate::report::{self, Report};
@@ -64,6 +65,7 @@
     breakdown: Breakdown,
     budget: Budget,
     crash_suspects: Registry,
+    notices: Notices,
     router_count: u32,
     actions: Vec<Action>,
 }
@@ -89,6 +91,7 @@
             breakdown,
             budget,
             crash_suspects: Registry::new(suspect::Settings::default()),
+            notices: Notices::new(),
             router_count: 1,
             actions: Vec::new(),
         }
@@ -158,6 +161,19 @@
         self.targets.shift_remove(runner);
     }
 
+    /// Records that a process of a runner, identified by its start time, said in an
+    /// answer that it leaves: it gets no further requests. Returns whether that was
+    /// not known.
+    pub fn record_leaving(&mut self, runner: &Runner, started_at: u64) -> bool {
+        self.notices.record_leaving(runner, started_at)
+    }
+
+    /// Records that a process of a runner, identified by its start time, wants no
+    /// request from this router for `pause`.
+    pub fn record_pause(&mut self, now: Time, runner: &Runner, started_at: u64, pause: Span) {
+        self.notices.record_pause(runner, started_at, now + pause);
+    }
+
     /// Accepts a new request, which is dispatched, queued or refused.
     pub fn submit(&mut self, now: Time, id: Id, request: Request) {
         let service = request.service.clone();
@@ -319,6 +335,7 @@
             usage: usage.collect(),
             loads: loads.filter(|load| load.running > 0).collect(),
             suspects: self.crash_suspects.suspects(MAX_REPORT_SUSPECTS),
+            leaving: self.notices.leaving(report::MAX_LEAVING).collect(),
         }
     }
 
@@ -354,6 +371,10 @@
         for suspect in &report.suspects {
             self.crash_suspects.merge(now, suspect);
         }
+        for leaving in &report.leaving {
+            self.notices
+                .record_leaving(&leaving.runner, leaving.started_at);
+        }
         self.dispatch_all(now);
     }
 
--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -52,16 +52,23 @@
     matching.map(|(_, value)| value)
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Objects {
+    /// Number of times that the store was restored from a copy.
+    era: u64,
     revision: u64,
     /// Kind, name, revision of the last write and value of each object; the value is
     /// `None` after a deletion.
     objects: Vec<(String, String, u64, Option<Value>)>,
     unavailable: bool,
     unavailable_kind: Option<String>,
+    /// Calls that wrote an object.
+    writes: usize,
 }
 
+/// Copy of the objects of a [`Store`].
+pub struct Copy(Objects);
+
 impl Objects {
     fn is_unavailable(&self, kind: &str) -> bool {
         self.unavailable || self.unavailable_kind.as_deref() == Some(kind)
@@ -104,6 +111,27 @@
         changed.notify_all();
     }
 
+    /// Returns a copy of the objects as they are now.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.0.lock().expect("no thread panicked").clone())
+    }
+
+    /// Restores the objects of an older copy, with the revision that they had, in the
+    /// next era.
+    pub fn restore(&self, copy: Copy) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().expect("no thread panicked");
+        state.era += 1;
+        state.revision = copy.0.revision;
+        state.objects = copy.0.objects;
+        changed.notify_all();
+    }
+
+    /// Returns the number of calls that wrote an object.
+    pub fn writes(&self) -> usize {
+        self.state.0.lock().expect("no thread panicked").writes
+    }
+
     /// Starts or stops responding 503 to every request.
     pub fn set_unavailable(&self, unavailable: bool) {
         let (lock, changed) = &*self.state;
@@ -122,9 +150,10 @@
 fn serve_store(mut stream: TcpStream, shared: &(Mutex<Objects>, Condvar)) {
     while let Some((head, _)) = read_message(&mut stream) {
         let (status, body) = store_response(&head, shared);
+        let era = shared.0.lock().expect("no thread panicked").era;
         let text = body.to_string();
         let response = format!(
-            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{text}",
+            "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{text}",
             text.len()
         );
         if stream.write_all(response.as_bytes()).is_err() {
@@ -143,6 +172,7 @@
         return (503, json!({}));
     }
     if method != Some("GET") {
+        state.writes += 1;
         return (200, json!({}));
     }
     let query_number = |name: &str| -> Option<u64> {
@@ -179,6 +209,9 @@
         if state.is_unavailable(kind) {
             return (503, json!({}));
         }
+        if from > state.revision {
+            return (410, json!({}));
+        }
         if !events.is_empty() || remaining.is_zero() {
             return (200, json!({"events": events, "at": state.revision}));
         }
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -3,6 +3,8 @@
 mod environment;
 mod interfaces;
 mod log_commands;
+mod notice;
+mod restore;
 mod store;
 
 use std::io::{Read, Write};
--- /dev/null
+++ b/tests/all/edge/notice.rs
@@ -0,0 +1,93 @@
+//! Runners that say in their answers that they leave, or want a pause.
+
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::environment::{
+    Router, Runner, header, respond, respond_with_body, send_raw, wait_until,
+};
+use super::{request, start_router};
+
+/// Returns a runner whose answers all carry `fields`.
+fn with_fields(fields: &'static str) -> Runner {
+    Runner::start(move |head, stream| {
+        let fields = format!("Content-Length: 1\r\n{fields}\r\n");
+        respond(stream, head, 200, &fields, "a");
+        true
+    })
+}
+
+fn send(router: &Router) -> String {
+    send_raw(router.callers, &request("POST", "/once/x", "", ""))
+}
+
+/// The store lists the runner as ready all the while. The answer with the notice is
+/// delivered, and no later request reaches the runner, from either router.
+#[test]
+fn a_runner_that_leaves_gets_no_request_after_it_said_so() {
+    let leaving = with_fields("Server-Leaving: 1");
+    let (store, router) = start_router(&[&leaving]);
+    let second = Router::start_with_seeds("r2", store.address, &[router.callers]);
+    second.wait_ready();
+    assert!(send(&router).ends_with("\r\n\r\na"));
+    assert!(send(&router).starts_with("HTTP/1.1 503 "));
+    wait_until("the second router knows", || {
+        send(&second).starts_with("HTTP/1.1 503 ")
+    });
+    let received = leaving.requests().len();
+    thread::sleep(Duration::from_millis(300));
+    assert!(send(&second).starts_with("HTTP/1.1 503 "));
+    assert_eq!(leaving.requests().len(), received);
+}
+
+/// Malformed notices are logged once a runner and change nothing.
+#[test]
+fn malformed_notices_are_ignored() {
+    for fields in [
+        "Server-Leaving: ",
+        "Server-Leaving: yes",
+        "Server-Leaving: 0",
+        "Server-Leaving: -1",
+    ] {
+        let runner = with_fields(fields);
+        let (_store, router) = start_router(&[&runner]);
+        for _ in 0..3 {
+            assert!(send(&router).ends_with("\r\n\r\na"), "{fields}");
+        }
+        let lines = || router.log().matches("event=notice_ignored").count();
+        wait_until("the notice is logged", || lines() > 0);
+        assert_eq!(lines(), 1, "{fields}");
+    }
+}
+
+/// A request that can't wait for the end of the pause is refused at once, with the time
+/// that is left of it. One that can is sent at the end and not before.
+#[test]
+fn a_runner_that_wants_a_pause_gets_no_request_until_its_end() {
+    let pause = Duration::from_secs(3);
+    let received = AtomicUsize::new(0);
+    let runner = Runner::start(move |head: &str, stream: &mut TcpStream| {
+        if received.fetch_add(1, Ordering::SeqCst) > 0 {
+            return respond_with_body(stream, head, "done");
+        }
+        let fields = "X-Not-Executed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n";
+        respond(stream, head, 503, fields, "");
+        true
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let begin = Instant::now();
+    let response = send(&router);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    let retry = header(&response, "retry-after").and_then(|text| text.parse().ok());
+    assert!(
+        retry.is_some_and(|seconds: f64| seconds > 2.4 && seconds <= 3.0),
+        "{response}"
+    );
+    // The latency target of the route is 2 s, so a request may wait for 2.4 s.
+    thread::sleep(Duration::from_millis(1200));
+    assert!(send(&router).ends_with("done"));
+    assert!(begin.elapsed() >= pause);
+    assert_eq!(runner.requests().len(), 2);
+}
