Mend six ways to lose, cut or swap an answer

Cause: cases that the users heard from operators of similar systems, looked for here. Each was shown by a test of tests/all/edge/answers.rs that failed first.

- A second copy of a rejection was taken for the answer to the next attempt at the same runner (same id, same connection), and the request ran twice.
A runner that a request was sent to before gets it on a new connection.
- An error without an id on a used connection was delivered, though it may answer the earlier request.
Such an answer is invalid now.
- A planned stop, and any `Connection: close`, cut an answer that the caller read slowly after 1 s.
A connection with unwritten bytes stays while bytes move, for `idle_timeout` otherwise; the process waits for it within the grace period.
- A planned stop cut requests that were still arriving.
The process waits.
- A steady upload longer than `idle_timeout` got 408.
The limit is on the time between bytes now, 60 s in all.
- A caller that did not read for 2.5 s was cut by TCP_USER_TIMEOUT, meant for dead machines. 10 s for callers.
- A stream without a length that ended inside an event was completed with the final chunk.
It counts as broken.

Ruled out, by tests that passed at once: a stream that sends bytes but no event is moved; a slow stream with whole events is not.

Before: 7 of 9 tests failed. After: all pass.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -64,6 +64,10 @@
     pub phase: Phase,
     /// Time at which the phase began.
     pub since: Time,
+    /// Time at which bytes were last received.
+    pub last_received: Time,
+    /// Time at which bytes were last written.
+    pub last_sent: Time,
     /// Whether the connection closes after the current response.
     pub close: bool,
     /// Whether reading is paused because the buffer of pipelined bytes is full.
@@ -80,6 +84,8 @@
             input: Vec::new(),
             phase: Phase::Idle,
             since: now,
+            last_received: now,
+            last_sent: now,
             close: false,
             is_read_paused: false,
             is_write_shut: false,
--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -12,6 +12,7 @@
 use balsamchute_schedule::action::Id;
 use balsamchute_schedule::request::Request as Scheduled;
 use balsamchute_wire::record::Outcome;
+use smallvec::SmallVec;
 
 use crate::caller::{Fault, Incoming, Phase as CallerPhase};
 use crate::edge::{Edge, Slot};
@@ -35,6 +36,9 @@
 /// Share of `resource_limits.memory_bytes` that buffered request bodies may use.
 const BODY_MEMORY_SHARE: f64 = 0.3;
 
+/// Time that a caller may take to send a body, however steadily it arrives.
+const MAX_UPLOAD_TIME: Span = Span::from_secs(60);
+
 /// Idle connections that one eviction closes. A batch makes the scan over all
 /// slots rare.
 const EVICTION_BATCH: usize = 64;
@@ -102,10 +106,12 @@
     }
 
     fn receive_caller_bytes(&mut self, index: usize, length: usize) {
+        let now = self.now();
         if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
             if matches!(connection.phase, CallerPhase::Closing) {
                 return;
             }
+            connection.last_received = now;
             connection
                 .input
                 .extend_from_slice(&self.read_buffer[..length]);
@@ -226,6 +232,7 @@
             delivery: Delivery::NotStarted,
             upstream: None,
             attempts: 0,
+            runners: SmallVec::new(),
             first_sent: None,
             last_sent: None,
             service: scheduled.service.clone(),
@@ -308,10 +315,13 @@
     /// Writes the unsent bytes of a caller. Resumes reading from its runner
     /// once all are written.
     pub(super) fn flush_caller(&mut self, index: usize) {
+        let now = self.now();
         let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
             return;
         };
-        connection.socket.flush();
+        if connection.socket.flush() > 0 {
+            connection.last_sent = now;
+        }
         if connection.socket.is_broken() {
             self.handle_caller_disconnect(index);
             return;
@@ -323,6 +333,7 @@
             && !connection.is_write_shut
         {
             connection.is_write_shut = true;
+            connection.since = now;
             connection.socket.shutdown();
         }
         if let (true, Some(id)) = (is_flushed, id) {
@@ -365,6 +376,17 @@
         Some(transaction)
     }
 
+    /// Returns whether a request is arriving, or a response is not written in full.
+    pub(super) fn has_callers_in_progress(&self) -> bool {
+        self.slots.iter().any(|(_, slot)| match slot {
+            Slot::Caller(connection) => {
+                connection.socket.unsent() > 0
+                    || matches!(connection.phase, CallerPhase::Head | CallerPhase::Body(_))
+            }
+            _ => false,
+        })
+    }
+
     /// Closes the connections that have been idle longest, to make room for new
     /// ones. Returns whether any was closed.
     pub(super) fn evict_callers(&mut self) -> bool {
@@ -396,11 +418,23 @@
             };
             let age = now.since(connection.since);
             match &connection.phase {
+                // A response that is read slowly is not cut.
+                CallerPhase::Idle | CallerPhase::Closing if connection.socket.unsent() > 0 => {
+                    let progress = connection.last_sent.max(connection.since);
+                    if now.since(progress) > limits.idle_timeout {
+                        expired.push(index);
+                    }
+                }
                 CallerPhase::Idle if age > limits.idle_timeout => expired.push(index),
                 CallerPhase::Idle if leaving && age > CLOSING_TIMEOUT => expired.push(index),
                 CallerPhase::Closing if age > CLOSING_TIMEOUT => expired.push(index),
                 CallerPhase::Head if age > limits.head_timeout => slow.push(index),
-                CallerPhase::Body(_) if age > limits.idle_timeout => slow.push(index),
+                CallerPhase::Body(_)
+                    if now.since(connection.last_received) > limits.idle_timeout
+                        || age > MAX_UPLOAD_TIME =>
+                {
+                    slow.push(index);
+                }
                 _ => {}
             }
         }
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -136,7 +136,8 @@
         self.sweep_servers(now);
     }
 
-    /// Exits once no request is in flight, or at the end of the grace period.
+    /// Exits once no request is in flight or arriving and all responses are written, or
+    /// at the end of the grace period.
     pub(super) fn advance_leaving(&mut self, now: Time) {
         let Some(since) = self.leaving_since else {
             return;
@@ -147,7 +148,9 @@
             .bounds
             .termination_grace
             .saturating_sub(EXIT_MARGIN);
-        let is_idle = self.transactions.is_empty() && age >= MIN_LEAVING_TIME.min(limit);
+        let is_idle = self.transactions.is_empty()
+            && age >= MIN_LEAVING_TIME.min(limit)
+            && !self.has_callers_in_progress();
         if is_idle || age >= limit {
             log::info!(target: "process", "event=stop requests_cut={} after_ms={}", self.transactions.len(), age.0);
             self.done = true;
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -61,6 +61,10 @@
 /// Share of the file descriptors that callers' connections may use.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.6;
 
+/// Time for which a caller may leave bytes unread or unacknowledged. Longer than for
+/// connections between machines of the platform: callers read at their own pace.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A socket registered with the event loop. The slab index is its poll token.
 #[derive(Debug)]
 enum Slot {
@@ -421,6 +425,7 @@
                     return;
                 }
                 self.caller_count += 1;
+                let socket = socket.with_user_timeout(CALLER_USER_TIMEOUT);
                 Slot::Caller(Box::new(caller::Connection::new(now, socket)))
             }
         };
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -69,6 +69,10 @@
             return;
         };
         transaction.attempts += 1;
+        // A late copy of the runner's last answer on a connection that it used would be
+        // taken for the answer to this attempt, which has the same id.
+        let may_reuse = !transaction.runners.contains(runner);
+        transaction.runners.push(runner.clone());
         transaction.fallback = None;
         transaction.splitter.discard_partial();
         log::info!(
@@ -92,7 +96,11 @@
         );
         self.stats
             .record_sent(transaction, now.since(transaction.arrival));
-        if let Some(index) = self.take_idle_connection(now, runner) {
+        let idle = match may_reuse {
+            true => self.take_idle_connection(now, runner),
+            false => None,
+        };
+        if let Some(index) = idle {
             if let Some(transaction) = self.transactions.get_mut(&id) {
                 transaction.upstream = Some(index);
             }
@@ -550,7 +558,11 @@
             }
             Phase::Busy(id) => id,
         };
+        let ends_inside_event = self.transactions.get(&id).is_some_and(|transaction| {
+            transaction.route.stream && !transaction.splitter.is_at_event_boundary()
+        });
         let is_complete = !is_reset
+            && !ends_inside_event
             && connection.response.as_mut().is_some_and(|response| {
                 response.framing == Framing::UntilClose && response.decoder.finish().is_ok()
             });
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -42,6 +42,16 @@
 }
 
 impl Socket {
+    /// Replaces the time after which unacknowledged bytes, or bytes that wait for a
+    /// receiver that does not read, end the connection.
+    pub fn with_user_timeout(self, timeout: Duration) -> Self {
+        let socket = SockRef::from(&self.stream);
+        if let Err(error) = socket.set_tcp_user_timeout(Some(timeout)) {
+            log::debug!(target: "socket", "event=options error={error:?}");
+        }
+        self
+    }
+
     /// Starts connecting to `address`.
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
         TcpStream::connect(address).map(Socket::new)
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -5,6 +5,7 @@
 use balsamchute_http::event::Splitter;
 use balsamchute_http::head::{Request, Response};
 use balsamchute_model::prelude::*;
+use smallvec::SmallVec;
 
 /// Part of the response that was sent to the caller.
 #[derive(Debug)]
@@ -47,6 +48,8 @@
     pub upstream: Option<usize>,
     /// Attempts sent to runners, including the current one.
     pub attempts: u32,
+    /// Runners that the request was sent to.
+    pub runners: SmallVec<[Runner; 2]>,
     /// Time at which the first part of the response was sent to the caller.
     pub first_sent: Option<Time>,
     /// Time at which the latest part was sent to the caller.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -106,7 +106,7 @@
             }
             let framing = Framing::of_response(&head, method)?;
             self.response = Some(Partial {
-                classification: response::classify(&head, request_id),
+                classification: response::classify(&head, request_id, self.is_reused),
                 decoder: Decoder::new(framing),
                 framing,
                 head,
--- /dev/null
+++ b/tests/all/edge/answers.rs
@@ -0,0 +1,279 @@
+//! Answers that come twice, late, slowly or only in part, as operators of similar
+//! systems met them.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use super::environment::{
+    Runner, Store, connect, read_message, respond, respond_with_body, send_raw, wait_until,
+};
+use super::{
+    EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, request, start_router,
+};
+
+/// Counts the requests on each connection to a runner.
+#[derive(Clone, Default)]
+struct Connections(Arc<Mutex<BTreeMap<SocketAddr, usize>>>);
+
+impl Connections {
+    /// Returns which request of its connection this one is, from 1.
+    fn count(&self, stream: &TcpStream) -> usize {
+        let peer = stream.peer_addr().expect("the connection is open");
+        let mut counts = self.0.lock().expect("no thread panicked");
+        let count = counts.entry(peer).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+/// The runner turns a request away twice on one connection; the second copy arrives when
+/// the request was sent there again. Taken for the answer to the second attempt, it would
+/// lead to a third one while the second runs.
+#[test]
+fn a_second_copy_of_a_rejection_does_not_answer_the_next_attempt() {
+    let connections = Connections::default();
+    let runs = Arc::new(AtomicUsize::new(0));
+    let (seen, run) = (connections.clone(), runs.clone());
+    let arrivals = AtomicUsize::new(0);
+    let runner = Runner::start(move |head: &str, stream: &mut TcpStream| {
+        let on_connection = seen.count(stream);
+        let rejection = "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
+        if arrivals.fetch_add(1, Ordering::SeqCst) == 0 {
+            respond(stream, head, 503, rejection, "");
+            return true;
+        }
+        if on_connection > 1 {
+            respond(stream, head, 503, rejection, "");
+            thread::sleep(Duration::from_millis(100));
+        }
+        run.fetch_add(1, Ordering::SeqCst);
+        respond_with_body(stream, head, "done")
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(response.ends_with("done"), "{response}");
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+/// An answer without an id on a connection that was used before may belong to the
+/// earlier request.
+#[test]
+fn an_error_without_an_id_on_a_used_connection_is_not_delivered() {
+    let connections = Connections::default();
+    let runner = Runner::start(move |head: &str, stream: &mut TcpStream| {
+        if connections.count(stream) > 1 {
+            let late = b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nold";
+            let _ = stream.write_all(late);
+        }
+        respond_with_body(stream, head, "done")
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let first = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(first.ends_with("done"), "{first}");
+    let second = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(!second.contains("old"), "{second}");
+    assert!(second.starts_with("HTTP/1.1 502 "), "{second}");
+}
+
+/// Length of an answer that exceeds the buffers of the system towards a slow caller.
+const LONG_ANSWER: usize = 500_000;
+
+/// Connects a caller with a small receive buffer, which keeps the rest of an answer out
+/// of the buffers of the system, and sends a request for a long answer.
+fn connect_slow_caller(router: &Router) -> TcpStream {
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket
+        .set_recv_buffer_size(4096)
+        .expect("the size can be set");
+    socket
+        .connect(&router.callers.into())
+        .expect("the router accepts");
+    let mut stream: TcpStream = socket.into();
+    let text = request("POST", "/once/x", "", "");
+    stream
+        .write_all(text.as_bytes())
+        .expect("the router reads the request");
+    wait_until("the request has ended", || {
+        router.log().contains("event=answered")
+    });
+    stream
+}
+
+/// Reads a response to its end, with a pause between reads; returns the length of its
+/// body.
+fn read_slowly(mut stream: TcpStream, pause: Duration) -> usize {
+    let (mut received, mut buffer) = (Vec::new(), [0; 4096]);
+    while let Ok(length @ 1..) = stream.read(&mut buffer) {
+        received.extend_from_slice(&buffer[..length]);
+        thread::sleep(pause);
+    }
+    let response = String::from_utf8_lossy(&received);
+    let (_, body) = response.split_once("\r\n\r\n").expect("a message head");
+    body.len()
+}
+
+fn long_answer() -> Runner {
+    Runner::start(|head, stream| respond_with_body(stream, head, &"x".repeat(LONG_ANSWER)))
+}
+
+/// Most of the answer is still in the router when the request has ended there. The planned
+/// stop must wait for it.
+#[test]
+fn a_planned_stop_delivers_an_answer_that_is_read_slowly() {
+    let runner = long_answer();
+    let (_store, mut router) = start_router(&[&runner]);
+    let stream = connect_slow_caller(&router);
+    router.signal(Signal::SIGTERM);
+    // Takes longer than the router stays without requests in flight.
+    assert_eq!(read_slowly(stream, Duration::from_millis(35)), LONG_ANSWER);
+    assert_eq!(router.wait(), Some(0));
+}
+
+/// Bytes that wait for a caller who does not read are acknowledged all the same.
+#[test]
+fn a_caller_that_pauses_for_seconds_gets_its_whole_answer() {
+    let runner = long_answer();
+    let (_store, router) = start_router(&[&runner]);
+    let stream = connect_slow_caller(&router);
+    thread::sleep(Duration::from_secs(5));
+    assert_eq!(read_slowly(stream, Duration::ZERO), LONG_ANSWER);
+}
+
+/// A request whose head has arrived when the stop begins is served, although its body
+/// takes longer than the router would stay otherwise.
+#[test]
+fn a_planned_stop_serves_a_request_that_is_still_arriving() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "done"));
+    let (_store, mut router) = start_router(&[&runner]);
+    let mut stream = connect(router.callers);
+    let head = request("POST", "/once/x", "Content-Length: 40\r\n", "");
+    stream
+        .write_all(head.as_bytes())
+        .expect("the router reads the head");
+    router.signal(Signal::SIGTERM);
+    for _ in 0..40 {
+        thread::sleep(Duration::from_millis(80));
+        stream.write_all(b"b").expect("the router reads the body");
+    }
+    let (head, _) = read_message(&mut stream).expect("a response");
+    // Later than the time for which a router that stops accepts requests.
+    assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+    drop(stream);
+    assert_eq!(router.wait(), Some(0));
+}
+
+/// The limit on idle time applies to the time between bytes, not to the whole upload.
+#[test]
+fn a_steady_upload_may_take_longer_than_the_idle_timeout() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "done"));
+    let store = Store::start();
+    let mut limited = manifest(1, &["k1"]).expect("a manifest");
+    limited["limits"]["idle_timeout_ms"] = json!(1000);
+    store.put("config", "main", Some(limited));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    let mut stream = connect(router.callers);
+    let head = request("POST", "/once/x", "Content-Length: 20\r\n", "");
+    stream
+        .write_all(head.as_bytes())
+        .expect("the router reads the head");
+    for _ in 0..20 {
+        thread::sleep(Duration::from_millis(100));
+        stream.write_all(b"b").expect("the router reads the body");
+    }
+    let (head, _) = read_message(&mut stream).expect("a response");
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    assert!(runner.requests()[0].ends_with(&"b".repeat(20)));
+}
+
+/// A runner that crashes may close the connection in the middle of an event. Without a
+/// length or chunks, that end looks like any other.
+#[test]
+fn a_stream_without_a_length_that_ends_inside_an_event_is_not_complete() {
+    let runner = Runner::start(|head, stream| {
+        let text = "id: 1\ndata: event 1\n\nid: 2\ndata: ev";
+        respond(
+            stream,
+            head,
+            200,
+            "Content-Type: text/event-stream\r\n",
+            text,
+        );
+        false
+    });
+    let store = Store::start();
+    let route = super::Route::new("stream", "stream", 8000);
+    let unresumable = super::environment::manifest(1, &[route], &["k1"]);
+    store.put("config", "main", Some(unresumable));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    assert!(!decode_chunks(&response).1, "{response}");
+    assert!(
+        !response.contains("event 1") || response.ends_with("<reset>"),
+        "{response}"
+    );
+}
+
+/// Progress of a stream is a whole event. The first runner only sends bytes of one, now
+/// and then.
+#[test]
+fn a_stream_that_sends_bytes_but_no_event_moves_to_another_runner() {
+    let first = AtomicUsize::new(0);
+    let script = move |head: &str, stream: &mut TcpStream| {
+        if first.fetch_add(1, Ordering::SeqCst) > 0 {
+            let rest = format!("{}0\r\n\r\n", events(2, 3));
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &rest);
+            return true;
+        }
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 1));
+        // The router closes the connection when it moves the stream.
+        while stream.write_all(b"1\r\n:\r\n").is_ok() {
+            thread::sleep(Duration::from_millis(200));
+        }
+        false
+    };
+    let script = Arc::new(script);
+    let runners = [(); 2].map(|()| {
+        let script = script.clone();
+        Runner::start(move |head, stream| script(head, stream))
+    });
+    let (_store, router) = start_router(&[&runners[0], &runners[1]]);
+    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    let (body, is_complete) = decode_chunks(&response);
+    assert!(is_complete, "{response}");
+    assert_eq!(body.matches("data: event").count(), 3, "{body}");
+}
+
+/// Events that come slowly are no reason to move or cut a stream.
+#[test]
+fn a_slow_but_sound_stream_is_delivered_by_one_runner() {
+    let runner = Runner::start(|head, stream| {
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, "");
+        for id in 1..=5 {
+            thread::sleep(Duration::from_millis(1200));
+            if stream.write_all(events(id, id).as_bytes()).is_err() {
+                return false;
+            }
+        }
+        stream.write_all(b"0\r\n\r\n").is_ok()
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    let (body, is_complete) = decode_chunks(&response);
+    assert!(is_complete, "{response}");
+    assert_eq!(body.matches("data: event").count(), 5, "{body}");
+    assert_eq!(runner.requests().len(), 1);
+}
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -1,5 +1,6 @@
 //! `balsamchute edge` with a fake store, fake runners and callers on loopback.
 
+mod answers;
 mod environment;
 mod interfaces;
 mod log_commands;
