Tell callers the routers of their domain, and others the rest

Cause: the directory gave every caller the first 64 routers of its table, so on 195 machines two thirds got no requests, and the zone of the look-up was not read.

Change: `schedule::directory::select`, pure. A fleet of up to 64 routers is listed whole, as before. Of a larger one, a caller is told the routers of its domain and a quarter as many others; where there are too many, each directory router has a stable selection of its own. The adapter only encodes.

--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -3,9 +3,11 @@
 
 use std::net::SocketAddr;
 
-use balsamchute_adapter::directory::{self, Query};
+use balsamchute_adapter::directory::{self, MAX_ADDRESSES, Query};
 use balsamchute_http::head::Request;
 use balsamchute_model::prelude::*;
+use balsamchute_schedule as schedule;
+use balsamchute_schedule::directory::Candidate;
 
 use crate::edge::{Edge, Slot};
 use crate::frame::VIEW_PATH;
@@ -81,8 +83,8 @@
         };
         let endpoint = connection.endpoint;
         let (status, content_type, body) = match (endpoint, directory::decode(head)) {
-            (Endpoint::Directory, Some(Query::Lookup { .. })) => {
-                let routers = self.routers(now);
+            (Endpoint::Directory, Some(Query::Lookup { domain })) => {
+                let routers = self.routers(now, domain);
                 match routers.is_empty() {
                     true => (503, TEXT, b"no router takes requests".to_vec()),
                     false => {
@@ -125,17 +127,26 @@
         }
     }
 
-    /// Returns the request addresses of the serving routers.
-    fn routers(&self, now: Time) -> Vec<SocketAddr> {
+    /// Returns the request addresses of the serving routers for a caller in `domain`.
+    fn routers(&self, now: Time, domain: Option<&str>) -> Vec<SocketAddr> {
         let serving = self
             .peers
             .alive(now)
             .filter(|peer| peer.descriptor.phase == Phase::Serving);
-        let mut routers: Vec<SocketAddr> = serving.map(|peer| peer.descriptor.callers).collect();
+        let mut routers: Vec<Candidate> = serving
+            .map(|peer| Candidate {
+                address: peer.descriptor.callers,
+                domain: &peer.descriptor.domain,
+            })
+            .collect();
         if self.is_serving() {
-            routers.push(self.settings.listen.callers);
+            routers.push(Candidate {
+                address: self.settings.listen.callers,
+                domain: &self.settings.domain,
+            });
         }
-        routers
+        let instance = &self.settings.instance;
+        schedule::directory::select(&routers, domain, instance, MAX_ADDRESSES)
     }
 
     /// Writes unsent bytes. Returns whether the connection stays open.
--- /dev/null
+++ b/crates/schedule/src/directory.rs
@@ -0,0 +1,71 @@
+//! Choice of the routers that a caller is told to use.
+//!
+//! Answers the load of a fleet with more routers than one answer can list: with the
+//! same list for everybody, two thirds of the routers got no requests at all.
+
+use std::net::{IpAddr, SocketAddr};
+
+use balsamchute_base::prelude::*;
+use balsamchute_base::rank;
+use smallvec::SmallVec;
+
+/// Routers of other domains in an answer, as a share of those of the caller's own
+/// domain. They serve if the whole domain is lost before the caller asks again.
+const RESERVE_SHARE: f64 = 0.25;
+
+/// Fewest routers in an answer, if there are so many.
+const MIN_ROUTERS: usize = 16;
+
+/// Router that accepts requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Candidate<'a> {
+    /// Address for requests of callers.
+    pub address: SocketAddr,
+    /// Failure domain of the router.
+    pub domain: &'a str,
+}
+
+/// Returns the addresses for a caller in `domain`, at most `limit`.
+///
+/// A fleet of at most `limit` routers is listed whole. Of a larger one, a caller is
+/// told the routers of its own domain and some others. Where there are too many, each
+/// directory router (`instance`) has a selection of its own, so that all routers take
+/// part, and keeps it while the fleet stays the same, so that callers keep their
+/// connections.
+#[must_use]
+pub fn select(
+    candidates: &[Candidate<'_>],
+    domain: Option<&str>,
+    instance: &Instance,
+    limit: usize,
+) -> Vec<SocketAddr> {
+    if candidates.len() <= limit {
+        return candidates.iter().map(|router| router.address).collect();
+    }
+    let is_near = |router: &&Candidate<'_>| domain.is_none_or(|domain| router.domain == domain);
+    let (near, far): (Vec<&Candidate>, Vec<&Candidate>) = candidates.iter().partition(is_near);
+    let reserve = (near.len() as f64 * RESERVE_SHARE).ceil() as usize;
+    let reserve = reserve
+        .max(MIN_ROUTERS.saturating_sub(near.len()))
+        .min(far.len())
+        .min(limit);
+    let mut selected = ranked(near, instance);
+    selected.truncate(limit - reserve);
+    selected.extend(ranked(far, instance).into_iter().take(reserve));
+    selected
+}
+
+/// Returns the routers by their rendezvous score for a directory router.
+fn ranked(routers: Vec<&Candidate<'_>>, instance: &Instance) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> = routers.iter().map(|router| router.address).collect();
+    addresses.sort_by_cached_key(|address| {
+        let mut item: SmallVec<[u8; 18]> = SmallVec::new();
+        match address.ip() {
+            IpAddr::V4(ip) => item.extend_from_slice(&ip.octets()),
+            IpAddr::V6(ip) => item.extend_from_slice(&ip.octets()),
+        }
+        item.extend_from_slice(&address.port().to_be_bytes());
+        rank::score_bytes(&item, instance.as_str())
+    });
+    addresses
+}
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,11 +6,13 @@
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
 //! has cached), [`notice`] (what runners say of themselves in answers) and [`budget`] (retry budget, split over all routers);
-//! [`scheduler::Scheduler`] combines them.
+//! [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
+//! caller is told to use.
 
 pub mod action;
 pub mod budget;
 pub mod cache;
+pub mod directory;
 pub mod notice;
 mod pending;
 mod place;
