Send one sum to all members of a domain; let them ask beyond their hub

A member that knew of newer state elsewhere asked only its hub for it, however long the hub lagged.

Change: a hub sends the same bytes to all its members. Frames are numbered, the sum names the frame of each member that it includes, and the member takes that report off itself. The list of routers is sent each 400 ms, or at once when one joins, restarts or changes its phase; relayed routers count as alive for 300 ms longer. A member asks another router after 500 ms behind, or when its hub did not answer.

Ruled out: taking off the last report sent (wrong by what changed in an interval); treating absence from a list as death (a new hub's list is incomplete).

Tests: `a_member_takes_the_report_off_that_the_sum_includes`, `a_member_asks_other_routers_if_its_hub_stays_outdated_or_does_not_answer`. The fleet of the tests now reads reports from the table, as the process does.

--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -244,6 +244,7 @@
             Purpose::Announce => self.announced = false,
             Purpose::View(peer) => {
                 log::info!(target: "peer", "event=view_failed peer={peer}");
+                self.peers.record_view(peer, false);
             }
         }
     }
@@ -456,7 +457,8 @@
         if is_too_soon {
             return;
         }
-        let peer = self.peers.newer_peer(now, &self.descriptor(now));
+        let descriptor = self.descriptor(now);
+        let peer = self.peers.newer_peer(now, &descriptor);
         let Some(peer) = peer else { return };
         self.last_view_request = Some(now);
         let version = self.manifest_version();
@@ -484,6 +486,7 @@
             }
         };
         self.has_peer_view = true;
+        self.peers.record_view(peer, true);
         self.observe_era(now, view.revision.era, None);
         if !view.manifest.is_empty() {
             self.apply_manifest(&view.manifest);
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -54,7 +54,7 @@
     Own,
     /// All routers of the sender's failure domain.
     Domain,
-    /// All routers except the receiver.
+    /// All routers, the receiver included.
     Fleet,
 }
 
@@ -76,12 +76,18 @@
     /// Datagram addresses of live routers, for peer discovery.
     #[serde(rename = "known")]
     pub known_addresses: Vec<SocketAddr>,
-    /// Live routers, for receivers that do not exchange with them directly.
+    /// Live routers, for receivers that do not exchange with them directly. Empty in
+    /// frames between two rosters.
     pub roster: Vec<Listing>,
     /// Set of routers that the report covers.
     pub scope: Scope,
     /// Requests in flight and use of services, summed over the scope.
     pub report: Report,
+    /// Number of this frame among those of the sender; numbers rise.
+    pub sequence: u64,
+    /// Receivers whose own reports the sum includes, each with the sequence number of
+    /// its frame that carried the report.
+    pub included: Vec<(SocketAddr, u64)>,
 }
 
 /// Configuration that a router reads from a peer: one that has just started, has no
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -4,13 +4,15 @@
 //! In a small fleet every router sends to every other one. In a large fleet
 //! that would cost each router thousands of datagrams a second, so the oldest
 //! router of each failure domain acts as its hub. Members send only to their
-//! hub, hubs exchange the sums of their domains, and each member receives the
-//! sum of all other routers with a list of live routers. When a hub times out,
-//! the next oldest router takes over.
+//! hub, hubs exchange the sums of their domains, and all members of a domain receive
+//! the same frame: the sum of all routers, from which each takes its own part off, at
+//! intervals with a list of live routers. When a hub times out, the next oldest router
+//! takes over.
 
 mod outgoing;
 mod source;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use balsamchute_model::prelude::*;
@@ -25,8 +27,9 @@
 const ALIVE_TIMEOUT: Span = Span(450);
 
 /// Same as [`ALIVE_TIMEOUT`] for routers known only through a hub. Includes the
-/// timeout of the hub, the first datagram to the next hub, and its reply.
-const RELAYED_ALIVE_TIMEOUT: Span = Span(1200);
+/// timeout of the hub, the first datagram to the next hub, its reply, and the interval
+/// of rosters.
+const RELAYED_ALIVE_TIMEOUT: Span = Span(1500);
 
 /// Time since a router was last seen after which it receives datagrams only at
 /// the probe interval.
@@ -69,6 +72,8 @@
     last_datagram: Option<Time>,
     scope: Scope,
     report: Report,
+    // Sequence number of the frame with the report.
+    sequence: u64,
 }
 
 impl Peer {
@@ -95,6 +100,23 @@
     tier: Tier,
     peers: IndexMap<SocketAddr, Option<Peer>>,
     last_probes: IndexMap<SocketAddr, Time>,
+    // Reports of this router in its last frames, with their sequence numbers. Sums
+    // include one of them.
+    sent_reports: VecDeque<(u64, Report)>,
+    sequence: u64,
+    roster: Roster,
+    // Time since which another router is known to have newer state.
+    behind_since: Option<Time>,
+    // Router that did not answer the last request for its view.
+    failed_source: Option<SocketAddr>,
+}
+
+/// Roster that was last sent to the members of the domain.
+#[derive(Clone, Copy, Debug, Default)]
+struct Roster {
+    sent_at: Time,
+    // Digest of the routers and their phases.
+    digest: u64,
 }
 
 impl Table {
@@ -107,6 +129,11 @@
             tier: Tier::Direct,
             peers: IndexMap::new(),
             last_probes: IndexMap::new(),
+            sent_reports: VecDeque::new(),
+            sequence: 0,
+            roster: Roster::default(),
+            behind_since: None,
+            failed_source: None,
         }
     }
 
@@ -155,12 +182,23 @@
             Scope::Domain => Instance::new(&format!("domain.{}", frame.sender.domain)).ok(),
             Scope::Fleet => Instance::new("fleet").ok(),
         };
+        let local = self.local_address;
+        let included = frame.included.iter().find(|(router, _)| *router == local);
+        let own_report = included.and_then(|(_, sequence)| {
+            let mut sent = self.sent_reports.iter();
+            sent.find(|(sent_sequence, _)| sent_sequence == sequence)
+        });
+        let report = match own_report {
+            Some((_, own_report)) => frame.report.excluding(own_report),
+            None => frame.report,
+        };
         *slot = Some(Peer {
             descriptor: frame.sender,
             last_seen: now,
             last_datagram: Some(now),
             scope: frame.scope,
-            report: frame.report,
+            report,
+            sequence: frame.sequence,
         });
         source.filter(|_| is_merged)
     }
@@ -197,6 +235,7 @@
                     // Not evaluated until the first datagram replaces it.
                     scope: Scope::Fleet,
                     report: Report::default(),
+                    sequence: 0,
                 });
             }
         }
--- a/crates/edge/src/peers/outgoing.rs
+++ b/crates/edge/src/peers/outgoing.rs
@@ -3,15 +3,23 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use balsamchute_base::digest::Hasher;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::report::{Report, Sum};
 
-use crate::peers::{Descriptor, Frame, Listing, Peer, RECENT_TIMEOUT, Scope, Table, Tier};
+use crate::peers::{Descriptor, Frame, Listing, Peer, RECENT_TIMEOUT, Roster, Scope, Table, Tier};
 
 /// Interval of datagrams to addresses without a reachable router: one seen
 /// recently in a full mesh, one that is alive for a hub.
 const PROBE_INTERVAL: Span = Span(1000);
 
+/// Interval of rosters to the members of a domain while nothing in them changes.
+const ROSTER_INTERVAL: Span = Span(400);
+
+/// Reports of this router that are kept to take them off sums. A sum is at most a few
+/// intervals older than the report in it.
+const MAX_SENT_REPORTS: usize = 8;
+
 /// Bound on the addresses that one datagram passes on.
 const MAX_KNOWN_ADDRESSES: usize = 16;
 
@@ -33,12 +41,20 @@
         local: &Descriptor,
         own_report: &Report,
     ) -> Vec<Outgoing> {
+        self.sequence += 1;
+        self.sent_reports
+            .push_back((self.sequence, own_report.clone()));
+        if self.sent_reports.len() > MAX_SENT_REPORTS {
+            self.sent_reports.pop_front();
+        }
         let frame = Frame {
             sender: local.clone(),
             known_addresses: self.known_addresses(now),
             roster: Vec::new(),
             scope: Scope::Own,
             report: own_report.clone(),
+            sequence: self.sequence,
+            included: Vec::new(),
         };
         match self.tier {
             Tier::Direct => vec![Outgoing {
@@ -48,7 +64,10 @@
             Tier::Member(hub) => {
                 // Routers report here and expect the sum if they take this one for
                 // their hub, or while they receive no sums from their hub.
-                let mut outgoing = self.frames_for_reporters(now, local, own_report);
+                let mut outgoing: Vec<Outgoing> = self
+                    .frame_for_reporters(now, local, own_report)
+                    .into_iter()
+                    .collect();
                 let mut receivers = vec![hub];
                 if !self.is_hub_responsive(now, hub) {
                     receivers.extend(
@@ -60,7 +79,10 @@
                 outgoing
             }
             Tier::Hub => {
-                let mut outgoing = self.frames_for_reporters(now, local, own_report);
+                let mut outgoing: Vec<Outgoing> = self
+                    .frame_for_reporters(now, local, own_report)
+                    .into_iter()
+                    .collect();
                 outgoing.push(self.frame_for_hubs(now, local, own_report));
                 // The sums already include the requests of this router.
                 let frame = Frame {
@@ -95,17 +117,21 @@
         in_domain.map(|(&address, _)| address)
     }
 
-    /// Returns a frame for each router that reports here, with the sum of all
-    /// other reports.
-    fn frames_for_reporters(
-        &self,
+    /// Returns the frame for the routers that report here: the sum of all reports,
+    /// theirs included, and the roster if it is due.
+    fn frame_for_reporters(
+        &mut self,
         now: Time,
         local: &Descriptor,
         own_report: &Report,
-    ) -> Vec<Outgoing> {
-        let reporters: Vec<(&SocketAddr, &Peer)> = self.reporters(now).collect();
-        if reporters.is_empty() {
-            return Vec::new();
+    ) -> Option<Outgoing> {
+        let reporters = self.reporters(now);
+        let included: Vec<(SocketAddr, u64)> = reporters
+            .map(|(&address, peer)| (address, peer.sequence))
+            .collect();
+        let receivers: Vec<SocketAddr> = included.iter().map(|(address, _)| *address).collect();
+        if receivers.is_empty() {
+            return None;
         }
         let mut sum = Sum::new();
         sum.add(own_report);
@@ -125,18 +151,40 @@
                 sum.add(&peer.report);
             }
         }
-        let roster = self.roster(now, None);
-        let frames = reporters.into_iter().map(|(&address, peer)| Outgoing {
-            receivers: vec![address],
+        Some(Outgoing {
+            receivers,
             frame: Frame {
                 sender: local.clone(),
                 known_addresses: Vec::new(),
-                roster: roster.clone(),
+                roster: self.due_roster(now),
                 scope: Scope::Fleet,
-                report: sum.excluding(&peer.report),
+                report: sum.into_report(),
+                sequence: self.sequence,
+                included,
             },
-        });
-        frames.collect()
+        })
+    }
+
+    /// Returns the roster of all routers if its interval has elapsed or a router has
+    /// joined, restarted or changed its phase; empty otherwise.
+    fn due_roster(&mut self, now: Time) -> Vec<Listing> {
+        let roster = self.roster(now, None);
+        let mut hasher = Hasher::new();
+        for Listing { descriptor, .. } in &roster {
+            hasher.update(descriptor.instance.as_str().as_bytes());
+            hasher.update(&descriptor.incarnation.to_le_bytes());
+            hasher.update(&[descriptor.phase as u8]);
+        }
+        let digest = hasher.digest().0 as u64;
+        let is_unchanged = digest == self.roster.digest;
+        if is_unchanged && now.since(self.roster.sent_at) < ROSTER_INTERVAL {
+            return Vec::new();
+        }
+        self.roster = Roster {
+            sent_at: now,
+            digest,
+        };
+        roster
     }
 
     /// Returns the frame with the sum of this domain, addressed to the hubs of
@@ -164,6 +212,8 @@
                 roster: self.roster(now, Some(&local.domain)),
                 scope: Scope::Domain,
                 report: sum.into_report(),
+                sequence: self.sequence,
+                included: Vec::new(),
             },
         }
     }
--- a/crates/edge/src/peers/source.rs
+++ b/crates/edge/src/peers/source.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
 
 use crate::peers::{Descriptor, Phase, Table, Tier, election_rank};
@@ -11,6 +12,11 @@
 /// one in 80 domains is left without a router that gets through.
 const FALLBACK_READERS: usize = 4;
 
+/// Time for which a member waits for its hub to have the newer state that other routers
+/// have. A hub that follows the store has it within a few intervals of the exchange; one
+/// that is cut off or slow must not keep its domain outdated.
+const HUB_PATIENCE: Span = Span(500);
+
 impl Table {
     /// Returns whether this router reads from the store itself. In a large
     /// fleet only hubs do. While no other live router has a store connection, the
@@ -42,29 +48,50 @@
 
     /// Returns the router to request a newer manifest or runner list from, if
     /// any has one. A router that starts requests the view of any router that serves.
-    #[must_use]
-    pub fn newer_peer(&self, now: Time, local: &Descriptor) -> Option<SocketAddr> {
-        if local.phase == Phase::Starting {
-            return self
-                .alive(now)
-                .map(|peer| &peer.descriptor)
-                .filter(|descriptor| descriptor.phase == Phase::Serving)
-                .max_by_key(|descriptor| (descriptor.manifest, descriptor.revision))
-                .map(|descriptor| descriptor.peers);
-        }
+    ///
+    /// A member asks its hub. It asks another router if it has known of newer state for
+    /// [`HUB_PATIENCE`] and the hub has none, or the hub did not answer.
+    pub fn newer_peer(&mut self, now: Time, local: &Descriptor) -> Option<SocketAddr> {
         let accepts_runners = self.accepts_peer_runners(local);
-        let is_newer = |descriptor: &&Descriptor| {
-            descriptor.manifest > local.manifest
-                || (accepts_runners && descriptor.revision > local.revision)
+        let is_candidate = |descriptor: &&Descriptor| match local.phase {
+            Phase::Starting => descriptor.phase == Phase::Serving,
+            Phase::Serving | Phase::Leaving => {
+                descriptor.manifest > local.manifest
+                    || (accepts_runners && descriptor.revision > local.revision)
+            }
         };
-        let is_candidate = |descriptor: &&Descriptor| match self.tier {
-            Tier::Member(hub) => descriptor.peers == hub,
-            Tier::Direct | Tier::Hub => true,
+        let alive = self.alive(now).map(|peer| &peer.descriptor);
+        let candidates: Vec<&Descriptor> = alive.filter(is_candidate).collect();
+        let answering = |descriptor: &&&Descriptor| Some(descriptor.peers) != self.failed_source;
+        let newest = candidates
+            .iter()
+            .filter(answering)
+            .max_by_key(|descriptor| {
+                let spread = rank::score(local.instance.as_str(), descriptor.instance.as_str());
+                (descriptor.manifest, descriptor.revision, spread)
+            })
+            .or(candidates.first())
+            .map(|descriptor| descriptor.peers);
+        let hub = match self.tier {
+            Tier::Member(hub) if local.phase != Phase::Starting => Some(hub),
+            _ => None,
         };
-        self.alive(now)
-            .map(|peer| &peer.descriptor)
-            .filter(|descriptor| is_candidate(descriptor) && is_newer(descriptor))
-            .max_by_key(|descriptor| (descriptor.manifest, descriptor.revision))
-            .map(|descriptor| descriptor.peers)
+        let has_hub_newer = candidates
+            .iter()
+            .filter(answering)
+            .any(|descriptor| Some(descriptor.peers) == hub);
+        let behind_since = newest.map(|_| self.behind_since.unwrap_or(now));
+        self.behind_since = behind_since;
+        match (hub, behind_since) {
+            (Some(hub), _) if has_hub_newer => Some(hub),
+            (Some(_), Some(since)) if now.since(since) < HUB_PATIENCE => None,
+            _ => newest,
+        }
+    }
+
+    /// Records whether the router at `address` answered a request for its view. One that
+    /// did not is asked again only if no other has newer state.
+    pub fn record_view(&mut self, address: SocketAddr, answered: bool) {
+        self.failed_source = (!answered).then_some(address);
     }
 }
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -42,6 +42,8 @@
         roster: Vec::new(),
         scope: Scope::Own,
         report: Report::default(),
+        sequence: 1,
+        included: Vec::new(),
     }
 }
 
@@ -145,9 +147,10 @@
                 };
                 if let Some(source) = router.table.receive(self.now, outgoing.frame.clone()) {
                     router.peer_reports.retain(|(other, ..)| *other != source);
+                    let report = router.table.report(outgoing.frame.sender.peers).cloned();
                     router
                         .peer_reports
-                        .push((source, self.now, outgoing.frame.report.clone()));
+                        .push((source, self.now, report.unwrap_or_default()));
                 }
             }
         }
@@ -245,6 +248,21 @@
     assert_eq!(sent, 85 * 2 + 5 * 4);
 }
 
+/// All members receive the same sum. Each must take off the report of its own that the
+/// hub had, not a newer one.
+#[test]
+fn a_member_takes_the_report_off_that_the_sum_includes() {
+    let mut fleet = Fleet::new(90);
+    fleet.steps(40);
+    for running in [7, 3, 9] {
+        fleet.routers[8].own_report = load(running);
+        fleet.step();
+        fleet.routers[8].own_report = load(running + 1);
+        fleet.step();
+        assert_eq!(fleet.routers[8].peer_load(fleet.now), 89);
+    }
+}
+
 /// Members keep reporting to a dead hub until it times out. Each domain must then
 /// elect one new hub, and keep it when the old one restarts.
 #[test]
@@ -313,7 +331,8 @@
     fleet.steps(5);
     let newer_peer = |index: usize| {
         let router = &fleet.routers[index];
-        router.table.newer_peer(fleet.now, &router.descriptor)
+        let mut table = router.table.clone();
+        table.newer_peer(fleet.now, &router.descriptor)
     };
     assert_eq!(
         newer_peer(7),
@@ -332,6 +351,34 @@
     );
 }
 
+/// A hub that is slow or cut off from the others would keep its domain outdated beyond the
+/// time within which a runner that leaves must get no more requests.
+#[test]
+fn a_member_asks_other_routers_if_its_hub_stays_outdated_or_does_not_answer() {
+    let mut fleet = Fleet::new(90);
+    fleet.steps(40);
+    fleet.routers[2].descriptor.revision = Revision::new(1, 2);
+    let hub_of_b = fleet.routers[1].descriptor.peers;
+    let hub_of_c = fleet.routers[2].descriptor.peers;
+    let mut asked = Vec::new();
+    for _ in 0..12 {
+        fleet.step();
+        let router = &mut fleet.routers[6];
+        asked.push(router.table.newer_peer(fleet.now, &router.descriptor));
+    }
+    let first = asked.iter().position(|peer| *peer == Some(hub_of_c));
+    assert!(first.is_some_and(|first| first <= 9), "{asked:?}");
+    // The hub catches up but does not answer.
+    fleet.routers[1].descriptor.revision = Revision::new(1, 2);
+    fleet.steps(5);
+    let router = &mut fleet.routers[6];
+    let mut ask = || router.table.newer_peer(fleet.now, &router.descriptor);
+    assert_eq!(ask(), Some(hub_of_b));
+    router.table.record_view(hub_of_b, false);
+    let mut ask = || router.table.newer_peer(fleet.now, &router.descriptor);
+    assert_eq!(ask(), Some(hub_of_c));
+}
+
 #[test]
 fn a_shrinking_fleet_returns_to_a_full_mesh() {
     let mut fleet = Fleet::new(40);
@@ -350,8 +397,9 @@
     sum.add(&load(1));
     sum.add(&load(2));
     sum.add(&load(4));
-    assert_eq!(sum.excluding(&load(2)), load(5));
-    assert_eq!(sum.excluding(&load(9)).loads, []);
+    let report = sum.into_report();
+    assert_eq!(report.clone().excluding(&load(2)), load(5));
+    assert_eq!(report.excluding(&load(9)).loads, []);
 }
 
 /// The sum of a large fleet once outgrew a datagram, so that members received
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -53,6 +53,36 @@
     pub leaving: Vec<Leaving>,
 }
 
+impl Report {
+    /// Takes the part of one router off a sum that includes it. A hub sends the same
+    /// sum to all routers of its domain, and each counts its own part itself.
+    #[must_use]
+    pub fn excluding(mut self, own: &Report) -> Self {
+        let own_usage: BTreeMap<(&Service, &Workspace), &Usage> = own
+            .usage
+            .iter()
+            .map(|item| ((&item.service, &item.workspace), item))
+            .collect();
+        for item in &mut self.usage {
+            if let Some(own) = own_usage.get(&(&item.service, &item.workspace)) {
+                item.demand = (item.demand - own.demand).max(0.0);
+                item.served = (item.served - own.served).max(0.0);
+            }
+        }
+        let own_loads: BTreeMap<&Runner, &Load> =
+            own.loads.iter().map(|load| (&load.runner, load)).collect();
+        for load in &mut self.loads {
+            if let Some(own) = own_loads.get(&load.runner) {
+                load.running = load.running.saturating_sub(own.running);
+                load.prefill_tokens = load.prefill_tokens.saturating_sub(own.prefill_tokens);
+                load.kv_tokens = load.kv_tokens.saturating_sub(own.kv_tokens);
+            }
+        }
+        self.loads.retain(|load| load.running > 0);
+        self
+    }
+}
+
 /// Runners that leave and are reported at most, by one router and by a sum.
 pub(crate) const MAX_LEAVING: usize = 64;
 
@@ -115,29 +145,6 @@
         }
     }
 
-    /// Returns the sum without a report that was added. A hub sends the result
-    /// to the router that the report came from, which counts its own part
-    /// itself.
-    #[must_use]
-    pub fn excluding(&self, excluded: &Report) -> Report {
-        let mut remainder = self.clone();
-        for item in &excluded.usage {
-            let key = (item.service.clone(), item.workspace.clone());
-            if let Some(sum) = remainder.usage.get_mut(&key) {
-                sum.0 = (sum.0 - item.demand).max(0.0);
-                sum.1 = (sum.1 - item.served).max(0.0);
-            }
-        }
-        for load in &excluded.loads {
-            if let Some(sum) = remainder.loads.get_mut(&load.runner) {
-                sum.running = sum.running.saturating_sub(load.running);
-                sum.prefill_tokens = sum.prefill_tokens.saturating_sub(load.prefill_tokens);
-                sum.kv_tokens = sum.kv_tokens.saturating_sub(load.kv_tokens);
-            }
-        }
-        remainder.into_report()
-    }
-
     /// Returns the sum as a report. Of more than `MAX_SUM_LOADS` runners, those
     /// with the fewest requests in flight are left out. Receivers treat them as
     /// idle, which is the smallest error.
