Add a seeded fault soak of the routers at the edge

Faults come in series and overlap: kills of one and all, pauses, planned stops, reloads, links to store or runners that hold bytes back, reset or refuse, a store that is down or comes back from an older copy, runners that drain or say that they leave, withdrawn keys. Runners turn away, lose, break off, spoil and repeat some answers. Checked from what callers and runners see: at most once, true refusals, whole and own answers, right runner, drains, withdrawn keys, retry budget, clean exits, recovery.

--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -67,6 +67,7 @@
 }
 
 /// Copy of the objects of a [`Store`].
+#[derive(Clone)]
 pub struct Copy(Objects);
 
 impl Objects {
@@ -111,6 +112,15 @@
         changed.notify_all();
     }
 
+    /// Returns another handle to the store.
+    #[allow(dead_code, reason = "used by the soak")]
+    pub fn handle(&self) -> Store {
+        Store {
+            address: self.address,
+            state: self.state.clone(),
+        }
+    }
+
     /// Returns a copy of the objects as they are now.
     pub fn copy(&self) -> Copy {
         Copy(self.state.0.lock().expect("no thread panicked").clone())
@@ -338,6 +348,16 @@
     true
 }
 
+/// Starts a router process that appends to its log file.
+fn spawn(settings_file: &str, log_file: &str) -> Child {
+    let log = std::fs::File::options().append(true).open(log_file);
+    let mut command = command(&["edge", "--settings", settings_file]);
+    command
+        .env("RUST_LOG", "info")
+        .stdout(log.expect("the log can be written"));
+    command.spawn().expect("the router starts")
+}
+
 /// Edge router process that is killed when dropped.
 pub struct Router {
     child: Child,
@@ -391,10 +411,7 @@
         let dir = TempDir::new(&format!("edge-{name}-{ip}"));
         let file = dir.write("settings.toml", &text);
         let log_file = dir.write("log", "");
-        let writer = std::fs::File::create(&log_file).expect("the log can be written");
-        let mut command = command(&["edge", "--settings", &file]);
-        command.env("RUST_LOG", "info").stdout(writer);
-        let child = command.spawn().expect("the router starts");
+        let child = spawn(&file, &log_file);
         Router {
             child,
             callers,
@@ -432,6 +449,23 @@
         nix::sys::signal::kill(pid, signal).expect("the process is running");
     }
 
+    /// Sends a signal unless the process has ended.
+    #[allow(dead_code, reason = "used by the soak")]
+    pub fn signal_if_running(&self, signal: nix::sys::signal::Signal) {
+        let pid = nix::unistd::Pid::from_raw(self.pid() as i32);
+        let _ = nix::sys::signal::kill(pid, signal);
+    }
+
+    /// Ends the process by a signal, waits for it and starts it again with its settings
+    /// and its addresses. A process that was stopped continues first.
+    #[allow(dead_code, reason = "used by the soak")]
+    pub fn restart(&mut self, signal: nix::sys::signal::Signal) {
+        self.signal_if_running(signal);
+        self.signal_if_running(nix::sys::signal::Signal::SIGCONT);
+        self.wait();
+        self.child = spawn(&self.settings_file, &self.log_file);
+    }
+
     /// Waits until the process exits and returns the exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child
--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,218 @@
+//! Callers: threads that send requests to any router and check the answers.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::environment::header;
+use crate::fleet::{STREAM_EVENTS, body_of, current_key, event_of};
+use crate::judge::{Judge, Kind, Outcome};
+
+/// Threads that send requests.
+const THREADS: u64 = 12;
+
+/// Time after which a caller gives up, in the deadline header too.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Connection of a caller, kept while the router allows.
+type Connection = BufReader<TcpStream>;
+
+/// Running callers.
+pub struct Callers {
+    threads: Vec<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Callers {
+    /// Starts callers that use all routers at random.
+    pub fn start(seed: u64, routers: Vec<SocketAddr>, judge: &Judge) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let threads = (0..THREADS).map(|number| {
+            let (stop, judge, routers) = (stop.clone(), judge.clone(), routers.clone());
+            let random = ChaCha8Rng::seed_from_u64(seed * THREADS + number);
+            thread::spawn(move || call_until_stopped(number, random, &routers, &judge, &stop))
+        });
+        Callers {
+            threads: threads.collect(),
+            stop,
+        }
+    }
+
+    /// Stops all callers after the requests under way.
+    pub fn stop(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            thread.join().expect("no caller panicked");
+        }
+    }
+}
+
+fn call_until_stopped(
+    number: u64,
+    mut random: ChaCha8Rng,
+    routers: &[SocketAddr],
+    judge: &Judge,
+    stop: &AtomicBool,
+) {
+    let mut connection: Option<(SocketAddr, Connection)> = None;
+    for count in 0.. {
+        if stop.load(Ordering::SeqCst) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(random.random_range(0..30)));
+        let router = match &connection {
+            Some((router, _)) if random.random_range(0..8) > 0 => *router,
+            _ => routers[random.random_range(0..routers.len())],
+        };
+        let kept = connection.take().filter(|(address, _)| *address == router);
+        let kind = match random.random_range(0..5) {
+            0..=2 => Kind::Once,
+            3 => Kind::Idempotent,
+            _ => Kind::Stream,
+        };
+        let id = format!("c{number}-{count}");
+        let key = current_key();
+        let (kept, _) = call(router, kept.map(|(_, kept)| kept), &id, kind, &key, judge);
+        connection = kept.map(|kept| (router, kept));
+    }
+}
+
+/// Sends one request and records its outcome. Returns the connection if it can be used
+/// again.
+fn call(
+    router: SocketAddr,
+    connection: Option<Connection>,
+    id: &str,
+    kind: Kind,
+    key: &str,
+    judge: &Judge,
+) -> (Option<Connection>, Outcome) {
+    let sent = Instant::now();
+    judge.record_sent(id, kind);
+    let mut kept = None;
+    let outcome = match exchange(router, connection, id, kind, key, judge) {
+        Some((outcome, connection)) => {
+            kept = connection;
+            outcome
+        }
+        None => Outcome::Unknown,
+    };
+    judge.record_outcome(id, outcome, key, sent);
+    (kept, outcome)
+}
+
+/// Returns the outcome, or `None` if the connection broke before the end of the answer.
+fn exchange(
+    router: SocketAddr,
+    connection: Option<Connection>,
+    id: &str,
+    kind: Kind,
+    key: &str,
+    judge: &Judge,
+) -> Option<(Outcome, Option<Connection>)> {
+    let mut connection = match connection {
+        Some(connection) => connection,
+        None => {
+            let stream = TcpStream::connect_timeout(&router, Duration::from_secs(1)).ok()?;
+            stream.set_read_timeout(Some(DEADLINE)).ok()?;
+            BufReader::new(stream)
+        }
+    };
+    let path = match kind {
+        Kind::Once => "once",
+        Kind::Idempotent => "safe",
+        Kind::Stream => "stream",
+    };
+    let request = format!(
+        "POST /{path}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
+         Authorization: Token {key}\r\nContent-Length: {}\r\n\r\n{id}",
+        DEADLINE.as_millis(),
+        id.len()
+    );
+    connection.get_mut().write_all(request.as_bytes()).ok()?;
+    let (head, body) = read_answer(&mut connection)?;
+    if let Some(answered) = header(&head, "x-request-id")
+        && answered != id
+    {
+        judge.report("own answer", &format!("{id} got the answer to {answered}"));
+    }
+    let is_kept = header(&head, "connection") != Some("close");
+    let status = head.get(9..12).unwrap_or_default();
+    let outcome = match status {
+        "200" => {
+            if body != expected_body(id, kind) {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                judge.report("whole answer", &format!("{id} got {text:?}"));
+            }
+            Outcome::Complete
+        }
+        "408" | "421" | "429" | "503" => Outcome::NotRun,
+        "401" => Outcome::Unauthorized,
+        "502" | "504" => Outcome::Unknown,
+        other => {
+            judge.report("proper answer", &format!("{id} got status {other}"));
+            Outcome::Unknown
+        }
+    };
+    Some((outcome, is_kept.then_some(connection)))
+}
+
+fn expected_body(id: &str, kind: Kind) -> Vec<u8> {
+    match kind {
+        Kind::Once | Kind::Idempotent => body_of(id).into_bytes(),
+        Kind::Stream => (1..=STREAM_EVENTS)
+            .flat_map(|event| event_of(id, event).into_bytes())
+            .collect(),
+    }
+}
+
+/// Reads an answer with a length or in chunks; `None` if it breaks off.
+fn read_answer(connection: &mut Connection) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if connection.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    if header(&head, "transfer-encoding") != Some("chunked") {
+        let length = header(&head, "content-length")?.parse().ok()?;
+        let mut body = vec![0; length];
+        connection.read_exact(&mut body).ok()?;
+        return Some((head, body));
+    }
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        connection.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        connection.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some((head, body));
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+/// Returns whether a router serves a request before `deadline`.
+pub fn serves_until(router: SocketAddr, judge: &Judge, deadline: Instant) -> bool {
+    for count in 0.. {
+        let id = format!("recovery-{router}-{count}");
+        let key = current_key();
+        let (_, outcome) = call(router, None, &id, Kind::Once, &key, judge);
+        if outcome == Outcome::Complete {
+            return true;
+        }
+        if Instant::now() > deadline {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    false
+}
--- /dev/null
+++ b/tests/soak/judge.rs
@@ -0,0 +1,205 @@
+//! Record of a run and the checks of the promises.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time within which a router in touch must use a change: `drain_ms` and `apply_ms` of
+/// the settings.
+const CHANGE_BOUND: Duration = Duration::from_millis(2000);
+
+/// Time without a fault after which a router counts as in touch: `contact_ms`.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
+
+/// Time after a withdrawal from which on no router may accept a key, whatever happened to
+/// it: the longest fault, the time until the router is in touch, and the bound.
+const KEY_BOUND: Duration = Duration::from_millis(2500 + 3000 + 2000);
+
+/// Ratio, slack and window of the retry budget in the settings of the routers.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: f64 = 54.0;
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// What a request may do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Runs at most once.
+    Once,
+    /// May be repeated.
+    Idempotent,
+    /// Stream that may be resumed.
+    Stream,
+}
+
+/// Outcome of a request for its caller.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Outcome {
+    Complete,
+    /// The router promised that the request has not run.
+    NotRun,
+    /// The key was refused.
+    Unauthorized,
+    /// The outcome is not known: 502, 504 or a broken connection.
+    Unknown,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    kind: Option<Kind>,
+    outcome: Option<Outcome>,
+    runs: usize,
+    arrivals: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    requests: BTreeMap<String, Record>,
+    sent: Vec<Instant>,
+    repeats: Vec<Instant>,
+    // Begin and end of the faults.
+    faults: Vec<(Instant, Instant)>,
+    // Runners that left, and when the store accepted that.
+    leaving: BTreeMap<usize, Instant>,
+    withdrawn: BTreeMap<String, Instant>,
+    violations: Vec<String>,
+}
+
+/// Shared record of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Judge(Arc<Mutex<State>>);
+
+impl Judge {
+    pub fn new() -> Self {
+        Judge::default()
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.0.lock().expect("no thread panicked")
+    }
+
+    /// Records a violation of a promise.
+    pub fn report(&self, promise: &str, detail: &str) {
+        self.state().violations.push(format!("{promise}: {detail}"));
+    }
+
+    /// Records that a caller sends a request.
+    pub fn record_sent(&self, id: &str, kind: Kind) {
+        let mut state = self.state();
+        state.sent.push(Instant::now());
+        state.requests.entry(id.to_owned()).or_default().kind = Some(kind);
+    }
+
+    /// Records the outcome of a request sent with `key`.
+    pub fn record_outcome(&self, id: &str, outcome: Outcome, key: &str, sent: Instant) {
+        let mut state = self.state();
+        state.requests.entry(id.to_owned()).or_default().outcome = Some(outcome);
+        let withdrawn = state.withdrawn.get(key).copied();
+        let is_late = withdrawn.is_some_and(|at| sent > at + KEY_BOUND);
+        if is_late && outcome == Outcome::Complete {
+            let age = sent - withdrawn.unwrap_or(sent);
+            state
+                .violations
+                .push(format!("key: {id} ran with a key withdrawn {age:?} before"));
+        }
+    }
+
+    /// Records that a request reached a runner, and whether the runner runs it.
+    pub fn record_arrival(&self, id: &str, runner: usize, runs: bool) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let record = state.requests.entry(id.to_owned()).or_default();
+        record.arrivals += 1;
+        record.runs += usize::from(runs);
+        let is_repeat = record.arrivals > 1;
+        if is_repeat {
+            state.repeats.push(now);
+        }
+        let Some(&since) = state.leaving.get(&runner) else {
+            return;
+        };
+        let window = now - CONTACT_TIME - CHANGE_BOUND;
+        let is_calm = state.faults.iter().all(|(_, end)| *end < window);
+        if is_calm && now > since + CHANGE_BOUND {
+            let age = now - since;
+            state.violations.push(format!(
+                "drain: {id} reached runner {runner} {age:?} after it left"
+            ));
+        }
+    }
+
+    /// Records a fault that lasts for `time` from now on.
+    pub fn record_fault(&self, time: Duration) {
+        let now = Instant::now();
+        self.state().faults.push((now, now + time));
+    }
+
+    /// Records that the store accepted that a runner leaves.
+    pub fn record_leaving(&self, runner: usize) {
+        self.state().leaving.entry(runner).or_insert(Instant::now());
+    }
+
+    /// Records that the store accepted the withdrawal of a key.
+    pub fn record_withdrawn(&self, key: &str) {
+        let mut state = self.state();
+        state.withdrawn.insert(key.to_owned(), Instant::now());
+    }
+
+    /// Returns all violations, those that need the whole run included.
+    pub fn violations(&self) -> Vec<String> {
+        let state = self.state();
+        let mut violations = state.violations.clone();
+        for (id, record) in &state.requests {
+            let is_once = record.kind == Some(Kind::Once);
+            if record.kind.is_none() {
+                violations.push(format!("unasked: {id} reached a runner"));
+            }
+            if is_once && record.runs > 1 {
+                violations.push(format!("at most once: {id} ran {} times", record.runs));
+            }
+            if is_once && record.runs > 0 && record.outcome == Some(Outcome::NotRun) {
+                violations.push(format!("refusal: {id} ran and was refused as not run"));
+            }
+        }
+        let begins = state.repeats.iter();
+        for &begin in begins {
+            let within = |times: &[Instant], from: Instant, to: Instant| {
+                times.iter().filter(|at| (from..to).contains(*at)).count() as f64
+            };
+            let end = begin + RETRY_WINDOW;
+            let repeats = within(&state.repeats, begin, end);
+            let requests = within(&state.sent, begin - RETRY_WINDOW, begin).max(within(
+                &state.sent,
+                begin,
+                end,
+            ));
+            if repeats > requests * RETRY_RATIO + RETRY_SLACK {
+                violations.push(format!(
+                    "retry budget: {repeats} repeats of {requests} requests in a window"
+                ));
+                break;
+            }
+        }
+        violations
+    }
+
+    /// Returns counts of the run.
+    pub fn summary(&self) -> String {
+        let state = self.state();
+        let count = |outcome| {
+            let records = state.requests.values();
+            records
+                .filter(|record| record.outcome == Some(outcome))
+                .count()
+        };
+        format!(
+            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={}",
+            state.sent.len(),
+            count(Outcome::Complete),
+            count(Outcome::NotRun),
+            count(Outcome::Unauthorized),
+            count(Outcome::Unknown),
+            state.repeats.len(),
+            state.faults.len()
+        )
+    }
+}
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,122 @@
+//! Fault soak of the routers at the edge: real processes, a seeded plan of faults and
+//! load, and checks of what callers and runners see.
+//!
+//! `cargo test --test soak -- --seed 7 --seconds 60` plays a seed. Without arguments, a
+//! short run of seed 1 is played. A run that failed keeps the logs of its routers and prints
+//! where.
+
+#[allow(
+    dead_code,
+    reason = "shared with the tests of the binary, which use all of it"
+)]
+#[path = "../all/command.rs"]
+mod command;
+#[allow(
+    dead_code,
+    reason = "shared with the tests of the binary, which use all of it"
+)]
+#[path = "../all/edge/environment.rs"]
+mod environment;
+
+mod callers;
+mod fleet;
+mod judge;
+mod plan;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use bpaf::Parser;
+
+use crate::callers::Callers;
+use crate::fleet::Fleet;
+use crate::judge::Judge;
+use crate::plan::Plan;
+
+/// Time after the last fault within which the fleet must serve everything again.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Options of one run.
+#[derive(Clone, Debug)]
+struct Options {
+    seed: u64,
+    seconds: u64,
+    routers: usize,
+    filters: Vec<String>,
+}
+
+fn options() -> Options {
+    let seed = bpaf::long("seed")
+        .help("Seed of the faults and the load")
+        .argument("SEED")
+        .fallback(1);
+    let seconds = bpaf::long("seconds")
+        .help("Time for which faults are injected")
+        .argument("SECONDS")
+        .fallback(15);
+    let routers = bpaf::long("routers")
+        .help("Number of router processes, 2 to 40")
+        .argument("COUNT")
+        .fallback(4)
+        .guard(|count| (2..=40).contains(count), "must be 2 to 40");
+    let filters = bpaf::positional("FILTER")
+        .help("Names of tests, as cargo passes them on")
+        .many();
+    bpaf::construct!(Options {
+        seed,
+        seconds,
+        routers,
+        filters
+    })
+    .to_options()
+    .run()
+}
+
+fn main() -> ExitCode {
+    let options = options();
+    let is_selected = |filter: &String| "soak".contains(filter.as_str());
+    if !options.filters.is_empty() && !options.filters.iter().any(is_selected) {
+        return ExitCode::SUCCESS;
+    }
+    let judge = run(&options);
+    let violations = judge.violations();
+    println!("soak seed={} {}", options.seed, judge.summary());
+    for violation in &violations {
+        println!("violation {violation}");
+    }
+    match violations.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+/// Plays the plan of a seed and returns what was seen.
+fn run(options: &Options) -> Judge {
+    let plan = Plan::new(
+        options.seed,
+        Duration::from_secs(options.seconds),
+        options.routers,
+    );
+    let judge = Judge::new();
+    let mut fleet = Fleet::start(options, &judge);
+    let callers = Callers::start(options.seed, fleet.router_addresses(), &judge);
+    let begin = Instant::now();
+    for step in &plan.steps {
+        let due = begin + step.at;
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        fleet.apply(&step.fault, &judge);
+    }
+    fleet.heal(&judge);
+    callers.stop();
+    let deadline = Instant::now() + RECOVERY_TIME;
+    for address in fleet.router_addresses() {
+        if !callers::serves_until(address, &judge, deadline) {
+            judge.report("recovery", &format!("router {address} does not serve"));
+        }
+    }
+    fleet.stop(&judge);
+    if !judge.violations().is_empty() {
+        fleet.keep_logs();
+    }
+    judge
+}
