Tell callers of a large fleet its large routers

Cause: 15 of the 195 machines of the large deployment have half a core, the others an eighth. Spread over all, each router makes decisions from few requests of its own and reports of the others, and an eighth of a core is late under a burst.

Change: routers publish the size of their processor; `directory::select` tells callers those of their domain with at least half of the largest one's, at least three, and a quarter as many of other domains.

Test: `callers_are_told_the_large_routers`.

--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -137,12 +137,14 @@
             .map(|peer| Candidate {
                 address: peer.descriptor.callers,
                 domain: &peer.descriptor.domain,
+                millicores: peer.descriptor.millicores,
             })
             .collect();
         if self.is_serving() {
             routers.push(Candidate {
                 address: self.settings.listen.callers,
                 domain: &self.settings.domain,
+                millicores: self.settings.resource_limits.millicores,
             });
         }
         let instance = &self.settings.instance;
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -52,6 +52,7 @@
             domain: self.settings.domain.clone(),
             callers: self.settings.listen.callers,
             peers: self.settings.listen.peers,
+            millicores: self.settings.resource_limits.millicores,
             phase: self.phase,
             manifest: self.manifest_version(),
             revision: self.registry.revision(),
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -37,6 +37,8 @@
     pub callers: SocketAddr,
     /// Listen address for datagrams and HTTP calls of other routers.
     pub peers: SocketAddr,
+    /// Processor of the router's machine, in thousandths of a core.
+    pub millicores: u32,
     /// Lifecycle phase of the router.
     pub phase: Phase,
     /// Version of the manifest in force, 0 without one.
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -25,6 +25,7 @@
         domain: domain.to_owned(),
         callers: peer_address(port + 1000),
         peers: peer_address(port),
+        millicores: 250,
         phase: Phase::Serving,
         manifest: 1,
         revision: Revision::new(1, 1),
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -31,6 +31,8 @@
     pub memory_bytes: u64,
     /// Limit on open file descriptors.
     pub descriptors: usize,
+    /// Processor time per second, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// Addresses that the process listens on.
--- a/crates/schedule/tests/directory.rs
+++ b/crates/schedule/tests/directory.rs
@@ -16,6 +16,7 @@
     let routers = (0..count).map(|index| Candidate {
         address: SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 80)),
         domain: DOMAINS[index % DOMAINS.len()],
+        millicores: 120,
     });
     routers.collect()
 }
@@ -41,7 +42,10 @@
         let mut weights: BTreeMap<SocketAddr, f64> = BTreeMap::new();
         for (index, router) in fleet.iter().enumerate() {
             let listed = select(&fleet, Some(router.domain), &instance(index), LIMIT);
-            assert!(listed.len() <= LIMIT && listed.len() >= 16);
+            assert!(
+                listed.len() <= LIMIT && listed.len() >= 16,
+                "{count} routers"
+            );
             for address in &listed {
                 *weights.entry(*address).or_default() += 1.0 / listed.len() as f64;
             }
@@ -69,7 +73,7 @@
     assert_eq!(near, 39);
     assert!(listed.len() - near >= 8, "{}", listed.len());
     // A domain without routers, or one that is not named, is served by the others.
-    assert_eq!(select(&fleet, Some("z"), &instance(1), LIMIT).len(), 16);
+    assert_eq!(select(&fleet, Some("z"), &instance(1), LIMIT).len(), LIMIT);
     assert_eq!(select(&fleet, None, &instance(1), LIMIT).len(), LIMIT);
 }
 
@@ -83,3 +87,31 @@
     let kept = after.iter().filter(|address| before.contains(address));
     assert_eq!(kept.count(), LIMIT - 1);
 }
+
+/// Three routers of each domain are four times as large as the others. Requests spread
+/// over the small ones would be late there, and no router would know much of the load on
+/// the runners.
+#[test]
+fn callers_are_told_the_large_routers() {
+    let mut fleet = fleet(195);
+    for router in fleet.iter_mut().take(15) {
+        router.millicores = 500;
+    }
+    let large: Vec<SocketAddr> = fleet[..15].iter().map(|router| router.address).collect();
+    for domain in DOMAINS {
+        let listed = select(&fleet, Some(domain), &instance(1), LIMIT);
+        assert_eq!(listed.len(), 4);
+        assert!(listed.iter().all(|address| large.contains(address)));
+    }
+    // Small ones fill up where large ones are lost.
+    fleet.drain(..10);
+    let listed = select(&fleet, Some("a"), &instance(1), LIMIT);
+    assert_eq!(listed.len(), 4);
+    assert_eq!(
+        listed
+            .iter()
+            .filter(|address| large.contains(address))
+            .count(),
+        2
+    );
+}
