Mend faults of the edge that were read in the code

- a trailer section of a chunked body had no bound: 16 KiB.
- "size is too large" could not occur; a large chunk size was said to be no number.
- `edge` with invalid settings exited with 1 where its help says 3.
- 408s were neither counted nor logged; views of peers logged under the store; `event=reload_partial` said that all bounds change although the scheduler keeps its own (no tests: counters and lines).
- `Route::priority` and `Engine::slots` were never read: taken out.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -25,6 +25,16 @@
     View(SocketAddr),
 }
 
+impl Purpose {
+    /// Returns the part of the log that the connection belongs to.
+    pub fn log_target(self) -> &'static str {
+        match self {
+            Purpose::Watch(_) | Purpose::Announce => "store",
+            Purpose::View(_) => "peer",
+        }
+    }
+}
+
 /// Complete response to a call.
 #[derive(Debug)]
 pub(crate) struct Message {
--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -443,6 +443,8 @@
         }
         for index in slow {
             let rejection = Rejection::new(408, "the request did not arrive in time");
+            log::info!(target: "request", "event=unreadable status=408 reason={:?}", rejection.reason);
+            self.stats.count_rejected(rejection.status);
             self.reject_and_close(index, None, &rejection);
         }
     }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -16,6 +16,7 @@
 use balsamchute_adapter::store::Kind;
 use balsamchute_base::clock::Clock;
 use balsamchute_model::prelude::*;
+use balsamchute_model::settings::Bounds;
 use balsamchute_schedule::action::Id;
 use balsamchute_schedule::scheduler::{self, Scheduler};
 use mio::event::Event;
@@ -322,20 +323,24 @@
         self.send_frames(now);
     }
 
-    /// Adds new seeds and replaces the bounds. The scheduler keeps the share window
-    /// and the retry settings that it was created with. Other settings require a
-    /// restart.
+    /// Adds new seeds and replaces the grace period and the time for which callers keep
+    /// a list of routers. Other settings require a restart.
     pub fn reload(&mut self, _cx: CX![], settings: Settings) {
         if settings == self.settings {
             return;
         }
+        let bounds = Bounds {
+            termination_grace: settings.bounds.termination_grace,
+            address_ttl: settings.bounds.address_ttl,
+            ..self.settings.bounds
+        };
         let applied = Settings {
             seeds: settings.seeds.clone(),
-            bounds: settings.bounds,
+            bounds,
             ..self.settings.clone()
         };
         if applied != settings {
-            log::warn!(target: "process", "event=reload_partial reason=\"only seeds and bounds change without a restart\"");
+            log::warn!(target: "process", "event=reload_partial reason=\"only seeds, grace period and address TTL change without a restart\"");
         }
         self.settings = applied;
         self.add_seeds();
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -106,14 +106,14 @@
         let socket = match Socket::connect(address) {
             Ok(socket) => socket,
             Err(error) => {
-                log::warn!(target: "store", "event=connect_failed address={address} error={:?}", error.to_string());
+                log::warn!(target: purpose.log_target(), "event=connect_failed address={address} error={:?}", error.to_string());
                 return None;
             }
         };
         let connection = Connection::new(socket, purpose);
         let index = self.slots.insert(Slot::Client(Box::new(connection)));
         if let Err(error) = self.register(index) {
-            log::warn!(target: "store", "event=register_failed error={:?}", error.to_string());
+            log::warn!(target: purpose.log_target(), "event=register_failed error={:?}", error.to_string());
             self.close(index);
             return None;
         }
@@ -134,7 +134,8 @@
                         Ok(Some(message)) => self.handle_client_response(index, &message),
                         Ok(None) => {}
                         Err(error) => {
-                            log::warn!(target: "store", "event=invalid_answer reason={:?}", error.to_string());
+                            let target = connection.purpose.log_target();
+                            log::warn!(target: target, "event=invalid_answer reason={:?}", error.to_string());
                             self.handle_client_failure(index);
                             return;
                         }
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -99,6 +99,7 @@
         let reason = match status {
             401 => "unknown_key",
             404 => "no_route",
+            408 => "too_slow",
             503 => "not_serving",
             _ => "malformed",
         };
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -3,6 +3,9 @@
 use crate::error::Error;
 use crate::framing::Framing;
 
+/// Maximum length of the trailer section of a chunked body, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// Maximum length of a line of a chunked body, in bytes with its CR LF: a chunk
 /// size with its extensions, or a trailer field.
 const MAX_LINE_BYTES: usize = 4096;
@@ -19,8 +22,9 @@
     ChunkData(u64),
     /// At the CR LF after the data of a chunk.
     ChunkEnd,
-    /// Inside the trailer section, which an empty line ends.
-    Trailer,
+    /// Inside the trailer section, which an empty line ends, after this many bytes of
+    /// it.
+    Trailer(usize),
     /// After the last byte of the body.
     Done,
 }
@@ -108,7 +112,7 @@
                 };
                 Ok(consumed)
             }
-            State::ChunkSize | State::ChunkEnd | State::Trailer => self.decode_line(input),
+            State::ChunkSize | State::ChunkEnd | State::Trailer(_) => self.decode_line(input),
         }
     }
 
@@ -129,7 +133,7 @@
             .ok_or(Error::Chunk("line does not end with CR LF"))?;
         self.state = match self.state {
             State::ChunkSize => match chunk_size(line)? {
-                0 => State::Trailer,
+                0 => State::Trailer(0),
                 size => State::ChunkData(size),
             },
             State::ChunkEnd if line.is_empty() => State::ChunkSize,
@@ -137,7 +141,10 @@
             State::ChunkEnd => return Err(Error::Chunk("data is longer than its size")),
             // Trailer fields are ignored; an empty line ends the section.
             _ if line.is_empty() => State::Done,
-            _ => State::Trailer,
+            State::Trailer(length) if length + consumed <= MAX_TRAILER_BYTES => {
+                State::Trailer(length + consumed)
+            }
+            _ => return Err(Error::Chunk("trailer section is too long")),
         };
         Ok(consumed)
     }
@@ -150,16 +157,13 @@
     consumed
 }
 
-/// Parses the size of a chunk, ignoring its extensions. The size must have at most
-/// 15 hexadecimal digits, which always fit a `u64`, without blanks around them.
+/// Parses the size of a chunk, ignoring its extensions. The size must be a hexadecimal
+/// number that fits a `u64`, without blanks around it.
 fn chunk_size(line: &[u8]) -> Result<u64, Error> {
     let digits = line.split(|&b| b == b';').next().unwrap_or_default();
     let text = std::str::from_utf8(digits).unwrap_or_default();
-    let valid = !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_hexdigit());
-    if !valid {
-        // A longer number is reported as not hexadecimal, too.
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
         return Err(Error::Chunk("size is not a hexadecimal number"));
     }
-    // This does not fail, because 15 digits fit.
     u64::from_str_radix(text, 16).map_err(|_| Error::Chunk("size is too large"))
 }
--- a/crates/http/tests/body.rs
+++ b/crates/http/tests/body.rs
@@ -131,3 +131,29 @@
     let rejected = (0..8).any(|_| splitter.push(&fragment, &mut Vec::new()).is_err());
     assert!(rejected);
 }
+
+/// Trailer fields are ignored, so a sender could continue them for as long as it likes.
+#[test]
+fn a_trailer_section_without_end_is_rejected() {
+    let mut decoder = Decoder::new(Framing::Chunked);
+    decoder.decode(b"0\r\n", &mut Vec::new()).unwrap();
+    let field = format!("a: {}\r\n", "x".repeat(1000));
+    let rejected = (0..100).any(|_| decoder.decode(field.as_bytes(), &mut Vec::new()).is_err());
+    assert!(rejected);
+}
+
+#[test]
+fn the_error_of_a_chunk_size_tells_a_large_number_from_none() {
+    let error = |line: &[u8]| {
+        let mut decoder = Decoder::new(Framing::Chunked);
+        decoder.decode(line, &mut Vec::new()).unwrap_err()
+    };
+    assert_eq!(
+        error(b"1ffffffffffffffff\r\n"),
+        Error::Chunk("size is too large")
+    );
+    assert_eq!(
+        error(b"0x1\r\n"),
+        Error::Chunk("size is not a hexadecimal number")
+    );
+}
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -65,9 +65,6 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without an API key.
     pub public: bool,
-    /// Priority rank of the operator, 0 for the most urgent. Not used by the
-    /// scheduler.
-    pub priority: u32,
 }
 
 impl Route {
@@ -99,9 +96,6 @@
 /// Capacity of a model engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Engine {
-    /// Requests that the engine runs concurrently, as the operator declares it. The
-    /// scheduler uses [`Entry::slots`](crate::runner::Entry::slots) instead.
-    pub slots: u32,
     /// Capacity of the KV cache in tokens.
     pub kv_cache_tokens: u64,
     /// Tokens in one event of a stream.
--- a/crates/schedule/benches/admission.rs
+++ b/crates/schedule/benches/admission.rs
@@ -59,7 +59,6 @@
         retry_window: Span(10_000),
     });
     let engine = Engine {
-        slots: 64,
         kv_cache_tokens: 400_000,
         tokens_per_event: 5,
     };
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -51,7 +51,6 @@
         retry_window: Span(10_000),
     });
     let engine = Engine {
-        slots: 64,
         kv_cache_tokens: 400_000,
         tokens_per_event: 5,
     };
--- a/src/error.rs
+++ b/src/error.rs
@@ -99,9 +99,10 @@
     /// Returns the exit code that the process ends with for this error.
     pub fn exit_code(&self) -> ExitCode {
         let code = match self {
-            Error::InvalidConfig(_) | Error::InvalidSettings { .. } | Error::File { .. } => {
-                EXIT_INVALID
-            }
+            Error::InvalidConfig(_)
+            | Error::InvalidSettings { .. }
+            | Error::File { .. }
+            | Error::Edge(balsamchute_edge::Error::Settings { .. }) => EXIT_INVALID,
             Error::Conflict { .. } => EXIT_CONFLICT,
             Error::NotInForce { .. } => EXIT_NOT_IN_FORCE,
             Error::Operator(operator::Error::Unconfirmed(_)) => EXIT_UNCONFIRMED,
--- a/tests/all/edge/interfaces.rs
+++ b/tests/all/edge/interfaces.rs
@@ -187,3 +187,12 @@
         assert_eq!(run_edge(case), (class, executions), "edge router, {case:?}");
     }
 }
+
+/// The exit code that the help of the command names for faulty settings.
+#[test]
+fn an_edge_router_with_invalid_settings_exits_with_code_3() {
+    let dir = TempDir::new("edge-invalid-settings");
+    let file = dir.write("settings.toml", "node_name = 3\n");
+    let result = run(&["edge", "--settings", &file]);
+    assert_eq!(result.exit_code, 3, "{result:?}");
+}
