Dispatch smaller prompts behind one that finds no room

Cause: the first request within its share that found all runners full ended the round, though a runner may be full for its prompt only (KV cache).

Change: a round ends after three of them. Answers the load of large prompts beside many small ones.

Test: a_prompt_without_room_does_not_hold_up_smaller_ones failed before.

--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -12,6 +12,10 @@
 use crate::scheduler::Scheduler;
 use crate::share::Shares;
 
+/// Requests within their workspace's share that find all runners full before a round of
+/// dispatching ends. More would cost processor time while nothing can be sent.
+const MAX_FULL_CHOICES: u32 = 3;
+
 impl Scheduler {
     /// Dispatches waiting requests of all services to runners with capacity.
     pub(super) fn dispatch_all(&mut self, now: Time) {
@@ -25,6 +29,7 @@
     /// of the least served workspace first.
     pub(super) fn dispatch_service(&mut self, now: Time, service: &Service) {
         let mut blocked_flows: BTreeSet<Flow> = BTreeSet::new();
+        let mut full_choices = 0;
         while let Some((flow, id)) = self.next_request(service, &blocked_flows) {
             let priority = self.priority(&self.pending[&id]);
             match self.choose_runner(now, id, priority) {
@@ -34,9 +39,15 @@
                     self.dequeue(service, &flow, id);
                     self.send(now, id, &runner, rationale);
                 }
-                // The following requests have the same priority or a lower one and
-                // are taken to find no runner either.
-                Choice::Full if priority == Priority::WithinShare => return,
+                // The following requests have the same priority or a lower one, and
+                // find a runner only if they are smaller.
+                Choice::Full if priority == Priority::WithinShare => {
+                    full_choices += 1;
+                    if full_choices >= MAX_FULL_CHOICES {
+                        return;
+                    }
+                    blocked_flows.insert(flow);
+                }
                 Choice::Full | Choice::NoRunner => {
                     blocked_flows.insert(flow);
                 }
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -379,3 +379,17 @@
     assert_eq!(next.len(), 1, "the retry is sent at once");
     assert_ne!(next[0].1, first[0].1);
 }
+
+/// The prompt that goes first does not fit into the KV cache that is left. A smaller one of
+/// another workspace does.
+#[test]
+fn a_prompt_without_room_does_not_hold_up_smaller_ones() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, entry("m1", "model", 64));
+    scheduler.submit(NOW, 1, model_request("w2", 1, 200_000));
+    scheduler.record_events(NOW, 1, 1);
+    assert_eq!(sends(&scheduler.take_actions()).len(), 1);
+    scheduler.submit(NOW, 2, model_request("w1", 2, 100_000));
+    scheduler.submit(NOW, 3, model_request("w2", 3, 1_000));
+    assert_eq!(sends(&scheduler.take_actions()), [(3, "m1".to_owned())]);
+}
