Let a router that starts learn from its peers; read the store less

Manifest and runners are read from the store only if no peer has told them 300 ms after the start. Its object is created first and replaced only if it exists with another address. A failed write is tried again after 500 ms, not at once.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -96,6 +96,7 @@
     malformed_notices: BTreeSet<Runner>,
     // Whether a full list of runners was received, possibly an empty one.
     is_runner_list_loaded: bool,
+    is_router_list_loaded: bool,
     transactions: HashMap<Id, Transaction>,
     next_id: Id,
     // Longest remaining time seen on a request, by route name.
@@ -168,6 +169,7 @@
             registry: Registry::new(settings.heartbeat),
             malformed_notices: BTreeSet::new(),
             is_runner_list_loaded: false,
+            is_router_list_loaded: false,
             transactions: HashMap::new(),
             next_id: 0,
             longest_times_left: HashMap::new(),
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -28,6 +28,17 @@
 /// than a watch without changes takes: 2.5 s, and at most 3.2 s until it times out.
 const MAX_RESPONSE_AGE: Span = Span(3500);
 
+/// Time for which a router that starts waits for a peer to tell it the manifest and the
+/// runners before it reads them from the store.
+const PEER_VIEW_WAIT: Span = Span(300);
+
+/// Time after the start in which a router of a large fleet learns whether it follows a
+/// hub.
+const SETTLE_TIME: Span = Span(1500);
+
+/// Delay after a failed write of this router's object.
+const ANNOUNCE_RETRY_DELAY: Span = Span(500);
+
 /// Time over which the routers write their objects again to a restored store, so
 /// that hundreds of them stay within its write rate.
 const ANNOUNCE_SPREAD: Span = Span(2000);
@@ -38,10 +49,9 @@
 impl Edge {
     /// Makes the calls to the store and to peers that are due.
     pub(super) fn poll_store(&mut self, now: Time) {
-        let reads_store = !self.is_synced() || self.peers.reads_store(now, &self.descriptor(now));
-        for kind in [Kind::Manifest, Kind::Runners, Kind::Routers] {
-            if !reads_store {
-                break;
+        for kind in [Kind::Routers, Kind::Manifest, Kind::Runners] {
+            if !self.reads_store(now, kind) {
+                continue;
             }
             let call = self
                 .watchers
@@ -54,13 +64,30 @@
         if !self.announced && now >= self.announce_at && self.has_store(now) {
             self.announced = true;
             let listen = self.settings.listen;
-            let call = Request::replace_router(&self.settings.instance, listen.peers);
+            let call = Request::create_router(&self.settings.instance, listen.peers);
             self.announce(now, &call);
         }
         self.expire_calls(now);
         self.request_view(now);
     }
 
+    /// Returns whether this router reads a kind of object from the store itself, and not
+    /// from other routers. While it starts, it first gives them the time to tell it, and
+    /// does not watch before it knows whether it will follow a hub.
+    fn reads_store(&self, now: Time, kind: Kind) -> bool {
+        let age = now.since(self.started);
+        let is_loaded = match kind {
+            Kind::Manifest => self.manifest.is_some(),
+            Kind::Runners => self.is_runner_list_loaded,
+            Kind::Routers => self.is_router_list_loaded,
+        };
+        if !is_loaded {
+            return kind == Kind::Routers || self.peers.is_empty() || age >= PEER_VIEW_WAIT;
+        }
+        let is_settled = !self.peers.may_follow_hub() || age >= SETTLE_TIME;
+        is_settled && self.peers.reads_store(now, &self.descriptor(now))
+    }
+
     /// Returns whether the store responded recently and no call has failed
     /// since.
     pub(super) fn has_store(&self, now: Time) -> bool {
@@ -187,7 +214,7 @@
                 self.handle_store_response(now, kind, Some(response));
                 self.poll_store(now);
             }
-            Purpose::Announce => self.handle_announce_response(now, status),
+            Purpose::Announce => self.handle_announce_response(now, message),
             Purpose::View(peer) => self.apply_view(now, peer, status, &message.body),
         }
     }
@@ -270,18 +297,20 @@
         }
     }
 
-    fn handle_announce_response(&mut self, now: Time, status: u16) {
-        match status {
+    fn handle_announce_response(&mut self, now: Time, message: &Message) {
+        let peers = self.settings.listen.peers;
+        match message.head.status {
             200 | 201 => {}
-            // The object does not exist before the first start of the instance.
-            404 => {
-                let peers = self.settings.listen.peers;
-                let call = Request::create_router(&self.settings.instance, peers);
+            // The object exists, unless this is the first start of the instance.
+            409 if store::decode_existing_router(&message.body) == Ok(peers) => {}
+            409 => {
+                let call = Request::replace_router(&self.settings.instance, peers);
                 self.announce(now, &call);
             }
-            _ => {
+            status => {
                 log::warn!(target: "store", "event=announce_failed status={status}");
                 self.announced = false;
+                self.announce_at = now + ANNOUNCE_RETRY_DELAY;
             }
         }
     }
@@ -356,6 +385,7 @@
                 }
             }
         }
+        self.is_router_list_loaded |= kind == Kind::Routers;
         if kind == Kind::Routers
             && let Some(watcher) = self.watchers.get_mut(&kind)
         {
--- a/crates/edge/src/peers/source.rs
+++ b/crates/edge/src/peers/source.rs
@@ -5,7 +5,7 @@
 use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
 
-use crate::peers::{Descriptor, Phase, Table, Tier, election_rank};
+use crate::peers::{Descriptor, HUB_ENTER_ROUTERS, Phase, Table, Tier, election_rank};
 
 /// Routers of a failure domain that read from the store while no other live
 /// router has a store connection. If the store rejects a third of the machines,
@@ -38,12 +38,19 @@
     }
 
     /// Returns whether this router accepts runner lists from other routers. In
-    /// a small fleet only routers without a store connection do. In a large
+    /// a small fleet only routers that start or have no store connection do. In a large
     /// fleet all do: members get them from their hub, and hubs from each other,
     /// because a hub whose watch stalled would keep its whole domain outdated.
     #[must_use]
     pub fn accepts_peer_runners(&self, local: &Descriptor) -> bool {
-        self.tier != Tier::Direct || !local.has_store
+        self.tier != Tier::Direct || !local.has_store || local.phase == Phase::Starting
+    }
+
+    /// Returns whether this router exchanges with all others but knows so many that it
+    /// may soon follow a hub.
+    #[must_use]
+    pub fn may_follow_hub(&self) -> bool {
+        self.tier == Tier::Direct && self.peers.len() + 1 >= HUB_ENTER_ROUTERS
     }
 
     /// Returns the router to request a newer manifest or runner list from, if
