Set signal handlers before anything else

Traced: no start line after the last stop, ended by a signal.

Change: the handlers are set before the settings are read. The soak sends SIGHUP only to processes older than 500 ms: before exec has reached main, no program can handle it.

--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -35,17 +35,18 @@
 /// Returns [`Error`] if the settings cannot be used, an address cannot be
 /// listened on, or the event loop fails.
 pub fn serve(path: &str, format: Format) -> Result<(), Error> {
+    // Until a handler is set, SIGHUP ends the process.
+    let stop = Arc::new(AtomicBool::new(false));
+    let reload = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGHUP, reload.clone()).map_err(Error::Poll)?;
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, stop.clone()).map_err(Error::Poll)?;
+    }
     let settings = read_settings(path)?;
     let clock = Clock::new();
     let output = Output::start(&settings.instance, clock, format);
     let poll = Poll::new().map_err(Error::Poll)?;
     let poller = poll.registry().try_clone().map_err(Error::Poll)?;
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(Error::Poll)?;
-    }
-    let reload = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(SIGHUP, reload.clone()).map_err(Error::Poll)?;
     let edge = Edge::new(settings, clock, poller, output.clone())?;
     let result = run_loop(poll, edge, path, &stop, &reload);
     output.flush();
