Log look-ups at the directory

One line a look-up: the caller's domain, the routers alive here, how many were listed. Cause: one workspace sends all it has to one small router that the directory does not list; the lines are to show what it was told.

--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -85,6 +85,14 @@
         let (status, content_type, body) = match (endpoint, directory::decode(head)) {
             (Endpoint::Directory, Some(Query::Lookup { domain })) => {
                 let routers = self.routers(now, domain);
+                log::info!(
+                    target: "directory",
+                    "event=lookup domain={} alive={} listed={} first={}",
+                    domain.unwrap_or("-"),
+                    self.peers.alive(now).count(),
+                    routers.len(),
+                    routers.first().map_or_else(|| "-".to_owned(), SocketAddr::to_string)
+                );
                 match routers.is_empty() {
                     true => (503, TEXT, b"no router takes requests".to_vec()),
                     false => {
