Refuse at once what would wait in vain beyond its share

From 1.8 s on, callers got no connection.

Change: the dispatches of a flow are counted. A request beyond the share of its workspace is refused on arrival if twice as many wait as are dispatched in the time that it may wait (four at least). An arrival behind others of its flow does not start a round of dispatching; ticks and ends of attempts do.

--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -35,6 +35,34 @@
     }
 }
 
+/// Time in which the count of dispatched requests of a flow falls to 1/e.
+const PACE_WINDOW: Span = Span(1000);
+
+/// Waiting requests that a flow may have however few of them are dispatched.
+const MIN_WAITING: f64 = 4.0;
+
+/// Ratio of waiting requests to those that are dispatched in the time that they may wait,
+/// above which further ones would wait in vain. Above 1, because capacity comes in
+/// bursts.
+const MAX_WAITING_RATIO: f64 = 2.0;
+
+/// Count below which the pace of a flow is dropped.
+const NEGLIGIBLE_COUNT: f64 = 0.05;
+
+/// Dispatched requests of a flow, decayed exponentially.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    count: f64,
+    counted_at: Time,
+}
+
+impl Pace {
+    fn count_at(&self, now: Time) -> f64 {
+        let age = now.since(self.counted_at).0 as f64;
+        self.count * (-age / PACE_WINDOW.0 as f64).exp()
+    }
+}
+
 /// First request of a flow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Head<'a> {
@@ -47,12 +75,46 @@
 
 /// Waiting requests of one service, by flow.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Queue(BTreeMap<Flow, Backlog>);
+pub(crate) struct Queue {
+    backlogs: BTreeMap<Flow, Backlog>,
+    paces: BTreeMap<Flow, Pace>,
+}
 
 impl Queue {
-    /// Adds a request behind those that are queued.
-    pub fn push_back(&mut self, request: &Request, id: Id) {
-        self.ids_mut(request).push_back(id);
+    /// Adds a request behind those that are queued. Returns whether it is the first of
+    /// its flow: one behind others cannot be dispatched before they are.
+    pub fn push_back(&mut self, request: &Request, id: Id) -> bool {
+        let ids = self.ids_mut(request);
+        ids.push_back(id);
+        ids.len() == 1
+    }
+
+    /// Returns whether a further request of a flow would wait in vain: so many wait that
+    /// it would not be dispatched within `max_wait`.
+    pub fn is_overfull(&self, now: Time, request: &Request, max_wait: Span) -> bool {
+        let flow = flow(request);
+        let Some(backlog) = self.backlogs.get(&flow) else {
+            return false;
+        };
+        let pace = self.paces.get(&flow).map_or(0.0, |pace| pace.count_at(now));
+        let expected = pace * max_wait.0 as f64 / PACE_WINDOW.0 as f64;
+        let waiting = backlog.timely.len() + backlog.late.len();
+        waiting as f64 >= (expected * MAX_WAITING_RATIO).max(MIN_WAITING)
+    }
+
+    /// Counts a dispatched request of a flow.
+    pub fn record_dispatch(&mut self, now: Time, flow: &Flow) {
+        let pace = self.paces.entry(flow.clone()).or_default();
+        *pace = Pace {
+            count: pace.count_at(now) + 1.0,
+            counted_at: now,
+        };
+    }
+
+    /// Drops the paces of flows that have not been dispatched for long.
+    pub fn expire(&mut self, now: Time) {
+        self.paces
+            .retain(|_, pace| pace.count_at(now) > NEGLIGIBLE_COUNT);
     }
 
     /// Adds a request in front of those that are queued.
@@ -62,20 +124,20 @@
 
     /// Removes a request, if it is queued in the flow.
     pub fn remove(&mut self, flow: &Flow, id: Id) {
-        let Some(backlog) = self.0.get_mut(flow) else {
+        let Some(backlog) = self.backlogs.get_mut(flow) else {
             return;
         };
         backlog.timely.retain(|&other| other != id);
         backlog.late.retain(|&other| other != id);
         if backlog.timely.is_empty() && backlog.late.is_empty() {
-            self.0.remove(flow);
+            self.backlogs.remove(flow);
         }
     }
 
     /// Returns the first request of each flow; timely requests come before late
     /// ones.
     pub fn heads(&self) -> impl Iterator<Item = Head<'_>> {
-        self.0.iter().filter_map(|(flow, backlog)| {
+        self.backlogs.iter().filter_map(|(flow, backlog)| {
             let is_late = backlog.timely.is_empty();
             let id = *backlog.timely.front().or(backlog.late.front())?;
             Some(Head { flow, id, is_late })
@@ -83,7 +145,7 @@
     }
 
     fn ids_mut(&mut self, request: &Request) -> &mut VecDeque<Id> {
-        let backlog = self.0.entry(flow(request)).or_default();
+        let backlog = self.backlogs.entry(flow(request)).or_default();
         backlog.ids_mut(request.is_late())
     }
 }
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -6,6 +6,7 @@
 use crate::action::{Action, End, Failure, Id, Rationale, Refusal};
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
+use crate::request::Request;
 use crate::scheduler::Scheduler;
 
 /// Divisor of the latency target that yields the wait of requests beyond their
@@ -166,15 +167,8 @@
         let pending = &self.pending[&id];
         let request = &pending.request;
         let priority = self.priority(pending);
-        let max_wait = match priority {
-            Priority::WithinShare => {
-                Span(request.latency_target.0 * WITHIN_SHARE_WAIT_PERCENT / 100)
-            }
-            Priority::Behind | Priority::Surplus | Priority::Ahead => {
-                Span(request.latency_target.0 / SURPLUS_WAIT_DIVISOR)
-            }
-        };
-        let wait_end = (pending.waiting_since + max_wait).min(request.deadline);
+        let wait_end = pending.waiting_since + max_wait(request, priority);
+        let wait_end = wait_end.min(request.deadline);
         // An answer that has begun can only be continued or cut off, so such a
         // request waits until its deadline.
         let is_wait_over = now >= wait_end && !pending.answer_begun;
@@ -268,6 +262,16 @@
     }
 }
 
+/// Returns the time that a request may wait for a runner.
+pub(super) fn max_wait(request: &Request, priority: Priority) -> Span {
+    match priority {
+        Priority::WithinShare => Span(request.latency_target.0 * WITHIN_SHARE_WAIT_PERCENT / 100),
+        Priority::Behind | Priority::Surplus | Priority::Ahead => {
+            Span(request.latency_target.0 / SURPLUS_WAIT_DIVISOR)
+        }
+    }
+}
+
 /// Time at which a service accepts requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Opening {
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -37,6 +37,9 @@
                     let rationale =
                         rationale.with_share(&self.rationale(service, &self.pending[&id]));
                     self.dequeue(service, &flow, id);
+                    if let Some(queue) = self.queues.get_mut(service) {
+                        queue.record_dispatch(now, &flow);
+                    }
                     self.send(now, id, &runner, rationale);
                 }
                 // The following requests have the same priority or a lower one, and
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -15,10 +15,12 @@
 use crate::budget::Budget;
 use crate::notice::Notices;
 use crate::pending::{Dispatch, Pending, Stage};
+use crate::place::Priority;
 use crate::queue::{Flow, Queue, flow};
 use crate::report::{self, Report};
 use crate::request::Request;
 use crate::runner::{Load, Target};
+use crate::scheduler::attempt::max_wait;
 use crate::share::{Breakdown, Shares, Usage};
 
 /// Divisor of the share window that yields the decay window of usage. With
@@ -188,10 +190,21 @@
             self.refuse(id, Refusal::CrashesRunners);
             return;
         }
+        let pending = Pending::new(now, request);
+        let priority = self.priority(&pending);
+        let max_wait = max_wait(&pending.request, priority);
         let queue = self.queues.entry(service.clone()).or_default();
-        queue.push_back(&request, id);
-        self.pending.insert(id, Pending::new(now, request));
-        self.dispatch_service(now, &service);
+        if priority != Priority::WithinShare && queue.is_overfull(now, &pending.request, max_wait) {
+            self.pending.insert(id, pending);
+            self.refuse(id, Refusal::OverShare);
+            self.pending.swap_remove(&id);
+            return;
+        }
+        let is_first = queue.push_back(&pending.request, id);
+        self.pending.insert(id, pending);
+        if is_first {
+            self.dispatch_service(now, &service);
+        }
     }
 
     /// Removes a request, with the attempt in progress: its caller disconnected,
@@ -304,6 +317,9 @@
         }
         self.breakdown.advance(now);
         self.crash_suspects.expire(now);
+        for queue in self.queues.values_mut() {
+            queue.expire(now);
+        }
         self.dispatch_all(now);
         let ids: Vec<Id> = self.pending.keys().copied().collect();
         for id in ids {
