Read changes of runners in batches of 200 ms

Change: the next watch for runners begins 200 ms after the last response.

Test: changes_of_runners_are_read_in_batches. Drains must be in force after 2 s and more, so that the bound is kept tenfold.

--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -11,6 +11,11 @@
 /// Time allowed for a response, in addition to the requested watch time.
 const RESPONSE_TIMEOUT: Span = Span(700);
 
+/// Shortest interval between responses to watches for runners. Hundreds of runners start
+/// or leave one by one, and each change would cost each watching router a call. Much
+/// shorter than the time within which a change must be in force.
+const RUNNER_WATCH_INTERVAL: Span = Span(200);
+
 /// Delay after the first failed call; doubles with each further failure.
 const MIN_RETRY_DELAY: Span = Span(100);
 
@@ -191,6 +196,9 @@
         };
         log_errors(self.kind, &changes.errors);
         self.retry_delay = Span(0);
+        if self.kind == Kind::Runners {
+            self.next_call_at = now + RUNNER_WATCH_INTERVAL;
+        }
         self.state = State::Watching {
             revision: changes.revision,
         };
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -190,6 +190,19 @@
     assert_eq!(update, Update::Snapshot(Vec::new(), Revision::new(2, 4)));
 }
 
+/// Runners that start one by one would cost each watching router a call each.
+#[test]
+fn changes_of_runners_are_read_in_batches() {
+    let mut watcher = watching(Kind::Runners);
+    let change = br#"{"events":[],"at":6}"#;
+    watcher.handle_response(NOW, response(200, change));
+    assert_eq!(watcher.next_call(NOW), None);
+    assert!(watcher.next_call(NOW + Span(200)).is_some());
+    let mut watcher = watching(Kind::Manifest);
+    watcher.handle_response(NOW, response(200, change));
+    assert!(watcher.next_call(NOW).is_some());
+}
+
 /// The pages read before the restore and those after it are not one list.
 #[test]
 fn a_list_that_crosses_a_restore_begins_again() {
