Answer a starting router from its domain and the hubs only; probe a few at a time

A router that starts knew all addresses from the store and reported to all of them at once; each member answered with the sum and the list of routers, some 25 KB, four fifths of them from other domains.

Change: a member answers routers of its domain only; hubs answer all. A router probes 8 addresses an interval and learns of the others from the first answer. The directory tells two large routers of a domain where there are two, without filling up with a small one.

--- a/crates/edge/src/peers/outgoing.rs
+++ b/crates/edge/src/peers/outgoing.rs
@@ -13,6 +13,10 @@
 /// recently in a full mesh, one that is alive for a hub.
 const PROBE_INTERVAL: Span = Span(1000);
 
+/// Probes in one interval of the exchange. A router that starts in a large fleet learns
+/// of all others from the first one that answers.
+const MAX_PROBES: usize = 8;
+
 /// Interval of rosters to the members of a domain while nothing in them changes.
 const ROSTER_INTERVAL: Span = Span(400);
 
@@ -125,7 +129,11 @@
         local: &Descriptor,
         own_report: &Report,
     ) -> Option<Outgoing> {
-        let reporters = self.reporters(now);
+        // A router that has just started reports to all that it knows. Its own domain and
+        // the hubs answer; from every member, the answers would be megabytes.
+        let is_answered =
+            |peer: &Peer| self.tier == Tier::Hub || peer.descriptor.domain == local.domain;
+        let reporters = self.reporters(now).filter(|(_, peer)| is_answered(peer));
         let included: Vec<(SocketAddr, u64)> = reporters
             .map(|(&address, peer)| (address, peer.sequence))
             .collect();
@@ -262,6 +270,7 @@
                 let last_probe = self.last_probes.get(address);
                 last_probe.is_none_or(|&last_probe| now.since(last_probe) >= PROBE_INTERVAL)
             })
+            .take(MAX_PROBES)
             .collect();
         for &address in &due {
             self.last_probes.insert(address, now);
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -299,6 +299,31 @@
     fleet.assert_converged();
 }
 
+/// A router that starts knows all addresses from the store. If it reported to all of them
+/// and each answered with the sum and the list of routers, a restart of the fleet one by
+/// one would send gigabytes between domains.
+#[test]
+fn a_restart_in_a_large_fleet_causes_few_datagrams() {
+    let mut fleet = Fleet::new(90);
+    fleet.steps(40);
+    let steady = fleet.step();
+    let addresses: Vec<SocketAddr> = fleet
+        .routers
+        .iter()
+        .map(|router| router.descriptor.peers)
+        .collect();
+    let router = &mut fleet.routers[40];
+    router.descriptor.incarnation = 1_000;
+    router.table = Table::new(router.descriptor.peers);
+    router.peer_reports.clear();
+    for address in addresses {
+        router.table.add(address);
+    }
+    let most = (0..20).map(|_| fleet.step()).max().unwrap();
+    assert!(most <= steady + 30, "{most} datagrams, {steady} before");
+    fleet.assert_converged();
+}
+
 /// The store may reject single machines. If only hubs read from it, a fleet whose
 /// hubs are all rejected would miss every change. One connected router suffices,
 /// even if it is not a hub.
--- a/crates/schedule/src/directory.rs
+++ b/crates/schedule/src/directory.rs
@@ -17,7 +17,7 @@
 
 /// Fewest routers of the caller's own domain in an answer, if there are so many. Smaller
 /// ones fill up.
-const MIN_NEAR: usize = 3;
+const MIN_NEAR: usize = 2;
 
 /// Routers of other domains in an answer, as a share of those of the caller's own
 /// domain. They serve if the whole domain is lost before the caller asks again.
