Move the reading of responses out of the module of connections to runners

Change: responses.rs holds parsing, notices and the end of attempts; lines moved, visibility within the parent. No behaviour.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod deliver;
 mod endpoints;
 mod fleet;
+mod responses;
 mod runners;
 mod store;
 
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -1,10 +1,9 @@
-//! Connections to runners: sending requests and reading responses.
+//! Connections to runners: opening, reusing and closing them, and sending requests.
 
 use std::io;
 use std::net::SocketAddr;
 
 use balsamchute_adapter::request::{self, Forwarded};
-use balsamchute_adapter::response::{self, Classification};
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
@@ -12,7 +11,6 @@
 use crate::edge::{Edge, Slot};
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
-use crate::transaction::Fallback;
 use crate::upstream::{Connection, Phase};
 
 /// Timeout for connecting to a runner: several hundred round trips of less than a
@@ -22,10 +20,6 @@
 /// Unsent bytes to a caller above which reading from its runner pauses.
 const MAX_UNSENT_BYTES: usize = 128 * 1024;
 
-/// Response bytes that are buffered until the response is complete. Longer
-/// responses are forwarded as they arrive.
-const MAX_BUFFERED_BYTES: usize = 512 * 1024;
-
 impl Edge {
     /// Carries out the pending actions of the scheduler.
     pub(super) fn run_actions(&mut self) {
@@ -300,190 +294,9 @@
         }
     }
 
-    fn receive_upstream_bytes(&mut self, index: usize, length: usize) {
-        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
-            return;
-        };
-        let Phase::Busy(id) = connection.phase else {
-            log::info!(target: "runner", "event=surplus_bytes runner={} bytes={length}", connection.runner);
-            self.close(index);
-            return;
-        };
-        connection
-            .input
-            .extend_from_slice(&self.read_buffer[..length]);
-        self.advance_response(index, id);
-    }
-
-    /// Parses the buffered bytes of a response.
-    fn advance_response(&mut self, index: usize, id: Id) {
-        loop {
-            let Some(transaction) = self.transactions.get(&id) else {
-                self.close(index);
-                return;
-            };
-            let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
-                return;
-            };
-            if connection.response.is_none() {
-                match connection.parse_head(&transaction.request_id, &transaction.head.method) {
-                    Ok(true) => self.read_notices(index),
-                    Ok(false) => return,
-                    Err(error) => {
-                        let reason = error.to_string();
-                        self.fail_invalid_response(index, id, &reason);
-                        return;
-                    }
-                }
-            }
-            match self.advance_body(index, id) {
-                // Skips a late response to another request; the expected one
-                // follows.
-                Advance::Next => continue,
-                Advance::Stop => return,
-            }
-        }
-    }
-
-    /// Passes on to the scheduler what the runner says of itself in the head of a
-    /// response. Another runner at the address does not speak for it.
-    fn read_notices(&mut self, index: usize) {
-        let now = self.now();
-        let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
-            return;
-        };
-        let Some(response) = &connection.response else {
-            return;
-        };
-        if response.classification == Classification::Misdirected {
-            return;
-        }
-        let (runner, started_at) = (connection.runner.clone(), connection.started_at);
-        let leaving = response::says_leaving(&response.head);
-        let pause = response::pause(&response.head);
-        for error in [leaving.as_ref().err(), pause.as_ref().err()]
-            .into_iter()
-            .flatten()
-        {
-            self.stats.count_malformed("runner_notice");
-            if self.malformed_notices.insert(runner.clone()) {
-                log::warn!(target: "runner", "event=notice_ignored runner={runner} reason={:?}", error.to_string());
-            }
-        }
-        if leaving == Ok(true) && self.scheduler.record_leaving(&runner, started_at) {
-            log::info!(target: "runner", "event=runner_leaves runner={runner} started_at={started_at} source=answer");
-        }
-        if let Ok(Some(pause)) = pause {
-            log::info!(target: "runner", "event=runner_paused runner={runner} pause_ms={}", pause.0);
-            self.scheduler.record_pause(now, &runner, started_at, pause);
-        }
-    }
-
-    /// Decodes the buffered part of a response body and forwards or completes the
-    /// response.
-    fn advance_body(&mut self, index: usize, id: Id) -> Advance {
-        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
-            return Advance::Stop;
-        };
-        let Some(response) = &mut connection.response else {
-            return Advance::Stop;
-        };
-        if let Classification::Invalid(reason) = response.classification {
-            self.fail_invalid_response(index, id, reason);
-            return Advance::Stop;
-        }
-        let consumed = match response
-            .decoder
-            .decode(&connection.input, &mut response.body)
-        {
-            Ok(consumed) => consumed,
-            Err(error) => {
-                let reason = error.to_string();
-                self.fail_invalid_response(index, id, &reason);
-                return Advance::Stop;
-            }
-        };
-        connection.input.drain(..consumed);
-        let (classification, is_done) = (response.classification, response.decoder.is_done());
-        let status = response.head.status;
-        let buffered = response.body.len();
-        if classification == Classification::RequestMismatch {
-            response.body.clear();
-            if !is_done {
-                return Advance::Stop;
-            }
-            connection.response = None;
-            return Advance::Next;
-        }
-        let is_stream = self.transactions.get(&id).is_some_and(|transaction| {
-            transaction.route.stream && classification == Classification::Success
-        });
-        let is_forwarded = is_stream
-            || (classification == Classification::Success && buffered > MAX_BUFFERED_BYTES);
-        if is_forwarded && !self.forward(index, id, is_stream) {
-            return Advance::Stop;
-        }
-        if is_done {
-            self.finish_attempt(index, id, classification, status);
-        }
-        Advance::Stop
-    }
-
-    /// Ends an attempt whose response is complete.
-    fn finish_attempt(
-        &mut self,
-        index: usize,
-        id: Id,
-        classification: Classification,
-        status: u16,
-    ) {
-        let now = self.now();
-        let Some((head, body)) = self.release_connection(now, index) else {
-            return;
-        };
-        let Some(transaction) = self.transactions.get_mut(&id) else {
-            return;
-        };
-        transaction.upstream = None;
-        let end = match classification {
-            Classification::Success => {
-                self.deliver(now, id, head, body);
-                End::Done
-            }
-            Classification::Failure
-                if promises_not_run(status)
-                    && transaction.route.retry_policy == RetryPolicy::AtMostOnce =>
-            {
-                // The status promises that the request was not executed, but
-                // the runner does not confirm it. The caller must not take the
-                // status for that promise.
-                End::Invalid
-            }
-            Classification::Failure => {
-                transaction.fallback = Some(Fallback { head, body });
-                End::RunnerFailed
-            }
-            Classification::Misdirected => End::Misdirected,
-            Classification::NotExecuted => End::Rejected,
-            Classification::RequestMismatch | Classification::Invalid(_) => End::Invalid,
-        };
-        if end != End::Done
-            && let Some(transaction) = self.transactions.get(&id)
-        {
-            log::info!(
-                target: "request",
-                "event=attempt_failed request={} attempt={} status={status} end={end:?}",
-                transaction.request_id,
-                transaction.attempts
-            );
-        }
-        self.scheduler.finish_attempt(now, id, end);
-        self.run_actions();
-    }
-
     /// Takes the response off a connection, and returns the connection to the
     /// pool if it can be reused.
-    fn release_connection(
+    pub(super) fn release_connection(
         &mut self,
         now: Time,
         index: usize,
@@ -629,18 +442,3 @@
         }
     }
 }
-
-/// Next step for a connection after its body was processed.
-enum Advance {
-    /// Parse the head of the next response.
-    Next,
-    /// Stop parsing: more bytes are needed, or the attempt has ended.
-    Stop,
-}
-
-/// Returns whether a caller may take the status for a promise that the request was
-/// not executed. 421 does not reach this function, because it is classified as
-/// misdirected.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
--- a/crates/edge/src/peers/source.rs
+++ b/crates/edge/src/peers/source.rs
@@ -57,7 +57,7 @@
     /// any has one. A router that starts requests the view of any router that serves.
     ///
     /// A member asks its hub. It asks another router if it has known of newer state for
-    /// [`HUB_PATIENCE`] and the hub has none, or the hub did not answer.
+    /// `HUB_PATIENCE` and the hub has none, or the hub did not answer.
     pub fn newer_peer(&mut self, now: Time, local: &Descriptor) -> Option<SocketAddr> {
         let accepts_runners = self.accepts_peer_runners(local);
         let is_candidate = |descriptor: &&Descriptor| match local.phase {
