Pass deferred removals on to members

Runners left at 28.407 s. Those hubs took the revision and kept the runners for the grace time; their members took the same view, with the runners, at the same revision. When the hubs removed them, no revision rose, and the members kept them until the next change, 5 s later.

Ruled out: lag of the hubs or of their frames (all members had the revision within 0.1 s), and the fallback to other routers (nothing newer was known).

Change: a view names the runners whose removal is deferred and the time that is left; the receiver defers the removal as long.

Test: `a_removal_that_a_hub_defers_takes_effect_at_its_members`.

--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -108,7 +108,7 @@
             (Endpoint::Metrics, _) if head.path() == METRICS_PATH => self.metrics_page(now),
             (Endpoint::Peers, _) if head.path() == VIEW_PATH => {
                 let peer_version = head.query("manifest").and_then(|text| text.parse().ok());
-                match rmp_serde::to_vec(&self.view(peer_version.unwrap_or(0))) {
+                match rmp_serde::to_vec(&self.view(now, peer_version.unwrap_or(0))) {
                     Ok(body) => (200, MESSAGE_PACK, body),
                     Err(error) => {
                         log::error!(target: "peer", "event=encode_failed error={:?}", error.to_string());
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -532,6 +532,9 @@
             log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={}", view.revision);
             let changes = self.registry.replace(now, view.runners, view.revision);
             self.is_runner_list_loaded = true;
+            for (runner, left) in view.expiring {
+                self.registry.defer_removal(now, runner, left);
+            }
             for change in changes {
                 self.apply_runner_change(now, change);
             }
@@ -539,7 +542,7 @@
     }
 
     /// Returns the view for a peer that has manifest `version`.
-    pub(super) fn view(&self, version: u64) -> View {
+    pub(super) fn view(&self, now: Time, version: u64) -> View {
         let manifest = match version < self.manifest_version() {
             true => self.manifest_bytes.clone(),
             false => Vec::new(),
@@ -548,6 +551,7 @@
             manifest,
             runners: self.registry.entries().cloned().collect(),
             held: self.registry.held().cloned().collect(),
+            expiring: self.registry.expiring(now).collect(),
             revision: self.registry.revision(),
         }
     }
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -104,6 +104,8 @@
     /// Entries of runners that left before the store was restored and are listed there
     /// again.
     pub held: Vec<Entry>,
+    /// Runners in `runners` whose removal is deferred, with the time that is left.
+    pub expiring: Vec<(Runner, Span)>,
     /// Store revision up to which the runners are current.
     pub revision: Revision,
 }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -91,6 +91,20 @@
         self.held.values().map(|held| &held.entry)
     }
 
+    /// Returns the runners whose removal is deferred, with the time that is left.
+    pub fn expiring(&self, now: Time) -> impl Iterator<Item = (Runner, Span)> {
+        let deferred = self.deferred_removals.iter();
+        deferred.map(move |(runner, due)| (runner.clone(), due.since(now)))
+    }
+
+    /// Removes a runner after `left`, as another router does that deferred its removal.
+    /// The store's revision does not rise when it takes effect there.
+    pub fn defer_removal(&mut self, now: Time, runner: Runner, left: Span) {
+        if self.entries.contains_key(&runner) {
+            self.deferred_removals.insert(runner, now + left);
+        }
+    }
+
     /// Holds an entry back that another router holds back, unless the runner has
     /// restarted since. Returns the removal if the runner was in use.
     pub fn hold(&mut self, now: Time, entry: Entry) -> Option<Change> {
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -165,6 +165,32 @@
     assert_eq!(registry.entries().count(), 1);
 }
 
+/// A hub that has just regained the store defers removals. When they take effect there, the
+/// revision does not rise, so that its members would keep the runners until the next
+/// change of another one.
+#[test]
+fn a_removal_that_a_hub_defers_takes_effect_at_its_members() {
+    let both = vec![entry("a", State::Ready), entry("b", State::Ready)];
+    let mut hub = Registry::new(HEARTBEAT);
+    hub.replace(NOW, both.clone(), revision(8));
+    let mut member = hub.clone();
+    hub.record_store_recovery(NOW);
+    assert_eq!(hub.remove(NOW, &runner("b")), None);
+    hub.advance_to(revision(9));
+    let asked = NOW + Span(500);
+    let entries = hub.entries().cloned().collect();
+    assert_eq!(member.replace(asked, entries, hub.revision()), []);
+    for (runner, left) in hub.expiring(asked) {
+        member.defer_removal(asked, runner, left);
+    }
+    let due = NOW + REMOVAL_GRACE;
+    assert_eq!(member.expire(Time(due.0 - 1)), []);
+    assert_eq!(member.expire(due), [Change::Removed(runner("b"))]);
+    // An entry that is back is kept.
+    hub.set(both[1].clone());
+    assert_eq!(hub.expiring(due).count(), 0);
+}
+
 /// Starts a watcher that has read a list and watches from revision 5 of era 1.
 fn watching(kind: Kind) -> Watcher {
     let mut watcher = Watcher::new(kind);
