--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -6,8 +6,7 @@
 use balsamchute_adapter::directory::{self, MAX_ADDRESSES, Query};
 use balsamchute_http::head::Request;
 use balsamchute_model::prelude::*;
-use balsamchute_schedule as schedule;
-use balsamchute_schedule::directory::Candidate;
+use balsamchute_schedule::directory::{Candidate, select};
 
 use crate::edge::{Edge, Slot};
 use crate::frame::VIEW_PATH;
@@ -156,7 +155,7 @@
             });
         }
         let instance = &self.settings.instance;
-        schedule::directory::select(&routers, domain, instance, MAX_ADDRESSES)
+        select(&routers, domain, instance, MAX_ADDRESSES)
     }
 
     /// Writes unsent bytes. Returns whether the connection stays open.
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -241,8 +241,8 @@
         let Some(known) = known else { return };
         log::warn!(target: "store", "event=store_restored era={era} before={known} manifest={} revision={}", self.manifest_version(), self.registry.revision());
         self.registry.record_store_recovery(now);
-        let stale: Vec<Kind> = self.watchers.keys().copied().collect();
-        for other in stale {
+        let kinds: Vec<Kind> = self.watchers.keys().copied().collect();
+        for other in kinds {
             let watcher = &self.watchers[&other];
             if Some(other) == kind || watcher.era() >= era {
                 continue;
