--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -27,7 +27,7 @@
 /// Response of the store to a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Response<'a> {
-    /// HTTP status code.
+    /// HTTP status code of the response.
     pub status: u16,
     /// Era that the store named; `None` if it named none.
     pub era: Option<u64>,
--- a/crates/schedule/src/notice.rs
+++ b/crates/schedule/src/notice.rs
@@ -1,5 +1,5 @@
-//! What runners say of themselves in their answers: that they leave, and how long
-//! they want no requests from this router.
+//! Notices that runners give in their answers: that they leave, and how long they want
+//! no requests from this router.
 //!
 //! A notice holds for one process of a runner: a restart, which changes the start
 //! time of the entry, ends it. Notices are kept apart from the list of runners, which
@@ -15,7 +15,7 @@
 /// Process of a runner that said that it leaves.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Leaving {
-    /// Runner that leaves.
+    /// Id of the runner that leaves.
     pub runner: Runner,
     /// Start time of the process, as in [`Entry::started_at`].
     pub started_at: u64,
