--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -231,7 +231,6 @@
             splitter: Splitter::new(),
             delivery: Delivery::NotStarted,
             upstream: None,
-            attempts: 0,
             runners: SmallVec::new(),
             first_sent: None,
             last_sent: None,
@@ -355,7 +354,7 @@
                 target: "request",
                 "event=caller_gone request={} attempts={} after_ms={}",
                 transaction.request_id,
-                transaction.attempts,
+                transaction.attempts(),
                 now.since(transaction.arrival).0
             );
             let total = now.since(transaction.arrival);
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -103,7 +103,7 @@
             "event=answered request={} status={} attempts={} first_ms={} total_ms={} events={}",
             transaction.request_id,
             head.status,
-            transaction.attempts,
+            transaction.attempts(),
             first_sent.since(transaction.arrival).0,
             now.since(transaction.arrival).0,
             transaction.splitter.event_count()
@@ -146,7 +146,7 @@
             rationale.cost,
             rationale.served_cost,
             rationale.fair_share,
-            transaction.attempts,
+            transaction.attempts(),
             now.since(transaction.arrival).0,
             retry.0
         );
@@ -176,7 +176,7 @@
             "event=failed request={} reason={} attempts={} answered={} after_ms={}",
             transaction.request_id,
             failure.as_str(),
-            transaction.attempts,
+            transaction.attempts(),
             transaction.has_started(),
             now.since(transaction.arrival).0
         );
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -190,7 +190,7 @@
                 target: "request",
                 "event=attempt_failed request={} attempt={} status={status} end={end:?}",
                 transaction.request_id,
-                transaction.attempts
+                transaction.attempts()
             );
         }
         self.scheduler.finish_attempt(now, id, end);
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -62,7 +62,6 @@
         let Some(transaction) = self.transactions.get_mut(&id) else {
             return;
         };
-        transaction.attempts += 1;
         // A late copy of the runner's last answer on a connection that it used would be
         // taken for the answer to this attempt, which has the same id.
         let may_reuse = !transaction.runners.contains(runner);
@@ -73,7 +72,7 @@
             target: "request",
             "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             transaction.request_id,
-            transaction.attempts,
+            transaction.attempts(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
             transaction.manifest,
             now.since(transaction.arrival).0,
@@ -344,7 +343,7 @@
                 target: "request",
                 "event=invalid_answer request={} attempt={} reason={reason:?}",
                 transaction.request_id,
-                transaction.attempts
+                transaction.attempts()
             );
         }
         self.detach(index, id);
@@ -388,7 +387,7 @@
                 target: "request",
                 "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={}",
                 transaction.request_id,
-                transaction.attempts,
+                transaction.attempts(),
                 connection.runner,
                 connection.is_reused,
                 now.since(connection.since).0,
@@ -410,7 +409,7 @@
             target: "request",
             "event=withdraw request={} attempt={} events={}",
             transaction.request_id,
-            transaction.attempts,
+            transaction.attempts(),
             transaction.splitter.event_count()
         );
         if let Some(index) = transaction.upstream.take() {
--- a/crates/edge/src/peers/outgoing.rs
+++ b/crates/edge/src/peers/outgoing.rs
@@ -176,9 +176,8 @@
     /// Returns the roster of all routers if its interval has elapsed or a router has
     /// joined, restarted or changed its phase; empty otherwise.
     fn due_roster(&mut self, now: Time) -> Vec<Listing> {
-        let roster = self.roster(now, None);
         let mut hasher = Hasher::new();
-        for Listing { descriptor, .. } in &roster {
+        for Peer { descriptor, .. } in self.alive(now) {
             hasher.update(descriptor.instance.as_str().as_bytes());
             hasher.update(&descriptor.incarnation.to_le_bytes());
             hasher.update(&[descriptor.phase as u8]);
@@ -192,7 +191,7 @@
             sent_at: now,
             digest,
         };
-        roster
+        self.roster(now, None)
     }
 
     /// Returns the frame with the sum of this domain, addressed to the hubs of
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -55,7 +55,7 @@
     /// request arrived. For a retry, `wait` includes the earlier attempts.
     pub fn record_sent(&self, request: &Transaction, wait: Span) {
         self.with_labels(request, |work| self.metrics.observe_queue_wait(work, wait));
-        if request.attempts > 1 {
+        if request.attempts() > 1 {
             self.metrics.count_reason("repeat", "attempt");
         }
     }
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -46,9 +46,7 @@
     pub delivery: Delivery,
     /// Slab index of the connection to the runner during an attempt.
     pub upstream: Option<usize>,
-    /// Attempts sent to runners, including the current one.
-    pub attempts: u32,
-    /// Runners that the request was sent to.
+    /// Runners that the request was sent to, one for each attempt.
     pub runners: SmallVec<[Runner; 2]>,
     /// Time at which the first part of the response was sent to the caller.
     pub first_sent: Option<Time>,
@@ -63,6 +61,11 @@
         self.splitter.last_event_id().or(self.last_event)
     }
 
+    /// Returns the number of attempts sent to runners, including the current one.
+    pub fn attempts(&self) -> usize {
+        self.runners.len()
+    }
+
     /// Returns whether part of the response was sent to the caller.
     pub fn has_started(&self) -> bool {
         matches!(self.delivery, Delivery::Started)
