Log framing and partial events of answers that end with their connection

Change: framing and partial in runner_broke; a line ended_by_close for answers without a length. No decision changes.

--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -2,6 +2,7 @@
 //! an attempt.
 
 use balsamchute_adapter::response::{self, Classification};
+use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{End, Id};
 
@@ -154,13 +155,24 @@
         status: u16,
     ) {
         let now = self.now();
-        let Some((head, body)) = self.release_connection(now, index) else {
+        let Some(response) = self.release_connection(now, index) else {
             return;
         };
+        let (head, body, framing) = (response.head, response.body, response.framing);
         let Some(transaction) = self.transactions.get_mut(&id) else {
             return;
         };
         transaction.upstream = None;
+        if framing == Framing::UntilClose {
+            log::info!(
+                target: "request",
+                "event=ended_by_close request={} attempt={} status={status} events={} partial={}",
+                transaction.request_id,
+                transaction.attempts(),
+                transaction.splitter.event_count(),
+                transaction.splitter.partial_len()
+            );
+        }
         let end = match classification {
             Classification::Success => {
                 self.deliver(now, id, head, body);
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -11,7 +11,7 @@
 use crate::edge::{Edge, Slot};
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
-use crate::upstream::{Connection, Phase};
+use crate::upstream::{Connection, Partial, Phase};
 
 /// Timeout for connecting to a runner: several hundred round trips of less than a
 /// millisecond. A runner that has not accepted by then counts as unreachable.
@@ -295,11 +295,7 @@
 
     /// Takes the response off a connection, and returns the connection to the
     /// pool if it can be reused.
-    pub(super) fn release_connection(
-        &mut self,
-        now: Time,
-        index: usize,
-    ) -> Option<(balsamchute_http::head::Response, Vec<u8>)> {
+    pub(super) fn release_connection(&mut self, now: Time, index: usize) -> Option<Partial> {
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return None;
         };
@@ -318,7 +314,7 @@
             }
             None => self.close(index),
         }
-        Some((response.head, response.body))
+        Some(response)
     }
 
     /// Returns the number of idle connections that this router may keep to a
@@ -385,13 +381,15 @@
         if let Some(transaction) = self.transactions.get(&id) {
             log::info!(
                 target: "request",
-                "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={}",
+                "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={} framing={} partial={}",
                 transaction.request_id,
                 transaction.attempts(),
                 connection.runner,
                 connection.is_reused,
                 now.since(connection.since).0,
-                transaction.splitter.event_count()
+                transaction.splitter.event_count(),
+                connection.response.as_ref().map_or("-", |response| response.framing.as_str()),
+                transaction.splitter.partial_len()
             );
         }
         self.detach(index, id);
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -81,6 +81,12 @@
         self.partial.is_empty()
     }
 
+    /// Returns the number of bytes after the last complete event.
+    #[must_use]
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Removes and returns the bytes after the last complete event, for use at
     /// the end of the stream.
     pub fn take_partial(&mut self) -> Vec<u8> {
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -16,6 +16,16 @@
 }
 
 impl Framing {
+    /// Returns the name of the framing in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::UntilClose => "until_close",
+        }
+    }
+
     /// Returns the framing of the body of a request.
     ///
     /// # Errors
