--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -197,19 +197,11 @@
     assert!(runner.requests()[0].ends_with(&"b".repeat(20)));
 }
 
-/// A runner that crashes may close the connection in the middle of an event. Without a
-/// length or chunks, that end looks like any other.
-#[test]
-fn a_stream_without_a_length_that_ends_inside_an_event_is_not_complete() {
-    let runner = Runner::start(|head, stream| {
-        let text = "id: 1\ndata: event 1\n\nid: 2\ndata: ev";
-        respond(
-            stream,
-            head,
-            200,
-            "Content-Type: text/event-stream\r\n",
-            text,
-        );
+/// Starts a runner that answers with a 200 stream and closes the connection, and returns
+/// the response of a router whose stream route may not be resumed.
+fn broken_stream(fields: &'static str, body: &'static str) -> String {
+    let runner = Runner::start(move |head, stream| {
+        respond(stream, head, 200, fields, body);
         false
     });
     let store = Store::start();
@@ -219,7 +211,15 @@
     store.put("servers", "i-0", entry(runner.address, "s"));
     let router = Router::start("r1", store.address);
     router.wait_ready();
-    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    send_raw(router.callers, &request("POST", "/stream/x", "", ""))
+}
+
+/// A runner that crashes may close the connection in the middle of an event. Without a
+/// length or chunks, that end looks like any other.
+#[test]
+fn a_stream_without_a_length_that_ends_inside_an_event_is_not_complete() {
+    let body = "id: 1\ndata: event 1\n\nid: 2\ndata: ev";
+    let response = broken_stream("Content-Type: text/event-stream\r\n", body);
     assert!(!decode_chunks(&response).1, "{response}");
     assert!(
         !response.contains("event 1") || response.ends_with("<reset>"),
@@ -227,6 +227,49 @@
     );
 }
 
+#[test]
+fn a_stream_without_a_length_that_ends_before_its_first_event_is_not_complete() {
+    let response = broken_stream("Content-Type: text/event-stream\r\n", "");
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+}
+
+#[test]
+fn a_chunked_stream_whose_last_chunk_comes_inside_an_event_is_not_complete() {
+    let body = "15\r\nid: 1\ndata: event 1\n\n\r\nd\r\nid: 2\ndata: e\r\n0\r\n\r\n";
+    let response = broken_stream(EVENT_STREAM_FIELDS, body);
+    assert!(!decode_chunks(&response).1, "{response}");
+    assert!(response.ends_with("<reset>"), "{response}");
+}
+
+#[test]
+fn a_stream_with_a_length_that_ends_inside_an_event_is_not_complete() {
+    let fields = "Content-Type: text/event-stream\r\nContent-Length: 34\r\n";
+    let response = broken_stream(fields, "id: 1\ndata: event 1\n\nid: 2\ndata: e");
+    assert!(response.ends_with("<reset>"), "{response}");
+}
+
+/// Events of the first runner say nothing of how far the second one came.
+#[test]
+fn a_stream_that_is_resumed_without_a_length_and_sends_no_event_is_not_complete() {
+    let arrivals = AtomicUsize::new(0);
+    let script = Arc::new(move |head: &str, stream: &mut TcpStream| {
+        if arrivals.fetch_add(1, Ordering::SeqCst) == 0 {
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 2));
+        } else {
+            respond(stream, head, 200, "Content-Type: text/event-stream\r\n", "");
+        }
+        false
+    });
+    let runners = [(); 2].map(|()| {
+        let script = script.clone();
+        Runner::start(move |head, stream| script(head, stream))
+    });
+    let (_store, router) = start_router(&[&runners[0], &runners[1]]);
+    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    assert!(!decode_chunks(&response).1, "{response}");
+    assert!(response.ends_with("<reset>"), "{response}");
+}
+
 /// Progress of a stream is a whole event. The first runner only sends bytes of one, now
 /// and then.
 #[test]
