Treat a stream without a length that ends before an event as broken off

Cause: an orderly close counted as the end of a body without a length if no partial event was buffered, which also holds before the first event. Change: such an end is complete only after an event of the part that this runner sent. Failure answers without a length keep their end.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_adapter::request::{self, Forwarded};
+use balsamchute_adapter::response::Classification;
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
@@ -67,7 +68,7 @@
         let may_reuse = !transaction.runners.contains(runner);
         transaction.runners.push(runner.clone());
         transaction.fallback = None;
-        transaction.splitter.discard_partial();
+        transaction.splitter.start_part();
         log::info!(
             target: "request",
             "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
@@ -366,11 +367,12 @@
             }
             Phase::Busy(id) => id,
         };
-        let ends_inside_event = self.transactions.get(&id).is_some_and(|transaction| {
-            transaction.route.stream && !transaction.splitter.is_at_event_boundary()
-        });
+        let is_broken_stream = is_success(connection)
+            && self.transactions.get(&id).is_some_and(|transaction| {
+                transaction.route.stream && !transaction.splitter.is_complete(Framing::UntilClose)
+            });
         let is_complete = !is_reset
-            && !ends_inside_event
+            && !is_broken_stream
             && connection.response.as_mut().is_some_and(|response| {
                 response.framing == Framing::UntilClose && response.decoder.finish().is_ok()
             });
@@ -439,3 +441,8 @@
         }
     }
 }
+
+fn is_success(connection: &Connection) -> bool {
+    let response = connection.response.as_ref();
+    response.is_some_and(|response| response.classification == Classification::Success)
+}
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -1,6 +1,7 @@
 //! Splitting of server-sent event streams at event boundaries.
 
 use crate::error::Error;
+use crate::framing::Framing;
 
 /// Largest incomplete event that is buffered, in bytes. The error text of
 /// [`Splitter::push`] repeats the value.
@@ -18,6 +19,8 @@
     last_id: Option<u64>,
     // Number of complete events.
     events: u64,
+    // Number of complete events since the stream was last resumed.
+    events_of_part: u64,
 }
 
 impl Splitter {
@@ -58,6 +61,7 @@
             ));
         }
         self.events += events;
+        self.events_of_part += events;
         Ok(events)
     }
 
@@ -75,10 +79,13 @@
         self.events
     }
 
-    /// Returns whether no incomplete event is buffered.
+    /// Returns whether the stream is complete if its body ends here in good order. A
+    /// body without a length or chunks also ends so if the sender crashes: it must
+    /// contain an event then.
     #[must_use]
-    pub fn is_at_event_boundary(&self) -> bool {
-        self.partial.is_empty()
+    pub fn is_complete(&self, framing: Framing) -> bool {
+        let shows_progress = framing != Framing::UntilClose || self.events_of_part > 0;
+        self.partial.is_empty() && shows_progress
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -93,10 +100,11 @@
         std::mem::take(&mut self.partial)
     }
 
-    /// Discards the buffered incomplete event before another runner resumes the
-    /// stream after the last complete one.
-    pub fn discard_partial(&mut self) {
+    /// Starts the part of another runner, which resumes the stream after the last
+    /// complete event. Discards the incomplete one.
+    pub fn start_part(&mut self) {
         self.partial.clear();
+        self.events_of_part = 0;
     }
 }
 
--- a/crates/http/tests/body.rs
+++ b/crates/http/tests/body.rs
@@ -107,7 +107,7 @@
             (splitter.last_event_id(), splitter.event_count()),
             (Some(3), 3)
         );
-        assert!(splitter.is_at_event_boundary());
+        assert!(splitter.is_complete(Framing::UntilClose));
     }
 }
 
@@ -119,11 +119,25 @@
         .push(b"id: 1\ndata: a\n\nid: 2\nda", &mut out)
         .unwrap();
     assert_eq!(splitter.last_event_id(), Some(1));
-    splitter.discard_partial();
+    splitter.start_part();
     splitter.push(b"id: 2\ndata: b\n\n", &mut out).unwrap();
     assert_eq!(out, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+#[test]
+fn a_stream_is_complete_only_between_events_and_without_framing_after_one_of_its_part() {
+    let push = |splitter: &mut Splitter, bytes: &[u8]| {
+        splitter.push(bytes, &mut Vec::new()).unwrap();
+        [Framing::Chunked, Framing::UntilClose].map(|framing| splitter.is_complete(framing))
+    };
+    let mut splitter = Splitter::new();
+    assert_eq!(push(&mut splitter, b""), [true, false]);
+    assert_eq!(push(&mut splitter, b"id: 1\ndata: a\n"), [false, false]);
+    assert_eq!(push(&mut splitter, b"\n"), [true, true]);
+    splitter.start_part();
+    assert_eq!(push(&mut splitter, b""), [true, false]);
+}
+
 #[test]
 fn an_event_that_exceeds_the_buffer_limit_is_rejected() {
     let mut splitter = Splitter::new();
