Treat a framed stream that ends inside an event as broken off

Cause: only ends without a length were checked; any other end appended what was left of the last event. Change: the end of each stream passes one check, Splitter::is_complete, before it is delivered; a partial event never leaves the router. The connection of such an answer is closed, not reused.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -73,28 +73,19 @@
     /// Delivers the end of a response, or all of one that was buffered.
     pub(super) fn deliver(&mut self, now: Time, id: Id, head: Response, body: Vec<u8>) {
         let leaving = self.leaving_since.is_some();
-        let Some(mut transaction) = self.take_transaction(id) else {
+        let Some(transaction) = self.take_transaction(id) else {
             return;
         };
-        // The rest of a stream is in the splitter, the rest of any other response in
-        // `body`.
-        let partial_event = transaction.splitter.take_partial();
         if let Some(Slot::Caller(caller)) = self.slots.get_mut(transaction.caller) {
             let buffer = caller.socket.write_buffer();
             if transaction.has_started() {
-                write::chunk(buffer, &partial_event);
                 write::chunk(buffer, &body);
                 write::last_chunk(buffer);
             } else {
-                let full_body = if partial_event.is_empty() {
-                    body
-                } else {
-                    partial_event
-                };
                 caller.close |= leaving;
-                let length = Framing::Length(full_body.len() as u64);
+                let length = Framing::Length(body.len() as u64);
                 response::encode(buffer, &head, length, caller.close);
-                caller.socket.write_buffer().extend_from_slice(&full_body);
+                caller.socket.write_buffer().extend_from_slice(&body);
             }
         }
         let first_sent = transaction.first_sent.unwrap_or(now);
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -122,6 +122,7 @@
         };
         connection.input.drain(..consumed);
         let (classification, is_done) = (response.classification, response.decoder.is_done());
+        let framing = response.framing;
         let status = response.head.status;
         let buffered = response.body.len();
         if classification == Classification::RequestMismatch {
@@ -140,8 +141,17 @@
         if is_forwarded && !self.forward(index, id, is_stream) {
             return Advance::Stop;
         }
-        if is_done {
-            self.finish_attempt(index, id, classification, status);
+        if !is_done {
+            return Advance::Stop;
+        }
+        let is_whole = !is_stream
+            || self
+                .transactions
+                .get(&id)
+                .is_some_and(|transaction| transaction.splitter.is_complete(framing));
+        match is_whole {
+            true => self.finish_attempt(index, id, classification, status),
+            false => self.fail_broken_response(index, id, false),
         }
         Advance::Stop
     }
@@ -166,11 +176,10 @@
         if framing == Framing::UntilClose {
             log::info!(
                 target: "request",
-                "event=ended_by_close request={} attempt={} status={status} events={} partial={}",
+                "event=ended_by_close request={} attempt={} status={status} events={}",
                 transaction.request_id,
                 transaction.attempts(),
-                transaction.splitter.event_count(),
-                transaction.splitter.partial_len()
+                transaction.splitter.event_count()
             );
         }
         let end = match classification {
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 
 use balsamchute_adapter::request::{self, Forwarded};
-use balsamchute_adapter::response::Classification;
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
@@ -367,12 +366,7 @@
             }
             Phase::Busy(id) => id,
         };
-        let is_broken_stream = is_success(connection)
-            && self.transactions.get(&id).is_some_and(|transaction| {
-                transaction.route.stream && !transaction.splitter.is_complete(Framing::UntilClose)
-            });
         let is_complete = !is_reset
-            && !is_broken_stream
             && connection.response.as_mut().is_some_and(|response| {
                 response.framing == Framing::UntilClose && response.decoder.finish().is_ok()
             });
@@ -380,20 +374,29 @@
             self.advance_body(index, id);
             return;
         }
-        if let Some(transaction) = self.transactions.get(&id) {
-            log::info!(
-                target: "request",
-                "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={} framing={} partial={}",
-                transaction.request_id,
-                transaction.attempts(),
-                connection.runner,
-                connection.is_reused,
-                now.since(connection.since).0,
-                transaction.splitter.event_count(),
-                connection.response.as_ref().map_or("-", |response| response.framing.as_str()),
-                transaction.splitter.partial_len()
-            );
-        }
+        self.fail_broken_response(index, id, is_reset);
+    }
+
+    /// Ends an attempt whose response broke off, by a reset or otherwise.
+    pub(super) fn fail_broken_response(&mut self, index: usize, id: Id, is_reset: bool) {
+        let now = self.now();
+        let (Some(Slot::Upstream(connection)), Some(transaction)) =
+            (self.slots.get(index), self.transactions.get(&id))
+        else {
+            return;
+        };
+        log::info!(
+            target: "request",
+            "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={} framing={} partial={}",
+            transaction.request_id,
+            transaction.attempts(),
+            connection.runner,
+            connection.is_reused,
+            now.since(connection.since).0,
+            transaction.splitter.event_count(),
+            connection.response.as_ref().map_or("-", |response| response.framing.as_str()),
+            transaction.splitter.partial_len()
+        );
         self.detach(index, id);
         self.scheduler.finish_attempt(now, id, End::Broke);
         self.run_actions();
@@ -441,8 +444,3 @@
         }
     }
 }
-
-fn is_success(connection: &Connection) -> bool {
-    let response = connection.response.as_ref();
-    response.is_some_and(|response| response.classification == Classification::Success)
-}
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -94,12 +94,6 @@
         self.partial.len()
     }
 
-    /// Removes and returns the bytes after the last complete event, for use at
-    /// the end of the stream.
-    pub fn take_partial(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
-    }
-
     /// Starts the part of another runner, which resumes the stream after the last
     /// complete event. Discards the incomplete one.
     pub fn start_part(&mut self) {
