Fail an attempt whose connection ends with the answer to another request

Callers of such a request waited until their deadline and got 504, although the connection had ended. Cause: an answer to another request without a length ends with the connection; it was skipped, and the router went on waiting for the next answer on the closed connection. Change: the attempt ends as broken.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -8,6 +8,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
 
+use crate::edge::responses::Advance;
 use crate::edge::{Edge, Slot};
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
@@ -371,7 +372,11 @@
                 response.framing == Framing::UntilClose && response.decoder.finish().is_ok()
             });
         if is_complete {
-            self.advance_body(index, id);
+            match self.advance_body(index, id) {
+                // The answer belongs to another request, and none can follow.
+                Advance::Next => self.fail_broken_response(index, id, false),
+                Advance::Stop => {}
+            }
             return;
         }
         self.fail_broken_response(index, id, is_reset);
--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -270,6 +270,20 @@
     assert!(response.ends_with("<reset>"), "{response}");
 }
 
+/// The connection ends with the answer to another request, so no answer to this one can
+/// follow.
+#[test]
+fn a_connection_that_ends_after_an_answer_to_another_request_fails_the_attempt_at_once() {
+    let runner = Runner::start(|_, stream| {
+        let late = b"HTTP/1.1 200 X\r\nX-Request-Id: q0\r\nX-Answer-Signature: s\r\n\r\nold";
+        let _ = stream.write_all(late);
+        false
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+}
+
 /// Progress of a stream is a whole event. The first runner only sends bytes of one, now
 /// and then.
 #[test]
