Give up answers that go on without end and reach no caller

Cause: interim answers, answers to other requests and bodies of failures had no limit. A failure body was buffered whole: the test's runner wrote 256 MB before it gave up itself, more than a router's memory. Change: after 1 MiB received in a row without a part for the caller the connection is closed and the attempt ends as invalid.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -42,6 +42,7 @@
         if bytes.is_empty() {
             return true;
         }
+        connection.withheld = 0;
         // The response head precedes the first part of the body.
         let head = (!transaction.has_started()).then(|| response.head.clone());
         let Some(Slot::Caller(caller)) = self.slots.get_mut(transaction.caller) else {
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -14,6 +14,10 @@
 /// responses are forwarded as they arrive.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
+/// Bytes of an answer that may arrive in a row without a part for the caller among
+/// them: interim answers, answers to other requests, and bodies of failures.
+const MAX_WITHHELD_BYTES: usize = 1024 * 1024;
+
 impl Edge {
     /// Buffers bytes of a runner and parses them. Bytes on an idle connection belong to
     /// no request.
@@ -26,6 +30,11 @@
             self.close(index);
             return;
         };
+        connection.withheld += length;
+        if connection.withheld > MAX_WITHHELD_BYTES {
+            self.fail_invalid_response(index, id, "the answer is too long");
+            return;
+        }
         connection
             .input
             .extend_from_slice(&self.read_buffer[..length]);
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -158,6 +158,7 @@
         connection.phase = Phase::Busy(id);
         connection.since = now;
         connection.response = None;
+        connection.withheld = 0;
         let forwarded = Forwarded {
             runner: &connection.runner,
             workspace: transaction.workspace.as_ref(),
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -58,6 +58,8 @@
     pub since: Time,
     pub input: Vec<u8>,
     pub response: Option<Partial>,
+    /// Bytes received since the request was sent or a part was forwarded.
+    pub withheld: usize,
     /// Whether reading is paused until the unsent bytes to the caller are written.
     pub is_read_paused: bool,
     /// Whether the connection carried another request before.
@@ -75,6 +77,7 @@
             since: now,
             input: Vec::new(),
             response: None,
+            withheld: 0,
             is_read_paused: false,
             is_reused: false,
         }
--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -284,6 +284,68 @@
     assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
 }
 
+/// Writes `head`, then `fill` again and again until the router closes the connection.
+/// Returns the number of bytes written.
+fn write_without_end(stream: &mut TcpStream, head: &str, fill: &str) -> usize {
+    let block = fill.repeat(64 * 1024 / fill.len());
+    let mut written = 0;
+    if stream.write_all(head.as_bytes()).is_ok() {
+        while written < ENDLESS_BYTES && stream.write_all(block.as_bytes()).is_ok() {
+            written += block.len();
+        }
+    }
+    written
+}
+
+/// Bytes after which a runner that writes without end gives up; more than the limit on
+/// the memory of a router.
+const ENDLESS_BYTES: usize = 256 * 1024 * 1024;
+
+/// Sends a request to a runner that answers without end; returns the response and the
+/// bytes that the runner wrote.
+fn endless_answer(head: &'static str, fill: &'static str) -> (String, usize) {
+    let written = Arc::new(AtomicUsize::new(0));
+    let total = written.clone();
+    let runner = Runner::start(move |_, stream| {
+        let length = write_without_end(stream, head, fill);
+        total.fetch_add(length, Ordering::SeqCst);
+        false
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    (response, written.load(Ordering::SeqCst))
+}
+
+#[test]
+fn an_answer_whose_head_never_ends_is_given_up() {
+    let (response, written) = endless_answer("HTTP/1.1 200 X\r\nA: ", "x");
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    assert!(written < ENDLESS_BYTES, "{written}");
+}
+
+#[test]
+fn interim_answers_that_never_end_are_given_up() {
+    let (response, written) = endless_answer("", "HTTP/1.1 100 X\r\n\r\n");
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    assert!(written < ENDLESS_BYTES, "{written}");
+}
+
+#[test]
+fn a_failure_whose_body_never_ends_is_given_up() {
+    let head = "HTTP/1.1 500 X\r\nX-Request-Id: q1\r\nX-Answer-Signature: s\r\n\r\n";
+    let (response, written) = endless_answer(head, "x");
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    assert!(written < ENDLESS_BYTES, "{written}");
+}
+
+#[test]
+fn an_answer_to_another_request_that_never_ends_is_given_up() {
+    let head = "HTTP/1.1 200 X\r\nX-Request-Id: q0\r\nX-Answer-Signature: s\r\n\r\n";
+    let (response, written) = endless_answer(head, "x");
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    assert!(written < ENDLESS_BYTES, "{written}");
+}
+
 /// Progress of a stream is a whole event. The first runner only sends bytes of one, now
 /// and then.
 #[test]
