Count a plain service's answer without a length or chunks as unknown

Callers would have got the first part of an answer as a whole one, if a service that sends neither a length nor chunks crashed in it. Cause: ureq reads such a body to the end of the connection, which a crash also brings. Ruled out there: engines, whose streams end with a line of their own.

--- a/crates/target/src/plain.rs
+++ b/crates/target/src/plain.rs
@@ -4,7 +4,9 @@
 use std::thread;
 
 use balsamchute_base::prelude::*;
-use ureq::http::StatusCode;
+use ureq::Body;
+use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use ureq::http::{Response, StatusCode};
 
 use crate::dial::{self, Agents};
 use crate::engine;
@@ -59,7 +61,8 @@
     ///
     /// Returns [`Error::NotSent`] or [`Error::Refused`] if the call did not run,
     /// [`Error::ErrorResponse`] if the service returned an error, and
-    /// [`Error::Crashed`] or [`Error::MayHaveRun`] without a complete response.
+    /// [`Error::Crashed`] or [`Error::MayHaveRun`] without a complete response. A
+    /// response with neither a length nor chunks does not count as complete.
     pub fn call(&self, target: SocketAddr, call: &Call<'_>) -> Result<Vec<u8>, Error> {
         let mut request = self
             .agents
@@ -85,6 +88,11 @@
         if response.status() != StatusCode::OK {
             return Err(dial::status_error(response));
         }
+        if !announces_end(&response) {
+            return Err(Error::MayHaveRun {
+                reason: "the answer has neither a length nor chunks".to_owned(),
+            });
+        }
         let body = response
             .into_body()
             .into_with_config()
@@ -108,7 +116,7 @@
 
     /// Requests the load report. Any response shows that the service accepts
     /// connections.
-    fn probe(&self, target: SocketAddr) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
+    fn probe(&self, target: SocketAddr) -> Result<Response<Body>, ureq::Error> {
         let request = self
             .agents
             .pooled
@@ -147,3 +155,9 @@
         false
     }
 }
+
+/// Returns whether the end of the body can be told from a connection that breaks off.
+fn announces_end(response: &Response<Body>) -> bool {
+    let fields = response.headers();
+    fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
+}
--- a/crates/target/tests/plain.rs
+++ b/crates/target/tests/plain.rs
@@ -1,6 +1,7 @@
 //! Tests of the plain-service client against a stand-in service on loopback,
 //! with injected faults.
 
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::thread;
 
@@ -48,6 +49,22 @@
     assert_eq!(records[0].outcome, Some(Outcome::Done));
 }
 
+/// The end of the connection is no end of the answer: a service that crashes closes it
+/// as well.
+#[test]
+fn an_answer_with_neither_a_length_nor_chunks_may_have_run() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbook");
+        }
+    });
+    let error = call(address, "b", None, LONG_TIMEOUT).unwrap_err();
+    assert!(matches!(error, Error::MayHaveRun { .. }), "{error}");
+}
+
 #[test]
 fn an_error_from_the_service_is_answered() {
     let service = start_service();
