--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -5,6 +5,7 @@
 mod interfaces;
 mod log_commands;
 mod notice;
+mod poison;
 mod restore;
 mod store;
 
