Recognise crashes of runners where no other request follows

Callers' requests went on to crash runners, as a break of a connection counted as a crash only if a request to the same runner was refused within a second; with few requests for each runner none comes. Change: 50 ms after a break the router connects to the runner; a refusal confirms the crash, an accepted connection is kept for the next request. One probe a break.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -46,6 +46,7 @@
                     } => self.refuse(id, refusal, retry_after, &rationale),
                     Action::DeliverFailure { id } => self.deliver_fallback(id),
                     Action::Fail { id, failure } => self.fail(id, failure),
+                    Action::Probe { runner, address } => self.probe(&runner, address),
                 }
             }
         }
@@ -101,7 +102,7 @@
             self.write_request(now, index, id);
             return;
         }
-        match self.connect(now, id, runner, address) {
+        match self.connect(now, Phase::Connecting(id), runner, address) {
             Ok(index) => {
                 if let Some(transaction) = self.transactions.get_mut(&id) {
                     transaction.upstream = Some(index);
@@ -119,14 +120,14 @@
     fn connect(
         &mut self,
         now: Time,
-        id: Id,
+        phase: Phase,
         runner: &Runner,
         address: SocketAddr,
     ) -> io::Result<usize> {
         let socket = Socket::connect(address)?;
         let entry = self.registry.get(runner);
         let started_at = entry.map_or(0, |entry| entry.started_at);
-        let connection = Connection::new(now, socket, runner.clone(), started_at, id);
+        let connection = Connection::new(now, socket, runner.clone(), started_at, phase);
         let index = self.slots.insert(Slot::Upstream(Box::new(connection)));
         if let Err(error) = self.register(index) {
             self.close(index);
@@ -135,6 +136,54 @@
         Ok(index)
     }
 
+    /// Connects to a runner to learn whether it accepts connections.
+    fn probe(&mut self, runner: &Runner, address: SocketAddr) {
+        let now = self.now();
+        if let Err(error) = self.connect(now, Phase::Probing, runner, address)
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
+            self.record_refused_probe(now, runner);
+        }
+    }
+
+    fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
+        log::info!(target: "runner", "event=probe_refused runner={runner}");
+        self.scheduler.record_refused_probe(now, runner);
+    }
+
+    /// Keeps the connection of a probe for the next request once it is established.
+    fn continue_probe(&mut self, index: usize) {
+        let now = self.now();
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        let runner = connection.runner.clone();
+        match connection.socket.check_connected() {
+            Ok(true) => {
+                connection.phase = Phase::Idle(Connection::unused_deadline(now));
+                connection.since = now;
+                self.keep_idle(now, index, &runner);
+            }
+            Ok(false) => {}
+            Err(error) => {
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                self.close(index);
+                if refused {
+                    self.record_refused_probe(now, &runner);
+                    self.run_actions();
+                }
+            }
+        }
+    }
+
+    /// Adds an idle connection to the pool; closes the oldest one beyond the limit.
+    fn keep_idle(&mut self, now: Time, index: usize, runner: &Runner) {
+        let limit = self.idle_limit(now, runner);
+        if let Some(oldest) = self.pool.put(runner, index, limit) {
+            self.close(oldest);
+        }
+    }
+
     fn take_idle_connection(&mut self, now: Time, runner: &Runner) -> Option<usize> {
         while let Some(index) = self.pool.take(runner) {
             match self.slots.get(index) {
@@ -184,9 +233,10 @@
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return;
         };
-        if let Phase::Connecting(id) = connection.phase {
-            self.continue_connecting(index, id);
-            return;
+        match connection.phase {
+            Phase::Connecting(id) => return self.continue_connecting(index, id),
+            Phase::Probing => return self.continue_probe(index),
+            Phase::Busy(_) | Phase::Idle(_) => {}
         }
         connection.socket.flush();
         if connection.socket.is_broken() {
@@ -309,10 +359,7 @@
                 connection.since = now;
                 connection.input = Vec::new();
                 let runner = connection.runner.clone();
-                let limit = self.idle_limit(now, &runner);
-                if let Some(oldest) = self.pool.put(&runner, index, limit) {
-                    self.close(oldest);
-                }
+                self.keep_idle(now, index, &runner);
             }
             None => self.close(index),
         }
@@ -357,7 +404,7 @@
             return;
         };
         let id = match connection.phase {
-            Phase::Idle(_) => {
+            Phase::Idle(_) | Phase::Probing => {
                 self.close(index);
                 return;
             }
@@ -436,6 +483,9 @@
             };
             match connection.phase {
                 Phase::Idle(deadline) if now >= deadline => expired.push(index),
+                Phase::Probing if now.since(connection.since) > CONNECT_TIMEOUT => {
+                    expired.push(index);
+                }
                 Phase::Connecting(id) if now.since(connection.since) > CONNECT_TIMEOUT => {
                     timed_out.push((index, id));
                 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -29,6 +29,8 @@
 pub(crate) enum Phase {
     /// The connection is being established for this request.
     Connecting(Id),
+    /// The connection is being established to learn whether the runner accepts any.
+    Probing,
     /// The connection carries this request.
     Busy(Id),
     /// The connection may be reused until this time.
@@ -67,13 +69,13 @@
 }
 
 impl Connection {
-    /// Creates a connection that is being established for a request.
-    pub fn new(now: Time, socket: Socket, runner: Runner, started_at: u64, id: Id) -> Self {
+    /// Creates a connection that is being established in this phase.
+    pub fn new(now: Time, socket: Socket, runner: Runner, started_at: u64, phase: Phase) -> Self {
         Connection {
             socket,
             runner,
             started_at,
-            phase: Phase::Connecting(id),
+            phase,
             since: now,
             input: Vec::new(),
             response: None,
@@ -87,7 +89,7 @@
     pub fn request(&self) -> Option<Id> {
         match self.phase {
             Phase::Connecting(id) | Phase::Busy(id) => Some(id),
-            Phase::Idle(_) => None,
+            Phase::Idle(_) | Phase::Probing => None,
         }
     }
 
@@ -119,6 +121,12 @@
         }
     }
 
+    /// Returns the time until which the connection may be kept without a request that it
+    /// has carried.
+    pub fn unused_deadline(now: Time) -> Time {
+        now + DEFAULT_IDLE_TIME
+    }
+
     /// Returns the time until which the connection may be reused after this
     /// response, or `None` if it must be closed.
     pub fn reuse_deadline(&self, now: Time) -> Option<Time> {
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -147,6 +147,14 @@
         /// Number of the request to answer.
         id: Id,
     },
+    /// Connect to a runner, whose connections broke shortly before, and report whether it
+    /// refuses.
+    Probe {
+        /// Runner to connect to.
+        runner: Runner,
+        /// Socket address of the runner.
+        address: SocketAddr,
+    },
     /// Answer that the request failed, or cut off an answer that has begun.
     Fail {
         /// Number of the request that failed.
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -34,6 +34,10 @@
 /// shows that the runner crashed, while a break alone may be a reset.
 const CRASH_WINDOW: Span = Span(1000);
 
+/// Time after a break at which the router connects to the runner to learn whether it
+/// crashed: a process that ends may close its connections before its listener.
+const PROBE_DELAY: Span = Span(50);
+
 /// Load that requests in flight place on a runner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -94,6 +98,8 @@
     pub cache: Cache,
     /// Connections that broke within the crash window.
     pub disconnects: SmallVec<[Disconnect; 4]>,
+    /// Whether the router has connected to the runner since the last break.
+    is_probed: bool,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     health: Health,
     slowdown: f64,
@@ -108,6 +114,7 @@
             local_load: Load::default(),
             cache: Cache::new(),
             disconnects: SmallVec::new(),
+            is_probed: true,
             peer_loads: BTreeMap::new(),
             health: Health::default(),
             slowdown: 1.0,
@@ -214,6 +221,19 @@
             fingerprint,
             attempt,
         });
+        self.is_probed = false;
+    }
+
+    /// Returns whether the router should connect to the runner now to learn whether it
+    /// crashed. Returns true once after each break.
+    pub fn take_probe(&mut self, now: Time) -> bool {
+        let broken_at = self.disconnects.last().map(|last| last.broken_at);
+        let is_due = broken_at.is_some_and(|broken_at| now.since(broken_at) >= PROBE_DELAY);
+        if self.is_probed || !is_due {
+            return false;
+        }
+        self.is_probed = true;
+        true
     }
 
     /// Removes and returns the attempts whose connections broke within the
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -7,6 +7,7 @@
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
 use crate::request::Request;
+use crate::runner::Disconnect;
 use crate::scheduler::Scheduler;
 
 /// Divisor of the latency target that yields the wait of requests beyond their
@@ -62,13 +63,8 @@
             End::NoConnection { refused } => {
                 target.eject(now);
                 if refused {
-                    for disconnect in target.take_recent_disconnects(now) {
-                        self.crash_suspects.record_crash(
-                            now,
-                            disconnect.fingerprint,
-                            &disconnect.attempt,
-                        );
-                    }
+                    let disconnects = target.take_recent_disconnects(now);
+                    self.record_crash(now, &disconnects);
                 }
             }
             End::Broke => {
@@ -80,6 +76,14 @@
         }
     }
 
+    /// Records the crash of a runner in which these attempts broke.
+    pub(super) fn record_crash(&mut self, now: Time, disconnects: &[Disconnect]) {
+        for disconnect in disconnects {
+            self.crash_suspects
+                .record_crash(now, disconnect.fingerprint, &disconnect.attempt);
+        }
+    }
+
     pub(super) fn complete(&mut self, now: Time, id: Id, dispatch: &Dispatch) {
         let pending = &self.pending[&id];
         self.crash_suspects
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -176,6 +176,16 @@
         self.notices.record_pause(runner, started_at, now + pause);
     }
 
+    /// Records that a runner refused the connection of a probe: it has crashed, with the
+    /// attempts whose connections broke shortly before.
+    pub fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
+        if let Some(target) = self.targets.get_mut(runner) {
+            target.eject(now);
+            let disconnects = target.take_recent_disconnects(now);
+            self.record_crash(now, &disconnects);
+        }
+    }
+
     /// Accepts a new request, which is dispatched, queued or refused.
     pub fn submit(&mut self, now: Time, id: Id, request: Request) {
         let service = request.service.clone();
@@ -317,6 +327,14 @@
         }
         self.breakdown.advance(now);
         self.crash_suspects.expire(now);
+        for target in self.targets.values_mut() {
+            if target.take_probe(now) {
+                self.actions.push(Action::Probe {
+                    runner: target.entry.runner.clone(),
+                    address: target.entry.address,
+                });
+            }
+        }
         for queue in self.queues.values_mut() {
             queue.expire(now);
         }
--- a/crates/schedule/tests/retry.rs
+++ b/crates/schedule/tests/retry.rs
@@ -222,6 +222,43 @@
     );
 }
 
+// Guards against crashes that go unnoticed where few requests come: no other request is
+// refused by the runner in time.
+#[test]
+fn a_crash_is_recognised_although_no_other_request_comes() {
+    let mut scheduler = scheduler(100);
+    for name in ["p1", "p2", "p3"] {
+        scheduler.set_runner(NOW, entry(name, "plain", 6));
+    }
+    for id in [1, 2] {
+        scheduler.submit(NOW, id, plain_request(RetryPolicy::AtMostOnce, 1));
+        scheduler.record_write(id);
+        scheduler.finish_attempt(NOW, id, End::Broke);
+        scheduler.take_actions();
+        scheduler.tick(NOW + Span(60));
+        let actions = scheduler.take_actions();
+        let [Action::Probe { runner, .. }] = &actions[..] else {
+            panic!("{actions:?}");
+        };
+        scheduler.record_refused_probe(NOW + Span(60), runner);
+        scheduler.tick(NOW + Span(120));
+        assert_eq!(scheduler.take_actions(), [], "one probe for each break");
+    }
+    scheduler.submit(NOW, 3, plain_request(RetryPolicy::AtMostOnce, 1));
+    let actions = scheduler.take_actions();
+    assert!(
+        matches!(
+            actions[..],
+            [Action::Refuse {
+                id: 3,
+                refusal: Refusal::CrashesRunners,
+                ..
+            }]
+        ),
+        "{actions:?}"
+    );
+}
+
 // If the only runner of a service drains, its requests are refused with the
 // reason `NoRunner`.
 #[test]
