Refuse prompts with a part that crashes runners

Cause: suspects were known by a digest of path, workspace and body only, so each of these requests was new. Ruled out: an outage of runners alone (the same chain each time), restarts of routers (the crashes began long before). Change: when a runner crashes, the shareable parts of the requests it had not begun to answer are suspected, one crash for each runner process; an answer that begins clears the parts of its prompt, at all routers. Suspects go to runners apart from each other. Records of one part from several routers are united in sums. A suspect that was refused while it waited no longer blocks its workspace's other requests.

--- a/crates/claim/src/suspect.rs
+++ b/crates/claim/src/suspect.rs
@@ -13,16 +13,16 @@
 use balsamchute_wire::exchange::Suspect;
 use indexmap::IndexMap;
 
-/// Number of crashes at which a fingerprint is refused.
-pub const REFUSAL_CRASHES: usize = 2;
-
 /// Maximum number of crashes kept for one fingerprint, which bounds the size of a
-/// record. It must be at least [`REFUSAL_CRASHES`], or nothing would be refused.
+/// record. It must be at least [`Settings::refusal_crashes`], or nothing would be
+/// refused.
 const MAX_CRASHES: usize = 8;
 
 /// Time and size limits of a [`Registry`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
+    /// Number of crashes at which a fingerprint is refused.
+    pub refusal_crashes: usize,
     /// Duration of a suspicion after the last change of the record, by a crash or
     /// a merge.
     pub suspicion_period: Span,
@@ -37,6 +37,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
+            refusal_crashes: 2,
             suspicion_period: Span::from_secs(600),
             refusal_period: Span::from_secs(3600),
             capacity: 1000,
@@ -110,16 +111,27 @@
             return Admission::Unrestricted;
         };
         let age = now.since(entry.changed_at);
+        let refusal_crashes = self.settings.refusal_crashes;
         match entry.suspect.crashes.len() {
             0 => Admission::Unrestricted,
-            n if n >= REFUSAL_CRASHES && age < self.settings.refusal_period => Admission::Refused {
+            n if n >= refusal_crashes && age < self.settings.refusal_period => Admission::Refused {
                 retry_after: Span(self.settings.refusal_period.0 - age.0),
             },
-            n if n < REFUSAL_CRASHES && age < self.settings.suspicion_period => Admission::Isolated,
+            n if n < refusal_crashes && age < self.settings.suspicion_period => Admission::Isolated,
             _ => Admission::Unrestricted,
         }
     }
 
+    /// Returns the number of crashes of a fingerprint, and the time since they last
+    /// changed. They count until the suspicion or the refusal ends.
+    #[must_use]
+    pub fn crashes(&self, now: Time, fingerprint: u128) -> (usize, Span) {
+        match (self.entries.get(&fingerprint), self.admit(now, fingerprint)) {
+            (None, _) | (_, Admission::Unrestricted) => (0, Span(0)),
+            (Some(entry), _) => (entry.suspect.crashes.len(), now.since(entry.changed_at)),
+        }
+    }
+
     /// Clears the crashes of a fingerprint and raises its release count, so that
     /// the clearing wins when records are merged. Returns whether there were any
     /// crashes.
@@ -152,20 +164,21 @@
             },
             changed_at: now,
         });
-        let changed = merge_suspect(&mut entry.suspect, remote);
+        let changed = merge_records(&mut entry.suspect, remote);
         if changed {
             entry.changed_at = now;
         }
         changed
     }
 
-    /// Returns at most `limit` records to send to other routers, the most
-    /// recently changed first.
+    /// Returns at most `limit` records to send to other routers: refusals first, then
+    /// the most recently changed ones.
     #[must_use]
     pub fn suspects(&self, limit: usize) -> Vec<Suspect> {
         let mut entries: Vec<&Entry> = self.entries.values().collect();
         entries.sort_by_key(|entry| {
             (
+                entry.suspect.crashes.len() < self.settings.refusal_crashes,
                 std::cmp::Reverse(entry.changed_at),
                 entry.suspect.fingerprint,
             )
@@ -184,7 +197,7 @@
         self.entries.retain(|_, entry| {
             let age = now.since(entry.changed_at);
             let period = match entry.suspect.crashes.len() {
-                n if n >= REFUSAL_CRASHES => settings.refusal_period,
+                n if n >= settings.refusal_crashes => settings.refusal_period,
                 _ => settings.suspicion_period,
             };
             if age < period {
@@ -214,8 +227,9 @@
     }
 }
 
-/// Merges `remote` into `local`. Returns whether `local` changed.
-fn merge_suspect(local: &mut Suspect, remote: &Suspect) -> bool {
+/// Merges the record `remote` of a fingerprint into `local`. Returns whether `local`
+/// changed.
+pub fn merge_records(local: &mut Suspect, remote: &Suspect) -> bool {
     let before = (local.releases, local.crashes.clone());
     if remote.releases > local.releases {
         local.releases = remote.releases;
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -47,6 +47,9 @@
                     Action::DeliverFailure { id } => self.deliver_fallback(id),
                     Action::Fail { id, failure } => self.fail(id, failure),
                     Action::Probe { runner, address } => self.probe(&runner, address),
+                    Action::Blame { part, crashes } => {
+                        log::warn!(target: "runner", "event=part_blamed part={part:032x} crashes={crashes}");
+                    }
                 }
             }
         }
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -50,6 +50,7 @@
 
 fn load(running: u32) -> Report {
     Report {
+        part_suspects: Vec::new(),
         usage: vec![Usage {
             service: Service::new("s").unwrap(),
             workspace: Workspace::new("w").unwrap(),
--- a/crates/model/src/prompt.rs
+++ b/crates/model/src/prompt.rs
@@ -5,6 +5,8 @@
 /// Segment of a prompt; prompts with a common prefix begin with the same segments.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Part {
+    /// Id that the caller gave this part; the same in all prompts that contain it.
+    pub id: u64,
     /// Digest of the ids of this part and of all parts before it.
     pub prefix_digest: u64,
     /// Length of this part in tokens.
@@ -35,6 +37,7 @@
         let parts = parts.iter().map(|&(id, tokens)| {
             prefix_digest = extend_digest(prefix_digest, id);
             Part {
+                id,
                 prefix_digest,
                 tokens,
             }
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -155,6 +155,14 @@
         /// Socket address of the runner.
         address: SocketAddr,
     },
+    /// Log that the number of runners that crashed under a prompt part has changed.
+    Blame {
+        /// Digest of the service and the part's id.
+        part: u128,
+        /// Runner processes that ended before they began to answer a prompt with the
+        /// part; 0 once such an answer has begun.
+        crashes: usize,
+    },
     /// Answer that the request failed, or cut off an answer that has begun.
     Fail {
         /// Number of the request that failed.
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cache;
 pub mod directory;
 pub mod notice;
+mod parts;
 mod pending;
 mod place;
 mod queue;
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -3,6 +3,7 @@
 use balsamchute_model::prelude::*;
 use smallvec::SmallVec;
 
+use crate::parts::{self, Keys};
 use crate::request::Request;
 
 /// Rejections by runners above which a request is not retried.
@@ -41,6 +42,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
     pub request: Request,
+    /// Digests of the prompt parts that other requests may share.
+    pub part_keys: Keys,
     /// Start of the current wait: the arrival, or the end of the last attempt.
     pub waiting_since: Time,
     pub stage: Stage,
@@ -59,6 +62,7 @@
 impl Pending {
     pub fn new(now: Time, request: Request) -> Self {
         Pending {
+            part_keys: parts::keys(&request.service, request.prompt.as_ref()),
             request,
             waiting_since: now,
             stage: Stage::Waiting,
@@ -81,6 +85,14 @@
             && now < self.request.deadline
     }
 
+    /// Returns the attempt in progress if no event of its answer has arrived.
+    pub fn unanswered(&self) -> Option<&Dispatch> {
+        match &self.stage {
+            Stage::Dispatched(dispatch) if dispatch.events == 0 => Some(dispatch),
+            Stage::Dispatched(_) | Stage::Waiting => None,
+        }
+    }
+
     /// Returns whether another attempt spends retry budget: the service has
     /// received the request before. Failed connections do not count.
     pub fn uses_retry_budget(&self) -> bool {
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use balsamchute_claim::suspect;
 use balsamchute_model::prelude::*;
 use balsamchute_wire::exchange::Suspect;
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,9 @@
     pub suspects: Vec<Suspect>,
     /// Processes of runners that said in an answer that they leave.
     pub leaving: Vec<Leaving>,
+    /// Digests of prompt parts that were under way when a runner crashed.
+    #[serde(default)]
+    pub part_suspects: Vec<Suspect>,
 }
 
 impl Report {
@@ -103,6 +107,7 @@
     loads: BTreeMap<Runner, Load>,
     suspects: Vec<Suspect>,
     leaving: Vec<Leaving>,
+    part_suspects: Vec<Suspect>,
 }
 
 impl Sum {
@@ -132,12 +137,8 @@
                 }
             }
         }
-        for suspect in &report.suspects {
-            let is_same = |other: &Suspect| other.fingerprint == suspect.fingerprint;
-            if self.suspects.len() < MAX_SUM_SUSPECTS && !self.suspects.iter().any(is_same) {
-                self.suspects.push(suspect.clone());
-            }
-        }
+        add_suspects(&mut self.suspects, &report.suspects);
+        add_suspects(&mut self.part_suspects, &report.part_suspects);
         for leaving in &report.leaving {
             if self.leaving.len() < MAX_LEAVING && !self.leaving.contains(leaving) {
                 self.leaving.push(leaving.clone());
@@ -168,6 +169,21 @@
             loads,
             suspects: self.suspects,
             leaving: self.leaving,
+            part_suspects: self.part_suspects,
+        }
+    }
+}
+
+/// Adds records to a sum, merged with those of the same fingerprint.
+fn add_suspects(sum: &mut Vec<Suspect>, suspects: &[Suspect]) {
+    for suspect in suspects {
+        let same = |other: &Suspect| other.fingerprint == suspect.fingerprint;
+        match sum.iter().position(same) {
+            Some(index) => {
+                suspect::merge_records(&mut sum[index], suspect);
+            }
+            None if sum.len() < MAX_SUM_SUSPECTS => sum.push(suspect.clone()),
+            None => {}
         }
     }
 }
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::cache::Cache;
+use crate::parts::Keys;
 
 /// Age above which load reported by a peer is ignored. Peers report several
 /// times a second.
@@ -76,6 +77,10 @@
     pub fingerprint: u128,
     /// Id of the attempt that was under way.
     pub attempt: Attempt,
+    /// Digests of the shareable prompt parts, empty if the answer had begun.
+    pub part_keys: Keys,
+    /// Process of the runner that the connection led to.
+    pub process: Attempt,
 }
 
 /// Failure rate and ejection of a runner, for outlier detection.
@@ -213,14 +218,11 @@
     }
 
     /// Records a connection that broke under an attempt.
-    pub fn record_disconnect(&mut self, now: Time, fingerprint: u128, attempt: Attempt) {
+    pub fn record_disconnect(&mut self, disconnect: Disconnect) {
+        let now = disconnect.broken_at;
         self.disconnects
-            .retain(|disconnect| now.since(disconnect.broken_at) < CRASH_WINDOW);
-        self.disconnects.push(Disconnect {
-            broken_at: now,
-            fingerprint,
-            attempt,
-        });
+            .retain(|earlier| now.since(earlier.broken_at) < CRASH_WINDOW);
+        self.disconnects.push(disconnect);
         self.is_probed = false;
     }
 
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -4,6 +4,7 @@
 use balsamchute_model::prelude::*;
 
 use crate::action::{Action, End, Failure, Id, Rationale, Refusal};
+use crate::parts::{Keys, Verdict};
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
 use crate::request::Request;
@@ -42,8 +43,13 @@
     /// Updates the health and the slowdown of the runner, and records crashes of
     /// the requests that may have caused them.
     pub(super) fn record_outcome(&mut self, now: Time, id: Id, dispatch: &Dispatch, end: End) {
-        let fingerprint = self.pending[&id].request.fingerprint;
-        let attempt_number = self.pending[&id].tried.len();
+        let pending = &self.pending[&id];
+        let fingerprint = pending.request.fingerprint;
+        let attempt_number = pending.tried.len();
+        let part_keys = match dispatch.events {
+            0 => pending.part_keys.clone(),
+            _ => Keys::new(),
+        };
         let attempt = Attempt::new(&format!(
             "{}.{id}.{attempt_number}",
             self.settings.attempt_prefix
@@ -69,8 +75,16 @@
             }
             End::Broke => {
                 target.record_failure(now);
-                if let (true, Ok(attempt)) = (dispatch.written, attempt) {
-                    target.record_disconnect(now, fingerprint, attempt);
+                let entry = &target.entry;
+                let process = Attempt::new(&format!("{}.{}", entry.runner, entry.started_at));
+                if let (true, Ok(attempt), Ok(process)) = (dispatch.written, attempt, process) {
+                    target.record_disconnect(Disconnect {
+                        broken_at: now,
+                        fingerprint,
+                        attempt,
+                        part_keys,
+                        process,
+                    });
                 }
             }
         }
@@ -81,9 +95,53 @@
         for disconnect in disconnects {
             self.crash_suspects
                 .record_crash(now, disconnect.fingerprint, &disconnect.attempt);
+            for &part in &disconnect.part_keys {
+                if let Some(crashes) = self.parts.record_crash(now, part, &disconnect.process) {
+                    self.actions.push(Action::Blame { part, crashes });
+                }
+            }
         }
     }
 
+    /// Returns how the request may be dispatched, by its fingerprint and its prompt
+    /// parts.
+    pub(super) fn verdict(&self, now: Time, pending: &Pending) -> Verdict {
+        let by_fingerprint = match self.crash_suspects.admit(now, pending.request.fingerprint) {
+            Admission::Unrestricted => Verdict::Sound,
+            Admission::Isolated => Verdict::Suspected,
+            Admission::Refused { .. } => Verdict::Refused,
+        };
+        by_fingerprint.max(self.parts.verdict(now, &pending.part_keys))
+    }
+
+    /// Returns whether the request must not be dispatched, now or later: it crashes
+    /// runners, or another request tries its parts already.
+    pub(super) fn is_refused(&self, now: Time, pending: &Pending) -> bool {
+        match self.verdict(now, pending) {
+            Verdict::Refused => true,
+            Verdict::OnTrial => self.pending.values().any(|other| {
+                other.unanswered().is_some()
+                    && pending.part_keys.iter().any(|&key| {
+                        other.part_keys.contains(&key)
+                            && self.parts.verdict(now, &[key]) == Verdict::OnTrial
+                    })
+            }),
+            Verdict::Suspected | Verdict::Sound => false,
+        }
+    }
+
+    /// Refuses a waiting request that crashes runners, or fails it if it may have run.
+    pub(super) fn reject_suspect(&mut self, id: Id) {
+        match self.pending[&id].possible_runs {
+            0 => self.refuse(id, Refusal::CrashesRunners),
+            _ => self.actions.push(Action::Fail {
+                id,
+                failure: Failure::RunnerBroke,
+            }),
+        }
+        self.remove_request(id);
+    }
+
     pub(super) fn complete(&mut self, now: Time, id: Id, dispatch: &Dispatch) {
         let pending = &self.pending[&id];
         self.crash_suspects
@@ -126,11 +184,7 @@
         let pending = &self.pending[&id];
         let (uses_retry_budget, service) =
             (pending.uses_retry_budget(), pending.request.service.clone());
-        let is_refused = matches!(
-            self.crash_suspects.admit(now, pending.request.fingerprint),
-            Admission::Refused { .. }
-        );
-        if is_refused || !pending.may_retry(now) {
+        if self.is_refused(now, pending) || !pending.may_retry(now) {
             return false;
         }
         if uses_retry_budget && !self.budget.try_retry(now, &service, self.router_count) {
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use balsamchute_claim::suspect::Admission;
 use balsamchute_model::prelude::*;
 
 use crate::action::{Action, Id, Rationale};
+use crate::parts::Verdict;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::{Choice, Priority, Selector};
 use crate::queue::{Flow, Head};
@@ -31,7 +31,12 @@
         let mut blocked_flows: BTreeSet<Flow> = BTreeSet::new();
         let mut full_choices = 0;
         while let Some((flow, id)) = self.next_request(service, &blocked_flows) {
-            let priority = self.priority(&self.pending[&id]);
+            let pending = &self.pending[&id];
+            if self.is_refused(now, pending) {
+                self.reject_suspect(id);
+                continue;
+            }
+            let priority = self.priority(pending);
             match self.choose_runner(now, id, priority) {
                 Choice::Runner { runner, rationale } => {
                     let rationale =
@@ -138,28 +143,31 @@
             notices: &self.notices,
             engine: self.engines.get(&pending.request.service),
         };
-        match self.crash_suspects.admit(now, pending.request.fingerprint) {
-            Admission::Unrestricted => selector.choose(pending, priority, |_| true),
-            Admission::Isolated => {
+        match self.verdict(now, pending) {
+            Verdict::Sound => selector.choose(pending, priority, |_| true),
+            Verdict::Suspected | Verdict::OnTrial => {
                 let excluded = self.suspected_runners(now);
                 selector.choose(pending, priority, |target| {
                     !excluded.contains(&target.entry.runner)
                 })
             }
-            Admission::Refused { .. } => Choice::NoRunner,
+            Verdict::Refused => Choice::NoRunner,
         }
     }
 
-    /// Returns the runners that run a suspected request of this router.
+    /// Returns the runners that run a suspected request of this router. Suspected parts
+    /// count until the answer begins.
     fn suspected_runners(&self, now: Time) -> BTreeSet<Runner> {
         let mut runners = BTreeSet::new();
         for pending in self.pending.values() {
             let Stage::Dispatched(dispatch) = &pending.stage else {
                 continue;
             };
-            if self.crash_suspects.admit(now, pending.request.fingerprint)
-                != Admission::Unrestricted
-            {
+            let is_suspected = match dispatch.events {
+                0 => self.verdict(now, pending) != Verdict::Sound,
+                _ => self.is_suspected(now, pending.request.fingerprint),
+            };
+            if is_suspected {
                 runners.insert(dispatch.runner.clone());
             }
         }
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 use crate::action::{Action, End, Failure, Id, Refusal};
 use crate::budget::Budget;
 use crate::notice::Notices;
+use crate::parts::Parts;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
 use crate::queue::{Flow, Queue, flow};
@@ -67,6 +68,7 @@
     breakdown: Breakdown,
     budget: Budget,
     crash_suspects: Registry,
+    parts: Parts,
     notices: Notices,
     router_count: u32,
     actions: Vec<Action>,
@@ -93,6 +95,7 @@
             breakdown,
             budget,
             crash_suspects: Registry::new(suspect::Settings::default()),
+            parts: Parts::new(),
             notices: Notices::new(),
             router_count: 1,
             actions: Vec::new(),
@@ -196,11 +199,11 @@
         if let Some(workspace) = &request.workspace {
             self.shares_mut(&service).record_demand(workspace, cost);
         }
-        if let Admission::Refused { .. } = self.crash_suspects.admit(now, request.fingerprint) {
+        let pending = Pending::new(now, request);
+        if self.is_refused(now, &pending) {
             self.refuse(id, Refusal::CrashesRunners);
             return;
         }
-        let pending = Pending::new(now, request);
         let priority = self.priority(&pending);
         let max_wait = max_wait(&pending.request, priority);
         let queue = self.queues.entry(service.clone()).or_default();
@@ -257,6 +260,11 @@
         if !is_first {
             return;
         }
+        for &part in &pending.part_keys {
+            if self.parts.clear(now, part) {
+                self.actions.push(Action::Blame { part, crashes: 0 });
+            }
+        }
         let prefill_tokens = std::mem::take(&mut dispatch.prefill_tokens);
         let elapsed = now.since(dispatch.sent_at);
         // Against a shorter expected time, an ordinary delay would count as a
@@ -327,6 +335,7 @@
         }
         self.breakdown.advance(now);
         self.crash_suspects.expire(now);
+        self.parts.expire(now);
         for target in self.targets.values_mut() {
             if target.take_probe(now) {
                 self.actions.push(Action::Probe {
@@ -370,6 +379,7 @@
             loads: loads.filter(|load| load.running > 0).collect(),
             suspects: self.crash_suspects.suspects(MAX_REPORT_SUSPECTS),
             leaving: self.notices.leaving(report::MAX_LEAVING).collect(),
+            part_suspects: self.parts.suspects(MAX_REPORT_SUSPECTS),
         }
     }
 
@@ -405,6 +415,12 @@
         for suspect in &report.suspects {
             self.crash_suspects.merge(now, suspect);
         }
+        for suspect in &report.part_suspects {
+            if let Some(crashes) = self.parts.merge(now, suspect) {
+                let part = suspect.fingerprint;
+                self.actions.push(Action::Blame { part, crashes });
+            }
+        }
         for leaving in &report.leaving {
             self.notices
                 .record_leaving(&leaving.runner, leaving.started_at);
@@ -457,6 +473,10 @@
         Some(service)
     }
 
+    fn is_suspected(&self, now: Time, fingerprint: u128) -> bool {
+        self.crash_suspects.admit(now, fingerprint) != Admission::Unrestricted
+    }
+
     fn dequeue(&mut self, service: &Service, flow: &Flow, id: Id) {
         if let Some(queue) = self.queues.get_mut(service) {
             queue.remove(flow, id);
