Keep refusals of crashing requests and prompt parts in the store

After all routers had been killed callers' requests that crash runners were sent to runners again. Cause: refusals lived in the memory of routers only. Evidence: the new end-to-end test (two routers killed after a part was refused) fails if the stored refusals are not applied (502: a runner ended again), passes with them. Change: a router that sees a crash by which something is refused writes its refusals into its own object in the store, which routers read at their start anyway; a router that finds its object there keeps what it holds.

--- a/crates/claim/src/suspect.rs
+++ b/crates/claim/src/suspect.rs
@@ -187,6 +187,16 @@
         suspects.take(limit).collect()
     }
 
+    /// Returns the records of the refused fingerprints.
+    #[must_use]
+    pub fn refusals(&self, now: Time) -> Vec<Suspect> {
+        let refused = self.entries.values().filter(|entry| {
+            let admission = self.admit(now, entry.suspect.fingerprint);
+            matches!(admission, Admission::Refused { .. })
+        });
+        refused.map(|entry| entry.suspect.clone()).collect()
+    }
+
     /// Clears suspicions and refusals whose period is over, and drops records
     /// that were cleared one suspicion period ago.
     ///
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -46,6 +46,10 @@
                     } => self.refuse(id, refusal, retry_after, &rationale),
                     Action::DeliverFailure { id } => self.deliver_fallback(id),
                     Action::Fail { id, failure } => self.fail(id, failure),
+                    Action::StoreRefusals => {
+                        self.announced = false;
+                        self.announce_at = self.now();
+                    }
                     Action::Probe { runner, address } => self.probe(&runner, address),
                     Action::Blame { part, crashes } => {
                         log::warn!(target: "runner", "event=part_blamed part={part:032x} crashes={crashes}");
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -7,10 +7,12 @@
 use balsamchute_adapter::{manifest, runner};
 use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::report::Refusals;
 
 use crate::client::{Connection, Message, Purpose};
 use crate::edge::{Edge, Slot};
 use crate::frame::{VIEW_PATH, View};
+use crate::record;
 use crate::registry::Change;
 use crate::socket::{Input, Socket};
 use crate::watcher::{Response, Update};
@@ -63,8 +65,7 @@
         }
         if !self.announced && now >= self.announce_at && self.has_store(now) {
             self.announced = true;
-            let listen = self.settings.listen;
-            let call = Request::create_router(&self.settings.instance, listen.peers);
+            let call = Request::create_router(&self.settings.instance, &self.router_object(now));
             self.announce(now, &call);
         }
         self.expire_calls(now);
@@ -298,14 +299,22 @@
     }
 
     fn handle_announce_response(&mut self, now: Time, message: &Message) {
-        let peers = self.settings.listen.peers;
         match message.head.status {
             200 | 201 => {}
             // The object exists, unless this is the first start of the instance.
-            409 if store::decode_existing_router(&message.body) == Ok(peers) => {}
             409 => {
-                let call = Request::replace_router(&self.settings.instance, peers);
-                self.announce(now, &call);
+                let existing = store::decode_existing_router(&message.body).ok();
+                let stored = existing
+                    .as_ref()
+                    .and_then(|router| self.apply_refusals(now, &router.refusals));
+                let is_current = existing
+                    .is_some_and(|router| router.peers == self.settings.listen.peers)
+                    && stored.unwrap_or_default() == self.scheduler.refusals(now);
+                if !is_current {
+                    let router = self.router_object(now);
+                    let call = Request::replace_router(&self.settings.instance, &router);
+                    self.announce(now, &call);
+                }
             }
             status => {
                 log::warn!(target: "store", "event=announce_failed status={status}");
@@ -315,6 +324,38 @@
         }
     }
 
+    /// Returns the content of this router's object.
+    fn router_object(&self, now: Time) -> store::Router {
+        let refusals = self.scheduler.refusals(now);
+        let refusals = match refusals == Refusals::default() {
+            true => String::new(),
+            false => record::encode(now, &refusals),
+        };
+        store::Router {
+            peers: self.settings.listen.peers,
+            refusals,
+        }
+    }
+
+    /// Applies the refusals of a router's object, unless they are out of date. Returns
+    /// them.
+    fn apply_refusals(&mut self, now: Time, text: &str) -> Option<Refusals> {
+        if text.is_empty() {
+            return None;
+        }
+        match record::decode(now, text) {
+            Ok(refusals) => {
+                self.scheduler.apply_refusals(now, &refusals);
+                self.run_actions();
+                Some(refusals)
+            }
+            Err(error) => {
+                log::warn!(target: "store", "event=refusals_ignored reason={:?}", error.to_string());
+                None
+            }
+        }
+    }
+
     /// Processes a response of the store, or `None` for a failed call.
     fn handle_store_response(&mut self, now: Time, kind: Kind, response: Option<Response<'_>>) {
         let Some(watcher) = self.watchers.get_mut(&kind) else {
@@ -415,7 +456,13 @@
             }
             (Kind::Routers, StoreChange::Set(object)) => {
                 match store::decode_router(&object.content) {
-                    Ok(address) => self.peers.add(address),
+                    Ok(router) => {
+                        self.peers.add(router.peers);
+                        // Later on, other routers report their refusals themselves.
+                        if !self.is_router_list_loaded {
+                            self.apply_refusals(now, &router.refusals);
+                        }
+                    }
                     Err(error) => {
                         log::warn!(target: "store", "event=router_ignored name={:?} reason={:?}", object.name, error.to_string());
                     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod edge;
 mod frame;
 mod output;
+mod record;
 mod server;
 mod socket;
 mod stats;
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -155,6 +155,8 @@
         /// Socket address of the runner.
         address: SocketAddr,
     },
+    /// Store the refusals of the scheduler: a crash that this router saw changed them.
+    StoreRefusals,
     /// Log that the number of runners that crashed under a prompt part has changed.
     Blame {
         /// Digest of the service and the part's id.
--- a/crates/schedule/src/parts.rs
+++ b/crates/schedule/src/parts.rs
@@ -96,6 +96,11 @@
         (crashes != before).then_some(crashes)
     }
 
+    /// Returns the records of the refused parts.
+    pub fn refusals(&self, now: Time) -> Vec<Suspect> {
+        self.registry.refusals(now)
+    }
+
     /// Drops records that are out of date.
     pub fn expire(&mut self, now: Time) {
         self.registry.expire(now);
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// Requests and prompt parts that crash runners, as kept beyond the life of a router.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Refusals {
+    /// Fingerprints of requests.
+    pub requests: Vec<Suspect>,
+    /// Digests of prompt parts.
+    pub parts: Vec<Suspect>,
+}
+
 /// Runners that leave and are reported at most, by one router and by a sum.
 pub(crate) const MAX_LEAVING: usize = 64;
 
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -101,17 +101,28 @@
                 }
             }
         }
+        let refuses_any = disconnects.iter().any(|disconnect| {
+            let verdict = self.verdict_on(now, disconnect.fingerprint, &disconnect.part_keys);
+            verdict > Verdict::Suspected
+        });
+        if refuses_any {
+            self.actions.push(Action::StoreRefusals);
+        }
     }
 
     /// Returns how the request may be dispatched, by its fingerprint and its prompt
     /// parts.
     pub(super) fn verdict(&self, now: Time, pending: &Pending) -> Verdict {
-        let by_fingerprint = match self.crash_suspects.admit(now, pending.request.fingerprint) {
+        self.verdict_on(now, pending.request.fingerprint, &pending.part_keys)
+    }
+
+    fn verdict_on(&self, now: Time, fingerprint: u128, part_keys: &[u128]) -> Verdict {
+        let by_fingerprint = match self.crash_suspects.admit(now, fingerprint) {
             Admission::Unrestricted => Verdict::Sound,
             Admission::Isolated => Verdict::Suspected,
             Admission::Refused { .. } => Verdict::Refused,
         };
-        by_fingerprint.max(self.parts.verdict(now, &pending.part_keys))
+        by_fingerprint.max(self.parts.verdict(now, part_keys))
     }
 
     /// Returns whether the request must not be dispatched, now or later: it crashes
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 use balsamchute_claim::suspect::{self, Admission, Registry};
 use balsamchute_model::manifest::Engine;
 use balsamchute_model::prelude::*;
+use balsamchute_wire::exchange::Suspect;
 use indexmap::IndexMap;
 
 use crate::action::{Action, End, Failure, Id, Refusal};
@@ -18,7 +19,7 @@
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
 use crate::queue::{Flow, Queue, flow};
-use crate::report::{self, Report};
+use crate::report::{self, Refusals, Report};
 use crate::request::Request;
 use crate::runner::{Load, Target};
 use crate::scheduler::attempt::max_wait;
@@ -416,10 +417,7 @@
             self.crash_suspects.merge(now, suspect);
         }
         for suspect in &report.part_suspects {
-            if let Some(crashes) = self.parts.merge(now, suspect) {
-                let part = suspect.fingerprint;
-                self.actions.push(Action::Blame { part, crashes });
-            }
+            self.merge_part(now, suspect);
         }
         for leaving in &report.leaving {
             self.notices
@@ -428,6 +426,32 @@
         self.dispatch_all(now);
     }
 
+    /// Returns the refusals that a router that starts must know.
+    #[must_use]
+    pub fn refusals(&self, now: Time) -> Refusals {
+        Refusals {
+            requests: self.crash_suspects.refusals(now),
+            parts: self.parts.refusals(now),
+        }
+    }
+
+    /// Applies refusals of an earlier life of this router or another one.
+    pub fn apply_refusals(&mut self, now: Time, refusals: &Refusals) {
+        for suspect in &refusals.requests {
+            self.crash_suspects.merge(now, suspect);
+        }
+        for suspect in &refusals.parts {
+            self.merge_part(now, suspect);
+        }
+    }
+
+    fn merge_part(&mut self, now: Time, suspect: &Suspect) {
+        if let Some(crashes) = self.parts.merge(now, suspect) {
+            let part = suspect.fingerprint;
+            self.actions.push(Action::Blame { part, crashes });
+        }
+    }
+
     /// Drops the usage and load that peers reported. The caller does so when
     /// the exchange topology changes: the same counts then arrive as parts of
     /// other sums, and would be counted twice.
--- a/tests/all/edge/poison.rs
+++ b/tests/all/edge/poison.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
+
 use super::environment::{Store, header, read_message, respond, send_raw};
 use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest};
 
@@ -87,6 +89,7 @@
 }
 
 impl Fleet {
+    /// Starts runners that may crash, and routers that know each other by seeds.
     fn start(routers: usize, runners: usize) -> Self {
         let store = Store::start();
         store.put("config", "main", manifest(1, &["k1"]));
@@ -127,6 +130,33 @@
     }
 }
 
+/// The store keeps what no router remembers.
+#[test]
+fn a_part_that_crashes_runners_stays_refused_after_all_routers_were_killed() {
+    let mut fleet = Fleet::start(2, 8);
+    for number in 0..4 {
+        fleet.send(&format!("a1:200,{BAD_PART}:300,e{number}:200"));
+        thread::sleep(SPREAD_TIME);
+    }
+    let before = fleet.crashes();
+    assert!(before <= 5, "{before} runners ended");
+    for router in &fleet.routers {
+        router.signal(Signal::SIGKILL);
+    }
+    for router in &mut fleet.routers {
+        router.restart(Signal::SIGKILL);
+    }
+    for router in &fleet.routers {
+        router.wait_ready();
+    }
+    for _ in 0..4 {
+        let number = fleet.sent;
+        let response = fleet.send(&format!("a1:200,{BAD_PART}:300,e{number}:200"));
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    }
+    assert_eq!(fleet.crashes(), before);
+}
+
 #[test]
 fn prompts_that_share_a_part_that_crashes_runners_are_refused_and_sound_ones_are_not() {
     let mut fleet = Fleet::start(3, 10);
