Spread trials of refused prompt parts; keep the records that matter in sums

Routers would have tried a part again at the same moment, and a hub's sum kept the first 16 suspects that it met, not those with the most crashes. Change: each router has its own second for a trial, the fourth crash is the last; sums keep the records with the most crashes.

--- a/crates/schedule/src/parts.rs
+++ b/crates/schedule/src/parts.rs
@@ -7,6 +7,7 @@
 //! suspected in several crashes is refused.
 
 use balsamchute_base::digest::Hasher;
+use balsamchute_base::rank;
 use balsamchute_claim::suspect::{Registry, Settings};
 use balsamchute_model::prelude::*;
 use balsamchute_wire::exchange::Suspect;
@@ -16,12 +17,16 @@
 const REFUSAL_CRASHES: usize = 3;
 
 /// Number of crashes from which a refused part is not tried again.
-const FINAL_CRASHES: usize = 5;
+const FINAL_CRASHES: usize = 4;
 
-/// Time after the last crash from which a refused part is tried again: a part of sound
-/// prompts may have been under way in several crashes by chance.
+/// Shortest time after the last crash from which a refused part is tried again: a part
+/// of sound prompts may have been under way in several crashes by chance.
 const TRIAL_INTERVAL: Span = Span::from_secs(5);
 
+/// Time between the first trials of two routers, so that the second one learns how the
+/// first one ended.
+const TRIAL_STAGGER: Span = Span::from_secs(1);
+
 /// Digests of the parts of one prompt that other prompts may share.
 pub(crate) type Keys = SmallVec<[u128; 4]>;
 
@@ -44,19 +49,36 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Parts {
     registry: Registry,
+    /// Digest of the router's name, which decides when it tries a part.
+    router_digest: u64,
+    router_count: u32,
 }
 
 impl Parts {
-    pub fn new() -> Self {
+    /// Creates an empty set for the router with this unique name.
+    pub fn new(router: &str) -> Self {
         let settings = Settings {
             refusal_crashes: REFUSAL_CRASHES,
             ..Settings::default()
         };
         Parts {
             registry: Registry::new(settings),
+            router_digest: rank::score("trial", router),
+            router_count: 1,
         }
     }
 
+    /// Sets the number of routers among which trials are spread.
+    pub fn set_router_count(&mut self, router_count: u32) {
+        self.router_count = router_count.max(1);
+    }
+
+    /// Returns the time after the last crash from which this router may try a part.
+    fn trial_delay(&self, key: u128) -> Span {
+        let turn = (self.router_digest ^ key as u64) % u64::from(self.router_count);
+        TRIAL_INTERVAL + Span(TRIAL_STAGGER.0 * turn)
+    }
+
     /// Returns the strictest verdict on parts of a prompt.
     pub fn verdict(&self, now: Time, keys: &[u128]) -> Verdict {
         let verdicts = keys.iter().map(|&key| self.verdict_on(now, key));
@@ -67,7 +89,9 @@
         match self.registry.crashes(now, key) {
             (0, _) => Verdict::Sound,
             (1..REFUSAL_CRASHES, _) => Verdict::Suspected,
-            (REFUSAL_CRASHES..FINAL_CRASHES, age) if age >= TRIAL_INTERVAL => Verdict::OnTrial,
+            (REFUSAL_CRASHES..FINAL_CRASHES, age) if age >= self.trial_delay(key) => {
+                Verdict::OnTrial
+            }
             _ => Verdict::Refused,
         }
     }
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -114,9 +114,9 @@
     /// Cost that arrived and cost that was sent to a runner.
     usage: BTreeMap<(Service, Workspace), (f32, f32)>,
     loads: BTreeMap<Runner, Load>,
-    suspects: Vec<Suspect>,
+    suspects: BTreeMap<u128, Suspect>,
     leaving: Vec<Leaving>,
-    part_suspects: Vec<Suspect>,
+    part_suspects: BTreeMap<u128, Suspect>,
 }
 
 impl Sum {
@@ -176,23 +176,31 @@
         Report {
             usage: usage.collect(),
             loads,
-            suspects: self.suspects,
+            suspects: most_crashes(self.suspects),
             leaving: self.leaving,
-            part_suspects: self.part_suspects,
+            part_suspects: most_crashes(self.part_suspects),
         }
     }
 }
 
 /// Adds records to a sum, merged with those of the same fingerprint.
-fn add_suspects(sum: &mut Vec<Suspect>, suspects: &[Suspect]) {
+fn add_suspects(sum: &mut BTreeMap<u128, Suspect>, suspects: &[Suspect]) {
     for suspect in suspects {
-        let same = |other: &Suspect| other.fingerprint == suspect.fingerprint;
-        match sum.iter().position(same) {
-            Some(index) => {
-                suspect::merge_records(&mut sum[index], suspect);
+        match sum.get_mut(&suspect.fingerprint) {
+            Some(same) => {
+                suspect::merge_records(same, suspect);
+            }
+            None => {
+                sum.insert(suspect.fingerprint, suspect.clone());
             }
-            None if sum.len() < MAX_SUM_SUSPECTS => sum.push(suspect.clone()),
-            None => {}
         }
     }
 }
+
+/// Returns the `MAX_SUM_SUSPECTS` records with the most crashes.
+fn most_crashes(sum: BTreeMap<u128, Suspect>) -> Vec<Suspect> {
+    let mut suspects: Vec<Suspect> = sum.into_values().collect();
+    suspects.sort_by_key(|suspect| Reverse(suspect.crashes.len()));
+    suspects.truncate(MAX_SUM_SUSPECTS);
+    suspects
+}
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -85,6 +85,7 @@
             settings.retry_window,
         );
         let breakdown = Breakdown::new(settings.share_window);
+        let parts = Parts::new(&settings.attempt_prefix);
         Scheduler {
             settings,
             pending: IndexMap::new(),
@@ -96,7 +97,7 @@
             breakdown,
             budget,
             crash_suspects: Registry::new(suspect::Settings::default()),
-            parts: Parts::new(),
+            parts,
             notices: Notices::new(),
             router_count: 1,
             actions: Vec::new(),
@@ -130,6 +131,7 @@
     /// included.
     pub fn set_router_count(&mut self, router_count: u32) {
         self.router_count = router_count.max(1);
+        self.parts.set_router_count(router_count);
     }
 
     /// Applies a manifest: the engines behind services and the capacity that is
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -42,8 +42,13 @@
 /// Creates a scheduler; `retry_slack` is the fleet-wide slack of the retry
 /// budget.
 pub fn scheduler(retry_slack: u32) -> Scheduler {
+    named_scheduler("r1.1", retry_slack)
+}
+
+/// Creates a scheduler of the router process with this name.
+pub fn named_scheduler(name: &str, retry_slack: u32) -> Scheduler {
     let mut scheduler = Scheduler::new(Settings {
-        attempt_prefix: "r1.1".to_owned(),
+        attempt_prefix: name.to_owned(),
         domain: "a".to_owned(),
         share_window: Span(4000),
         retry_ratio: 0.2,
--- a/crates/schedule/tests/poison.rs
+++ b/crates/schedule/tests/poison.rs
@@ -7,7 +7,7 @@
 use balsamchute_schedule::action::{Action, End, Id, Refusal};
 use balsamchute_schedule::report::{Report, Sum};
 use balsamchute_schedule::request::Request;
-use common::{NOW, entry, model_request, scheduler, sends};
+use common::{NOW, entry, model_request, named_scheduler, scheduler, sends};
 
 const BAD_PART: u64 = 7;
 const SOUND_PART: u64 = 8;
@@ -21,7 +21,10 @@
 
 impl Router {
     fn new() -> Self {
-        let mut scheduler = scheduler(100);
+        Router::with(scheduler(100))
+    }
+
+    fn with(mut scheduler: Scheduler) -> Self {
         for number in 0..12 {
             scheduler.set_runner(NOW, entry(&format!("m{number}"), "model", 64));
         }
@@ -143,7 +146,7 @@
 }
 
 #[test]
-fn a_refused_part_is_tried_one_request_at_a_time_until_the_fifth_crash() {
+fn a_refused_part_is_tried_by_one_request_until_the_fourth_crash() {
     let mut router = Router::new();
     for _ in 0..3 {
         assert!(router.crash(NOW, BAD_PART));
@@ -154,10 +157,8 @@
     assert!(sent.is_some());
     assert_eq!(router.submit(now, BAD_PART).1, None);
     router.scheduler.cancel(now, trial);
-    for _ in 0..2 {
-        assert!(router.crash(now, BAD_PART));
-        now = now + Span(6000);
-    }
+    assert!(router.crash(now, BAD_PART));
+    now = now + Span(6000);
     for _ in 0..3 {
         assert!(!router.crash(now, BAD_PART));
         now = now + Span::from_secs(600);
@@ -222,3 +223,28 @@
     router.scheduler.apply_report(NOW, &peer, &report);
     assert!(!router.crash(NOW, BAD_PART));
 }
+
+/// All routers may try a part at about the same time; one must learn how the trial of
+/// another ended before its own.
+#[test]
+fn routers_try_a_refused_part_one_after_the_other() {
+    let mut crashed = Router::new();
+    for _ in 0..3 {
+        assert!(crashed.crash(NOW, BAD_PART));
+    }
+    let peer = Instance::new("r0").unwrap();
+    let trials_at = |now: Time| {
+        let names = (0..20).map(|number| format!("r{number}.1"));
+        let tries = names.filter(|name| {
+            let mut router = Router::with(named_scheduler(name, 100));
+            router.scheduler.set_router_count(20);
+            let report = crashed.scheduler.report();
+            router.scheduler.apply_report(NOW, &peer, &report);
+            router.submit(now, BAD_PART).1.is_some()
+        });
+        tries.count()
+    };
+    assert_eq!(trials_at(NOW + Span(4900)), 0);
+    assert!(trials_at(NOW + Span(5100)) <= 4);
+    assert_eq!(trials_at(NOW + Span(24_100)), 20);
+}
