--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -15,6 +15,7 @@
 use super::environment::{
     Runner, Store, connect, read_message, respond, respond_with_body, send_raw, wait_until,
 };
+use super::poison::Crashing;
 use super::{
     EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, request, start_router,
 };
@@ -248,6 +249,33 @@
     assert!(response.ends_with("<reset>"), "{response}");
 }
 
+/// The process that ends closes its connections in good order, and its listener.
+#[test]
+fn a_stream_without_a_length_whose_runner_crashes_between_events_is_not_complete() {
+    let runner = Crashing::start(
+        |mut stream| {
+            let Some((head, _)) = read_message(&mut stream) else {
+                return true;
+            };
+            let fields = "Content-Type: text/event-stream\r\n";
+            let body = "id: 1\ndata: event 1\n\n";
+            respond(&mut stream, &head, 200, fields, body);
+            false
+        },
+        Arc::default(),
+    );
+    let store = Store::start();
+    let route = super::Route::new("stream", "stream", 8000);
+    let unresumable = super::environment::manifest(1, &[route], &["k1"]);
+    store.put("config", "main", Some(unresumable));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    assert!(!decode_chunks(&response).1, "{response}");
+    assert!(response.ends_with("<reset>"), "{response}");
+}
+
 /// Events of the first runner say nothing of how far the second one came.
 #[test]
 fn a_stream_that_is_resumed_without_a_length_and_sends_no_event_is_not_complete() {
--- a/tests/all/edge/poison.rs
+++ b/tests/all/edge/poison.rs
@@ -17,15 +17,15 @@
 /// Time that a router takes to recognise a crash and to tell its peers.
 const SPREAD_TIME: Duration = Duration::from_millis(1000);
 
-/// Runner that ends, with its listener and all its connections, when it begins to answer
-/// a prompt with [`BAD_PART`].
-struct Crashing {
-    address: SocketAddr,
+/// Runner that may end, with its listener and all its connections.
+pub struct Crashing {
+    pub address: SocketAddr,
 }
 
 impl Crashing {
-    /// Starts a runner that counts its end in `crashes`.
-    fn start(crashes: Arc<AtomicUsize>) -> Self {
+    /// Starts a runner that counts its end in `crashes`. `serve` answers the requests of
+    /// a connection and returns false when the runner crashes.
+    pub fn start(serve: fn(TcpStream) -> bool, crashes: Arc<AtomicUsize>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
@@ -42,8 +42,8 @@
                 thread::spawn(move || {
                     if !serve(stream) && !has_crashed.swap(true, Ordering::SeqCst) {
                         crashes.fetch_add(1, Ordering::SeqCst);
-                        // Wakes the listener, so that it closes.
-                        drop(TcpStream::connect(address));
+                        // Wakes the listener until it has closed.
+                        while TcpStream::connect(address).is_ok() {}
                         for stream in open.lock().expect("no thread panicked").iter() {
                             let _ = stream.shutdown(Shutdown::Both);
                         }
@@ -55,7 +55,7 @@
     }
 }
 
-/// Answers the requests of a connection; returns false once one crashes the runner.
+/// Answers the requests of a connection; returns false once one with [`BAD_PART`] comes.
 fn serve(mut stream: TcpStream) -> bool {
     while let Some((head, _)) = read_message(&mut stream) {
         let prefix = header(&head, "x-prompt-prefix").unwrap_or_default();
@@ -95,7 +95,7 @@
         store.put("config", "main", manifest(1, &["k1"]));
         let crashes = Arc::new(AtomicUsize::new(0));
         for index in 0..runners {
-            let runner = Crashing::start(crashes.clone());
+            let runner = Crashing::start(serve, crashes.clone());
             store.put("servers", &format!("i-{index}"), entry(runner.address, "s"));
         }
         let mut seeds = Vec::new();
