Confirm that a runner lives before its close ends an answer

Cause: a process that crashes closes its connections in good order, like one that has sent its whole answer; the close alone proves nothing. Change: when an answer without a length ends with its connection, the router connects to the runner again before it delivers the end. Refused: the answer has broken off. Accepted: it is complete, and the new connection takes the place of the ended one. Why it works: a process that ends closes its listener too. What it cannot tell: a runner that lives and closes an answer early between two events.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -165,22 +165,33 @@
             return;
         };
         let runner = connection.runner.clone();
-        match connection.socket.check_connected() {
+        let ended = match connection.phase {
+            Phase::Confirming(id, ended) => Some((ended, id)),
+            _ => None,
+        };
+        let refused = match connection.socket.check_connected() {
+            Ok(false) => return,
             Ok(true) => {
                 connection.phase = Phase::Idle(Connection::unused_deadline(now));
                 connection.since = now;
                 self.keep_idle(now, index, &runner);
+                false
             }
-            Ok(false) => {}
             Err(error) => {
-                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
                 self.close(index);
-                if refused {
-                    self.record_refused_probe(now, &runner);
-                    self.run_actions();
-                }
+                error.kind() == io::ErrorKind::ConnectionRefused
+            }
+        };
+        if let Some((ended, id)) = ended {
+            match refused && self.ended_connection(ended, id).is_some() {
+                true => self.fail_broken_response(ended, id, false),
+                false => self.finish_ended_response(ended, id),
             }
         }
+        if refused {
+            self.record_refused_probe(now, &runner);
+            self.run_actions();
+        }
     }
 
     /// Adds an idle connection to the pool; closes the oldest one beyond the limit.
@@ -242,9 +253,12 @@
         };
         match connection.phase {
             Phase::Connecting(id) => return self.continue_connecting(index, id),
-            Phase::Probing => return self.continue_probe(index),
+            Phase::Probing | Phase::Confirming(..) => return self.continue_probe(index),
             Phase::Busy(_) | Phase::Idle(_) => {}
         }
+        if connection.has_ended {
+            return;
+        }
         connection.socket.flush();
         if connection.socket.is_broken() {
             self.handle_upstream_closed(index, true);
@@ -415,6 +429,11 @@
                 self.close(index);
                 return;
             }
+            Phase::Confirming(id, ended) => {
+                self.close(index);
+                self.finish_ended_response(ended, id);
+                return;
+            }
             // A reset while connecting counts as a refusal.
             Phase::Connecting(id) => {
                 self.handle_connect_failure(now, index, id, is_reset);
@@ -422,19 +441,64 @@
             }
             Phase::Busy(id) => id,
         };
-        let is_complete = !is_reset
-            && connection.response.as_mut().is_some_and(|response| {
-                response.framing == Framing::UntilClose && response.decoder.finish().is_ok()
-            });
-        if is_complete {
-            match self.advance_body(index, id) {
-                // The answer belongs to another request, and none can follow.
-                Advance::Next => self.fail_broken_response(index, id, false),
-                Advance::Stop => {}
+        let ends_by_close = connection
+            .response
+            .as_ref()
+            .is_some_and(|response| response.framing == Framing::UntilClose);
+        match ends_by_close && !is_reset {
+            true => self.confirm_end(now, index, id),
+            false => self.fail_broken_response(index, id, is_reset),
+        }
+    }
+
+    /// Connects to the runner to learn whether it lives: a process that crashes closes its
+    /// connections like one that has sent a whole answer without a length. The new
+    /// connection takes the place of the one that has ended.
+    fn confirm_end(&mut self, now: Time, index: usize, id: Id) {
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        connection.has_ended = true;
+        let runner = connection.runner.clone();
+        let address = self.registry.get(&runner).map(|entry| entry.address);
+        let confirmation = address
+            .map(|address| self.connect(now, Phase::Confirming(id, index), &runner, address));
+        match confirmation {
+            Some(Ok(_)) => {}
+            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                self.fail_broken_response(index, id, false);
+            }
+            // Nothing speaks against the end, such as for a runner that has left.
+            Some(Err(_)) | None => self.finish_ended_response(index, id),
+        }
+    }
+
+    /// Returns the connection of a request that the runner has closed in good order, unless
+    /// the request has left it meanwhile.
+    fn ended_connection(&mut self, index: usize, id: Id) -> Option<&mut Connection> {
+        match self.slots.get_mut(index) {
+            Some(Slot::Upstream(connection))
+                if connection.has_ended && connection.request() == Some(id) =>
+            {
+                Some(connection)
             }
+            _ => None,
+        }
+    }
+
+    /// Ends the response of a connection that the runner has closed in good order.
+    fn finish_ended_response(&mut self, index: usize, id: Id) {
+        let Some(connection) = self.ended_connection(index, id) else {
             return;
+        };
+        let is_finished = connection
+            .response
+            .as_mut()
+            .is_some_and(|response| response.decoder.finish().is_ok());
+        // The answer may belong to another request; none can follow.
+        if !is_finished || matches!(self.advance_body(index, id), Advance::Next) {
+            self.fail_broken_response(index, id, false);
         }
-        self.fail_broken_response(index, id, is_reset);
     }
 
     /// Ends an attempt whose response broke off, by a reset or otherwise.
@@ -484,6 +548,7 @@
     pub(super) fn sweep_upstreams(&mut self, now: Time) {
         let mut expired = Vec::new();
         let mut timed_out = Vec::new();
+        let mut unconfirmed = Vec::new();
         for (index, slot) in &self.slots {
             let Slot::Upstream(connection) = slot else {
                 continue;
@@ -493,6 +558,9 @@
                 Phase::Probing if now.since(connection.since) > CONNECT_TIMEOUT => {
                     expired.push(index);
                 }
+                Phase::Confirming(id, ended) if now.since(connection.since) > CONNECT_TIMEOUT => {
+                    unconfirmed.push((index, ended, id));
+                }
                 Phase::Connecting(id) if now.since(connection.since) > CONNECT_TIMEOUT => {
                     timed_out.push((index, id));
                 }
@@ -505,5 +573,10 @@
         for (index, id) in timed_out {
             self.handle_connect_failure(now, index, id, false);
         }
+        // Silence shows a loss on the way, not a crash.
+        for (index, ended, id) in unconfirmed {
+            self.close(index);
+            self.finish_ended_response(ended, id);
+        }
     }
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -31,6 +31,9 @@
     Connecting(Id),
     /// The connection is being established to learn whether the runner accepts any.
     Probing,
+    /// The same, after this request's answer has ended with the connection at this slab
+    /// index.
+    Confirming(Id, usize),
     /// The connection carries this request.
     Busy(Id),
     /// The connection may be reused until this time.
@@ -66,6 +69,8 @@
     pub is_read_paused: bool,
     /// Whether the connection carried another request before.
     pub is_reused: bool,
+    /// Whether the runner has closed the connection.
+    pub has_ended: bool,
 }
 
 impl Connection {
@@ -82,6 +87,7 @@
             withheld: 0,
             is_read_paused: false,
             is_reused: false,
+            has_ended: false,
         }
     }
 
@@ -89,7 +95,7 @@
     pub fn request(&self) -> Option<Id> {
         match self.phase {
             Phase::Connecting(id) | Phase::Busy(id) => Some(id),
-            Phase::Idle(_) | Phase::Probing => None,
+            Phase::Idle(_) | Phase::Probing | Phase::Confirming(..) => None,
         }
     }
 
