Let the soak play streams without a length and parts that crash runners

Some streams of the soak's runners have no length, some break off before their first event; a prompt part may begin to crash runners, which close their connections in good order and are back after 1.5 s in a new life. New check: a part under which five runners ended reaches runners three times at most later than 3 s after.

--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -7,11 +7,12 @@
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Interval between two wake-up connections to the server.
 const WAKE_INTERVAL: Duration = Duration::from_millis(20);
@@ -30,14 +31,29 @@
 struct Connection {
     client: Arc<TcpStream>,
     server: Arc<TcpStream>,
+    /// Whether the client's connection ends with a reset.
+    is_reset: Arc<AtomicBool>,
 }
 
 impl Connection {
     fn shutdown(&self) {
+        // Without a shutdown of the write side, the close of the socket resets the
+        // connection.
+        let of_client = match self.is_reset.load(Ordering::SeqCst) {
+            true => Shutdown::Read,
+            false => Shutdown::Both,
+        };
         // An error means that the socket is closed already.
-        let _ = self.client.shutdown(Shutdown::Both);
+        let _ = self.client.shutdown(of_client);
         let _ = self.server.shutdown(Shutdown::Both);
     }
+
+    fn reset(&self) -> io::Result<()> {
+        SockRef::from(&*self.client).set_linger(Some(Duration::ZERO))?;
+        self.is_reset.store(true, Ordering::SeqCst);
+        self.shutdown();
+        Ok(())
+    }
 }
 
 struct State {
@@ -185,6 +201,16 @@
         self.shared.resumed.notify_all();
     }
 
+    /// Resets all connections of clients. The link stays open.
+    ///
+    /// # Errors
+    ///
+    /// Returns the socket error of a connection that cannot be reset.
+    pub fn reset(&self) -> io::Result<()> {
+        let connections = std::mem::take(&mut self.shared.state().connections);
+        connections.values().try_for_each(Connection::reset)
+    }
+
     /// Drops the connection whose server-side socket has the local address
     /// `peer`.
     pub fn drop_connection(&self, peer: SocketAddr) {
@@ -259,6 +285,7 @@
     let connection = Connection {
         client: Arc::new(client),
         server: Arc::new(server),
+        is_reset: Arc::default(),
     };
     {
         let mut state = shared.state();
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -70,3 +70,16 @@
     connection.read_exact(&mut response).unwrap();
     assert_eq!(&response, b"def");
 }
+
+/// A connection that is closed in good order looks like the end of an answer.
+#[test]
+fn a_reset_reaches_the_client_and_the_link_stays_open() {
+    let link = Link::start(loopback(), start_echo_server()).unwrap();
+    let mut connection = TcpStream::connect(link.address()).unwrap();
+    assert_eq!(round_trip(&mut connection, b"abc").unwrap(), b"abc");
+    link.reset().unwrap();
+    let error = connection.read(&mut [0; 8]).unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    let mut next = TcpStream::connect(link.address()).unwrap();
+    assert_eq!(round_trip(&mut next, b"abc").unwrap(), b"abc");
+}
--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -138,6 +138,22 @@
         changed.notify_all();
     }
 
+    /// Writes a field of an object, if it is there.
+    #[allow(dead_code, reason = "used by the soak")]
+    pub fn set_field(&self, kind: &str, name: &str, field: &str, field_value: Value) {
+        let object = {
+            let state = self.state.0.lock().expect("no thread panicked");
+            let is_same = |object: &&(String, String, u64, Option<Value>)| {
+                (object.0.as_str(), object.1.as_str()) == (kind, name)
+            };
+            state.objects.iter().find(is_same).cloned()
+        };
+        if let Some((_, _, _, Some(mut value))) = object {
+            value[field] = field_value;
+            self.put(kind, name, Some(value));
+        }
+    }
+
     /// Returns another handle to the store.
     #[allow(dead_code, reason = "used by the soak")]
     pub fn handle(&self) -> Store {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::environment::header;
-use crate::fleet::{STREAM_EVENTS, body_of, current_key, event_of, some_key};
+use crate::fleet::{STREAM_EVENTS, body_of, current_key, digest, event_of, part_of, some_key};
 use crate::judge::{Judge, Kind, Outcome};
 
 /// Threads that send requests.
@@ -133,9 +133,17 @@
         Kind::Idempotent => "safe",
         Kind::Stream => "stream",
     };
+    let prompt = match kind {
+        Kind::Stream => format!(
+            "X-Token-Usage: 600,40\r\nX-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n",
+            part_of(id),
+            digest(id)
+        ),
+        Kind::Once | Kind::Idempotent => String::new(),
+    };
     let request = format!(
         "POST /{path}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
-         Authorization: Token {key}\r\nContent-Length: {}\r\n\r\n{id}",
+         Authorization: Token {key}\r\n{prompt}Content-Length: {}\r\n\r\n{id}",
         DEADLINE.as_millis(),
         id.len()
     );
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -4,14 +4,14 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use balsamchute_standin::link::Link;
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::Options;
 use crate::environment::{self, Copy, Route, Router, Runner, Store, header, respond};
@@ -34,6 +34,15 @@
 /// machine.
 const HANDLER_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which a runner that crashed is back.
+const CRASH_TIME: Duration = Duration::from_millis(1500);
+
+/// Sound prompt parts besides the one that crashes runners.
+const SOUND_PARTS: u64 = 10;
+
+/// Number of the prompt part that crashes runners; 0 while there is none.
+static BAD_PART: AtomicU64 = AtomicU64::new(0);
+
 /// Number of the API key that callers use.
 static KEY: AtomicU64 = AtomicU64::new(1);
 
@@ -48,6 +57,15 @@
     format!("k{}", random.random_range(1..=newest))
 }
 
+/// Returns the second part of a request's prompt: the one that crashes runners for one
+/// request in eight.
+pub fn part_of(id: &str) -> u64 {
+    match BAD_PART.load(Ordering::SeqCst) {
+        bad @ 1.. if digest(id).is_multiple_of(8) => 1000 + bad,
+        _ => digest(id) / 8 % SOUND_PARTS,
+    }
+}
+
 /// Returns the whole answer to a plain request; its length varies with the id.
 pub fn body_of(id: &str) -> String {
     let padding = digest(id) % 3000;
@@ -60,7 +78,7 @@
 }
 
 /// FNV-1a, for choices that depend on the request alone.
-fn digest(id: &str) -> u64 {
+pub fn digest(id: &str) -> u64 {
     id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
     })
@@ -69,10 +87,21 @@
 struct Server {
     name: String,
     runner: Runner,
-    link: Arc<Link>,
+    // Also used by the runner itself, to crash.
+    link: Arc<OnceLock<Arc<Link>>>,
     is_leaving: Arc<AtomicBool>,
 }
 
+impl Server {
+    fn link(&self) -> &Arc<Link> {
+        self.link.get().expect("the link is set")
+    }
+
+    fn entry(&self) -> Value {
+        environment::entry(self.link().address(), "s", 16)
+    }
+}
+
 /// Everything that a run starts.
 pub struct Fleet {
     store: Store,
@@ -154,19 +183,29 @@
         self.next_runner += 1;
         let is_leaving = Arc::new(AtomicBool::new(false));
         let (judge, leaving) = (judge.clone(), is_leaving.clone());
+        let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
+        let (own_link, store) = (link.clone(), self.store.handle());
         let runner = Runner::start(move |head, stream| {
+            if let Some(part) = bad_part(head) {
+                judge.record_crashing(part);
+                let link = own_link.get().expect("the link is set").clone();
+                crash(number, link, store.handle());
+                return false;
+            }
             serve(number, head, stream, &judge, leaving.load(Ordering::SeqCst))
         });
-        let link = Link::start(([127, 0, 0, 1], 0).into(), runner.address);
+        let started = Link::start(([127, 0, 0, 1], 0).into(), runner.address);
+        let started = Arc::new(started.expect("the link starts"));
+        link.set(started).ok().expect("the link is set once");
         let server = Server {
             name: format!("i-{number}"),
             runner,
-            link: Arc::new(link.expect("the link starts")),
+            link,
             is_leaving,
         };
-        let entry = environment::entry(server.link.address(), "s", 16);
         self.keep_copy();
-        self.store.put("servers", &server.name, Some(entry));
+        self.store
+            .put("servers", &server.name, Some(server.entry()));
         self.servers.insert(number, server);
         number
     }
@@ -219,12 +258,11 @@
             }
             Fault::RestoreStore(age) => self.restore(*age, judge),
             Fault::ResetRunner(place) => {
-                let link = &self.servers[&self.places[*place]].link;
-                link.close();
-                link.open().expect("the link opens again");
+                let link = self.servers[&self.places[*place]].link();
+                link.reset().expect("connections can be reset");
             }
             Fault::SilenceRunner(place, time) => {
-                let link = self.servers[&self.places[*place]].link.clone();
+                let link = self.servers[&self.places[*place]].link().clone();
                 silence(&mut self.pending, &link, *time);
             }
             Fault::ReplaceRunner(place) => self.replace_runner(*place, judge),
@@ -232,6 +270,9 @@
                 let server = &self.servers[&self.places[*place]];
                 server.is_leaving.store(true, Ordering::SeqCst);
             }
+            Fault::SpoilPart => {
+                BAD_PART.fetch_add(1, Ordering::SeqCst);
+            }
             Fault::WithdrawKey => {
                 let key = current_key();
                 KEY.fetch_add(1, Ordering::SeqCst);
@@ -277,8 +318,7 @@
         self.put_manifest();
         let live: Vec<usize> = self.places.clone();
         for (number, server) in &self.servers {
-            let entry = environment::entry(server.link.address(), "s", 16);
-            let entry = live.contains(number).then_some(entry);
+            let entry = live.contains(number).then(|| server.entry());
             self.store.put("servers", &server.name, entry);
         }
     }
@@ -288,7 +328,7 @@
         let new = self.start_runner(judge);
         let old = std::mem::replace(&mut self.places[place], new);
         let server = &self.servers[&old];
-        let mut entry = environment::entry(server.link.address(), "s", 16);
+        let mut entry = server.entry();
         entry["state"] = json!("draining");
         self.keep_copy();
         self.store
@@ -369,6 +409,27 @@
     }));
 }
 
+/// Returns the part of a prompt that crashes runners.
+fn bad_part(head: &str) -> Option<u64> {
+    let prefix = header(head, "x-prompt-prefix")?;
+    let part = prefix.split(',').nth(1)?.split(':').next()?;
+    u64::from_str_radix(part, 16)
+        .ok()
+        .filter(|part| *part > 1000)
+}
+
+/// Ends a runner, which is back after a time in a new life.
+fn crash(number: usize, link: Arc<Link>, store: Store) {
+    link.close();
+    thread::spawn(move || {
+        thread::sleep(CRASH_TIME);
+        link.open().expect("the link opens again");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = json!(born.expect("the clock is set").as_millis() as u64);
+        store.set_field("servers", &format!("i-{number}"), "born", born);
+    });
+}
+
 /// Answers a request at a runner. Some requests, by their id, are turned away, broken
 /// off, spoilt or answered twice.
 fn serve(number: usize, head: &str, stream: &mut TcpStream, judge: &Judge, leaving: bool) -> bool {
@@ -425,7 +486,17 @@
     let after: u64 = header(head, "last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
     let fields =
         format!("{leaving}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+    // Some answers have no length and end with the connection.
+    let fields = match choice % 4 {
+        0 => format!("{leaving}Content-Type: text/event-stream\r\n"),
+        _ => fields,
+    };
+    let is_chunked = !choice.is_multiple_of(4);
     respond(stream, head, 200, &fields, "");
+    // The first run of some breaks off before its first event.
+    if after == 0 && choice == 12 {
+        return false;
+    }
     for event in after + 1..=STREAM_EVENTS {
         let text = event_of(id, event);
         // The first run breaks off, on some requests inside an event.
@@ -435,11 +506,14 @@
         } else {
             &text
         };
-        let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+        let chunk = match is_chunked {
+            true => format!("{:x}\r\n{part}\r\n", part.len()),
+            false => part.to_owned(),
+        };
         if stream.write_all(chunk.as_bytes()).is_err() || is_cut {
             return false;
         }
         thread::sleep(Duration::from_millis(10));
     }
-    stream.write_all(b"0\r\n\r\n").is_ok()
+    is_chunked && stream.write_all(b"0\r\n\r\n").is_ok()
 }
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -16,6 +16,12 @@
 /// it: the longest fault, the time until the router is in touch, and the bound.
 const KEY_BOUND: Duration = Duration::from_millis(2500 + 3000 + 2000);
 
+/// Crashes of runners after which, and time after the last of them from which on, a part
+/// that crashes runners must not reach any, but for a few requests.
+const CRASHES: usize = 5;
+const CRASH_BOUND: Duration = Duration::from_millis(3000);
+const LATE_ARRIVALS: usize = 3;
+
 /// Ratio, slack and window of the retry budget in the settings of the routers.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 54.0;
@@ -62,6 +68,8 @@
     // Runners that left, and when the store accepted that.
     leaving: BTreeMap<usize, Instant>,
     withdrawn: BTreeMap<String, Instant>,
+    // Arrivals of prompts at runners by the part that crashes these.
+    crashing: BTreeMap<u64, Vec<Instant>>,
     violations: Vec<String>,
 }
 
@@ -144,6 +152,12 @@
         state.withdrawn.insert(key.to_owned(), Instant::now());
     }
 
+    /// Records that a prompt with a part that crashes runners reached one.
+    pub fn record_crashing(&self, part: u64) {
+        let mut state = self.state();
+        state.crashing.entry(part).or_default().push(Instant::now());
+    }
+
     /// Returns all violations, those that need the whole run included.
     pub fn violations(&self) -> Vec<String> {
         let state = self.state();
@@ -160,6 +174,18 @@
                 violations.push(format!("refusal: {id} ran and was refused as not run"));
             }
         }
+        for (part, arrivals) in &state.crashing {
+            let Some(&fifth) = arrivals.get(CRASHES - 1) else {
+                continue;
+            };
+            let late = arrivals.iter().filter(|at| **at > fifth + CRASH_BOUND);
+            let late = late.count();
+            if late > LATE_ARRIVALS {
+                violations.push(format!(
+                    "crashing part: {part} reached runners {late} times after five ended"
+                ));
+            }
+        }
         let begins = state.repeats.iter();
         for &begin in begins {
             let within = |times: &[Instant], from: Instant, to: Instant| {
@@ -192,14 +218,15 @@
                 .count()
         };
         format!(
-            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={}",
+            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={}",
             state.sent.len(),
             count(Outcome::Complete),
             count(Outcome::NotRun),
             count(Outcome::Unauthorized),
             count(Outcome::Unknown),
             state.repeats.len(),
-            state.faults.len()
+            state.faults.len(),
+            state.crashing.values().map(Vec::len).sum::<usize>()
         )
     }
 }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -46,6 +46,8 @@
     AnnounceLeaving(usize),
     /// The API key is replaced by a new one.
     WithdrawKey,
+    /// A prompt part begins to crash each runner that begins to answer it.
+    SpoilPart,
 }
 
 /// Fault and the time at which it begins.
@@ -81,7 +83,7 @@
     let router = random.random_range(0..routers);
     let runner = random.random_range(0..RUNNERS);
     let time = Duration::from_millis(random.random_range(100..MAX_FAULT_MS));
-    match random.random_range(0..28) {
+    match random.random_range(0..30) {
         0..=2 => Fault::KillRouter(router),
         3 => Fault::KillAllRouters,
         4..=6 => Fault::PauseRouter(router, time),
@@ -95,6 +97,7 @@
         20..=21 => Fault::SilenceRunner(runner, time),
         22..=23 => Fault::ReplaceRunner(runner),
         24 => Fault::AnnounceLeaving(runner),
+        25..=26 => Fault::SpoilPart,
         _ => Fault::WithdrawKey,
     }
 }
