Count only events, not comments, as progress of a stream

Callers waited until their deadline for a stream whose runner sent nothing but comments (lines that begin with a colon). Cause: each block of lines that a blank line ends counted as an event; for the scheduler any forwarded bytes were at least one. Change: a block counts if it has a field; blocks of comments are passed on.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -26,7 +26,7 @@
         };
         let body = std::mem::take(&mut response.body);
         let mut bytes = Vec::new();
-        let mut events = 0;
+        let events;
         if by_event {
             match transaction.splitter.push(&body, &mut bytes) {
                 Ok(count) => events = count,
@@ -38,6 +38,7 @@
             }
         } else {
             bytes = body;
+            events = 1;
         }
         if bytes.is_empty() {
             return true;
@@ -66,7 +67,10 @@
         }
         write::chunk(caller.socket.write_buffer(), &bytes);
         let caller = transaction.caller;
-        self.scheduler.record_events(now, id, events.max(1));
+        // Comments of a stream are no progress.
+        if events > 0 {
+            self.scheduler.record_events(now, id, events);
+        }
         self.flush_caller(caller);
         self.transactions.contains_key(&id)
     }
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -31,7 +31,8 @@
     }
 
     /// Adds received bytes and appends the events that are now complete to
-    /// `out`. Returns the number of these events.
+    /// `out`. Returns the number of these events. Blocks of comments alone are passed on
+    /// and not counted.
     ///
     /// # Errors
     ///
@@ -49,9 +50,9 @@
             if let Some(id) = event_id(event) {
                 self.last_id = Some(id);
             }
+            events += u64::from(has_field(event));
             consumed = end;
             from = end;
-            events += 1;
         }
         out.extend_from_slice(&self.partial[..consumed]);
         self.partial.drain(..consumed);
@@ -117,6 +118,12 @@
     None
 }
 
+/// Returns whether a block of lines has a field, and not only comments.
+fn has_field(block: &[u8]) -> bool {
+    let mut lines = block.split(|&b| b == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the number in the first `id` field of an event, or `None` if that
 /// field is missing or not a number. Later `id` fields are ignored.
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -378,6 +378,17 @@
 /// and then.
 #[test]
 fn a_stream_that_sends_bytes_but_no_event_moves_to_another_runner() {
+    check_stalled_stream_moves(b"1\r\n:\r\n");
+}
+
+#[test]
+fn a_stream_that_sends_comments_but_no_event_moves_to_another_runner() {
+    check_stalled_stream_moves(b"3\r\n:\n\n\r\n");
+}
+
+/// Checks that a stream whose runner sends one event, and then only `drip` now and then,
+/// is resumed at another runner.
+fn check_stalled_stream_moves(drip: &'static [u8]) {
     let first = AtomicUsize::new(0);
     let script = move |head: &str, stream: &mut TcpStream| {
         if first.fetch_add(1, Ordering::SeqCst) > 0 {
@@ -387,7 +398,7 @@
         }
         respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 1));
         // The router closes the connection when it moves the stream.
-        while stream.write_all(b"1\r\n:\r\n").is_ok() {
+        while stream.write_all(drip).is_ok() {
             thread::sleep(Duration::from_millis(200));
         }
         false
