Let quarantine commands ask all routers, also when one fails

An operator's release ended at the first router that failed, so the others went on refusing until it reached them between routers; the list showed the crashes of the first router that knew the request. Change: release tries all routers and then reports the first failure; list unites records as routers do.

--- a/src/commands/quarantine.rs
+++ b/src/commands/quarantine.rs
@@ -1,5 +1,6 @@
 //! `balsamchute quarantine`: lists and releases requests that crashed runners.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use bpaf::Bpaf;
@@ -52,6 +53,26 @@
     refused: bool,
 }
 
+impl Suspect {
+    /// Adds what another router knows: as routers merge records, the higher number of
+    /// releases wins, and crashes of equal numbers are united.
+    fn merge(&mut self, other: Suspect) {
+        self.refused |= other.refused;
+        match other.releases.cmp(&self.releases) {
+            Ordering::Less => {}
+            Ordering::Greater => {
+                self.releases = other.releases;
+                self.crashes = other.crashes;
+            }
+            Ordering::Equal => {
+                self.crashes.extend(other.crashes);
+                self.crashes.sort();
+                self.crashes.dedup();
+            }
+        }
+    }
+}
+
 /// Runs `quarantine list` or `quarantine release`.
 ///
 /// # Errors
@@ -71,11 +92,12 @@
     for (address, _) in client.fetch_fleet(options.entrance.router)?.routers {
         let entries: Option<Vec<Suspect>> = client.get(address, "/v1/quarantine")?;
         for suspect in entries.into_iter().flatten() {
-            // Crashes and releases are taken from the first router that lists the request.
-            suspects
-                .entry(suspect.fingerprint.clone())
-                .and_modify(|existing| existing.refused |= suspect.refused)
-                .or_insert(suspect);
+            match suspects.get_mut(&suspect.fingerprint) {
+                Some(existing) => existing.merge(suspect),
+                None => {
+                    suspects.insert(suspect.fingerprint.clone(), suspect);
+                }
+            }
         }
     }
     let suspects: Vec<Suspect> = suspects.into_values().collect();
@@ -107,17 +129,21 @@
 }
 
 /// Sends the release to every router, so that it takes effect without waiting for
-/// propagation between routers.
+/// propagation between routers. Fails with the first error once all were tried.
 fn run_release(options: &Release) -> Result<(), Error> {
     let client = Client::new();
     let path = format!("/v1/quarantine/{}/release", options.fingerprint);
     let mut is_released = false;
+    let mut failure = None;
     for (address, _) in client.fetch_fleet(options.entrance.router)?.routers {
-        is_released |= client.post(address, &path)?;
+        match client.post(address, &path) {
+            Ok(found) => is_released |= found,
+            Err(error) => failure = failure.or(Some(error)),
+        }
     }
-    if is_released {
-        Ok(())
-    } else {
-        Err(Error::UnknownFingerprint(options.fingerprint.clone()))
+    match (failure, is_released) {
+        (Some(error), _) => Err(error),
+        (None, true) => Ok(()),
+        (None, false) => Err(Error::UnknownFingerprint(options.fingerprint.clone())),
     }
 }
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -1,7 +1,7 @@
 //! `balsamchute edge` with a fake store, fake runners and callers on loopback.
 
 mod answers;
-mod environment;
+pub mod environment;
 mod interfaces;
 mod log_commands;
 mod notice;
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -1,13 +1,16 @@
 //! `balsamchute explain` and `quarantine` against a router with one engine.
 
 use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use balsamchute_standin::engine::{Engine, Settings};
 use balsamchute_standin::platform::Platform;
 use balsamchute_standin::prompt::Prompt;
+use serde_json::json;
 
 use crate::command::{INVENTORY, Run, TempDir, run, start_platform};
+use crate::edge::environment::{self, Runner, respond_with_body};
 use crate::serve::{Router, wait_until};
 
 /// Router, engine and platform of one test.
@@ -121,3 +124,65 @@
     );
     assert!(!list().contains("refused"), "{}", list());
 }
+
+/// Starts a stand-in of a router that lists these members and one suspect with this
+/// crash. `is_failing` ones answer a release with 500.
+fn start_member(
+    name: &'static str,
+    members: &Arc<Mutex<Vec<SocketAddr>>>,
+    is_failing: bool,
+) -> Runner {
+    let members = members.clone();
+    Runner::start(move |head, stream| {
+        let path = head.split(' ').nth(1).expect("a request target");
+        let listed = members.lock().expect("no thread panicked").clone();
+        let body = match path {
+            "/v1/status" => {
+                let members: Vec<_> = listed
+                    .iter()
+                    .enumerate()
+                    .map(|(index, address)| {
+                        json!({"instance": format!("r{index}"), "domain": "a", "config": 1,
+                            "callers": address.to_string(), "phase": "serving"})
+                    })
+                    .collect();
+                json!({"instance": name, "incarnation": 1, "config": 1, "phase": "serving",
+                    "durable": true, "requests": 0, "members": members, "services": []})
+            }
+            "/v1/quarantine" => json!([{"fingerprint": "f1", "crashes": [format!("a-{name}")],
+                "releases": 0, "refused": name == "r1"}]),
+            _ if is_failing => {
+                let fields = "Content-Length: 0\r\n";
+                environment::respond(stream, head, 500, fields, "");
+                return true;
+            }
+            _ => json!({}),
+        };
+        respond_with_body(stream, head, &body.to_string())
+    })
+}
+
+/// The first router that fails must not keep the release from the others, and each router
+/// may know other crashes.
+#[test]
+fn quarantine_asks_all_routers_although_one_fails() {
+    let members = Arc::default();
+    let routers = [("r0", true), ("r1", false), ("r2", false)]
+        .map(|(name, is_failing)| start_member(name, &members, is_failing));
+    let addresses = routers.each_ref().map(|router| router.address);
+    members
+        .lock()
+        .expect("no thread panicked")
+        .extend(addresses);
+    let entrance = addresses[0].to_string();
+    let list = run(&["quarantine", "list", "--router", &entrance]);
+    assert!(list.stdout.contains("a-r0 a-r1 a-r2"), "{list:?}");
+    assert!(list.stdout.contains("refused"), "{list:?}");
+    let release = run(&["quarantine", "release", "--router", &entrance, "f1"]);
+    assert_eq!(release.exit_code, 1, "{release:?}");
+    for router in &routers {
+        let requests = router.requests();
+        let releases = requests.iter().filter(|text| text.contains("/release"));
+        assert_eq!(releases.count(), 1);
+    }
+}
