Apply a rejected configuration no more; keep the start time of the soak's runners

The store of the configuration now remembers the version that was rejected. The new test cannot be written against the old interface; read in the code, not seen by a caller. Entries keep the start time now, as runners' do.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -33,6 +33,8 @@
     started: Time,
     platform_answered: bool,
     peer_answered: bool,
+    /// Version that could not be applied.
+    rejected: Option<u64>,
 }
 
 impl Store {
@@ -46,6 +48,7 @@
             started: now,
             platform_answered: false,
             peer_answered: false,
+            rejected: None,
         }
     }
 
@@ -76,6 +79,20 @@
         &self.document
     }
 
+    /// Returns the document to apply over version `applied`: a newer one that was not
+    /// rejected.
+    #[must_use]
+    pub fn unapplied(&self, applied: u64) -> Option<&Document> {
+        let version = self.document.version;
+        (version > applied && self.rejected != Some(version)).then_some(&self.document)
+    }
+
+    /// Records that the document in force cannot be applied. Only a newer one replaces
+    /// it.
+    pub fn reject(&mut self) {
+        self.rejected = Some(self.document.version);
+    }
+
     /// Returns the stamp of the document in force.
     #[must_use]
     pub fn stamp(&self) -> Stamp {
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -211,3 +211,19 @@
         Some(Resolution::Pending) | None => {}
     }
 }
+
+/// A router would otherwise parse it, and log its faults, at each tick.
+#[test]
+fn a_document_that_was_rejected_is_not_applied_again_but_the_next_one_is() {
+    let mut store = Store::new(Time(0));
+    assert_eq!(store.unapplied(0), None);
+    store.offer(document(2));
+    assert_eq!(store.unapplied(0), Some(&document(2)));
+    store.reject();
+    assert_eq!(store.unapplied(0), None);
+    store.offer(document(2));
+    assert_eq!(store.unapplied(0), None);
+    store.offer(document(3));
+    assert_eq!(store.unapplied(0), Some(&document(3)));
+    assert_eq!(store.unapplied(3), None);
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -173,11 +173,11 @@
     /// Applies the stored configuration if it is newer than the one in force
     /// and the router serves callers or is ready to.
     fn apply_config_if_ready(&mut self, cx: CX![]) {
-        let document = self.config_store.document();
-        let is_newer = document.version > self.dispatcher.config_stamp().version;
-        if !is_newer
-            || !(self.dispatcher.is_serving() || self.config_store.is_ready(self.context.now()))
-        {
+        let applied = self.dispatcher.config_stamp().version;
+        let Some(document) = self.config_store.unapplied(applied) else {
+            return;
+        };
+        if !(self.dispatcher.is_serving() || self.config_store.is_ready(self.context.now())) {
             return;
         }
         match document::parse(&document.text, "config/current") {
@@ -195,6 +195,7 @@
                         document.version
                     );
                 }
+                self.config_store.reject();
             }
         }
     }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -89,6 +89,8 @@
     runner: Runner,
     // Also used by the runner itself, to crash.
     link: Arc<OnceLock<Arc<Link>>>,
+    // Start of the runner's life in milliseconds since the Unix epoch; 0 for the first.
+    born: Arc<AtomicU64>,
     is_leaving: Arc<AtomicBool>,
 }
 
@@ -98,7 +100,9 @@
     }
 
     fn entry(&self) -> Value {
-        environment::entry(self.link().address(), "s", 16)
+        let mut entry = environment::entry(self.link().address(), "s", 16);
+        entry["born"] = json!(self.born.load(Ordering::SeqCst));
+        entry
     }
 }
 
@@ -184,12 +188,13 @@
         let is_leaving = Arc::new(AtomicBool::new(false));
         let (judge, leaving) = (judge.clone(), is_leaving.clone());
         let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
-        let (own_link, store) = (link.clone(), self.store.handle());
+        let born: Arc<AtomicU64> = Arc::default();
+        let (own_link, own_born, store) = (link.clone(), born.clone(), self.store.handle());
         let runner = Runner::start(move |head, stream| {
             if let Some(part) = bad_part(head) {
                 judge.record_crashing(part);
                 let link = own_link.get().expect("the link is set").clone();
-                crash(number, link, store.handle());
+                crash(number, link, own_born.clone(), store.handle());
                 return false;
             }
             serve(number, head, stream, &judge, leaving.load(Ordering::SeqCst))
@@ -201,6 +206,7 @@
             name: format!("i-{number}"),
             runner,
             link,
+            born,
             is_leaving,
         };
         self.keep_copy();
@@ -419,14 +425,15 @@
 }
 
 /// Ends a runner, which is back after a time in a new life.
-fn crash(number: usize, link: Arc<Link>, store: Store) {
+fn crash(number: usize, link: Arc<Link>, born: Arc<AtomicU64>, store: Store) {
     link.close();
     thread::spawn(move || {
         thread::sleep(CRASH_TIME);
         link.open().expect("the link opens again");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH);
-        let born = json!(born.expect("the clock is set").as_millis() as u64);
-        store.set_field("servers", &format!("i-{number}"), "born", born);
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let start = since_epoch.expect("the clock is set").as_millis() as u64;
+        born.store(start, Ordering::SeqCst);
+        store.set_field("servers", &format!("i-{number}"), "born", json!(start));
     });
 }
 
