--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! State of the process, and the dispatch of readiness events.
 
+mod announce;
 mod callers;
 mod deliver;
 mod endpoints;
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -158,7 +158,8 @@
         self.scheduler.record_refused_probe(now, runner);
     }
 
-    /// Keeps the connection of a probe for the next request once it is established.
+    /// Continues a connection that shows whether the runner lives. Once established it is
+    /// kept for the next request.
     fn continue_probe(&mut self, index: usize) {
         let now = self.now();
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -7,19 +7,14 @@
 use balsamchute_adapter::{manifest, runner};
 use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
-use balsamchute_schedule::report::Refusals;
 
 use crate::client::{Connection, Message, Purpose};
 use crate::edge::{Edge, Slot};
 use crate::frame::{VIEW_PATH, View};
-use crate::record;
 use crate::registry::Change;
 use crate::socket::{Input, Socket};
 use crate::watcher::{Response, Update};
 
-/// Timeout of a write to the store.
-const WRITE_TIMEOUT: Span = Span(1000);
-
 /// Timeout of a view request to another router.
 const VIEW_TIMEOUT: Span = Span(500);
 
@@ -38,9 +33,6 @@
 /// hub.
 const SETTLE_TIME: Span = Span(1500);
 
-/// Delay after a failed write of this router's object.
-const ANNOUNCE_RETRY_DELAY: Span = Span(500);
-
 /// Time over which the routers write their objects again to a restored store, so
 /// that hundreds of them stay within its write rate.
 const ANNOUNCE_SPREAD: Span = Span(2000);
@@ -64,9 +56,7 @@
             }
         }
         if !self.announced && now >= self.announce_at && self.has_store(now) {
-            self.announced = true;
-            let call = Request::create_router(&self.settings.instance, &self.router_object(now));
-            self.announce(now, &call);
+            self.announce(now);
         }
         self.expire_calls(now);
         self.request_view(now);
@@ -118,19 +108,7 @@
         }
     }
 
-    fn announce(&mut self, now: Time, call: &Request) {
-        let store = self.settings.store;
-        match self.open_client(store, Purpose::Announce) {
-            Some(index) => {
-                if let Some(Slot::Client(connection)) = self.slots.get_mut(index) {
-                    connection.send(call, store, now + WRITE_TIMEOUT);
-                }
-            }
-            None => self.announced = false,
-        }
-    }
-
-    fn open_client(&mut self, address: SocketAddr, purpose: Purpose) -> Option<usize> {
+    pub(super) fn open_client(&mut self, address: SocketAddr, purpose: Purpose) -> Option<usize> {
         let socket = match Socket::connect(address) {
             Ok(socket) => socket,
             Err(error) => {
@@ -298,64 +276,6 @@
         }
     }
 
-    fn handle_announce_response(&mut self, now: Time, message: &Message) {
-        match message.head.status {
-            200 | 201 => {}
-            // The object exists, unless this is the first start of the instance.
-            409 => {
-                let existing = store::decode_existing_router(&message.body).ok();
-                let stored = existing
-                    .as_ref()
-                    .and_then(|router| self.apply_refusals(now, &router.refusals));
-                let is_current = existing
-                    .is_some_and(|router| router.peers == self.settings.listen.peers)
-                    && stored.unwrap_or_default() == self.scheduler.refusals(now);
-                if !is_current {
-                    let router = self.router_object(now);
-                    let call = Request::replace_router(&self.settings.instance, &router);
-                    self.announce(now, &call);
-                }
-            }
-            status => {
-                log::warn!(target: "store", "event=announce_failed status={status}");
-                self.announced = false;
-                self.announce_at = now + ANNOUNCE_RETRY_DELAY;
-            }
-        }
-    }
-
-    /// Returns the content of this router's object.
-    fn router_object(&self, now: Time) -> store::Router {
-        let refusals = self.scheduler.refusals(now);
-        let refusals = match refusals == Refusals::default() {
-            true => String::new(),
-            false => record::encode(now, &refusals),
-        };
-        store::Router {
-            peers: self.settings.listen.peers,
-            refusals,
-        }
-    }
-
-    /// Applies the refusals of a router's object, unless they are out of date. Returns
-    /// them.
-    fn apply_refusals(&mut self, now: Time, text: &str) -> Option<Refusals> {
-        if text.is_empty() {
-            return None;
-        }
-        match record::decode(now, text) {
-            Ok(refusals) => {
-                self.scheduler.apply_refusals(now, &refusals);
-                self.run_actions();
-                Some(refusals)
-            }
-            Err(error) => {
-                log::warn!(target: "store", "event=refusals_ignored reason={:?}", error.to_string());
-                None
-            }
-        }
-    }
-
     /// Processes a response of the store, or `None` for a failed call.
     fn handle_store_response(&mut self, now: Time, kind: Kind, response: Option<Response<'_>>) {
         let Some(watcher) = self.watchers.get_mut(&kind) else {
