Treat a service's empty limits as none

An inventory with `limits: {}` at a service did not round-trip: the canonical text drops them, so the next diff showed a change that nobody made.

--- a/crates/inventory/src/document.rs
+++ b/crates/inventory/src/document.rs
@@ -81,7 +81,8 @@
         for service in draft.services {
             if self.register("service", &service.name, &mut locations) {
                 let name = service.name.value;
-                if let Some(limits) = service.limits {
+                let limits = service.limits.unwrap_or_default();
+                if limits != Limits::default() {
                     config.service_limits.insert(name.clone(), limits);
                 }
                 let kind = service.kind;
--- a/crates/inventory/tests/document.rs
+++ b/crates/inventory/tests/document.rs
@@ -84,6 +84,16 @@
 }
 
 /// One fault must hide no other: operators fix a file in one pass.
+/// A configuration that does not round-trip shows a change that nobody made.
+#[test]
+fn limits_without_a_value_round_trip() {
+    let text =
+        "services: [{name: s, kind: engine, limits: {}}]\nworkspaces: [{name: w, limits: {}}]";
+    let config = document::parse(text, "a").unwrap();
+    let reparsed = document::parse(&document::to_yaml(&config), "b").unwrap();
+    assert_eq!(reparsed, config);
+}
+
 #[test]
 fn every_fault_is_reported_with_its_line_and_name() {
     let text = r#"
