--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -21,7 +21,7 @@
     refusals: Refusals,
 }
 
-/// Encodes refusals.
+/// Encodes refusals together with the time at which they are written.
 ///
 /// # Panics
 ///
