Share the set-up of the tests of broken answers; wait for the runner's count

Cause of a second change: the number of bytes that a runner wrote was read right after the response and could still be 0, so the bound on it could pass although the router read on. The test now waits until the runner has stopped and compares then: stricter, same bound.

--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -198,23 +198,29 @@
     assert!(runner.requests()[0].ends_with(&"b".repeat(20)));
 }
 
-/// Starts a runner that answers with a 200 stream and closes the connection, and returns
-/// the response of a router whose stream route may not be resumed.
-fn broken_stream(fields: &'static str, body: &'static str) -> String {
-    let runner = Runner::start(move |head, stream| {
-        respond(stream, head, 200, fields, body);
-        false
-    });
+/// Returns the response to a stream request that goes to the runner at `address`; the
+/// stream may not be resumed.
+fn request_unresumable(address: SocketAddr) -> String {
     let store = Store::start();
     let route = super::Route::new("stream", "stream", 8000);
     let unresumable = super::environment::manifest(1, &[route], &["k1"]);
     store.put("config", "main", Some(unresumable));
-    store.put("servers", "i-0", entry(runner.address, "s"));
+    store.put("servers", "i-0", entry(address, "s"));
     let router = Router::start("r1", store.address);
     router.wait_ready();
     send_raw(router.callers, &request("POST", "/stream/x", "", ""))
 }
 
+/// Starts a runner that answers with a 200 stream and closes the connection, and returns
+/// the response of a router whose stream route may not be resumed.
+fn broken_stream(fields: &'static str, body: &'static str) -> String {
+    let runner = Runner::start(move |head, stream| {
+        respond(stream, head, 200, fields, body);
+        false
+    });
+    request_unresumable(runner.address)
+}
+
 /// A runner that crashes may close the connection in the middle of an event. Without a
 /// length or chunks, that end looks like any other.
 #[test]
@@ -264,14 +270,7 @@
         },
         Arc::default(),
     );
-    let store = Store::start();
-    let route = super::Route::new("stream", "stream", 8000);
-    let unresumable = super::environment::manifest(1, &[route], &["k1"]);
-    store.put("config", "main", Some(unresumable));
-    store.put("servers", "i-0", entry(runner.address, "s"));
-    let router = Router::start("r1", store.address);
-    router.wait_ready();
-    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    let response = request_unresumable(runner.address);
     assert!(!decode_chunks(&response).1, "{response}");
     assert!(response.ends_with("<reset>"), "{response}");
 }
@@ -329,49 +328,44 @@
 /// the memory of a router.
 const ENDLESS_BYTES: usize = 256 * 1024 * 1024;
 
-/// Sends a request to a runner that answers without end; returns the response and the
-/// bytes that the runner wrote.
-fn endless_answer(head: &'static str, fill: &'static str) -> (String, usize) {
-    let written = Arc::new(AtomicUsize::new(0));
+/// Checks that a router gives up the answer of a runner that writes without end, and
+/// closes the connection.
+fn check_given_up(head: &'static str, fill: &'static str) {
+    let written: Arc<Mutex<Option<usize>>> = Arc::default();
     let total = written.clone();
     let runner = Runner::start(move |_, stream| {
         let length = write_without_end(stream, head, fill);
-        total.fetch_add(length, Ordering::SeqCst);
+        *total.lock().expect("no thread panicked") = Some(length);
         false
     });
     let (_store, router) = start_router(&[&runner]);
     let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
-    (response, written.load(Ordering::SeqCst))
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    let written = || *written.lock().expect("no thread panicked");
+    wait_until("the runner has stopped writing", || written().is_some());
+    assert!(written() < Some(ENDLESS_BYTES), "{:?}", written());
 }
 
 #[test]
 fn an_answer_whose_head_never_ends_is_given_up() {
-    let (response, written) = endless_answer("HTTP/1.1 200 X\r\nA: ", "x");
-    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
-    assert!(written < ENDLESS_BYTES, "{written}");
+    check_given_up("HTTP/1.1 200 X\r\nA: ", "x");
 }
 
 #[test]
 fn interim_answers_that_never_end_are_given_up() {
-    let (response, written) = endless_answer("", "HTTP/1.1 100 X\r\n\r\n");
-    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
-    assert!(written < ENDLESS_BYTES, "{written}");
+    check_given_up("", "HTTP/1.1 100 X\r\n\r\n");
 }
 
 #[test]
 fn a_failure_whose_body_never_ends_is_given_up() {
     let head = "HTTP/1.1 500 X\r\nX-Request-Id: q1\r\nX-Answer-Signature: s\r\n\r\n";
-    let (response, written) = endless_answer(head, "x");
-    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
-    assert!(written < ENDLESS_BYTES, "{written}");
+    check_given_up(head, "x");
 }
 
 #[test]
 fn an_answer_to_another_request_that_never_ends_is_given_up() {
     let head = "HTTP/1.1 200 X\r\nX-Request-Id: q0\r\nX-Answer-Signature: s\r\n\r\n";
-    let (response, written) = endless_answer(head, "x");
-    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
-    assert!(written < ENDLESS_BYTES, "{written}");
+    check_given_up(head, "x");
 }
 
 /// Progress of a stream is a whole event. The first runner only sends bytes of one, now
