Log the request rates that runners name in their answers

The routers' logs had no line on limits, so that a limit that is not read and one that each router keeps by itself looked alike. Change: the adapter decodes the header, the scheduler records it by process of a runner, and each change is logged; no decision depends on it yet. Ruled out: each router keeps the limit by itself.

--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -84,13 +84,18 @@
         if response.classification == Classification::Misdirected {
             return;
         }
+        // A late answer says what held when its request was answered.
+        let is_current = response.classification != Classification::RequestMismatch;
         let (runner, started_at) = (connection.runner.clone(), connection.started_at);
         let leaving = response::says_leaving(&response.head);
         let pause = response::pause(&response.head);
-        for error in [leaving.as_ref().err(), pause.as_ref().err()]
-            .into_iter()
-            .flatten()
-        {
+        let limit = response::rate_limit(&response.head);
+        let errors = [
+            leaving.as_ref().err(),
+            pause.as_ref().err(),
+            limit.as_ref().err(),
+        ];
+        for error in errors.into_iter().flatten() {
             self.stats.count_malformed("runner_notice");
             if self.malformed_notices.insert(runner.clone()) {
                 log::warn!(target: "runner", "event=notice_ignored runner={runner} reason={:?}", error.to_string());
@@ -103,6 +108,12 @@
             log::info!(target: "runner", "event=runner_paused runner={runner} pause_ms={}", pause.0);
             self.scheduler.record_pause(now, &runner, started_at, pause);
         }
+        if let (true, Ok(limit)) = (is_current, limit)
+            && self.scheduler.record_limit(&runner, started_at, limit)
+        {
+            let per_second = limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
+            log::info!(target: "runner", "event=runner_limited runner={runner} started_at={started_at} per_second={per_second}");
+        }
     }
 
     /// Decodes the buffered part of a response body and forwards or completes the
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -5,7 +5,7 @@
 //! current time and carry out the returned actions. The modules are [`share`]
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
-//! has cached), [`notice`] (what runners say of themselves in answers) and [`budget`] (retry budget, split over all routers);
+//! has cached), [`notice`] and [`rate`] (what runners say of themselves in answers) and [`budget`] (retry budget, split over all routers);
 //! [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
 //! caller is told to use.
 
@@ -18,6 +18,7 @@
 mod pending;
 mod place;
 mod queue;
+pub mod rate;
 pub mod report;
 pub mod request;
 pub mod runner;
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
 use crate::queue::{Flow, Queue, flow};
+use crate::rate::Rates;
 use crate::report::{self, Refusals, Report};
 use crate::request::Request;
 use crate::runner::{Load, Target};
@@ -71,6 +72,7 @@
     crash_suspects: Registry,
     parts: Parts,
     notices: Notices,
+    rates: Rates,
     router_count: u32,
     actions: Vec<Action>,
 }
@@ -99,6 +101,7 @@
             crash_suspects: Registry::new(suspect::Settings::default()),
             parts,
             notices: Notices::new(),
+            rates: Rates::new(),
             router_count: 1,
             actions: Vec::new(),
         }
@@ -182,6 +185,18 @@
         self.notices.record_pause(runner, started_at, now + pause);
     }
 
+    /// Records the requests per second that a process of a runner, identified by its start
+    /// time, says in an answer that it accepts from all routers together, or that it names
+    /// no limit. Returns whether that changes its limit.
+    pub fn record_limit(
+        &mut self,
+        runner: &Runner,
+        started_at: u64,
+        per_second: Option<f64>,
+    ) -> bool {
+        self.rates.record(runner, started_at, per_second)
+    }
+
     /// Records that a runner refused the connection of a probe: it has crashed, with the
     /// attempts whose connections broke shortly before.
     pub fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
