--- a/tests/all/edge/notice.rs
+++ b/tests/all/edge/notice.rs
@@ -2,6 +2,7 @@
 
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -91,3 +92,44 @@
     assert!(begin.elapsed() >= pause);
     assert_eq!(runner.requests().len(), 2);
 }
+
+/// The users' rule counts from three seconds after the first answer with the limit.
+#[test]
+fn a_runner_gets_no_more_requests_from_two_routers_than_its_limit_allows() {
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let times = arrivals.clone();
+    let limited = Runner::start(move |head: &str, stream: &mut TcpStream| {
+        times
+            .lock()
+            .expect("no thread panicked")
+            .push(Instant::now());
+        let fields = "Server-Limit: 4.0\r\nContent-Length: 1\r\n";
+        respond(stream, head, 200, fields, "a");
+        true
+    });
+    let (store, router) = start_router(&[&limited]);
+    let second = Router::start_with_seeds("r2", store.address, &[router.callers]);
+    second.wait_ready();
+    let end = Instant::now() + Duration::from_secs(9);
+    thread::scope(|scope| {
+        for router in [&router, &second].repeat(6) {
+            scope.spawn(move || {
+                while Instant::now() < end {
+                    send(router);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    let arrivals = arrivals.lock().expect("no thread panicked");
+    let counted_from = arrivals[0] + Duration::from_secs(3);
+    let counted: Vec<&Instant> = arrivals.iter().filter(|at| **at >= counted_from).collect();
+    for (index, first) in counted.iter().enumerate() {
+        let window_end = **first + Duration::from_secs(4);
+        let in_window = counted[index..].iter().filter(|at| ***at < window_end);
+        let count = in_window.count();
+        // Half more than the limit allows in 4 s, and 5.
+        assert!(count <= 29, "{count} requests in 4 s");
+    }
+    assert!(counted.len() >= 8, "{} requests in 6 s", counted.len());
+}
