Keep the requests of all routers within the rate that a runner names

Cause: no router read the limit, and no mechanism divides a rate between routers: runners' pauses concern one router each, and loads count what runs, not what comes. Ruled out: repeats (1 of 445 requests); limits kept by each router alone (each heard them, none sent less).

Change: schedule::rate. A router takes the part of a limit that its requests are of all requests for the service, and paces its sends by tokens, of which few may be unused at a time; routers report what they sent in the last 4 s and what answers told them, and none sends beyond what the limit allows in 4 s. A request for a service whose runners all name limits is refused on arrival if too many of its kind wait.

Why it works: the parts add up to the limit, tokens bound bursts, the count bounds errors of parts that are a report old.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -68,10 +68,8 @@
             log::info!(target: "peer", "event=exchange_changed tier={:?} routers={}", self.peers.tier(), self.peers.alive(now).count() + 1);
             self.scheduler.clear_peers();
         }
-        for outgoing in self
-            .peers
-            .outgoing(now, &descriptor, &self.scheduler.report())
-        {
+        let report = self.scheduler.report(now);
+        for outgoing in self.peers.outgoing(now, &descriptor, &report) {
             self.send_frame(&outgoing);
         }
     }
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -108,11 +108,8 @@
             log::info!(target: "runner", "event=runner_paused runner={runner} pause_ms={}", pause.0);
             self.scheduler.record_pause(now, &runner, started_at, pause);
         }
-        if let (true, Ok(limit)) = (is_current, limit)
-            && self.scheduler.record_limit(&runner, started_at, limit)
-        {
-            let per_second = limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
-            log::info!(target: "runner", "event=runner_limited runner={runner} started_at={started_at} per_second={per_second}");
+        if let (true, Ok(limit)) = (is_current, limit) {
+            self.scheduler.record_limit(now, &runner, started_at, limit);
         }
     }
 
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -51,6 +51,11 @@
                         self.announce_at = self.now();
                     }
                     Action::Probe { runner, address } => self.probe(&runner, address),
+                    Action::Limit { runner, per_second } => {
+                        let per_second =
+                            per_second.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
+                        log::info!(target: "runner", "event=runner_limited runner={runner} per_second={per_second}");
+                    }
                     Action::Blame { part, crashes } => {
                         log::warn!(target: "runner", "event=part_blamed part={part:032x} crashes={crashes}");
                     }
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -65,6 +65,8 @@
         }],
         suspects: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
+        demand: Vec::new(),
     }
 }
 
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -165,6 +165,13 @@
         /// part; 0 once such an answer has begun.
         crashes: usize,
     },
+    /// Log that a runner names another limit on the rate of requests than before.
+    Limit {
+        /// Runner that names the limit.
+        runner: Runner,
+        /// Requests per second from all routers together; `None` if it names none.
+        per_second: Option<f64>,
+    },
     /// Answer that the request failed, or cut off an answer that has begun.
     Fail {
         /// Number of the request that failed.
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -7,6 +7,7 @@
 use crate::action::Rationale;
 use crate::notice::Notices;
 use crate::pending::Pending;
+use crate::rate::Rates;
 use crate::runner::{Load, Target};
 
 /// Prompt tokens that an engine prefills per millisecond, interleaved with the
@@ -112,6 +113,7 @@
     pub domain: &'a str,
     pub targets: &'a IndexMap<Runner, Target>,
     pub notices: &'a Notices,
+    pub rates: &'a Rates,
     pub engine: Option<&'a balsamchute_model::manifest::Engine>,
 }
 
@@ -219,6 +221,9 @@
         prompt: Option<&Prompt>,
         priority: Priority,
     ) -> bool {
+        if !self.rates.has_room(self.now, &target.entry) {
+            return false;
+        }
         let slots = f64::from(target.entry.slots);
         let Some(prompt) = prompt else {
             return f64::from(load.running) < slots;
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -41,6 +41,37 @@
     pub kv_tokens: u32,
 }
 
+/// What an answer of a runner said of the rate of requests that it accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Stated {
+    /// Requests per second from all routers together; `None` if it names no limit.
+    pub per_second: Option<f64>,
+    /// Time since the answer arrived.
+    pub age: Span,
+}
+
+/// Limit on the rate of requests to one process of a runner, and what it was sent.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Limit {
+    /// Runner that names the limit.
+    pub runner: Runner,
+    /// Start time of the process, as in [`Entry::started_at`].
+    pub started_at: u64,
+    /// What the runner said last; `None` if no answer told the reporting routers.
+    pub stated: Option<Stated>,
+    /// Requests sent within the last seconds, by the time for which limits count.
+    pub sent: u32,
+}
+
+/// Requests for a service that arrived at one router, decayed exponentially.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Demand {
+    /// Service that the requests were for.
+    pub service: Service,
+    /// Decayed number of requests.
+    pub requests: f32,
+}
+
 /// Usage, load and suspects as reported by one router, or summed over several.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Report {
@@ -55,6 +86,12 @@
     /// Digests of prompt parts that were under way when a runner crashed.
     #[serde(default)]
     pub part_suspects: Vec<Suspect>,
+    /// Limits on the rate of requests that runners named.
+    #[serde(default)]
+    pub limits: Vec<Limit>,
+    /// Requests that arrived, by service.
+    #[serde(default)]
+    pub demand: Vec<Demand>,
 }
 
 impl Report {
@@ -83,6 +120,14 @@
             }
         }
         self.loads.retain(|load| load.running > 0);
+        for limit in &mut self.limits {
+            let own = own.limits.iter().find(|own| is_same_process(own, limit));
+            limit.sent = limit.sent.saturating_sub(own.map_or(0, |own| own.sent));
+        }
+        for item in &mut self.demand {
+            let own = own.demand.iter().find(|own| own.service == item.service);
+            item.requests = (item.requests - own.map_or(0.0, |own| own.requests)).max(0.0);
+        }
         self
     }
 }
@@ -108,6 +153,9 @@
 /// relays the reports of others on an eighth of a core.
 const MAX_SUM_LOADS: usize = 600;
 
+/// Limits that a sum holds at most.
+const MAX_SUM_LIMITS: usize = 256;
+
 /// Sum of the reports of several routers.
 #[derive(Clone, Debug, Default)]
 pub struct Sum {
@@ -117,6 +165,8 @@
     suspects: BTreeMap<u128, Suspect>,
     leaving: Vec<Leaving>,
     part_suspects: BTreeMap<u128, Suspect>,
+    limits: BTreeMap<Runner, Limit>,
+    demand: BTreeMap<Service, f32>,
 }
 
 impl Sum {
@@ -153,6 +203,33 @@
                 self.leaving.push(leaving.clone());
             }
         }
+        for limit in &report.limits {
+            self.add_limit(limit);
+        }
+        for demand in &report.demand {
+            *self.demand.entry(demand.service.clone()).or_default() += demand.requests;
+        }
+    }
+
+    /// Adds a limit. A later process of the runner replaces an earlier one, and of two
+    /// answers the later one counts.
+    fn add_limit(&mut self, limit: &Limit) {
+        let is_full = self.limits.len() >= MAX_SUM_LIMITS;
+        match self.limits.get_mut(&limit.runner) {
+            Some(sum) if is_same_process(sum, limit) => {
+                sum.sent = sum.sent.saturating_add(limit.sent);
+                sum.stated = match (sum.stated, limit.stated) {
+                    (Some(known), Some(other)) if other.age < known.age => Some(other),
+                    (None, other) => other,
+                    (known, _) => known,
+                };
+            }
+            Some(sum) if sum.started_at > limit.started_at => {}
+            None if is_full => {}
+            Some(_) | None => {
+                self.limits.insert(limit.runner.clone(), limit.clone());
+            }
+        }
     }
 
     /// Returns the sum as a report. Of more than `MAX_SUM_LOADS` runners, those
@@ -179,10 +256,20 @@
             suspects: most_crashes(self.suspects),
             leaving: self.leaving,
             part_suspects: most_crashes(self.part_suspects),
+            limits: self.limits.into_values().collect(),
+            demand: self
+                .demand
+                .into_iter()
+                .map(|(service, requests)| Demand { service, requests })
+                .collect(),
         }
     }
 }
 
+fn is_same_process(a: &Limit, b: &Limit) -> bool {
+    a.runner == b.runner && a.started_at == b.started_at
+}
+
 /// Adds records to a sum, merged with those of the same fingerprint.
 fn add_suspects(sum: &mut BTreeMap<u128, Suspect>, suspects: &[Suspect]) {
     for suspect in suspects {
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -266,6 +266,17 @@
         self.cancel(now, id);
     }
 
+    /// Returns whether all runners of the service that accept requests name a limit on
+    /// their rate.
+    pub(super) fn is_limited(&self, service: &Service) -> bool {
+        let mut open = self.targets.values().filter(|target| {
+            target.entry.service == *service
+                && target.is_ready()
+                && !self.notices.is_leaving(&target.entry)
+        });
+        open.all(|target| self.rates.is_limited(&target.entry))
+    }
+
     /// Returns when a runner of the service next accepts requests of this router, by
     /// the runners' entries and by what they said in answers.
     fn next_opening(&self, now: Time, service: &Service) -> Opening {
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -141,6 +141,7 @@
             domain: &self.settings.domain,
             targets: &self.targets,
             notices: &self.notices,
+            rates: &self.rates,
             engine: self.engines.get(&pending.request.service),
         };
         match self.verdict(now, pending) {
@@ -188,6 +189,7 @@
             target.cache.insert(prompt, kv_capacity);
         }
         let address = target.entry.address;
+        self.rates.record_send(now, runner);
         pending.tried.push(runner.clone());
         pending.stage = Stage::Dispatched(Dispatch {
             runner: runner.clone(),
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -88,6 +88,7 @@
         );
         let breakdown = Breakdown::new(settings.share_window);
         let parts = Parts::new(&settings.attempt_prefix);
+        let rates = Rates::new(&settings.attempt_prefix);
         Scheduler {
             settings,
             pending: IndexMap::new(),
@@ -101,7 +102,7 @@
             crash_suspects: Registry::new(suspect::Settings::default()),
             parts,
             notices: Notices::new(),
-            rates: Rates::new(),
+            rates,
             router_count: 1,
             actions: Vec::new(),
         }
@@ -135,6 +136,7 @@
     pub fn set_router_count(&mut self, router_count: u32) {
         self.router_count = router_count.max(1);
         self.parts.set_router_count(router_count);
+        self.rates.set_router_count(router_count);
     }
 
     /// Applies a manifest: the engines behind services and the capacity that is
@@ -187,14 +189,18 @@
 
     /// Records the requests per second that a process of a runner, identified by its start
     /// time, says in an answer that it accepts from all routers together, or that it names
-    /// no limit. Returns whether that changes its limit.
+    /// no limit.
     pub fn record_limit(
         &mut self,
+        now: Time,
         runner: &Runner,
         started_at: u64,
         per_second: Option<f64>,
-    ) -> bool {
-        self.rates.record(runner, started_at, per_second)
+    ) {
+        if self.rates.record(now, runner, started_at, per_second) {
+            let runner = runner.clone();
+            self.actions.push(Action::Limit { runner, per_second });
+        }
     }
 
     /// Records that a runner refused the connection of a probe: it has crashed, with the
@@ -211,6 +217,7 @@
     pub fn submit(&mut self, now: Time, id: Id, request: Request) {
         let service = request.service.clone();
         self.budget.record_request(now, &service);
+        self.rates.record_request(&service);
         let cost = request.cost();
         self.breakdown
             .record_demand(request.workspace.as_ref(), &request.route, cost);
@@ -224,10 +231,16 @@
         }
         let priority = self.priority(&pending);
         let max_wait = max_wait(&pending.request, priority);
+        let is_limited = self.is_limited(&service);
         let queue = self.queues.entry(service.clone()).or_default();
-        if priority != Priority::WithinShare && queue.is_overfull(now, &pending.request, max_wait) {
+        let is_scarce = priority != Priority::WithinShare || is_limited;
+        if is_scarce && queue.is_overfull(now, &pending.request, max_wait) {
             self.pending.insert(id, pending);
-            self.refuse(id, Refusal::OverShare);
+            let refusal = match priority {
+                Priority::WithinShare => Refusal::Saturated,
+                Priority::Behind | Priority::Surplus | Priority::Ahead => Refusal::OverShare,
+            };
+            self.refuse(id, refusal);
             self.pending.swap_remove(&id);
             return;
         }
@@ -352,6 +365,10 @@
             shares.advance(now);
         }
         self.breakdown.advance(now);
+        self.rates.advance(now);
+        for target in self.targets.values() {
+            self.rates.refill(now, &target.entry);
+        }
         self.crash_suspects.expire(now);
         self.parts.expire(now);
         for target in self.targets.values_mut() {
@@ -372,10 +389,10 @@
         }
     }
 
-    /// Returns the usage, load and suspects that this router reports to its
+    /// Returns the usage, load, suspects and limits that this router reports to its
     /// peers.
     #[must_use]
-    pub fn report(&self) -> Report {
+    pub fn report(&self, now: Time) -> Report {
         let usage = self.shares.iter().flat_map(|(service, shares)| {
             shares
                 .local_usage()
@@ -398,6 +415,8 @@
             suspects: self.crash_suspects.suspects(MAX_REPORT_SUSPECTS),
             leaving: self.notices.leaving(report::MAX_LEAVING).collect(),
             part_suspects: self.parts.suspects(MAX_REPORT_SUSPECTS),
+            limits: self.rates.limits(now).collect(),
+            demand: self.rates.demand().collect(),
         }
     }
 
@@ -440,6 +459,12 @@
             self.notices
                 .record_leaving(&leaving.runner, leaving.started_at);
         }
+        for (runner, per_second) in
+            self.rates
+                .apply_report(now, peer, &report.limits, &report.demand)
+        {
+            self.actions.push(Action::Limit { runner, per_second });
+        }
         self.dispatch_all(now);
     }
 
@@ -479,6 +504,7 @@
         for target in self.targets.values_mut() {
             target.clear_peer_loads();
         }
+        self.rates.clear_peers();
     }
 
     /// Adds the request's estimated cost times `sign` to the served cost.
--- a/crates/schedule/tests/notice.rs
+++ b/crates/schedule/tests/notice.rs
@@ -88,10 +88,10 @@
     let mut first = with_runners(&["p1", "p2"]);
     first.record_leaving(&runner("p1"), 1);
     let mut second = with_runners(&["p1", "p2"]);
-    second.apply_report(NOW, &Instance::new("r1").unwrap(), &first.report());
+    second.apply_report(NOW, &Instance::new("r1").unwrap(), &first.report(NOW));
     assert_eq!(runners_used(&mut second, NOW, 1), ["p2"]);
     // The next router learns it from the second one.
-    assert_eq!(second.report().leaving, first.report().leaving);
+    assert_eq!(second.report(NOW).leaving, first.report(NOW).leaving);
 }
 
 /// A runner that answers 503 with a delay wants nothing from this router until then. The
--- a/crates/schedule/tests/poison.rs
+++ b/crates/schedule/tests/poison.rs
@@ -190,7 +190,7 @@
     let peer = Instance::new("r2").unwrap();
     router
         .scheduler
-        .apply_report(NOW, &peer, &other.scheduler.report());
+        .apply_report(NOW, &peer, &other.scheduler.report(NOW));
     assert!(is_refused(&router.scheduler.take_actions(), 11));
     router.scheduler.set_runner(NOW, entry("m1", "model", 64));
     let sent: Vec<Id> = sends(&router.scheduler.take_actions())
@@ -215,7 +215,7 @@
             .scheduler
             .set_runner(NOW, entry(&format!("m-{name}"), "model", 64));
         assert!(router.crash(NOW, BAD_PART));
-        sum.add(&router.scheduler.report());
+        sum.add(&router.scheduler.report(NOW));
     }
     let report: Report = sum.into_report();
     let mut router = Router::new();
@@ -238,7 +238,7 @@
         let tries = names.filter(|name| {
             let mut router = Router::with(named_scheduler(name, 100));
             router.scheduler.set_router_count(20);
-            let report = crashed.scheduler.report();
+            let report = crashed.scheduler.report(NOW);
             router.scheduler.apply_report(NOW, &peer, &report);
             router.submit(now, BAD_PART).1.is_some()
         });
--- a/crates/schedule/tests/rate.rs
+++ b/crates/schedule/tests/rate.rs
@@ -6,10 +6,10 @@
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::Scheduler;
-use balsamchute_schedule::action::{Action, End, Id};
+use balsamchute_schedule::action::{End, Id};
 use balsamchute_schedule::report::{Report, Sum};
 use balsamchute_schedule::request::Request;
-use common::{NOW, entry, named_scheduler, plain_request, runner};
+use common::{NOW, entry, model_request, named_scheduler, plain_request, runner, scheduler, sends};
 
 const LIMIT: f64 = 5.0;
 
@@ -21,7 +21,7 @@
 const ANSWER_TIME: Span = Span(40);
 const REPORT_LAG: Span = Span(150);
 
-/// Routers that exchange sums of their reports, before plain runners.
+/// Routers that exchange sums of their reports, before runners of one service.
 struct Fleet {
     routers: Vec<Scheduler>,
     limits: BTreeMap<String, Option<f64>>,
@@ -90,14 +90,11 @@
     }
 
     fn carry_out(&mut self, index: usize) {
-        for action in self.routers[index].take_actions() {
-            if let Action::Send { id, runner, .. } = action {
-                let name = runner.as_str().to_owned();
-                let arrivals = self.arrivals.entry(name.clone()).or_default();
-                arrivals.push(self.now);
-                self.answers
-                    .push_back((self.now + ANSWER_TIME, index, id, name));
-            }
+        for (id, name) in sends(&self.routers[index].take_actions()) {
+            let arrivals = self.arrivals.entry(name.clone()).or_default();
+            arrivals.push(self.now);
+            self.answers
+                .push_back((self.now + ANSWER_TIME, index, id, name));
         }
     }
 
@@ -107,7 +104,7 @@
         {
             let limit = self.limits[&name];
             let router = &mut self.routers[index];
-            router.record_limit(&runner(&name), 1, limit);
+            router.record_limit(self.now, &runner(&name), 1, limit);
             router.finish_attempt(self.now, id, End::Done);
             self.carry_out(index);
         }
@@ -115,7 +112,8 @@
 
     /// Delivers the reports that are due, each router's sum without its own part.
     fn exchange(&mut self) {
-        let reports = self.routers.iter().map(Scheduler::report).collect();
+        let routers = self.routers.iter();
+        let reports = routers.map(|router| router.report(self.now)).collect();
         self.reports.push_back((self.now + REPORT_LAG, reports));
         while let Some((_, reports)) = self.reports.pop_front_if(|(due, _)| *due <= self.now) {
             let fleet = Instance::new("fleet").unwrap();
@@ -184,3 +182,64 @@
         assert!(used >= 68, "{name}: {used}");
     }
 }
+
+/// Sends requests at one router until the limit of runner `m1` holds them back; returns
+/// how many it gets.
+fn sent_at_once(scheduler: &mut Scheduler, now: Time, first: Id) -> usize {
+    for id in first..first + 20 {
+        scheduler.submit(now, id, model_request("w1", 1, 10));
+    }
+    let sent = sends(&scheduler.take_actions());
+    for id in first..first + 20 {
+        scheduler.cancel(now, id);
+    }
+    scheduler.take_actions();
+    sent.len()
+}
+
+#[test]
+fn a_limit_holds_until_an_answer_names_none_or_the_runner_restarts() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, entry("m1", "model", 64));
+    assert_eq!(sent_at_once(&mut scheduler, NOW, 1), 20);
+    scheduler.record_limit(NOW, &runner("m1"), 1, Some(LIMIT));
+    assert!(sent_at_once(&mut scheduler, NOW, 100) <= 1);
+    scheduler.record_limit(NOW, &runner("m1"), 1, None);
+    assert_eq!(sent_at_once(&mut scheduler, NOW, 200), 20);
+    scheduler.record_limit(NOW, &runner("m1"), 1, Some(LIMIT));
+    let restarted = Entry {
+        started_at: 2,
+        ..entry("m1", "model", 64)
+    };
+    scheduler.set_runner(NOW, restarted);
+    assert_eq!(sent_at_once(&mut scheduler, NOW, 300), 20);
+    // A late answer of the earlier process changes nothing.
+    scheduler.record_limit(NOW, &runner("m1"), 2, None);
+    scheduler.record_limit(NOW, &runner("m1"), 1, Some(LIMIT));
+    assert_eq!(sent_at_once(&mut scheduler, NOW, 400), 20);
+}
+
+/// A report says what was heard earlier than any answer that arrives after it.
+#[test]
+fn the_end_of_a_limit_is_not_undone_by_a_report_on_the_way() {
+    let mut scheduler = scheduler(100);
+    let mut other = named_scheduler("r2.1", 100);
+    let peer = Instance::new("r2").unwrap();
+    for router in [&mut scheduler, &mut other] {
+        router.set_runner(NOW, entry("m1", "model", 64));
+    }
+    other.record_limit(NOW, &runner("m1"), 1, Some(LIMIT));
+    let report = other.report(NOW);
+    scheduler.apply_report(NOW + REPORT_LAG, &peer, &report);
+    assert!(sent_at_once(&mut scheduler, NOW + REPORT_LAG, 1) <= 1);
+    scheduler.record_limit(NOW + Span(10), &runner("m1"), 1, None);
+    scheduler.apply_report(NOW + REPORT_LAG, &peer, &report);
+    assert_eq!(sent_at_once(&mut scheduler, NOW + REPORT_LAG, 100), 20);
+    // A router passes on only what answers told it.
+    let third = scheduler.report(NOW + REPORT_LAG).limits;
+    assert!(third.iter().all(|limit| {
+        limit
+            .stated
+            .is_none_or(|stated| stated.per_second.is_none())
+    }));
+}
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -303,7 +303,7 @@
     for id in 0..60 {
         busy.submit(NOW, id, model_request("w1", 1, 8000));
     }
-    let report = busy.report();
+    let report = busy.report(NOW);
     let mut scheduler = engines(1);
     let peer = Instance::new("r2").unwrap();
     scheduler.apply_report(NOW, &peer, &report);
