Divide limits between routers by the fair parts of workspaces

Change: an arrival counts with the part of its workspace's demand that the max-min share of all served cost covers. The share by configured capacity could not serve here: it does not know that the limits bind.

--- a/crates/schedule/src/rate.rs
+++ b/crates/schedule/src/rate.rs
@@ -3,8 +3,9 @@
 //!
 //! A runner names the requests per second that it accepts from all routers together. Each
 //! router takes the part of the limit that its requests are of all requests for the
-//! service, and paces its sends by tokens. Routers report what they sent, so that the sum
-//! stays within the limit also if their parts do not add up.
+//! service, as far as their workspaces' fair shares cover them, and paces its sends by
+//! tokens. Routers report what they sent, so that the sum stays within the limit also if
+//! their parts do not add up.
 //!
 //! A limit holds for one process of a runner, until an answer of that process names none.
 //! Routers pass on only what answers told them directly: a relayed statement would be
@@ -146,7 +147,7 @@
     }
 }
 
-/// Requests for one service, by the routers at which they arrived.
+/// Requests for one service within fair shares, by the routers at which they arrived.
 #[derive(Clone, Debug)]
 struct Demand {
     /// Requests that arrived here, decayed exponentially.
@@ -206,10 +207,12 @@
         self.router_count = router_count.max(1);
     }
 
-    /// Counts a request that arrived at this router.
-    pub fn record_request(&mut self, service: &Service) {
+    /// Counts a request that arrived at this router. `part` is the part of its workspace's
+    /// requests that can be served, from 0 to 1, so that a workspace which asks for more
+    /// than its share draws no more of the limits to its routers.
+    pub fn record_request(&mut self, service: &Service, part: f64) {
         let router_count = self.router_count;
-        demand_mut(&mut self.demand, service, router_count).local += 1.0;
+        demand_mut(&mut self.demand, service, router_count).local += part;
     }
 
     /// Records what an answer of a runner's process said: the requests per second that it
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -63,7 +63,8 @@
     pub sent: u32,
 }
 
-/// Requests for a service that arrived at one router, decayed exponentially.
+/// Requests for a service that arrived at one router, decayed exponentially. One of a
+/// workspace that asks for more than its share counts in part.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Demand {
     /// Service that the requests were for.
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -217,13 +217,16 @@
     pub fn submit(&mut self, now: Time, id: Id, request: Request) {
         let service = request.service.clone();
         self.budget.record_request(now, &service);
-        self.rates.record_request(&service);
         let cost = request.cost();
         self.breakdown
             .record_demand(request.workspace.as_ref(), &request.route, cost);
+        let mut covered_part = 1.0;
         if let Some(workspace) = &request.workspace {
-            self.shares_mut(&service).record_demand(workspace, cost);
+            let shares = self.shares_mut(&service);
+            shares.record_demand(workspace, cost);
+            covered_part = shares.covered_part(workspace);
         }
+        self.rates.record_request(&service, covered_part);
         let pending = Pending::new(now, request);
         if self.is_refused(now, &pending) {
             self.refuse(id, Refusal::CrashesRunners);
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -48,6 +48,8 @@
     peer_totals: BTreeMap<Workspace, Usage>,
     fair_share: f64,
     served_fair_share: f64,
+    // Max-min share of all served cost, which may be below the share of the capacity.
+    served_share: f64,
 }
 
 /// Time added to the time since the first call of `advance` in computing which
@@ -82,6 +84,7 @@
             peer_totals: BTreeMap::new(),
             fair_share: f64::INFINITY,
             served_fair_share: f64::INFINITY,
+            served_share: f64::INFINITY,
         }
     }
 
@@ -150,8 +153,9 @@
             }
             None => f64::INFINITY,
         };
+        self.served_share = self.max_min(self.total_served());
         self.served_fair_share = match self.capacity {
-            Some(_) => self.max_min(self.total_served()).max(self.fair_share),
+            Some(_) => self.served_share.max(self.fair_share),
             None => f64::INFINITY,
         };
     }
@@ -189,6 +193,16 @@
         self.served(workspace) < self.served_fair_share * BEHIND_RATIO
     }
 
+    /// Returns the part of the workspace's demand that its max-min share of all served cost
+    /// covers, up to 1.
+    #[must_use]
+    pub fn covered_part(&self, workspace: &Workspace) -> f64 {
+        let local = self.local.get(workspace).map_or(0.0, |usage| usage.demand);
+        let from_peers = self.peer_totals.get(workspace);
+        let demand = local + from_peers.map_or(0.0, |usage| usage.demand);
+        (self.served_share / demand.max(NEGLIGIBLE_COST)).min(1.0)
+    }
+
     /// Returns the fair share: the highest decayed cost up to which any
     /// workspace is under its share.
     #[must_use]
--- a/crates/schedule/tests/rate.rs
+++ b/crates/schedule/tests/rate.rs
@@ -9,7 +9,10 @@
 use balsamchute_schedule::action::{End, Id};
 use balsamchute_schedule::report::{Report, Sum};
 use balsamchute_schedule::request::Request;
-use common::{NOW, entry, model_request, named_scheduler, plain_request, runner, scheduler, sends};
+use common::{
+    NOW, entry, model_request, named_scheduler, plain_request, runner, scheduler, sends,
+    some_workspace,
+};
 
 const LIMIT: f64 = 5.0;
 
@@ -25,6 +28,10 @@
 struct Fleet {
     routers: Vec<Scheduler>,
     limits: BTreeMap<String, Option<f64>>,
+    /// Workspace of the requests that arrive at a router.
+    workspaces: Vec<&'static str>,
+    /// Requests that were sent, by the router at which they arrived.
+    sent: Vec<usize>,
     now: Time,
     next_id: Id,
     answers: VecDeque<(Time, usize, Id, String)>,
@@ -45,8 +52,11 @@
             }
             scheduler
         });
+        let routers: Vec<Scheduler> = routers.collect();
         Fleet {
-            routers: routers.collect(),
+            workspaces: vec!["w1"; routers.len()],
+            sent: vec![0; routers.len()],
+            routers,
             limits,
             now: NOW,
             next_id: 0,
@@ -83,6 +93,7 @@
     fn submit(&mut self, index: usize) {
         self.next_id += 1;
         let request = Request {
+            workspace: some_workspace(self.workspaces[index]),
             deadline: self.now + Span(1000),
             ..plain_request(RetryPolicy::Idempotent, 2)
         };
@@ -93,6 +104,7 @@
         for (id, name) in sends(&self.routers[index].take_actions()) {
             let arrivals = self.arrivals.entry(name.clone()).or_default();
             arrivals.push(self.now);
+            self.sent[index] += 1;
             self.answers
                 .push_back((self.now + ANSWER_TIME, index, id, name));
         }
@@ -183,6 +195,27 @@
     }
 }
 
+/// Repeated requests of one workspace reach a single router, and do not widen its part of
+/// the limits.
+#[test]
+fn a_workspace_that_floods_one_router_gets_no_larger_part_of_a_limit() {
+    let mut fleet = Fleet::new(7, &[Some(10.0), Some(10.0), Some(10.0)]);
+    fleet.workspaces[0] = "w2";
+    fleet.play(Span(4000), |index| if index == 0 { 400.0 } else { 10.0 });
+    fleet.sent.fill(0);
+    fleet.play(Span(8000), |index| if index == 0 { 400.0 } else { 10.0 });
+    let (flooding, others) = (fleet.sent[0], fleet.sent[1..].iter().sum::<usize>());
+    // Both ask for more than half of the 240 requests that the runners accept.
+    assert!(
+        others * 2 >= flooding && others >= 80,
+        "{flooding} and {others}"
+    );
+    for name in ["p0", "p1", "p2"] {
+        let most = fleet.most_in_window(name, NOW + CONTACT);
+        assert!(most <= allowed(10.0), "{name}: {most}");
+    }
+}
+
 /// Sends requests at one router until the limit of runner `m1` holds them back; returns
 /// how many it gets.
 fn sent_at_once(scheduler: &mut Scheduler, now: Time, first: Id) -> usize {
