Log the software version of runners, and which stream a request takes up

Change: the adapter decodes the entry's version and the caller's Resumes header; sends are logged with both. No decision depends on them yet.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -218,6 +218,7 @@
             fingerprint: fingerprint(&head, workspace.as_ref(), &body),
         };
         let last_event = caller.last_event_id;
+        let resumes = caller.resumes.map(str::to_owned);
         self.body_bytes += body.len();
         let transaction = Transaction {
             caller: index,
@@ -228,6 +229,7 @@
             arrival: now,
             deadline: now + time_left,
             last_event,
+            resumes,
             splitter: Splitter::new(),
             delivery: Delivery::NotStarted,
             upstream: None,
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -82,12 +82,16 @@
         transaction.runners.push(runner.clone());
         transaction.fallback = None;
         transaction.splitter.start_part();
+        let software = self.registry.get(runner).map(|entry| &entry.software);
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} software={} after={} resumes={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             transaction.request_id,
             transaction.attempts(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
+            software.map(ToString::to_string).unwrap_or_default(),
+            transaction.resume_after().unwrap_or(0),
+            transaction.resumes.as_deref().unwrap_or("-"),
             transaction.manifest,
             now.since(transaction.arrival).0,
             rationale.within_share,
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -42,6 +42,8 @@
     pub deadline: Time,
     /// Event id after which the caller asked to resume the stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream to resume.
+    pub resumes: Option<String>,
     pub splitter: Splitter,
     pub delivery: Delivery,
     /// Slab index of the connection to the runner during an attempt.
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -43,6 +43,7 @@
         state,
         warmup: Span(0),
         started_at: 1,
+        software: Software::default(),
     }
 }
 
--- a/crates/model/src/runner.rs
+++ b/crates/model/src/runner.rs
@@ -1,6 +1,8 @@
 //! Entries of the platform's list of runners.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use balsamchute_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -14,6 +16,36 @@
     Draining,
 }
 
+/// Version of a runner's software, not of its weights; empty if unknown. Versions have no
+/// order.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(from = "String", into = "String")]
+pub struct Software(Arc<str>);
+
+impl Default for Software {
+    fn default() -> Self {
+        Software(Arc::from(""))
+    }
+}
+
+impl From<String> for Software {
+    fn from(version: String) -> Self {
+        Software(Arc::from(version))
+    }
+}
+
+impl From<Software> for String {
+    fn from(version: Software) -> Self {
+        version.0.as_ref().to_owned()
+    }
+}
+
+impl fmt::Display for Software {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Entry with which a runner registers in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Entry {
@@ -36,4 +68,7 @@
     /// runner's clock; 0 if unknown.
     #[serde(rename = "born")]
     pub started_at: u64,
+    /// Version of the runner's software.
+    #[serde(default)]
+    pub software: Software,
 }
--- a/crates/schedule/benches/admission.rs
+++ b/crates/schedule/benches/admission.rs
@@ -80,6 +80,7 @@
                 state: State::Ready,
                 warmup: Span(0),
                 started_at: 1,
+                software: Software::default(),
             },
         );
     }
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -36,6 +36,7 @@
         state: State::Ready,
         warmup: Span(0),
         started_at: 1,
+        software: Software::default(),
     }
 }
 
