--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -8,6 +8,7 @@
 mod poison;
 mod restore;
 mod store;
+mod versions;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- /dev/null
+++ b/tests/all/edge/versions.rs
@@ -0,0 +1,177 @@
+//! Streams while runners of two software versions serve side by side.
+
+use std::io::Read;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use super::environment::{Runner, Store, connect, header, respond, send_raw};
+use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest};
+
+/// Time in which routers tell each other of a stream that began.
+const SPREAD_TIME: Duration = Duration::from_millis(600);
+
+/// Events of a whole stream, and those after which its first runner stops.
+const EVENTS: u64 = 5;
+const FIRST_EVENTS: u64 = 2;
+
+fn chunks(version: &str, from: u64, to: u64) -> String {
+    let events = (from..=to).map(|id| format!("id: {id}\ndata: {version}\n\n"));
+    events
+        .map(|event| format!("{:x}\r\n{event}\r\n", event.len()))
+        .collect()
+}
+
+/// Returns a runner whose streams stop after the first events: they break off, or hang if
+/// `hangs`. A stream that is resumed goes on to its end.
+fn runner(version: &'static str, hangs: bool) -> Runner {
+    Runner::start(move |head: &str, stream: &mut TcpStream| {
+        if let Some(last) = header(head, "last-event-id") {
+            let last: u64 = last.parse().expect("a number");
+            let body = format!("{}0\r\n\r\n", chunks(version, last + 1, EVENTS));
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+            return true;
+        }
+        let body = chunks(version, 1, FIRST_EVENTS);
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+        if hangs {
+            let _ = stream.read(&mut [0]);
+        }
+        false
+    })
+}
+
+struct Fleet {
+    _store: Store,
+    runners: Vec<Runner>,
+    routers: Vec<Router>,
+}
+
+impl Fleet {
+    fn start(versions: &[&'static str], hangs: bool, routers: usize) -> Self {
+        let store = Store::start();
+        store.put("config", "main", manifest(1, &["k1"]));
+        let runners: Vec<Runner> = versions
+            .iter()
+            .map(|version| runner(version, hangs))
+            .collect();
+        for (index, (runner, version)) in runners.iter().zip(versions).enumerate() {
+            let mut value = entry(runner.address, "s").expect("an entry");
+            value["version"] = json!(version);
+            store.put("servers", &format!("i-{index}"), Some(value));
+        }
+        let mut seeds = Vec::new();
+        let routers: Vec<Router> = (0..routers)
+            .map(|index| {
+                let name = format!("r{index}");
+                let router = Router::start_with_seeds(&name, store.address, &seeds);
+                seeds.push(router.peers);
+                router.wait_ready();
+                router
+            })
+            .collect();
+        Fleet {
+            _store: store,
+            runners,
+            routers,
+        }
+    }
+
+    fn received(&self) -> usize {
+        self.runners
+            .iter()
+            .map(|runner| runner.requests().len())
+            .sum()
+    }
+}
+
+fn stream_request(id: &str, fields: &str) -> String {
+    format!(
+        "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
+         Authorization: Token k1\r\nConnection: close\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
+}
+
+/// Returns the versions that the events of a response came from.
+fn versions_of(response: &str) -> Vec<&'static str> {
+    let body = decode_chunks(response).0;
+    let versions = ["v1", "v2"].into_iter();
+    versions
+        .filter(|version| body.contains(&format!("data: {version}\n")))
+        .collect()
+}
+
+#[test]
+fn a_stream_goes_on_in_its_answer_only_at_the_version_that_began_it() {
+    let fleet = Fleet::start(&["v1", "v1", "v2", "v2"], false, 1);
+    for number in 0..8 {
+        let request = stream_request(&format!("q{number}"), "");
+        let response = send_raw(fleet.routers[0].callers, &request);
+        let (body, is_whole) = decode_chunks(&response);
+        assert_eq!(versions_of(&response).len(), 1, "{body}");
+        assert!(is_whole && body.matches("id: ").count() == 5, "{body}");
+    }
+}
+
+/// With one runner of each version, none is left that may go on.
+#[test]
+fn a_stream_whose_version_no_other_runner_has_is_cut_off_at_once() {
+    let fleet = Fleet::start(&["v1", "v2"], false, 1);
+    let response = send_raw(fleet.routers[0].callers, &stream_request("q1", ""));
+    let (body, is_whole) = decode_chunks(&response);
+    assert!(!is_whole && versions_of(&response).len() == 1, "{body}");
+    assert_eq!(fleet.received(), 1);
+}
+
+/// The router that began the streams is killed; the other one and the killed one, once it
+/// has started again, let them go on at their version.
+#[test]
+fn a_stream_that_a_caller_takes_up_goes_on_only_at_the_version_that_began_it() {
+    let mut fleet = Fleet::start(&["v1", "v1", "v2", "v2"], true, 2);
+    let mut begun = Vec::new();
+    for number in 0..8 {
+        let id = format!("q{number}");
+        let mut stream = connect(fleet.routers[0].callers);
+        std::io::Write::write_all(&mut stream, stream_request(&id, "").as_bytes())
+            .expect("the router reads");
+        let mut text = String::new();
+        while !text.contains("id: 2\n") {
+            let mut bytes = [0; 512];
+            let length = stream.read(&mut bytes).expect("the stream goes on");
+            text.push_str(&String::from_utf8_lossy(&bytes[..length]));
+        }
+        let version = if text.contains("data: v1") {
+            "v1"
+        } else {
+            "v2"
+        };
+        begun.push((id, version, stream));
+    }
+    thread::sleep(SPREAD_TIME);
+    fleet.routers[0].signal(Signal::SIGKILL);
+    fleet.routers[0].restart(Signal::SIGKILL);
+    fleet.routers[0].wait_ready();
+    for (number, (id, version, _)) in begun.iter().enumerate() {
+        let fields = format!("Last-Event-Id: 2\r\nResumes: {id}\r\n");
+        let request = stream_request(&format!("t{number}"), &fields);
+        let response = send_raw(fleet.routers[1 - number % 2].callers, &request);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        assert_eq!(versions_of(&response), [*version], "{id}");
+    }
+}
+
+#[test]
+fn a_stream_of_unknown_version_is_refused_while_two_versions_serve() {
+    let fields = "Last-Event-Id: 2\r\nResumes: unknown\r\n";
+    let mixed = Fleet::start(&["v1", "v2"], false, 1);
+    let response = send_raw(mixed.routers[0].callers, &stream_request("q1", fields));
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert!(header(&response, "retry-after").is_some(), "{response}");
+    assert_eq!(mixed.received(), 0);
+    let uniform = Fleet::start(&["v1", "v1"], false, 1);
+    let response = send_raw(uniform.routers[0].callers, &stream_request("q1", fields));
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+}
