Let streams go on only at the software version that began them

Ruled out: runners that change version under one id (each id of the record starts once).

Change: the first event binds a request to its runner's version; an answer goes on only at that version and is cut off at once if no runner has it. schedule::stream keeps the service and version by a digest of the id of the request that began the stream, reports it to all routers for 300 ms (sums included), and hands all of it to a router that starts. A taken-up stream goes on where it began, before new ones; with an unknown beginning it is refused as not run while several versions serve, or did in the last 20 s.

Weighed: a version chosen by a hash of the id (proportions shift during a release); asking the other routers at the time (the one that knows was killed); the store (a write for each stream).

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -10,7 +10,7 @@
 use balsamchute_http::head::Request;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
-use balsamchute_schedule::request::Request as Scheduled;
+use balsamchute_schedule::request::{Request as Scheduled, Resumed};
 use balsamchute_wire::record::Outcome;
 use smallvec::SmallVec;
 
@@ -199,12 +199,19 @@
             return Err(with_id(rejection));
         }
         let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
+        let is_resumed = caller.last_event_id.is_some() || caller.resumes.is_some();
+        let resumed = is_resumed.then(|| Resumed {
+            stream: caller.resumes.map(stream_digest),
+        });
+        let origin = resumed.and_then(|resumed| self.scheduler.origin(resumed.stream?));
+        // A stream goes on at the service that began it, if the route still leads there.
+        let origin = origin.filter(|origin| route.leads_to(&origin.service));
+        // 2^64 divided by the golden ratio spreads consecutive ids evenly (Fibonacci
+        // hashing).
+        let pick = id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+        let service = origin.map_or_else(|| route.select_service(pick), |origin| &origin.service);
         let scheduled = Scheduled {
-            // 2^64 divided by the golden ratio spreads consecutive ids evenly
-            // (Fibonacci hashing).
-            service: route
-                .select_service(id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32)
-                .clone(),
+            service: service.clone(),
             route: route.name.clone(),
             workspace: workspace.clone(),
             retry_policy: route.retry_policy,
@@ -215,6 +222,8 @@
             event_gap_target: route.event_gap_target,
             deadline: now + time_left,
             max_attempts: route.max_attempts,
+            stream_digest: stream_digest(&request_id),
+            resumed: resumed.filter(|_| route.stream),
             fingerprint: fingerprint(&head, workspace.as_ref(), &body),
         };
         let last_event = caller.last_event_id;
@@ -478,6 +487,13 @@
     hasher.digest().0
 }
 
+/// Returns the digest under which routers know the stream that a request begins.
+fn stream_digest(request_id: &str) -> u64 {
+    let mut hasher = Hasher::new();
+    hasher.update(request_id.as_bytes());
+    hasher.digest().0 as u64
+}
+
 fn status_and_reason(fault: &Fault) -> (u16, String) {
     match fault {
         Fault::Malformed(error) => (400, error.to_string()),
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -489,6 +489,7 @@
         if !view.manifest.is_empty() {
             self.apply_manifest(&view.manifest);
         }
+        self.scheduler.apply_streams(now, &view.streams);
         for entry in view.held {
             if let Some(change) = self.registry.hold(now, entry) {
                 self.apply_runner_change(now, change);
@@ -520,6 +521,7 @@
             held: self.registry.held().cloned().collect(),
             expiring: self.registry.expiring(now).collect(),
             revision: self.registry.revision(),
+            streams: self.scheduler.streams(),
         }
     }
 }
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_model::prelude::*;
-use balsamchute_schedule::report::Report;
+use balsamchute_schedule::report::{Begun, Report};
 use serde::{Deserialize, Serialize};
 
 /// HTTP path at which a router serves its [`View`] to other routers.
@@ -108,4 +108,6 @@
     pub expiring: Vec<(Runner, Span)>,
     /// Store revision up to which the runners are current.
     pub revision: Revision,
+    /// Streams that callers may take up, with the software versions that began them.
+    pub streams: Vec<Begun>,
 }
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -67,6 +67,7 @@
         leaving: Vec::new(),
         limits: Vec::new(),
         demand: Vec::new(),
+        streams: Vec::new(),
     }
 }
 
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -91,6 +91,13 @@
         }
         &self.backends[0].service
     }
+
+    /// Returns whether requests of the route may go to the service.
+    #[must_use]
+    pub fn leads_to(&self, service: &Service) -> bool {
+        let mut backends = self.backends.iter();
+        backends.any(|backend| backend.weight > 0 && backend.service == *service)
+    }
 }
 
 /// Capacity of a model engine.
--- a/crates/schedule/benches/admission.rs
+++ b/crates/schedule/benches/admission.rs
@@ -44,6 +44,8 @@
         event_gap_target: Span(200),
         deadline: NOW + Span(15_000),
         max_attempts: 2,
+        stream_digest: 0,
+        resumed: None,
         fingerprint: u128::from(number),
     }
 }
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -21,6 +21,10 @@
     CrashesRunners,
     /// Runners rejected the request, and it may not be retried.
     Rejected,
+    /// No runner accepts requests that has the software version which began the stream.
+    NoRunnerOfVersion,
+    /// It is not known which of several software versions began the stream.
+    UnknownVersion,
     /// All runners asked this router for a pause that is longer than the request may
     /// wait.
     Paused,
@@ -36,6 +40,8 @@
             Refusal::OverShare => "over_share",
             Refusal::CrashesRunners => "crashes_runners",
             Refusal::Rejected => "rejected",
+            Refusal::NoRunnerOfVersion => "no_runner_of_version",
+            Refusal::UnknownVersion => "unknown_version",
             Refusal::Paused => "runners_paused",
         }
     }
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -24,6 +24,8 @@
     pub prefill_tokens: u64,
     /// Tokens reserved in the runner's KV cache for prompt and expected answer.
     pub kv_tokens: u64,
+    /// Version of the runner's software.
+    pub software: Software,
     /// Time of the last event, or of the dispatch before any event.
     pub last_event_at: Time,
     /// Events received in this attempt.
@@ -57,6 +59,10 @@
     pub failed_connects: u32,
     /// Whether the caller has received a part of the answer.
     pub answer_begun: bool,
+    /// Software version that began the stream, the only one at which it may go on.
+    pub software: Option<Software>,
+    /// Whether the request takes up a stream that is known to have begun.
+    pub takes_up: bool,
 }
 
 impl Pending {
@@ -71,6 +77,8 @@
             rejections: 0,
             failed_connects: 0,
             answer_begun: false,
+            software: None,
+            takes_up: false,
         }
     }
 
@@ -85,6 +93,17 @@
             && now < self.request.deadline
     }
 
+    /// Returns whether a runner may have worked for the caller already, on this request or on
+    /// the stream that it takes up.
+    pub fn has_run(&self) -> bool {
+        self.possible_runs > 0 || self.takes_up
+    }
+
+    /// Returns whether the stream may go on at a runner of this software version.
+    pub fn fits(&self, software: &Software) -> bool {
+        self.software.as_ref().is_none_or(|began| began == software)
+    }
+
     /// Returns the attempt in progress if no event of its answer has arrived.
     pub fn unanswered(&self) -> Option<&Dispatch> {
         match &self.stage {
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -126,6 +126,7 @@
     {
         let is_candidate = |target: &&Target| {
             target.entry.service == pending.request.service
+                && pending.fits(&target.entry.software)
                 && self.is_open(target)
                 && usable(target)
         };
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -73,6 +73,17 @@
     pub requests: f32,
 }
 
+/// Streams that began at one software version of a service.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Begun {
+    /// Service whose runners sent the first events.
+    pub service: Service,
+    /// Version of the runners' software.
+    pub software: Software,
+    /// Digests of the ids of the requests that brought the first events.
+    pub streams: Vec<u64>,
+}
+
 /// Usage, load and suspects as reported by one router, or summed over several.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Report {
@@ -93,6 +104,9 @@
     /// Requests that arrived, by service.
     #[serde(default)]
     pub demand: Vec<Demand>,
+    /// Streams that began a short time ago.
+    #[serde(default)]
+    pub streams: Vec<Begun>,
 }
 
 impl Report {
@@ -157,6 +171,9 @@
 /// Limits that a sum holds at most.
 const MAX_SUM_LIMITS: usize = 256;
 
+/// Streams that a sum holds at most.
+const MAX_SUM_STREAMS: usize = 1024;
+
 /// Sum of the reports of several routers.
 #[derive(Clone, Debug, Default)]
 pub struct Sum {
@@ -168,6 +185,8 @@
     part_suspects: BTreeMap<u128, Suspect>,
     limits: BTreeMap<Runner, Limit>,
     demand: BTreeMap<Service, f32>,
+    streams: BTreeMap<(Service, Software), Vec<u64>>,
+    stream_count: usize,
 }
 
 impl Sum {
@@ -210,6 +229,13 @@
         for demand in &report.demand {
             *self.demand.entry(demand.service.clone()).or_default() += demand.requests;
         }
+        for begun in &report.streams {
+            let room = MAX_SUM_STREAMS - self.stream_count;
+            let added = &begun.streams[..begun.streams.len().min(room)];
+            let key = (begun.service.clone(), begun.software.clone());
+            self.streams.entry(key).or_default().extend(added);
+            self.stream_count += added.len();
+        }
     }
 
     /// Adds a limit. A later process of the runner replaces an earlier one, and of two
@@ -263,6 +289,15 @@
                 .into_iter()
                 .map(|(service, requests)| Demand { service, requests })
                 .collect(),
+            streams: self
+                .streams
+                .into_iter()
+                .map(|((service, software), streams)| Begun {
+                    service,
+                    software,
+                    streams,
+                })
+                .collect(),
         }
     }
 }
--- a/crates/schedule/src/request.rs
+++ b/crates/schedule/src/request.rs
@@ -2,6 +2,16 @@
 
 use balsamchute_model::prelude::*;
 
+use crate::stream::Digest;
+
+/// Stream that a caller takes up after its answer broke off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Resumed {
+    /// Digest of the id of the request that brought the first event, if the caller names
+    /// it.
+    pub stream: Option<Digest>,
+}
+
 /// Properties of a request that scheduling depends on; the body is not among
 /// them.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +41,11 @@
     pub deadline: Time,
     /// Maximum number of attempts that may have run, the first one included.
     pub max_attempts: u32,
+    /// Digest of the request's id, under which a stream that it begins is known.
+    pub stream_digest: Digest,
+    /// Part of a stream that the caller has, and after which the answer goes on; `None` if
+    /// the request begins one.
+    pub resumed: Option<Resumed>,
     /// Digest of the request's content, equal for every retry by the caller.
     pub fingerprint: u128,
 }
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -34,6 +34,9 @@
 /// Retry delay given to callers whose request crashes runners.
 const RETRY_AFTER_CRASHES: Span = Span::from_secs(30);
 
+/// Retry delay given to callers that take up a stream of which no report has told yet.
+const RETRY_AFTER_UNKNOWN_VERSION: Span = Span(300);
+
 /// Lower bound of the time between two events after which an attempt counts as
 /// stalled. For the first event of a stream it is added to the limit instead;
 /// for the head of a plain answer, half of it is the lower bound.
@@ -195,7 +198,10 @@
         let pending = &self.pending[&id];
         let (uses_retry_budget, service) =
             (pending.uses_retry_budget(), pending.request.service.clone());
-        if self.is_refused(now, pending) || !pending.may_retry(now) {
+        if self.is_refused(now, pending)
+            || !pending.may_retry(now)
+            || !self.has_runner_of_version(pending)
+        {
             return false;
         }
         if uses_retry_budget && !self.budget.try_retry(now, &service, self.router_count) {
@@ -241,6 +247,11 @@
         // An answer that has begun can only be continued or cut off, so such a
         // request waits until its deadline.
         let is_wait_over = now >= wait_end && !pending.answer_begun;
+        if !self.has_runner_of_version(pending) {
+            self.end_wait(id, Refusal::NoRunnerOfVersion);
+            self.cancel(now, id);
+            return;
+        }
         let opening = self.next_opening(now, &request.service);
         if let (Opening::At(opens_at), 0) = (opening, pending.possible_runs)
             && opens_at >= wait_end
@@ -252,20 +263,40 @@
         if !is_wait_over && now < request.deadline {
             return;
         }
-        if pending.possible_runs > 0 {
-            let failure = Failure::Timeout;
-            self.actions.push(Action::Fail { id, failure });
-        } else {
-            let refusal = match (opening, priority) {
-                (Opening::Unknown, _) => Refusal::NoRunner,
-                (_, Priority::WithinShare) => Refusal::Saturated,
-                (_, Priority::Behind | Priority::Surplus | Priority::Ahead) => Refusal::OverShare,
-            };
-            self.refuse(id, refusal);
-        }
+        let refusal = match (opening, priority) {
+            (Opening::Unknown, _) => Refusal::NoRunner,
+            (_, Priority::WithinShare) => Refusal::Saturated,
+            (_, Priority::Behind | Priority::Surplus | Priority::Ahead) => Refusal::OverShare,
+        };
+        self.end_wait(id, refusal);
         self.cancel(now, id);
     }
 
+    /// Refuses a waiting request, or fails it if it may have run.
+    fn end_wait(&mut self, id: Id, refusal: Refusal) {
+        match self.pending[&id].possible_runs {
+            0 => self.refuse(id, refusal),
+            _ => self.actions.push(Action::Fail {
+                id,
+                failure: Failure::Timeout,
+            }),
+        }
+    }
+
+    /// Returns whether a runner may take the request: one that accepts requests and has the
+    /// software version that began the stream. Always `true` for a request that is not
+    /// bound to a version.
+    pub(super) fn has_runner_of_version(&self, pending: &Pending) -> bool {
+        pending.software.is_none()
+            || self.targets.values().any(|target| {
+                target.entry.service == pending.request.service
+                    && pending.fits(&target.entry.software)
+                    && target.is_ready()
+                    && !self.notices.is_leaving(&target.entry)
+                    && (pending.possible_runs == 0 || !pending.tried.contains(&target.entry.runner))
+            })
+    }
+
     /// Returns whether all runners of the service that accept requests name a limit on
     /// their rate.
     pub(super) fn is_limited(&self, service: &Service) -> bool {
@@ -321,6 +352,8 @@
             Refusal::Saturated | Refusal::Rejected => RETRY_AFTER_SATURATED,
             Refusal::OverShare => RETRY_AFTER_OVER_SHARE,
             Refusal::CrashesRunners => RETRY_AFTER_CRASHES,
+            Refusal::NoRunnerOfVersion => RETRY_AFTER_NO_RUNNER,
+            Refusal::UnknownVersion => RETRY_AFTER_UNKNOWN_VERSION,
             Refusal::Paused => RETRY_AFTER_SATURATED,
         };
         self.refuse_for(id, refusal, retry_after);
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -78,7 +78,7 @@
                 continue;
             }
             let (workspace, route) = head.flow;
-            let never_ran = self.pending[&head.id].possible_runs == 0;
+            let never_ran = !self.pending[&head.id].has_run();
             let served = self.served_cost(service, workspace.as_ref());
             if best.is_some_and(|((best_never_ran, lowest_served, ..), _)| {
                 (never_ran, served) > (best_never_ran, lowest_served)
@@ -119,7 +119,7 @@
     /// charged to its workspace, so that its retry counts as within the share.
     pub(super) fn priority(&self, pending: &Pending) -> Priority {
         let request = &pending.request;
-        if pending.possible_runs > 0 {
+        if pending.has_run() {
             return Priority::WithinShare;
         }
         match (self.shares.get(&request.service), &request.workspace) {
@@ -189,6 +189,7 @@
             target.cache.insert(prompt, kv_capacity);
         }
         let address = target.entry.address;
+        let software = target.entry.software.clone();
         self.rates.record_send(now, runner);
         pending.tried.push(runner.clone());
         pending.stage = Stage::Dispatched(Dispatch {
@@ -197,6 +198,7 @@
             estimate: rationale.first_event_estimate,
             prefill_tokens: rationale.prefill_tokens,
             kv_tokens,
+            software,
             last_event_at: now,
             events: 0,
             written: false,
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -20,11 +20,12 @@
 use crate::place::Priority;
 use crate::queue::{Flow, Queue, flow};
 use crate::rate::Rates;
-use crate::report::{self, Refusals, Report};
+use crate::report::{self, Begun, Refusals, Report};
 use crate::request::Request;
 use crate::runner::{Load, Target};
 use crate::scheduler::attempt::max_wait;
 use crate::share::{Breakdown, Shares, Usage};
+use crate::stream::{Digest, Origin, Streams};
 
 /// Divisor of the share window that yields the decay window of usage. With
 /// decay over the whole window, a workspace that exceeded its share would get
@@ -73,6 +74,7 @@
     parts: Parts,
     notices: Notices,
     rates: Rates,
+    streams: Streams,
     router_count: u32,
     actions: Vec<Action>,
 }
@@ -103,6 +105,7 @@
             parts,
             notices: Notices::new(),
             rates,
+            streams: Streams::new(),
             router_count: 1,
             actions: Vec::new(),
         }
@@ -158,6 +161,7 @@
     /// Adds a runner or updates its registration, and dispatches waiting
     /// requests.
     pub fn set_runner(&mut self, now: Time, entry: Entry) {
+        self.streams.record_version(now, &entry);
         match self.targets.get_mut(&entry.runner) {
             Some(target) => target.update(entry),
             None => {
@@ -227,7 +231,23 @@
             covered_part = shares.covered_part(workspace);
         }
         self.rates.record_request(&service, covered_part);
-        let pending = Pending::new(now, request);
+        let mut pending = Pending::new(now, request);
+        if let Some(resumed) = pending.request.resumed {
+            let version = self.streams.version(&service, resumed.stream);
+            pending.software = version.cloned();
+            let origin = resumed
+                .stream
+                .and_then(|stream| self.streams.origin(stream));
+            pending.takes_up = origin.is_some();
+            let refusal = match pending.software {
+                Some(_) => Refusal::NoRunnerOfVersion,
+                None => Refusal::UnknownVersion,
+            };
+            if pending.software.is_none() || !self.has_runner_of_version(&pending) {
+                self.refuse(id, refusal);
+                return;
+            }
+        }
         if self.is_refused(now, &pending) {
             self.refuse(id, Refusal::CrashesRunners);
             return;
@@ -291,6 +311,16 @@
         dispatch.events += events;
         dispatch.last_event_at = now;
         pending.answer_begun = true;
+        let begins = pending.software.is_none() && pending.request.stream;
+        if begins && pending.request.retry_policy == RetryPolicy::Resumable {
+            pending.software = Some(dispatch.software.clone());
+            let origin = Origin {
+                service: service.clone(),
+                software: dispatch.software.clone(),
+            };
+            self.streams
+                .record(now, pending.request.stream_digest, origin);
+        }
         if !is_first {
             return;
         }
@@ -371,7 +401,9 @@
         self.rates.advance(now);
         for target in self.targets.values() {
             self.rates.refill(now, &target.entry);
+            self.streams.record_version(now, &target.entry);
         }
+        self.streams.expire(now);
         self.crash_suspects.expire(now);
         self.parts.expire(now);
         for target in self.targets.values_mut() {
@@ -420,6 +452,7 @@
             part_suspects: self.parts.suspects(MAX_REPORT_SUSPECTS),
             limits: self.rates.limits(now).collect(),
             demand: self.rates.demand().collect(),
+            streams: self.streams.recent(now),
         }
     }
 
@@ -462,6 +495,7 @@
             self.notices
                 .record_leaving(&leaving.runner, leaving.started_at);
         }
+        self.streams.merge(now, &report.streams);
         for (runner, per_second) in
             self.rates
                 .apply_report(now, peer, &report.limits, &report.demand)
@@ -471,6 +505,23 @@
         self.dispatch_all(now);
     }
 
+    /// Returns where a stream began, if this router knows.
+    #[must_use]
+    pub fn origin(&self, stream: Digest) -> Option<&Origin> {
+        self.streams.origin(stream)
+    }
+
+    /// Returns the streams that a router that starts must know.
+    #[must_use]
+    pub fn streams(&self) -> Vec<Begun> {
+        self.streams.all()
+    }
+
+    /// Adds the streams that another router knows.
+    pub fn apply_streams(&mut self, now: Time, streams: &[Begun]) {
+        self.streams.merge(now, streams);
+    }
+
     /// Returns the refusals that a router that starts must know.
     #[must_use]
     pub fn refusals(&self, now: Time) -> Refusals {
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -89,6 +89,8 @@
         event_gap_target: Span(200),
         deadline: NOW + Span(1000),
         max_attempts,
+        stream_digest: 0,
+        resumed: None,
         fingerprint: 1,
     }
 }
