Let the soak play two software versions, streams that callers take up, and limits

Change: runners of two versions, whose events name it; callers take up broken streams at any router, twice at most, and check that their events are of one version; after the faults, half of the runners name 5 requests a second for 9 s, checked by the users' rule.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -11,7 +11,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::environment::header;
-use crate::fleet::{STREAM_EVENTS, body_of, current_key, digest, event_of, part_of, some_key};
+use crate::fleet::{
+    STREAM_EVENTS, VERSIONS, body_of, current_key, digest, event_of, part_of, some_key,
+};
 use crate::judge::{Judge, Kind, Outcome};
 
 /// Threads that send requests.
@@ -20,9 +22,55 @@
 /// Time after which a caller gives up, in the deadline header too.
 const DEADLINE: Duration = Duration::from_secs(4);
 
+/// Requests with which a caller takes up a stream that broke off.
+const MAX_TAKE_UPS: usize = 2;
+
 /// Connection of a caller, kept while the router allows.
 type Connection = BufReader<TcpStream>;
 
+/// What a caller has of a stream, over all its requests for it.
+#[derive(Default)]
+struct Progress {
+    /// Request that brought the first event.
+    begun_by: Option<String>,
+    events: u64,
+    version: Option<usize>,
+}
+
+impl Progress {
+    /// Adds the events of an answer; reports one that does not follow.
+    fn extend(&mut self, id: &str, body: &[u8], judge: &Judge) {
+        let mut rest = std::str::from_utf8(body).unwrap_or("?");
+        while !rest.is_empty() {
+            let next = self.events + 1;
+            let mut versions = 0..VERSIONS;
+            let version = versions.find(|version| rest.starts_with(&event_of(id, next, *version)));
+            let Some(version) = version else {
+                judge.report(
+                    "whole answer",
+                    &format!("{id} got {rest:?} for event {next}"),
+                );
+                return;
+            };
+            if self.version.is_some_and(|began| began != version) {
+                let text = format!("{id} got event {next} of v{version}");
+                judge.report("one version", &text);
+            }
+            self.begun_by.get_or_insert_with(|| id.to_owned());
+            self.version = Some(version);
+            self.events = next;
+            rest = &rest[event_of(id, next, version).len()..];
+        }
+    }
+
+    fn headers(&self) -> String {
+        match &self.begun_by {
+            Some(id) => format!("Last-Event-Id: {}\r\nResumes: {id}\r\n", self.events),
+            None => String::new(),
+        }
+    }
+}
+
 /// Running callers.
 pub struct Callers {
     threads: Vec<JoinHandle<()>>,
@@ -82,8 +130,20 @@
             0 => some_key(&mut random),
             _ => current_key(),
         };
-        let (kept, _) = call(router, kept.map(|(_, kept)| kept), &id, kind, &key, judge);
+        let mut progress = Progress::default();
+        let kept = kept.map(|(_, kept)| kept);
+        let (kept, outcome) = call(router, kept, &id, kind, &key, &mut progress, judge);
         connection = kept.map(|kept| (router, kept));
+        let is_broken = outcome == Outcome::Unknown && progress.events > 0;
+        for number in 0..if is_broken { MAX_TAKE_UPS } else { 0 } {
+            let router = routers[random.random_range(0..routers.len())];
+            let id = format!("{id}-{number}");
+            let (_, outcome) = call(router, None, &id, kind, &key, &mut progress, judge);
+            if outcome == Outcome::Complete {
+                judge.record_taken_up();
+                break;
+            }
+        }
     }
 }
 
@@ -95,12 +155,13 @@
     id: &str,
     kind: Kind,
     key: &str,
+    progress: &mut Progress,
     judge: &Judge,
 ) -> (Option<Connection>, Outcome) {
     let sent = Instant::now();
     judge.record_sent(id, kind);
     let mut kept = None;
-    let outcome = match exchange(router, connection, id, kind, key, judge) {
+    let outcome = match exchange(router, connection, id, kind, key, progress, judge) {
         Some((outcome, connection)) => {
             kept = connection;
             outcome
@@ -118,6 +179,7 @@
     id: &str,
     kind: Kind,
     key: &str,
+    progress: &mut Progress,
     judge: &Judge,
 ) -> Option<(Outcome, Option<Connection>)> {
     let mut connection = match connection {
@@ -135,9 +197,10 @@
     };
     let prompt = match kind {
         Kind::Stream => format!(
-            "X-Token-Usage: 600,40\r\nX-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n",
+            "X-Token-Usage: 600,40\r\nX-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n{}",
             part_of(id),
-            digest(id)
+            digest(id),
+            progress.headers()
         ),
         Kind::Once | Kind::Idempotent => String::new(),
     };
@@ -148,7 +211,7 @@
         id.len()
     );
     connection.get_mut().write_all(request.as_bytes()).ok()?;
-    let (head, body) = read_answer(&mut connection)?;
+    let (head, body, is_whole) = read_answer(&mut connection)?;
     if let Some(answered) = header(&head, "x-request-id")
         && answered != id
     {
@@ -157,8 +220,20 @@
     let is_kept = header(&head, "connection") != Some("close");
     let status = head.get(9..12).unwrap_or_default();
     let outcome = match status {
+        "200" if kind == Kind::Stream => {
+            progress.extend(id, &body, judge);
+            if !is_whole {
+                return None;
+            }
+            if progress.events != STREAM_EVENTS {
+                let text = format!("{id} ended after event {}", progress.events);
+                judge.report("whole answer", &text);
+            }
+            Outcome::Complete
+        }
+        _ if !is_whole => return None,
         "200" => {
-            if body != expected_body(id, kind) {
+            if body != body_of(id).into_bytes() {
                 let text = String::from_utf8_lossy(&body).into_owned();
                 judge.report("whole answer", &format!("{id} got {text:?}"));
             }
@@ -175,17 +250,9 @@
     Some((outcome, is_kept.then_some(connection)))
 }
 
-fn expected_body(id: &str, kind: Kind) -> Vec<u8> {
-    match kind {
-        Kind::Once | Kind::Idempotent => body_of(id).into_bytes(),
-        Kind::Stream => (1..=STREAM_EVENTS)
-            .flat_map(|event| event_of(id, event).into_bytes())
-            .collect(),
-    }
-}
-
-/// Reads an answer with a length or in chunks; `None` if it breaks off.
-fn read_answer(connection: &mut Connection) -> Option<(String, Vec<u8>)> {
+/// Reads an answer with a length or in chunks; returns head, body and whether it is whole,
+/// or `None` if its head or a body with a length breaks off.
+fn read_answer(connection: &mut Connection) -> Option<(String, Vec<u8>, bool)> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if connection.read_line(&mut head).ok()? == 0 {
@@ -196,9 +263,15 @@
         let length = header(&head, "content-length")?.parse().ok()?;
         let mut body = vec![0; length];
         connection.read_exact(&mut body).ok()?;
-        return Some((head, body));
+        return Some((head, body, true));
     }
     let mut body = Vec::new();
+    let is_whole = read_chunks(connection, &mut body).is_some();
+    Some((head, body, is_whole))
+}
+
+/// Reads the chunks of a body; `None` if it breaks off.
+fn read_chunks(connection: &mut Connection, body: &mut Vec<u8>) -> Option<()> {
     loop {
         let mut line = String::new();
         connection.read_line(&mut line).ok()?;
@@ -206,7 +279,7 @@
         let mut chunk = vec![0; size + 2];
         connection.read_exact(&mut chunk).ok()?;
         if size == 0 {
-            return Some((head, body));
+            return Some(());
         }
         body.extend_from_slice(&chunk[..size]);
     }
@@ -217,7 +290,8 @@
     for count in 0.. {
         let id = format!("recovery-{router}-{count}");
         let key = current_key();
-        let (_, outcome) = call(router, None, &id, Kind::Once, &key, judge);
+        let mut progress = Progress::default();
+        let (_, outcome) = call(router, None, &id, Kind::Once, &key, &mut progress, judge);
         if outcome == Outcome::Complete {
             return true;
         }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -21,6 +21,9 @@
 /// Events of a stream.
 pub const STREAM_EVENTS: u64 = 8;
 
+/// Software versions that serve side by side.
+pub const VERSIONS: usize = 2;
+
 /// Copies of the store that are kept, one for each change.
 const MAX_COPIES: usize = 6;
 
@@ -72,9 +75,9 @@
     format!("answer to {id} {}", "x".repeat(padding as usize))
 }
 
-/// Returns an event of the answer to a stream.
-pub fn event_of(id: &str, event: u64) -> String {
-    format!("id: {event}\ndata: {id} {event}\n\n")
+/// Returns an event of the answer to a stream by a runner with this software version.
+pub fn event_of(id: &str, event: u64, version: usize) -> String {
+    format!("id: {event}\ndata: {id} {event} v{version}\n\n")
 }
 
 /// FNV-1a, for choices that depend on the request alone.
@@ -92,6 +95,9 @@
     // Start of the runner's life in milliseconds since the Unix epoch; 0 for the first.
     born: Arc<AtomicU64>,
     is_leaving: Arc<AtomicBool>,
+    // Requests per second that the runner names in its answers; 0 for none.
+    limit: Arc<AtomicU64>,
+    version: usize,
 }
 
 impl Server {
@@ -102,6 +108,7 @@
     fn entry(&self) -> Value {
         let mut entry = environment::entry(self.link().address(), "s", 16);
         entry["born"] = json!(self.born.load(Ordering::SeqCst));
+        entry["version"] = json!(format!("v{}", self.version));
         entry
     }
 }
@@ -185,8 +192,10 @@
     fn start_runner(&mut self, judge: &Judge) -> usize {
         let number = self.next_runner;
         self.next_runner += 1;
+        let version = number % VERSIONS;
         let is_leaving = Arc::new(AtomicBool::new(false));
-        let (judge, leaving) = (judge.clone(), is_leaving.clone());
+        let limit: Arc<AtomicU64> = Arc::default();
+        let (judge, leaving, own_limit) = (judge.clone(), is_leaving.clone(), limit.clone());
         let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
         let born: Arc<AtomicU64> = Arc::default();
         let (own_link, own_born, store) = (link.clone(), born.clone(), self.store.handle());
@@ -197,7 +206,15 @@
                 crash(number, link, own_born.clone(), store.handle());
                 return false;
             }
-            serve(number, head, stream, &judge, leaving.load(Ordering::SeqCst))
+            let mut notices = String::new();
+            if leaving.load(Ordering::SeqCst) {
+                notices.push_str("Server-Leaving: 1\r\n");
+            }
+            match own_limit.load(Ordering::SeqCst) {
+                0 => {}
+                limit => notices.push_str(&format!("Server-Limit: {limit}.0\r\n")),
+            }
+            serve(number, head, stream, &judge, &notices)
         });
         let started = Link::start(([127, 0, 0, 1], 0).into(), runner.address);
         let started = Arc::new(started.expect("the link starts"));
@@ -208,6 +225,8 @@
             link,
             born,
             is_leaving,
+            limit,
+            version,
         };
         self.keep_copy();
         self.store
@@ -342,6 +361,15 @@
         judge.record_leaving(old);
     }
 
+    /// Lets half of the runners name a limit in their answers, or name none any more.
+    pub fn limit_runners(&mut self, limit: u64, judge: &Judge) {
+        for place in 0..RUNNERS / 2 {
+            let number = self.places[place];
+            self.servers[&number].limit.store(limit, Ordering::SeqCst);
+            judge.record_limit(number, limit);
+        }
+    }
+
     /// Lets all runners drain and starts others in their places.
     pub fn replace_all_runners(&mut self, judge: &Judge) {
         for place in 0..self.places.len() {
@@ -439,7 +467,7 @@
 
 /// Answers a request at a runner. Some requests, by their id, are turned away, broken
 /// off, spoilt or answered twice.
-fn serve(number: usize, head: &str, stream: &mut TcpStream, judge: &Judge, leaving: bool) -> bool {
+fn serve(number: usize, head: &str, stream: &mut TcpStream, judge: &Judge, notices: &str) -> bool {
     let id = header(head, "x-request-id").unwrap_or("-").to_owned();
     let expected = header(head, "x-expect-instance").unwrap_or("-");
     if expected != format!("i-{number}") {
@@ -448,7 +476,6 @@
             &format!("{id} for {expected} reached i-{number}"),
         );
     }
-    let leaving = if leaving { "Server-Leaving: 1\r\n" } else { "" };
     let choice = digest(&id) / 7 % 100;
     if choice < 3 {
         judge.record_arrival(&id, number, false);
@@ -457,17 +484,17 @@
         } else {
             ""
         };
-        let fields = format!("X-Not-Executed: 1\r\n{retry}{leaving}Content-Length: 0\r\n");
+        let fields = format!("X-Not-Executed: 1\r\n{retry}{notices}Content-Length: 0\r\n");
         respond(stream, head, 503, &fields, "");
         return true;
     }
     judge.record_arrival(&id, number, true);
     thread::sleep(Duration::from_millis(digest(&id) % 40));
     if head.starts_with("POST /stream/") {
-        return serve_stream(&id, head, stream, leaving, choice);
+        return serve_stream(&id, head, stream, notices, choice, number % VERSIONS);
     }
     let body = body_of(&id);
-    let fields = format!("{leaving}Content-Length: {}\r\n", body.len());
+    let fields = format!("{notices}Content-Length: {}\r\n", body.len());
     match choice {
         // The answer is lost.
         3 => return false,
@@ -480,7 +507,7 @@
         5..=6 => respond(stream, head, 200, &fields, &body),
         // It has no length and ends with the connection.
         7 => {
-            respond(stream, head, 200, leaving, &body);
+            respond(stream, head, 200, notices, &body);
             return false;
         }
         _ => {}
@@ -489,13 +516,20 @@
     true
 }
 
-fn serve_stream(id: &str, head: &str, stream: &mut TcpStream, leaving: &str, choice: u64) -> bool {
+fn serve_stream(
+    id: &str,
+    head: &str,
+    stream: &mut TcpStream,
+    notices: &str,
+    choice: u64,
+    version: usize,
+) -> bool {
     let after: u64 = header(head, "last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
     let fields =
-        format!("{leaving}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+        format!("{notices}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
     // Some answers have no length and end with the connection.
     let fields = match choice % 4 {
-        0 => format!("{leaving}Content-Type: text/event-stream\r\n"),
+        0 => format!("{notices}Content-Type: text/event-stream\r\n"),
         _ => fields,
     };
     let is_chunked = !choice.is_multiple_of(4);
@@ -505,7 +539,7 @@
         return false;
     }
     for event in after + 1..=STREAM_EVENTS {
-        let text = event_of(id, event);
+        let text = event_of(id, event, version);
         // The first run breaks off, on some requests inside an event.
         let is_cut = after == 0 && choice < 10 && event == 4;
         let part = if is_cut {
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -22,6 +22,11 @@
 const CRASH_BOUND: Duration = Duration::from_millis(3000);
 const LATE_ARRIVALS: usize = 3;
 
+/// Window in which requests count against the limit that a runner names, and time from
+/// which on they do: `contact_ms` of the settings.
+const LIMIT_WINDOW: Duration = Duration::from_millis(4000);
+const LIMIT_BOUND: Duration = Duration::from_millis(3000);
+
 /// Ratio, slack and window of the retry budget in the settings of the routers.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 54.0;
@@ -70,6 +75,10 @@
     withdrawn: BTreeMap<String, Instant>,
     // Arrivals of prompts at runners by the part that crashes these.
     crashing: BTreeMap<u64, Vec<Instant>>,
+    // Runners that name a limit, since when, and the requests that reached them.
+    limited: BTreeMap<usize, (u64, Instant, Vec<Instant>)>,
+    // Streams that callers took up and got to their end.
+    taken_up: usize,
     violations: Vec<String>,
 }
 
@@ -120,6 +129,9 @@
         record.arrivals += 1;
         record.runs += usize::from(runs);
         let is_repeat = record.arrivals > 1;
+        if let Some((_, _, arrivals)) = state.limited.get_mut(&runner) {
+            arrivals.push(now);
+        }
         if is_repeat {
             state.repeats.push(now);
         }
@@ -152,12 +164,48 @@
         state.withdrawn.insert(key.to_owned(), Instant::now());
     }
 
+    /// Records that a stream which a caller took up is complete.
+    pub fn record_taken_up(&self) {
+        self.state().taken_up += 1;
+    }
+
     /// Records that a prompt with a part that crashes runners reached one.
     pub fn record_crashing(&self, part: u64) {
         let mut state = self.state();
         state.crashing.entry(part).or_default().push(Instant::now());
     }
 
+    /// Records that a runner names a limit from now on, or none any more if it is 0. Checks
+    /// the one that it named.
+    pub fn record_limit(&self, runner: usize, limit: u64) {
+        let mut state = self.state();
+        let named = (limit, Instant::now(), Vec::new());
+        let ended = match limit {
+            0 => state.limited.remove(&runner),
+            _ => state.limited.insert(runner, named),
+        };
+        let Some((limit, since, arrivals)) = ended else {
+            return;
+        };
+        let counted = arrivals.iter().filter(|at| **at >= since + LIMIT_BOUND);
+        let counted: Vec<Instant> = counted.copied().collect();
+        let in_window = |from: &Instant| {
+            let window = *from..*from + LIMIT_WINDOW;
+            counted.iter().filter(|at| window.contains(*at)).count() as u64
+        };
+        let most = counted.iter().map(in_window).max().unwrap_or(0);
+        // Half more than the limit allows, and 5.
+        if most > limit * 6 + 5 {
+            state.violations.push(format!(
+                "limit: runner {runner} got {most} requests in 4 s at a limit of {limit} a second"
+            ));
+        }
+        if most == 0 {
+            let text = format!("limit: runner {runner} got nothing while it named {limit}");
+            state.violations.push(text);
+        }
+    }
+
     /// Returns all violations, those that need the whole run included.
     pub fn violations(&self) -> Vec<String> {
         let state = self.state();
@@ -218,7 +266,7 @@
                 .count()
         };
         format!(
-            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={}",
+            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={} taken_up={}",
             state.sent.len(),
             count(Outcome::Complete),
             count(Outcome::NotRun),
@@ -226,7 +274,8 @@
             count(Outcome::Unknown),
             state.repeats.len(),
             state.faults.len(),
-            state.crashing.values().map(Vec::len).sum::<usize>()
+            state.crashing.values().map(Vec::len).sum::<usize>(),
+            state.taken_up
         )
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -36,6 +36,12 @@
 /// Time after the last fault within which the fleet must serve everything again.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
+/// Requests per second that half of the runners accept for a while.
+const LIMIT: u64 = 5;
+
+/// Time for which they do: until limits count, and two windows.
+const LIMIT_TIME: Duration = Duration::from_secs(9);
+
 /// Options of one run.
 #[derive(Clone, Debug)]
 struct Options {
@@ -109,6 +115,9 @@
     fleet.heal(&judge);
     // Without a fault for a while, every router must follow every change in time.
     std::thread::sleep(judge::CALM_TIME);
+    fleet.limit_runners(LIMIT, &judge);
+    std::thread::sleep(LIMIT_TIME);
+    fleet.limit_runners(0, &judge);
     fleet.replace_all_runners(&judge);
     std::thread::sleep(judge::CALM_TIME);
     callers.stop();
