Let parts of a limit follow the shares of the moment

Cause: arrivals were weighed by the shares at the time of the arrival; before the limit came, all were covered, so a flood kept the tokens of its two routers for some three seconds (vowu191 180,050 tokens in the fifth second, noye902 none). Ruled out: unused tokens, 149 of the 158 requests a second that the runners named were sent. Change: the covered part of what arrived is computed anew at each tick, from the decayed counts by workspace.

--- a/crates/schedule/src/rate.rs
+++ b/crates/schedule/src/rate.rs
@@ -150,8 +150,10 @@
 /// Requests for one service within fair shares, by the routers at which they arrived.
 #[derive(Clone, Debug)]
 struct Demand {
-    /// Requests that arrived here, decayed exponentially.
-    local: f64,
+    /// Requests of workspaces that arrived here, as far as their shares cover them.
+    covered: f64,
+    /// Requests without a workspace that arrived here, decayed exponentially.
+    other: f64,
     /// The same at other routers, as last reported.
     peers: BTreeMap<Instance, (Time, f64)>,
     /// Part of the limits of the service's runners that this router uses.
@@ -159,8 +161,12 @@
 }
 
 impl Demand {
+    fn local(&self) -> f64 {
+        self.covered + self.other
+    }
+
     fn advance(&mut self, now: Time, elapsed: Span, router_count: u32) {
-        self.local *= decay(elapsed, DEMAND_WINDOW);
+        self.other *= decay(elapsed, DEMAND_WINDOW);
         // After three windows, a count has decayed to 5 %.
         self.peers
             .retain(|_, (received_at, _)| now.since(*received_at).0 < DEMAND_WINDOW.0 * 3);
@@ -168,8 +174,8 @@
         let by_peers: f64 = by_peers
             .map(|(received_at, count)| count * decay(now.since(*received_at), DEMAND_WINDOW))
             .sum();
-        let share = match self.local + by_peers {
-            total if total > 0.0 && !self.peers.is_empty() => self.local / total,
+        let share = match self.local() + by_peers {
+            total if total > 0.0 && !self.peers.is_empty() => self.local() / total,
             // Nothing is known of the others.
             _ => 1.0 / f64::from(router_count),
         };
@@ -207,12 +213,17 @@
         self.router_count = router_count.max(1);
     }
 
-    /// Counts a request that arrived at this router. `part` is the part of its workspace's
-    /// requests that can be served, from 0 to 1, so that a workspace which asks for more
-    /// than its share draws no more of the limits to its routers.
-    pub fn record_request(&mut self, service: &Service, part: f64) {
+    /// Counts a request without a workspace that arrived at this router.
+    pub fn record_request(&mut self, service: &Service) {
+        let router_count = self.router_count;
+        demand_mut(&mut self.demand, service, router_count).other += 1.0;
+    }
+
+    /// Sets the requests of workspaces that arrived at this router, as far as their shares
+    /// cover them: one that asks for more draws no more of the limits to its routers.
+    pub fn set_covered_requests(&mut self, service: &Service, requests: f64) {
         let router_count = self.router_count;
-        demand_mut(&mut self.demand, service, router_count).local += part;
+        demand_mut(&mut self.demand, service, router_count).covered = requests;
     }
 
     /// Records what an answer of a runner's process said: the requests per second that it
@@ -297,7 +308,7 @@
         let demand = self.demand.iter();
         demand.map(|(service, demand)| report::Demand {
             service: service.clone(),
-            requests: demand.local as f32,
+            requests: demand.local() as f32,
         })
     }
 
@@ -397,7 +408,8 @@
     router_count: u32,
 ) -> &'a mut Demand {
     demand.entry(service.clone()).or_insert_with(|| Demand {
-        local: 0.0,
+        covered: 0.0,
+        other: 0.0,
         peers: BTreeMap::new(),
         share: 1.0 / f64::from(router_count),
     })
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -224,13 +224,10 @@
         let cost = request.cost();
         self.breakdown
             .record_demand(request.workspace.as_ref(), &request.route, cost);
-        let mut covered_part = 1.0;
-        if let Some(workspace) = &request.workspace {
-            let shares = self.shares_mut(&service);
-            shares.record_demand(workspace, cost);
-            covered_part = shares.covered_part(workspace);
+        match &request.workspace {
+            Some(workspace) => self.shares_mut(&service).record_demand(workspace, cost),
+            None => self.rates.record_request(&service),
         }
-        self.rates.record_request(&service, covered_part);
         let mut pending = Pending::new(now, request);
         if let Some(resumed) = pending.request.resumed {
             let version = self.streams.version(&service, resumed.stream);
@@ -394,8 +391,10 @@
     /// Recomputes shares, dispatches waiting requests, ends waits and attempts
     /// that timed out, and handles stalled attempts.
     pub fn tick(&mut self, now: Time) {
-        for shares in self.shares.values_mut() {
+        for (service, shares) in &mut self.shares {
             shares.advance(now);
+            self.rates
+                .set_covered_requests(service, shares.covered_requests());
         }
         self.breakdown.advance(now);
         self.rates.advance(now);
@@ -462,6 +461,7 @@
         let mut usage: BTreeMap<&Service, Vec<(Workspace, Usage)>> = BTreeMap::new();
         for item in &report.usage {
             let counts = Usage {
+                requests: 0.0,
                 demand: f64::from(item.demand),
                 served: f64::from(item.served),
             };
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -13,6 +13,8 @@
 /// Demanded and served cost, decayed exponentially.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
+    /// Requests that arrived; not reported.
+    pub requests: f64,
     /// Cost of the requests that arrived.
     pub demand: f64,
     /// Cost of the requests that were sent to a runner.
@@ -21,6 +23,7 @@
 
 impl Usage {
     fn decay(&mut self, decay_factor: f64) {
+        self.requests *= decay_factor;
         self.demand *= decay_factor;
         self.served *= decay_factor;
     }
@@ -96,7 +99,9 @@
 
     /// Counts the cost of a request that arrived at this router.
     pub fn record_demand(&mut self, workspace: &Workspace, cost: f64) {
-        self.usage_mut(workspace).demand += cost;
+        let usage = self.usage_mut(workspace);
+        usage.demand += cost;
+        usage.requests += 1.0;
     }
 
     /// Counts the cost of a request that was sent to a runner; a negative cost
@@ -193,14 +198,17 @@
         self.served(workspace) < self.served_fair_share * BEHIND_RATIO
     }
 
-    /// Returns the part of the workspace's demand that its max-min share of all served cost
-    /// covers, up to 1.
+    /// Returns the requests that arrived here as far as the max-min shares of all served
+    /// cost cover the demand of their workspaces. Requests that are repeated after a
+    /// refusal do not add to it.
     #[must_use]
-    pub fn covered_part(&self, workspace: &Workspace) -> f64 {
-        let local = self.local.get(workspace).map_or(0.0, |usage| usage.demand);
-        let from_peers = self.peer_totals.get(workspace);
-        let demand = local + from_peers.map_or(0.0, |usage| usage.demand);
-        (self.served_share / demand.max(NEGLIGIBLE_COST)).min(1.0)
+    pub fn covered_requests(&self) -> f64 {
+        let covered = self.local.iter().map(|(workspace, usage)| {
+            let from_peers = self.peer_totals.get(workspace);
+            let demand = usage.demand + from_peers.map_or(0.0, |usage| usage.demand);
+            usage.requests * (self.served_share / demand.max(NEGLIGIBLE_COST)).min(1.0)
+        });
+        covered.sum()
     }
 
     /// Returns the fair share: the highest decayed cost up to which any
--- a/crates/schedule/tests/rate.rs
+++ b/crates/schedule/tests/rate.rs
@@ -216,6 +216,22 @@
     }
 }
 
+/// What arrived before the limit came must not decide how it is divided.
+#[test]
+fn a_flood_before_a_limit_gives_a_workspace_no_larger_part_of_it() {
+    let mut fleet = Fleet::new(7, &[None, None, None]);
+    fleet.workspaces[0] = "w2";
+    fleet.play(Span(4000), |index| if index == 0 { 400.0 } else { 10.0 });
+    for limit in fleet.limits.values_mut() {
+        *limit = Some(10.0);
+    }
+    fleet.play(Span(1000), |index| if index == 0 { 400.0 } else { 10.0 });
+    fleet.sent.fill(0);
+    fleet.play(Span(2000), |index| if index == 0 { 400.0 } else { 10.0 });
+    let (flooding, others) = (fleet.sent[0], fleet.sent[1..].iter().sum::<usize>());
+    assert!(others * 2 >= flooding, "{flooding} and {others}");
+}
+
 /// Sends requests at one router until the limit of runner `m1` holds them back; returns
 /// how many it gets.
 fn sent_at_once(scheduler: &mut Scheduler, now: Time, first: Id) -> usize {
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -30,6 +30,7 @@
     let usage = Usage {
         demand: 200.0,
         served: 60.0,
+        ..Usage::default()
     };
     shares.set_peer_usage(NOW, &peer, [(workspace_id("other"), usage)]);
     shares.advance(NOW);
@@ -87,6 +88,7 @@
     let usage = Usage {
         demand: 100.0,
         served: 100.0,
+        ..Usage::default()
     };
     shares.set_peer_usage(NOW, &peer, [(workspace_id("a"), usage)]);
     shares.advance(NOW + WINDOW);
