Weigh requests in dividing limits by what their workspaces were served

Cause: nothing corrected the parts of limits by what they led to. At routers with callers of many small workspaces, tokens are left when those ask for less, and a flood there takes them: fipu470 had 94 of its 169 sends at one of its six routers, jeka991 50 at two with no others.

Change: a workspace's covered part is multiplied by its share over what it was served, 3 times at most either way.

--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -68,6 +68,10 @@
 /// workspace is behind others.
 const BEHIND_RATIO: f64 = 0.9;
 
+/// Largest factor by which requests of a workspace weigh more or less because it was not
+/// served its share.
+const MAX_CORRECTION: f64 = 3.0;
+
 /// Sum of demanded and served cost at or below which a workspace is dropped from
 /// the counts.
 const NEGLIGIBLE_COST: f64 = 0.01;
@@ -200,13 +204,17 @@
 
     /// Returns the requests that arrived here as far as the max-min shares of all served
     /// cost cover the demand of their workspaces. Requests that are repeated after a
-    /// refusal do not add to it.
+    /// refusal do not add to it. Those of workspaces that were served less than their
+    /// share weigh more, and those of others less.
     #[must_use]
     pub fn covered_requests(&self) -> f64 {
         let covered = self.local.iter().map(|(workspace, usage)| {
-            let from_peers = self.peer_totals.get(workspace);
-            let demand = usage.demand + from_peers.map_or(0.0, |usage| usage.demand);
-            usage.requests * (self.served_share / demand.max(NEGLIGIBLE_COST)).min(1.0)
+            let from_peers = self.peer_totals.get(workspace).copied().unwrap_or_default();
+            let demand = (usage.demand + from_peers.demand).max(NEGLIGIBLE_COST);
+            let served = (usage.served + from_peers.served).max(NEGLIGIBLE_COST);
+            let target = demand.min(self.served_share);
+            let correction = (target / served).clamp(1.0 / MAX_CORRECTION, MAX_CORRECTION);
+            usage.requests * target / demand * correction
         });
         covered.sum()
     }
--- a/crates/schedule/tests/share.rs
+++ b/crates/schedule/tests/share.rs
@@ -77,6 +77,29 @@
     assert!(!shares.is_under_share(&workspace_id("a")));
 }
 
+/// The parts of limits that routers take follow from it.
+#[test]
+fn requests_of_a_workspace_served_less_than_its_share_weigh_more() {
+    let [few, many] = [100.0, 300.0].map(|served| {
+        let mut shares = Shares::new(WINDOW, None);
+        shares.advance(NOW);
+        shares.record_demand(&workspace_id("a"), 1000.0);
+        shares.record_served(&workspace_id("a"), served);
+        let usage = Usage {
+            demand: 1000.0,
+            served: 400.0 - served,
+            ..Usage::default()
+        };
+        let peer = Instance::new("r2").unwrap();
+        shares.set_peer_usage(NOW, &peer, [(workspace_id("b"), usage)]);
+        shares.advance(NOW);
+        shares.covered_requests()
+    });
+    // Both ask for more than the share of 200; the request is covered by a fifth.
+    assert!((few - 0.4).abs() < 0.001, "{few}");
+    assert!((many - 0.1333).abs() < 0.001, "{many}");
+}
+
 // Guards against usage that never decays, from this router or from a peer that
 // has stopped.
 #[test]
