Take out a second ranking of the writers of claim shards that nothing uses

Cause: the placement module kept a function of an earlier design; only its own test called it. Change: the function and the cache of it go; the test of the cache checks owners in their place, for as many numbers, and the empty set likewise.

--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -1,5 +1,5 @@
-//! Assignment of workspaces, runners and claim shards to routers by rendezvous
-//! hashing.
+//! Assignment of workspaces and runners to routers by rendezvous hashing. The dispatcher
+//! ranks the writers of claim shards itself.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -48,15 +48,8 @@
     highest_ranked(runner.as_str(), members)
 }
 
-/// Returns the highest ranked router for `shard` of the claim log. Routers do not
-/// use this ranking; the dispatcher selects the writer of a shard by another one.
-#[must_use]
-pub fn writer<'a>(shard: u32, members: impl IntoIterator<Item = &'a Member>) -> Option<Instance> {
-    highest_ranked(&format!("claims/{shard}"), members)
-}
-
 /// Returns the member with the highest rendezvous score for `item`, the name of a
-/// runner or of a shard.
+/// runner.
 fn highest_ranked<'a>(
     item: &str,
     members: impl IntoIterator<Item = &'a Member>,
@@ -72,7 +65,6 @@
     members: Vec<Member>,
     homes: BTreeMap<(Workspace, u32), Homes>,
     owners: BTreeMap<Runner, Option<Instance>>,
-    writers: BTreeMap<u32, Option<Instance>>,
 }
 
 impl Cache {
@@ -117,14 +109,4 @@
             .or_insert_with(|| owner(runner, members))
             .as_ref()
     }
-
-    /// Returns the highest ranked router for a shard of the claim log, see
-    /// [`writer`].
-    pub fn writer(&mut self, shard: u32) -> Option<&Instance> {
-        let members = &self.members;
-        self.writers
-            .entry(shard)
-            .or_insert_with(|| writer(shard, members))
-            .as_ref()
-    }
 }
--- a/crates/fleet/tests/home.rs
+++ b/crates/fleet/tests/home.rs
@@ -1,4 +1,4 @@
-//! Tests of the assignment of workspaces, runners and claim shards.
+//! Tests of the assignment of workspaces and runners.
 
 use std::collections::BTreeMap;
 
@@ -26,6 +26,10 @@
     Workspace::new(&format!("workspace-{number}")).expect("valid name")
 }
 
+fn runner(number: u32) -> Runner {
+    Runner::new(&format!("runner-{number}")).expect("valid name")
+}
+
 #[test]
 fn only_workspaces_of_a_removed_router_move() {
     let routers = members(8);
@@ -52,8 +56,7 @@
     let routers = members(8);
     let mut counts: BTreeMap<Instance, u32> = BTreeMap::new();
     for number in 0..800 {
-        let runner = Runner::new(&format!("runner-{number}")).expect("valid name");
-        let owner = home::owner(&runner, &routers).expect("members are not empty");
+        let owner = home::owner(&runner(number), &routers).expect("members are not empty");
         *counts.entry(owner).or_default() += 1;
     }
     assert_eq!(counts.len(), 8);
@@ -65,7 +68,7 @@
 fn the_cache_matches_the_functions_after_each_change_of_members() {
     let routers = members(6);
     let mut cache = Cache::new();
-    assert!(!cache.update(&[]) && cache.writer(3).is_none());
+    assert!(!cache.update(&[]) && cache.owner(&runner(3)).is_none());
     for serving in [&routers[..], &routers[1..], &routers[..2]] {
         assert!(cache.update(serving));
         assert!(!cache.update(serving));
@@ -75,7 +78,8 @@
                 *cache.homes(&workspace, 2),
                 home::homes(&workspace, 2, serving)
             );
-            assert_eq!(cache.writer(number).cloned(), home::writer(number, serving));
+            let runner = runner(number);
+            assert_eq!(cache.owner(&runner).cloned(), home::owner(&runner, serving));
         }
     }
 }
