Do not count a service without runners as limited; quote what stores and callers name in logs

What callers saw: from the fifth request of a workspace and kind on, those that came while a service had no runner were refused at once as saturated, where before they waited for one and found it if it came in time. The new test fails without the change. In event=send, software and resumes are quoted: both come from outside and may hold spaces.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -85,7 +85,7 @@
         let software = self.registry.get(runner).map(|entry| &entry.software);
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} software={} after={} resumes={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             transaction.request_id,
             transaction.attempts(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -21,7 +21,7 @@
     CrashesRunners,
     /// Runners rejected the request, and it may not be retried.
     Rejected,
-    /// No runner accepts requests that has the software version which began the stream.
+    /// No runner with the software version that began the stream accepts requests.
     NoRunnerOfVersion,
     /// It is not known which of several software versions began the stream.
     UnknownVersion,
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -5,8 +5,9 @@
 //! current time and carry out the returned actions. The modules are [`share`]
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
-//! has cached), [`notice`] and [`rate`] (what runners say of themselves in answers) [`stream`] (software versions at which streams began) and [`budget`] (retry budget, split over all routers);
-//! [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
+//! has cached), [`notice`] and [`rate`] (what runners say of themselves in
+//! answers), [`stream`] (software versions at which streams began) and [`budget`] (retry
+//! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
 //! caller is told to use.
 
 pub mod action;
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -297,15 +297,16 @@
             })
     }
 
-    /// Returns whether all runners of the service that accept requests name a limit on
-    /// their rate.
+    /// Returns whether the service has runners that accept requests, and all of them name a
+    /// limit on their rate.
     pub(super) fn is_limited(&self, service: &Service) -> bool {
-        let mut open = self.targets.values().filter(|target| {
+        let open = self.targets.values().filter(|target| {
             target.entry.service == *service
                 && target.is_ready()
                 && !self.notices.is_leaving(&target.entry)
         });
-        open.all(|target| self.rates.is_limited(&target.entry))
+        let mut limited = open.map(|target| self.rates.is_limited(&target.entry));
+        limited.next() == Some(true) && limited.all(|is_limited| is_limited)
     }
 
     /// Returns when a runner of the service next accepts requests of this router, by
--- a/crates/schedule/tests/rate.rs
+++ b/crates/schedule/tests/rate.rs
@@ -292,3 +292,15 @@
             .is_none_or(|stated| stated.per_second.is_none())
     }));
 }
+
+/// Without runners, requests wait for one as they did before limits.
+#[test]
+fn a_service_without_runners_does_not_count_as_limited() {
+    let mut scheduler = scheduler(100);
+    for id in 1..20 {
+        scheduler.submit(NOW, id, model_request("w1", 1, 10));
+    }
+    assert!(scheduler.take_actions().is_empty());
+    scheduler.set_runner(NOW + Span(50), entry("m1", "model", 64));
+    assert_eq!(sends(&scheduler.take_actions()).len(), 19);
+}
