--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -23,7 +23,7 @@
     Rejected,
     /// No runner with the software version that began the stream accepts requests.
     NoRunnerOfVersion,
-    /// It is not known which of several software versions began the stream.
+    /// Several software versions serve, and the one that began the stream is not known.
     UnknownVersion,
     /// All runners asked this router for a pause that is longer than the request may
     /// wait.
--- a/crates/schedule/src/rate.rs
+++ b/crates/schedule/src/rate.rs
@@ -51,7 +51,7 @@
 /// is remembered.
 const MEMORY: Span = Span(10_000);
 
-/// What an answer of a runner said, and when it arrived.
+/// Limit that an answer of a runner named, and when the answer arrived.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Statement {
     per_second: Option<f64>,
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -41,7 +41,7 @@
     pub kv_tokens: u32,
 }
 
-/// What an answer of a runner said of the rate of requests that it accepts.
+/// Limit on the rate of requests that an answer of a runner named.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Stated {
     /// Requests per second from all routers together; `None` if it names no limit.
@@ -57,7 +57,7 @@
     pub runner: Runner,
     /// Start time of the process, as in [`Entry::started_at`].
     pub started_at: u64,
-    /// What the runner said last; `None` if no answer told the reporting routers.
+    /// Last statement of the runner; `None` if no answer told the reporting routers.
     pub stated: Option<Stated>,
     /// Requests sent within the last seconds, by the time for which limits count.
     pub sent: u32,
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -53,6 +53,22 @@
     (store, router)
 }
 
+/// Starts routers that know the ones before them by seeds.
+fn start_routers(store: &Store, count: usize) -> Vec<Router> {
+    let mut seeds = Vec::new();
+    let routers: Vec<Router> = (0..count)
+        .map(|index| {
+            let router = Router::start_with_seeds(&format!("r{index}"), store.address, &seeds);
+            seeds.push(router.peers);
+            router
+        })
+        .collect();
+    for router in &routers {
+        router.wait_ready();
+    }
+    routers
+}
+
 fn request(method: &str, path: &str, fields: &str, body: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 8000\r\n\
--- a/tests/all/edge/poison.rs
+++ b/tests/all/edge/poison.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::Signal;
 
 use super::environment::{Store, header, read_message, respond, send_raw};
-use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest};
+use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest, start_routers};
 
 /// Id of the prompt part that crashes runners.
 const BAD_PART: &str = "bad0";
@@ -98,18 +98,7 @@
             let runner = Crashing::start(serve, crashes.clone());
             store.put("servers", &format!("i-{index}"), entry(runner.address, "s"));
         }
-        let mut seeds = Vec::new();
-        let routers: Vec<Router> = (0..routers)
-            .map(|index| {
-                let name = format!("r{index}");
-                let router = Router::start_with_seeds(&name, store.address, &seeds);
-                seeds.push(router.peers);
-                router
-            })
-            .collect();
-        for router in &routers {
-            router.wait_ready();
-        }
+        let routers = start_routers(&store, routers);
         Fleet {
             _store: store,
             routers,
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use super::environment::{Runner, Store, connect, header, respond, send_raw};
-use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest};
+use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest, start_routers};
 
 /// Time in which routers tell each other of a stream that began.
 const SPREAD_TIME: Duration = Duration::from_millis(600);
@@ -63,16 +63,7 @@
             value["version"] = json!(version);
             store.put("servers", &format!("i-{index}"), Some(value));
         }
-        let mut seeds = Vec::new();
-        let routers: Vec<Router> = (0..routers)
-            .map(|index| {
-                let name = format!("r{index}");
-                let router = Router::start_with_seeds(&name, store.address, &seeds);
-                seeds.push(router.peers);
-                router.wait_ready();
-                router
-            })
-            .collect();
+        let routers = start_routers(&store, routers);
         Fleet {
             _store: store,
             runners,
