Log failed calls to the store, the source of manifests and slow turns

Callers saw 404 for a route of a confirmed manifest. The logs could not tell a watch that is never answered from an older manifest after a restore, or from an event loop that is too busy.

--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -286,10 +286,12 @@
         let update = watcher.handle_response(now, response);
         self.stats
             .count_store_call(!matches!(update, Update::Failed(_)));
-        if let Update::Failed(reason) = update {
+        if let Update::Failed(failure) = update {
             if self.store_failed_since.is_none() {
-                log::warn!(target: "store", "event=store_lost kind={kind:?} reason={reason:?}");
+                log::warn!(target: "store", "event=store_lost kind={kind:?} {failure}");
                 self.store_failed_since = Some(now);
+            } else {
+                log::info!(target: "store", "event=store_call_failed kind={kind:?} {failure}");
             }
             return;
         }
@@ -358,7 +360,7 @@
     fn apply_store_change(&mut self, now: Time, kind: Kind, change: StoreChange) {
         match (kind, change) {
             (Kind::Manifest, StoreChange::Set(object)) if object.name == store::MANIFEST_OBJECT => {
-                self.apply_manifest(&object.content);
+                self.apply_manifest(&object.content, None);
             }
             (Kind::Runners, StoreChange::Set(object)) => {
                 if let Some(entry) = decode_runner(&object)
@@ -394,8 +396,9 @@
         }
     }
 
-    /// Puts a manifest into force if it is newer than the current one.
-    fn apply_manifest(&mut self, bytes: &[u8]) {
+    /// Puts a manifest into force if it is newer than the current one. It comes from the
+    /// router at `peer`, or from the store.
+    fn apply_manifest(&mut self, bytes: &[u8], peer: Option<SocketAddr>) {
         let manifest = match manifest::decode(bytes) {
             Ok(manifest) => manifest,
             Err(error) => {
@@ -403,14 +406,19 @@
                 return;
             }
         };
-        if self.manifest.is_some() && manifest.version <= self.manifest_version() {
+        let source = peer.map_or_else(|| "store".to_owned(), |peer| peer.to_string());
+        let known = self.manifest_version();
+        let era = self.store_era.unwrap_or_default();
+        if self.manifest.is_some() && manifest.version <= known {
+            if manifest.version < known {
+                log::info!(target: "manifest", "event=manifest_outdated version={} known={known} source={source} era={era}", manifest.version);
+            }
             return;
         }
         log::info!(
             target: "manifest",
-            "event=manifest_in_force version={} before={} hosts={}",
+            "event=manifest_in_force version={} before={known} source={source} era={era} hosts={}",
             manifest.version,
-            self.manifest_version(),
             manifest.routes.len()
         );
         self.scheduler.set_manifest(&manifest);
@@ -487,7 +495,7 @@
         self.peers.record_view(peer, true);
         self.observe_era(now, view.revision.era, None);
         if !view.manifest.is_empty() {
-            self.apply_manifest(&view.manifest);
+            self.apply_manifest(&view.manifest, Some(peer));
         }
         self.scheduler.apply_streams(now, &view.streams);
         for entry in view.held {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -27,6 +27,10 @@
 /// Longest sleep of the loop; pending timers make it shorter.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
 
+/// Duration of a turn of the loop from which on it is logged. No change of the manifest or
+/// of a runner is noticed during a turn.
+const SLOW_TURN: Duration = Duration::from_millis(250);
+
 /// Serves with the settings file at `path` until SIGTERM or SIGINT, and writes
 /// log lines in `format`.
 ///
@@ -86,6 +90,7 @@
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => return Err(Error::Poll(error)),
         }
+        let turn_began = Instant::now();
         if stop.load(Ordering::Relaxed) {
             call!([edge], begin_shutdown());
         }
@@ -104,6 +109,10 @@
         }
         call!([edge], accept_more());
         stakker.run(Instant::now(), false);
+        let took = turn_began.elapsed();
+        if took >= SLOW_TURN {
+            log::warn!(target: "process", "event=turn_slow took_ms={} events={}", took.as_millis(), events.iter().count());
+        }
         let is_done = edge.query(&mut stakker, |edge, _| edge.is_done());
         if is_done.unwrap_or(true) {
             return Ok(());
--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -35,6 +35,35 @@
     pub body: &'a [u8],
 }
 
+/// Call to the store that failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Failure {
+    /// `list` or `watch`.
+    pub call: &'static str,
+    /// Revision that was watched, 0 for a list.
+    pub revision: u64,
+    /// Time since the call was made.
+    pub waited: Span,
+    /// Reason of the failure.
+    pub reason: String,
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Failure {
+            call,
+            revision,
+            waited,
+            reason,
+        } = self;
+        let waited_ms = waited.0;
+        write!(
+            f,
+            "call={call} revision={revision} waited_ms={waited_ms} reason={reason:?}"
+        )
+    }
+}
+
 /// Result of a call to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -44,8 +73,8 @@
     Snapshot(Vec<Object>, Revision),
     /// Changes since the previous revision, and the new revision.
     Changes(Vec<Change>, Revision),
-    /// The call failed for this reason.
-    Failed(String),
+    /// The call failed.
+    Failed(Failure),
 }
 
 #[derive(Clone, Debug)]
@@ -63,6 +92,8 @@
     era: u64,
     objects: Vec<Object>,
     next_call_at: Time,
+    // Time of the last call.
+    called_at: Time,
     retry_delay: Span,
     is_calling: bool,
 }
@@ -77,6 +108,7 @@
             era: 0,
             objects: Vec::new(),
             next_call_at: Time(0),
+            called_at: Time(0),
             retry_delay: Span(0),
             is_calling: false,
         }
@@ -89,6 +121,7 @@
             return None;
         }
         self.is_calling = true;
+        self.called_at = now;
         Some(match &self.state {
             State::Listing { after } => {
                 (Request::list(self.kind, after.as_deref()), RESPONSE_TIMEOUT)
@@ -166,7 +199,16 @@
         let doubled = Span(self.retry_delay.0 * 2);
         self.retry_delay = doubled.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
         self.next_call_at = now + self.retry_delay;
-        Update::Failed(reason)
+        let (call, revision) = match self.state {
+            State::Listing { .. } => ("list", 0),
+            State::Watching { revision } => ("watch", revision),
+        };
+        Update::Failed(Failure {
+            call,
+            revision,
+            waited: now.since(self.called_at),
+            reason,
+        })
     }
 
     fn apply_page(&mut self, now: Time, body: &[u8]) -> Update {
