Add a failing test of a store that stops answering

Callers saw 404 for a route whose manifest had been confirmed 2 s before. The test plays a store that answers nothing for a while, and no call of that time later on, against the watcher: after 0 to 9 s of silence, 0 to 1 s into a watch.

--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -342,3 +342,51 @@
     let changes = registry.replace(NOW, list, Revision::new(2, 41));
     assert_eq!(changes, [Change::Set(restarted)]);
 }
+
+/// Time within which the operator's changes must be in force, and requests to runners that
+/// leave must end.
+const CHANGE_BOUND: Span = Span(2000);
+
+/// Plays a store that answers no call that it gets, or has not answered, within `silence`;
+/// `age` is the time that the watch of then had waited. Returns the time from the end of
+/// the silence to the next answer.
+fn time_to_answer(kind: Kind, age: Span, silence: Span) -> Span {
+    let mut watcher = Watcher::new(kind);
+    let list = br#"{"items":[],"has_more":false,"at":5}"#;
+    watcher.next_call(NOW);
+    watcher.handle_response(NOW, response(200, list));
+    let (_, timeout) = watcher.next_call(NOW).unwrap();
+    let mut deadline = Some(NOW + timeout);
+    let end = NOW + age + silence;
+    let mut now = NOW + age;
+    loop {
+        if deadline.is_some_and(|deadline| now >= deadline) {
+            deadline = None;
+            watcher.handle_response(now, None);
+        }
+        if let Some((_, timeout)) = watcher.next_call(now) {
+            deadline = Some(now + timeout);
+            if now >= end {
+                return now.since(end);
+            }
+        }
+        now = now + Span(10);
+    }
+}
+
+/// A watch that a store will not answer any more was noticed after 3.2 s only, and all
+/// routers waited at the same time, because a change ends their watches together.
+#[test]
+fn a_silent_store_is_asked_again_within_the_time_for_a_change() {
+    for kind in [Kind::Manifest, Kind::Runners] {
+        for silence in (0..9000).step_by(70) {
+            for age in (0..1000).step_by(200) {
+                let time = time_to_answer(kind, Span(age), Span(silence));
+                assert!(
+                    time < CHANGE_BOUND,
+                    "{kind:?}: {time:?} after {silence} ms of silence, {age} ms into a watch"
+                );
+            }
+        }
+    }
+}
