Notice a store that stops answering within the time for a change

A watch that the store will never answer was noticed by its timeout only, 3.2 s after it began, and once more if the next one began within the outage. Other routers did not help: a change ends the watches of all of them, so that they began and timed out together.

Change: a watch stays open for half of the bound on what it waits for (apply_ms for the manifest, drain_ms for runners), 2.5 s at the most, so that its timeout and the next call fit into the other half. After a failure the store is asked by a call that it answers at once, 0.8 s apart at the most, until it answers.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -160,7 +160,12 @@
             retry_slack: settings.bounds.retry_slack,
             retry_window: settings.bounds.retry_window,
         });
-        let kinds = [Kind::Manifest, Kind::Runners, Kind::Routers];
+        let bounds = &settings.bounds;
+        let watchers = [
+            Watcher::new(Kind::Manifest).with_change_bound(bounds.manifest_change),
+            Watcher::new(Kind::Runners).with_change_bound(bounds.runner_drain),
+            Watcher::new(Kind::Routers),
+        ];
         let mut edge = Edge {
             clock,
             poller,
@@ -182,7 +187,7 @@
             caller_listener: 0,
             caller_count: 0,
             body_bytes: 0,
-            watchers: kinds.map(|kind| (kind, Watcher::new(kind))).into(),
+            watchers: watchers.map(|watcher| (watcher.kind(), watcher)).into(),
             watch_connections: BTreeMap::new(),
             announced: false,
             announce_at: now,
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -22,7 +22,7 @@
 const VIEW_INTERVAL: Span = Span(300);
 
 /// Age of the last response above which the store counts as unavailable. Longer
-/// than a watch without changes takes: 2.5 s, and at most 3.2 s until it times out.
+/// than a watch without changes takes: at most 2.5 s, and 3.2 s until it times out.
 const MAX_RESPONSE_AGE: Span = Span(3500);
 
 /// Time for which a router that starts waits for a peer to tell it the manifest and the
--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -3,14 +3,19 @@
 use balsamchute_adapter::store::{self, Change, Kind, Object, Request};
 use balsamchute_model::prelude::*;
 
-/// Time that a watch request may stay open. The sum with [`RESPONSE_TIMEOUT`]
-/// bounds how long a stalled connection goes unnoticed. The operator limits the
-/// time until a change takes effect.
-const WATCH_TIME: Span = Span(2500);
+/// Longest time that a watch request stays open.
+const MAX_WATCH_TIME: Span = Span(2500);
+
+/// Time that a watch request stays open after a failed call. The store answers it at once
+/// if it answers at all.
+const PROBE_TIME: Span = Span(1);
 
 /// Time allowed for a response, in addition to the requested watch time.
 const RESPONSE_TIMEOUT: Span = Span(700);
 
+/// Time within which changes must be noticed if no other bound is set.
+const DEFAULT_CHANGE_BOUND: Span = Span(2000);
+
 /// Shortest interval between responses to watches for runners. Hundreds of runners start
 /// or leave one by one, and each change would cost each watching router a call. Much
 /// shorter than the time within which a change must be in force.
@@ -88,6 +93,7 @@
 pub struct Watcher {
     kind: Kind,
     state: State,
+    watch_time: Span,
     // Latest era of the store, 0 before the first response.
     era: u64,
     objects: Vec<Object>,
@@ -105,6 +111,7 @@
         Watcher {
             kind,
             state: State::Listing { after: None },
+            watch_time: watch_time(DEFAULT_CHANGE_BOUND),
             era: 0,
             objects: Vec::new(),
             next_call_at: Time(0),
@@ -114,6 +121,14 @@
         }
     }
 
+    /// Sets the time within which changes must be noticed, also if the store never answers
+    /// the call that waits for them.
+    #[must_use]
+    pub fn with_change_bound(mut self, bound: Span) -> Self {
+        self.watch_time = watch_time(bound);
+        self
+    }
+
     /// Returns the call that is due and the timeout for its response, or `None`
     /// while a call is in flight or a delay has not elapsed.
     pub fn next_call(&mut self, now: Time) -> Option<(Request, Span)> {
@@ -122,13 +137,17 @@
         }
         self.is_calling = true;
         self.called_at = now;
+        let watch_time = match self.is_failing() {
+            true => PROBE_TIME,
+            false => self.watch_time,
+        };
         Some(match &self.state {
             State::Listing { after } => {
                 (Request::list(self.kind, after.as_deref()), RESPONSE_TIMEOUT)
             }
             State::Watching { revision } => (
-                Request::watch(self.kind, *revision, WATCH_TIME),
-                WATCH_TIME + RESPONSE_TIMEOUT,
+                Request::watch(self.kind, *revision, watch_time),
+                watch_time + RESPONSE_TIMEOUT,
             ),
         })
     }
@@ -178,6 +197,12 @@
         self.restart();
     }
 
+    /// Returns the kind of object that the watcher follows.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
     /// Returns the latest era of the store that the watcher knows.
     #[must_use]
     pub fn era(&self) -> u64 {
@@ -249,6 +274,12 @@
     }
 }
 
+/// Returns the time that a watch may stay open. The other half of the bound is left for the
+/// timeout of a response that never comes, and for the next call.
+fn watch_time(bound: Span) -> Span {
+    Span(bound.0 / 2).min(MAX_WATCH_TIME)
+}
+
 fn log_errors(kind: Kind, errors: &[balsamchute_adapter::Error]) {
     for error in errors {
         log::warn!(target: "store", "event=object_ignored kind={kind:?} reason={:?}", error.to_string());
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -22,6 +22,10 @@
     pub share_window: Span,
     /// Longest time that callers may cache a list of routers.
     pub address_ttl: Span,
+    /// Longest time from the confirmation of a manifest until it is in force.
+    pub manifest_change: Span,
+    /// Longest time from the report that a runner drains until it gets no more requests.
+    pub runner_drain: Span,
 }
 
 /// Resource limits of the process.
