Accept a restarted router whose wall clock stepped back

Cause: processes of a router are ordered by the wall clock at their start.

Change: an earlier start counts once the process known before has timed out, for frames and for rosters.

--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -164,9 +164,10 @@
             return None;
         }
         let slot = self.peers.entry(address).or_insert(None);
-        let is_stale = slot
-            .as_ref()
-            .is_some_and(|peer| peer.descriptor.incarnation > frame.sender.incarnation);
+        // The wall clock may have stepped back between two processes of a router.
+        let is_stale = slot.as_ref().is_some_and(|peer| {
+            peer.descriptor.incarnation > frame.sender.incarnation && peer.is_alive(now)
+        });
         if is_stale {
             return None;
         }
@@ -219,9 +220,9 @@
         let last_seen = Time(now.0.saturating_sub(listing.age.0));
         match slot {
             Some(peer) => {
+                let is_same = peer.descriptor.incarnation == listing.descriptor.incarnation;
                 let is_newer = peer.descriptor.incarnation < listing.descriptor.incarnation
-                    || (peer.descriptor.incarnation == listing.descriptor.incarnation
-                        && last_seen > peer.last_seen);
+                    || (last_seen > peer.last_seen && (is_same || !peer.is_alive(now)));
                 if is_newer {
                     peer.descriptor = listing.descriptor;
                     peer.last_seen = last_seen;
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -216,6 +216,36 @@
     assert_eq!(table.count_seen_within(NOW + Span(9000), Span(10_000)), 1);
 }
 
+/// The wall clock, by which processes are ordered, may have stepped back before a restart.
+/// The other routers ignored the new process until the clock had caught up.
+#[test]
+fn a_router_that_restarts_with_an_earlier_clock_is_alive_again() {
+    let mut table = Table::new(peer_address(1));
+    let alive = |table: &Table, now: Time| -> Vec<u64> {
+        let alive = table.alive(now);
+        alive.map(|peer| peer.descriptor.incarnation).collect()
+    };
+    table.receive(NOW, frame(2, 5000));
+    let restarted = NOW + Span(1000);
+    assert_eq!(
+        table.receive(restarted, frame(2, 4000)),
+        Some(descriptor(2, "a").instance)
+    );
+    assert_eq!(alive(&table, restarted), [4000]);
+    // Known through another router only.
+    let listing = |incarnation| Frame {
+        roster: vec![Listing {
+            descriptor: frame(3, incarnation).sender,
+            age: Span(100),
+        }],
+        ..frame(2, 4000)
+    };
+    table.receive(restarted, listing(5000));
+    let later = restarted + Span(2000);
+    table.receive(later, listing(4000));
+    assert_eq!(alive(&table, later), [4000, 4000]);
+}
+
 #[test]
 fn unseen_addresses_are_probed_at_a_slow_interval() {
     let mut table = Table::new(peer_address(1));
