Notice a platform that stops answering within the time for a change (native)

Ruled out: help by other routers, since a change ends the watches of all of them.

Change: a watch waits 4 s, so that its timeout of 2 s more fits into the bound; after a failure the platform is asked by a call that returns at once. The stand-in counts the longest wait that a watch asked for.

On paper, 350 routers make 88 watches a second instead of 18; not measured.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -28,7 +28,7 @@
 const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
 
 /// Timeout of a watch beyond the wait that it requests from the platform.
-const WATCH_MARGIN: Span = Span(2000);
+pub const WATCH_MARGIN: Span = Span(2000);
 
 /// Capacity of the retry budget, in retries. The budget of a new client is full.
 const MAX_SAVED_RETRIES: f64 = 10.0;
--- a/crates/router/src/poll.rs
+++ b/crates/router/src/poll.rs
@@ -20,8 +20,9 @@
 /// Path of the configuration in the platform's object store.
 const CONFIG_PATH: &str = "config/current";
 
-/// Longest time that one watch waits for a new configuration.
-const WATCH_WAIT: Span = Span::from_secs(20);
+/// Longest time that one watch waits for a new configuration. If the platform never answers
+/// it, the next one must still be made within the 7 s in which a change has to be in force.
+const WATCH_WAIT: Span = Span::from_secs(4);
 
 /// Pause after a failed call, in milliseconds.
 const FAILURE_PAUSE: Span = Span(500);
@@ -90,8 +91,8 @@
             continue;
         }
         // The first read returns immediately, so that a new router can serve
-        // soon.
-        let wait = if seen_version == 0 {
+        // soon, and so does the first one after a failure.
+        let wait = if seen_version == 0 || failing {
             Span(0)
         } else {
             WATCH_WAIT
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use balsamchute_base::digest::Hasher;
+use balsamchute_base::prelude::*;
+use balsamchute_platform::client::WATCH_MARGIN;
 use balsamchute_router::Sockets;
 use balsamchute_router::hooks::Hooks;
 use balsamchute_router::settings::Settings;
@@ -475,3 +477,24 @@
         assert_eq!(open.len(), CONNECTIONS);
     }
 }
+
+/// Time within which a change of the configuration must be in force everywhere.
+const CHANGE_BOUND: Span = Span::from_secs(7);
+
+/// A platform that never answers a watch was asked again after 22 s only, at all routers at
+/// the same time, because a change ends their watches together.
+#[test]
+fn a_silent_platform_is_asked_again_within_the_time_for_a_change() {
+    let fleet = Fleet::start(1);
+    let start = Instant::now();
+    while fleet.platform.calls().longest_watch == Span(0) {
+        assert!(start.elapsed() < TIMEOUT, "the router does not watch");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let longest = fleet.platform.calls().longest_watch;
+    let noticed = longest + WATCH_MARGIN;
+    assert!(
+        noticed < CHANGE_BOUND,
+        "{longest:?}, noticed after {noticed:?}"
+    );
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -74,6 +74,8 @@
     pub writes: u64,
     /// Watches, including those that timed out.
     pub watches: u64,
+    /// Longest time that a watch asked to wait.
+    pub longest_watch: Span,
 }
 
 /// Recorded change of an object.
@@ -453,6 +455,8 @@
 fn watch(shared: &Shared, path: &str, after: u64, wait: Duration) -> Response {
     let mut store = shared.store();
     store.calls.watches += 1;
+    let asked = Span(wait.as_millis() as u64);
+    store.calls.longest_watch = store.calls.longest_watch.max(asked);
     let unchanged = |store: &mut Store| store.current_version(path) <= after;
     let (store, _) = shared
         .changed
