--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -62,6 +62,10 @@
     objects: Vec<(String, String, u64, Option<Value>)>,
     unavailable: bool,
     unavailable_kind: Option<String>,
+    /// Whether calls get no answer, not even later on, and the number of times that this
+    /// began.
+    silent: bool,
+    silences: usize,
     /// Calls that wrote an object.
     writes: usize,
 }
@@ -179,6 +183,16 @@
         changed.notify_all();
     }
 
+    /// Starts or stops being silent: calls that wait at its start, or that arrive before its
+    /// end, are never answered.
+    pub fn set_silent(&self, silent: bool) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().expect("no thread panicked");
+        state.silent = silent;
+        state.silences += usize::from(silent);
+        changed.notify_all();
+    }
+
     /// Returns the number of calls that wrote an object.
     pub fn writes(&self) -> usize {
         self.state.0.lock().expect("no thread panicked").writes
@@ -200,8 +214,16 @@
 }
 
 fn serve_store(mut stream: TcpStream, shared: &(Mutex<Objects>, Condvar)) {
+    let silence = || {
+        let state = shared.0.lock().expect("no thread panicked");
+        (state.silent, state.silences)
+    };
     while let Some((head, written)) = read_message(&mut stream) {
+        let arrived = silence();
         let (status, body) = store_response(&head, &written, shared);
+        if arrived != (false, silence().1) {
+            continue;
+        }
         let era = shared.0.lock().expect("no thread panicked").era;
         let text = body.to_string();
         let response = format!(
--- a/tests/all/edge/restore.rs
+++ b/tests/all/edge/restore.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use super::environment::{Router, Runner, Store, respond_with_body, send_raw, wait_until};
-use super::{entry, manifest, request, start_router};
+use super::{entry, manifest, request, start_router, start_routers};
 
 /// Time for which no request may reach a runner that the restore brought back: most of
 /// the time that its entry is held back.
@@ -96,3 +96,39 @@
     store.put("config", "main", Some(json!({"version": "damaged"})));
     assert!(send(&router, "k3").ends_with("stays"));
 }
+
+/// The store never answers the watches that waited when it went away. What the operator
+/// writes again, and its next change, must not wait for them to end, and neither the copy
+/// nor a restart may bring the withdrawn key back.
+#[test]
+fn a_manifest_is_in_force_after_a_store_was_silent_and_restored() {
+    let runner = named("stays");
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let routers = start_routers(&store, 2);
+    let copy = store.copy();
+    store.put("config", "main", manifest(2, &["k2"]));
+    for router in &routers {
+        wait_until("the change is in force", || {
+            send(router, "k2").ends_with("stays")
+        });
+    }
+    store.set_silent(true);
+    store.restore(copy);
+    wait_until("a router notices the silence", || {
+        routers[0].log().contains("event=store_lost")
+    });
+    store.set_silent(false);
+    let third = Router::start_with_seeds("r3", store.address, &[routers[0].peers]);
+    third.wait_ready();
+    assert!(send(&third, "k1").starts_with("HTTP/1.1 401 "));
+    store.put("config", "main", manifest(2, &["k2"]));
+    store.put("config", "main", manifest(5, &["k2", "k3"]));
+    for router in routers.iter().chain([&third]) {
+        wait_until("the next change is in force", || {
+            send(router, "k3").ends_with("stays")
+        });
+        assert!(send(router, "k1").starts_with("HTTP/1.1 401 "));
+    }
+}
