Tell late wake-ups of the soak's own threads with its findings

Which thread waited is not known: the soak could not tell a router that is late from its own threads.

Change: a thread measures how late sleeps of 5 ms end; the summary counts those late by 50 ms or more, and each finding names their sum in the 3 s before it. No check or bound changes.

The cause stays open.

--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Time within which a router in touch must use a change: `drain_ms` and `apply_ms` of
@@ -27,6 +28,14 @@
 const LIMIT_WINDOW: Duration = Duration::from_millis(4000);
 const LIMIT_BOUND: Duration = Duration::from_millis(3000);
 
+/// Sleep of the thread that measures how late threads of the soak wake up, and delay from
+/// which on it is recorded.
+const WAKEUP_INTERVAL: Duration = Duration::from_millis(5);
+const LATE_WAKEUP: Duration = Duration::from_millis(50);
+
+/// Time before a violation for which late wake-ups are told with it.
+const WAKEUP_WINDOW: Duration = Duration::from_millis(3000);
+
 /// Ratio, slack and window of the retry budget in the settings of the routers.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 54.0;
@@ -79,6 +88,8 @@
     limited: BTreeMap<usize, (u64, Instant, Vec<Instant>)>,
     // Streams that callers took up and got to their end.
     taken_up: usize,
+    // Times at which a thread of the soak woke up late, and by how much.
+    wakeups: Vec<(Instant, Duration)>,
     violations: Vec<String>,
 }
 
@@ -95,6 +106,21 @@
         self.0.lock().expect("no thread panicked")
     }
 
+    /// Measures how late threads of the soak wake up, until the process ends.
+    pub fn measure_wakeups(&self) {
+        let judge = self.clone();
+        thread::spawn(move || {
+            loop {
+                let due = Instant::now() + WAKEUP_INTERVAL;
+                thread::sleep(WAKEUP_INTERVAL);
+                let delay = due.elapsed();
+                if delay >= LATE_WAKEUP {
+                    judge.state().wakeups.push((Instant::now(), delay));
+                }
+            }
+        });
+    }
+
     /// Records a violation of a promise.
     pub fn report(&self, promise: &str, detail: &str) {
         self.state().violations.push(format!("{promise}: {detail}"));
@@ -141,8 +167,13 @@
         let is_calm = state.faults.iter().all(|(_, end)| *end + CALM_TIME < now);
         if is_calm && now > since + CHANGE_BOUND {
             let age = now - since;
+            let recent = state
+                .wakeups
+                .iter()
+                .filter(|(at, _)| *at + WAKEUP_WINDOW > now);
+            let late: Duration = recent.map(|(_, delay)| *delay).sum();
             state.violations.push(format!(
-                "drain: {id} reached runner {runner} {age:?} after it left"
+                "drain: {id} reached runner {runner} {age:?} after it left; a thread of the soak woke up {late:?} late in all within the last {WAKEUP_WINDOW:?}"
             ));
         }
     }
@@ -266,7 +297,7 @@
                 .count()
         };
         format!(
-            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={} taken_up={}",
+            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={} taken_up={} late_wakeups={} longest_ms={}",
             state.sent.len(),
             count(Outcome::Complete),
             count(Outcome::NotRun),
@@ -275,7 +306,14 @@
             state.repeats.len(),
             state.faults.len(),
             state.crashing.values().map(Vec::len).sum::<usize>(),
-            state.taken_up
+            state.taken_up,
+            state.wakeups.len(),
+            state
+                .wakeups
+                .iter()
+                .map(|(_, delay)| delay.as_millis())
+                .max()
+                .unwrap_or(0)
         )
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -104,6 +104,7 @@
         options.routers,
     );
     let judge = Judge::new();
+    judge.measure_wakeups();
     let mut fleet = Fleet::start(options, &judge);
     let callers = Callers::start(options.seed, fleet.router_addresses(), &judge);
     let begin = Instant::now();
