--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -283,6 +283,24 @@
     assert_eq!(sent, 85 * 2 + 5 * 4);
 }
 
+/// Members of another domain did not answer, so that the router stayed alone until it listed
+/// the routers in the store again, 20 s later, and served without the sums of the fleet.
+#[test]
+fn a_router_that_starts_finds_a_large_fleet_by_a_seed_of_another_domain() {
+    let mut fleet = Fleet::new(90);
+    fleet.routers[89].is_running = false;
+    fleet.steps(40);
+    let member = fleet.routers[6].descriptor.clone();
+    assert_ne!(member.domain, fleet.routers[89].descriptor.domain);
+    assert!(matches!(fleet.routers[6].table.tier(), Tier::Member(_)));
+    let table = &mut fleet.routers[89].table;
+    *table = Table::new(peer_address(90));
+    table.add(member.peers);
+    fleet.routers[89].is_running = true;
+    fleet.steps(30);
+    fleet.assert_converged();
+}
+
 /// All members receive the same sum. Each must take off the report of its own that the
 /// hub had, not a newer one.
 #[test]
