Answer routers of other domains that start with the addresses of the hubs

Cause: members of a domain did not answer routers of other domains, since the sums from every member would be megabytes. Ruled out: slow turns, frames that fail.

--- a/crates/edge/src/peers/outgoing.rs
+++ b/crates/edge/src/peers/outgoing.rs
@@ -79,6 +79,7 @@
                             .filter(|&address| address != hub),
                     );
                 }
+                outgoing.push(self.frame_for_newcomers(now, local, &frame, hub));
                 outgoing.push(Outgoing { receivers, frame });
                 outgoing
             }
@@ -173,6 +174,31 @@
         })
     }
 
+    /// Returns the frame for routers of other domains that report here, with the addresses of
+    /// the hubs. A router that starts may know no hub and no router of its own domain.
+    fn frame_for_newcomers(
+        &mut self,
+        now: Time,
+        local: &Descriptor,
+        own_frame: &Frame,
+        hub: SocketAddr,
+    ) -> Outgoing {
+        let newcomers = self
+            .reporters(now)
+            .filter(|(_, peer)| peer.descriptor.domain != local.domain);
+        let newcomers: Vec<SocketAddr> = newcomers.map(|(&address, _)| address).collect();
+        let mut hubs = self.other_hubs(now, local);
+        hubs.push(hub);
+        Outgoing {
+            receivers: self.take_due(now, newcomers),
+            frame: Frame {
+                report: Report::default(),
+                known_addresses: hubs,
+                ..own_frame.clone()
+            },
+        }
+    }
+
     /// Returns the roster of all routers if its interval has elapsed or a router has
     /// joined, restarted or changed its phase; empty otherwise.
     fn due_roster(&mut self, now: Time) -> Vec<Listing> {
@@ -202,17 +228,8 @@
         for (_, peer) in self.reporters(now) {
             sum.add(&peer.report);
         }
-        let domains: BTreeSet<&String> = self
-            .alive(now)
-            .map(|peer| &peer.descriptor.domain)
-            .collect();
-        let others = domains
-            .into_iter()
-            .filter(|domain| **domain != local.domain);
         Outgoing {
-            receivers: others
-                .filter_map(|domain| self.elect_hub(now, local, domain))
-                .collect(),
+            receivers: self.other_hubs(now, local),
             frame: Frame {
                 sender: local.clone(),
                 known_addresses: Vec::new(),
@@ -225,6 +242,20 @@
         }
     }
 
+    /// Returns the hubs of the other domains.
+    fn other_hubs(&self, now: Time, local: &Descriptor) -> Vec<SocketAddr> {
+        let domains: BTreeSet<&String> = self
+            .alive(now)
+            .map(|peer| &peer.descriptor.domain)
+            .collect();
+        let others = domains
+            .into_iter()
+            .filter(|domain| **domain != local.domain);
+        others
+            .filter_map(|domain| self.elect_hub(now, local, domain))
+            .collect()
+    }
+
     /// Returns the routers that send their own reports to this one.
     fn reporters(&self, now: Time) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         let peers = self.peers.iter();
@@ -263,8 +294,14 @@
     fn due_probes(&mut self, now: Time, is_reachable: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
         let peers = self.peers.iter();
         let unreachable = peers.filter(|(_, peer)| !peer.as_ref().is_some_and(&is_reachable));
-        let due: Vec<SocketAddr> = unreachable
-            .map(|(&address, _)| address)
+        let addresses = unreachable.map(|(&address, _)| address).collect();
+        self.take_due(now, addresses)
+    }
+
+    /// Returns those of the addresses whose last probe is old enough, and records a probe.
+    fn take_due(&mut self, now: Time, addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let due: Vec<SocketAddr> = addresses
+            .into_iter()
             .filter(|address| {
                 let last_probe = self.last_probes.get(address);
                 last_probe.is_none_or(|&last_probe| now.since(last_probe) >= PROBE_INTERVAL)
