--- a/tests/all/edge/poison.rs
+++ b/tests/all/edge/poison.rs
@@ -164,7 +164,12 @@
         assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
         assert!(header(&response, "retry-after").is_some(), "{response}");
         let response = fleet.send(&format!("a1:200,c2:300,f{number}:200"));
-        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        let logs: Vec<String> = fleet.routers.iter().map(Router::log).collect();
+        assert!(
+            response.starts_with("HTTP/1.1 200 "),
+            "{response}\n{}",
+            logs.concat()
+        );
     }
     assert_eq!(fleet.crashes(), before);
 }
