Leave small routers out of the directory of fleets that fit into one answer

Cause: a fleet of 61 routers was listed whole, 53 of them with an eighth of a core, so callers connected to small routers as often as to large ones. Ruled out: that this alone ends failed connections: callers of one workspace keep to one router whatever the directory lists (front-muscat-b-16 took 587 of its requests in 2.5 s without being listed). Change: fleets of 20 routers and more with uneven sizes get a selection, as those above 64.

--- a/crates/schedule/src/directory.rs
+++ b/crates/schedule/src/directory.rs
@@ -15,6 +15,10 @@
 /// told to callers.
 const MIN_SIZE_RATIO: f64 = 0.5;
 
+/// Fleet size from which on small routers are left out of answers. In smaller fleets each
+/// router is needed to bear the loss of others.
+const MIN_SELECTED_FLEET: usize = 20;
+
 /// Fewest routers of the caller's own domain in an answer, if there are so many. Smaller
 /// ones fill up.
 const MIN_NEAR: usize = 2;
@@ -36,8 +40,10 @@
 
 /// Returns the addresses for a caller in `domain`, at most `limit`.
 ///
-/// A fleet of at most `limit` routers is listed whole. Of a larger one, a caller is
-/// told the large routers of its own domain and some others. Where there are too many,
+/// A fleet of at most `limit` routers is listed whole, unless it is large and has small
+/// routers beside large ones: callers of one workspace often keep to one router, and a
+/// small one cannot accept all their connections. Of other fleets, a caller is told the
+/// large routers of its own domain and some others. Where there are too many,
 /// each directory router (`instance`) has a selection of its own, so that all take part,
 /// and keeps it while the fleet stays the same, so that callers keep their connections.
 #[must_use]
@@ -47,7 +53,8 @@
     instance: &Instance,
     limit: usize,
 ) -> Vec<SocketAddr> {
-    if candidates.len() <= limit {
+    let is_even = candidates.len() < MIN_SELECTED_FLEET || has_even_sizes(candidates);
+    if candidates.len() <= limit && is_even {
         return candidates.iter().map(|router| router.address).collect();
     }
     let is_near = |router: &&Candidate<'_>| domain == Some(router.domain);
@@ -64,6 +71,13 @@
     selected
 }
 
+fn has_even_sizes(routers: &[Candidate<'_>]) -> bool {
+    let sizes = routers.iter().map(|router| router.millicores);
+    let largest = sizes.clone().max().unwrap_or(0);
+    let smallest = sizes.min().unwrap_or(0);
+    f64::from(smallest) >= f64::from(largest) * MIN_SIZE_RATIO
+}
+
 /// Returns the routers that are large compared with the largest one, at least
 /// [`MIN_NEAR`] of them.
 fn large<'a>(mut routers: Vec<&'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
--- a/crates/schedule/tests/directory.rs
+++ b/crates/schedule/tests/directory.rs
@@ -32,6 +32,30 @@
     assert_eq!(select(&fleet, Some("a"), &instance(1), LIMIT), all);
 }
 
+/// A workspace whose callers keep to one router overloaded a small one of a fleet that fits
+/// into one answer: a fifth of all connections failed.
+#[test]
+fn small_routers_of_a_fleet_that_fits_into_one_answer_are_left_out() {
+    let mut fleet = fleet(61);
+    for router in fleet.iter_mut().take(10) {
+        router.millicores = 500;
+    }
+    let listed = select(&fleet, Some("a"), &instance(1), LIMIT);
+    assert_eq!(listed.len(), 3);
+    let is_large = |address: &SocketAddr| {
+        let mut large = fleet.iter().filter(|router| router.millicores == 500);
+        large.any(|router| router.address == *address)
+    };
+    assert!(listed.iter().all(is_large), "{listed:?}");
+}
+
+#[test]
+fn a_fleet_of_a_few_routers_is_listed_whole_whatever_their_sizes() {
+    let mut fleet = fleet(8);
+    fleet[0].millicores = 1000;
+    assert_eq!(select(&fleet, Some("a"), &instance(1), LIMIT).len(), 8);
+}
+
 /// Plays lookups of callers in all domains, who ask a router of their domain and then
 /// pick one address at random. No router may be without callers, and none may have more
 /// than twice the mean.
