Add failing tests of streams resumed after all routers restarted

Two versions serve while all routers are killed: every resumption is refused with unknown_version (503). The old version leaves while all routers are down: the new one is taken for the origin, the resumption is answered 200 by v2.

--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -45,7 +45,7 @@
 }
 
 struct Fleet {
-    _store: Store,
+    store: Store,
     runners: Vec<Runner>,
     routers: Vec<Router>,
 }
@@ -65,12 +65,30 @@
         }
         let routers = start_routers(&store, routers);
         Fleet {
-            _store: store,
+            store,
             runners,
             routers,
         }
     }
 
+    /// Kills all routers at once, runs `meanwhile` and restarts them with the setting
+    /// `bootstrap` false.
+    fn restart_all(&mut self, meanwhile: impl FnOnce(&Store)) {
+        for router in &self.routers {
+            router.signal(Signal::SIGKILL);
+            let text = std::fs::read_to_string(&router.settings_file).expect("settings");
+            let text = format!("bootstrap = false\n{text}");
+            std::fs::write(&router.settings_file, text).expect("settings can be written");
+        }
+        meanwhile(&self.store);
+        for router in &mut self.routers {
+            router.restart(Signal::SIGKILL);
+        }
+        for router in &self.routers {
+            router.wait_ready();
+        }
+    }
+
     fn received(&self) -> usize {
         self.runners
             .iter()
@@ -86,6 +104,37 @@
     )
 }
 
+/// Begins streams at a router; returns their request ids, versions and open connections.
+fn begin_streams(router: &Router, count: usize) -> Vec<(String, &'static str, TcpStream)> {
+    let begin = |number| {
+        let id = format!("q{number}");
+        let mut stream = connect(router.callers);
+        std::io::Write::write_all(&mut stream, stream_request(&id, "").as_bytes())
+            .expect("the router reads");
+        let mut text = String::new();
+        while !text.contains("id: 2\n") {
+            let mut bytes = [0; 512];
+            let length = stream.read(&mut bytes).expect("the stream goes on");
+            text.push_str(&String::from_utf8_lossy(&bytes[..length]));
+        }
+        let version = if text.contains("data: v1") {
+            "v1"
+        } else {
+            "v2"
+        };
+        (id, version, stream)
+    };
+    (0..count).map(begin).collect()
+}
+
+/// Resumes a stream that began 4 s before at most, as the remaining time shows.
+fn resume(router: &Router, number: usize, id: &str) -> String {
+    let fields = format!("Last-Event-Id: 2\r\nResumes: {id}\r\n");
+    let request = stream_request(&format!("t{number}"), &fields);
+    let request = request.replace("Deadline-Ms: 8000", "Deadline-Ms: 4000");
+    send_raw(router.callers, &request)
+}
+
 /// Returns the versions that the events of a response came from.
 fn versions_of(response: &str) -> Vec<&'static str> {
     let body = decode_chunks(response).0;
@@ -122,25 +171,7 @@
 #[test]
 fn a_stream_that_a_caller_takes_up_goes_on_only_at_the_version_that_began_it() {
     let mut fleet = Fleet::start(&["v1", "v1", "v2", "v2"], true, 2);
-    let mut begun = Vec::new();
-    for number in 0..8 {
-        let id = format!("q{number}");
-        let mut stream = connect(fleet.routers[0].callers);
-        std::io::Write::write_all(&mut stream, stream_request(&id, "").as_bytes())
-            .expect("the router reads");
-        let mut text = String::new();
-        while !text.contains("id: 2\n") {
-            let mut bytes = [0; 512];
-            let length = stream.read(&mut bytes).expect("the stream goes on");
-            text.push_str(&String::from_utf8_lossy(&bytes[..length]));
-        }
-        let version = if text.contains("data: v1") {
-            "v1"
-        } else {
-            "v2"
-        };
-        begun.push((id, version, stream));
-    }
+    let begun = begin_streams(&fleet.routers[0], 8);
     thread::sleep(SPREAD_TIME);
     fleet.routers[0].signal(Signal::SIGKILL);
     fleet.routers[0].restart(Signal::SIGKILL);
@@ -166,3 +197,39 @@
     let response = send_raw(uniform.routers[0].callers, &stream_request("q1", fields));
     assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
 }
+
+/// No router remembers an origin: without a record in the store, every resumption is refused.
+#[test]
+fn streams_resume_at_their_version_after_all_routers_were_killed() {
+    let mut fleet = Fleet::start(&["v1", "v1", "v2", "v2"], true, 2);
+    let begun = begin_streams(&fleet.routers[0], 8);
+    thread::sleep(SPREAD_TIME);
+    fleet.restart_all(|_| {});
+    for (number, (id, version, _)) in begun.iter().enumerate() {
+        let response = resume(&fleet.routers[number % 2], number, id);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        assert_eq!(versions_of(&response), [*version], "{id}");
+    }
+}
+
+/// A router that lists only the new version must not take it for the origin of a stream that
+/// the old one began.
+#[test]
+fn a_stream_of_a_version_that_left_while_all_routers_were_down_is_refused() {
+    let mut fleet = Fleet::start(&["v1", "v1"], true, 2);
+    let begun = begin_streams(&fleet.routers[0], 2);
+    thread::sleep(SPREAD_TIME);
+    let new = runner("v2", true);
+    fleet.restart_all(|store| {
+        store.put("servers", "i-0", None);
+        store.put("servers", "i-1", None);
+        let mut value = entry(new.address, "s").expect("an entry");
+        value["version"] = json!("v2");
+        store.put("servers", "i-2", Some(value));
+    });
+    for (number, (id, ..)) in begun.iter().enumerate() {
+        let response = resume(&fleet.routers[number], number, id);
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    }
+    assert_eq!(new.requests(), Vec::<String>::new());
+}
