Resume streams at their version after all routers restarted

Cause: origins of streams and the versions that served were in the memory of routers only, and a router that knew one version took it for the origin of any stream.

Change: each router's object in the store names the versions that it knew to serve and, during releases, the origins of the streams that began there (fields versions, streams). A sole version is inferred only if the list of runners was confirmed without a gap since the stream can have begun, or if the records of all routers name no other one; a stream of another service, or of a route whose backends changed, is refused.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -202,6 +202,8 @@
         let is_resumed = caller.last_event_id.is_some() || caller.resumes.is_some();
         let resumed = is_resumed.then(|| Resumed {
             stream: caller.resumes.map(stream_digest),
+            max_age: max_stream_age(&route, caller.time_left),
+            is_sole_service: self.route_changes.is_sole(now, &route),
         });
         let origin = resumed.and_then(|resumed| self.scheduler.origin(resumed.stream?));
         // A stream goes on at the service that began it, if the route still leads there.
@@ -501,3 +503,12 @@
         Fault::BodyTooLong => (413, "the body is larger than the limit".to_owned()),
     }
 }
+
+/// Returns the longest time since a resumed stream began. A caller that names no remaining
+/// time, or more than the timeout of the route, shows nothing.
+fn max_stream_age(route: &Route, time_left: Option<Span>) -> Span {
+    match time_left {
+        Some(time_left) if time_left <= route.timeout => route.timeout.saturating_sub(time_left),
+        _ => route.timeout,
+    }
+}
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -21,6 +21,10 @@
 /// flight.
 const EXIT_MARGIN: Span = Span(300);
 
+/// Assumed age of the list of runners that a peer which reads the store has: about the time
+/// in which it notices that the store is silent.
+const PEER_CONFIRMATION_AGE: Span = Span(1500);
+
 impl Edge {
     pub(super) fn add_seeds(&mut self) {
         let port = self.settings.listen.peers.port();
@@ -122,6 +126,16 @@
         let now = self.now();
         let sender = frame.sender.peers;
         self.observe_era(now, frame.sender.revision.era, None);
+        // A peer that reads the store knows nothing later than this router does.
+        let is_confirmed =
+            frame.sender.has_store && frame.sender.revision <= self.registry.revision();
+        if is_confirmed && self.is_runner_list_loaded {
+            let confirmed_at = now - PEER_CONFIRMATION_AGE;
+            self.scheduler
+                .origins_mut()
+                .versions_mut()
+                .confirm(confirmed_at);
+        }
         if let Some(source) = self.peers.receive(now, frame)
             && let Some(report) = self.peers.report(sender)
         {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -17,9 +17,12 @@
 
 use balsamchute_adapter::store::Kind;
 use balsamchute_base::clock::Clock;
+use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
 use balsamchute_model::settings::Bounds;
 use balsamchute_schedule::action::Id;
+use balsamchute_schedule::record::Writer;
+use balsamchute_schedule::route;
 use balsamchute_schedule::scheduler::{self, Scheduler};
 use mio::event::Event;
 use mio::net::{TcpListener, UdpSocket};
@@ -118,6 +121,14 @@
     announced: bool,
     // Time from which on the object may be written.
     announce_at: Time,
+    // Whether a write of the object waits for its response.
+    is_writing: bool,
+    // Whether a record that changed has not reached the store.
+    repeats_record: bool,
+    record_writer: Writer,
+    // Whether a record of versions or streams in the store could not be decoded.
+    has_malformed_record: bool,
+    route_changes: route::Changes,
     // Era of the store; `None` before the first response that names one.
     store_era: Option<u64>,
     last_store_response: Option<Time>,
@@ -164,8 +175,11 @@
         let watchers = [
             Watcher::new(Kind::Manifest).with_change_bound(bounds.manifest_change),
             Watcher::new(Kind::Runners).with_change_bound(bounds.runner_drain),
-            Watcher::new(Kind::Routers),
+            Watcher::new(Kind::Routers).with_current_list(!settings.bootstrap),
         ];
+        let score = rank::score("record", settings.instance.as_str());
+        let position = score as f64 / (u64::MAX as f64 + 1.0);
+        let record_writer = Writer::new(position.min(0.999), settings.store_writes_per_s);
         let mut edge = Edge {
             clock,
             poller,
@@ -191,6 +205,11 @@
             watch_connections: BTreeMap::new(),
             announced: false,
             announce_at: now,
+            is_writing: false,
+            repeats_record: false,
+            record_writer,
+            has_malformed_record: false,
+            route_changes: route::Changes::default(),
             store_era: None,
             last_store_response: None,
             store_failed_since: None,
@@ -208,6 +227,9 @@
             done: false,
             settings,
         };
+        if edge.settings.bootstrap {
+            edge.scheduler.origins_mut().versions_mut().set_first();
+        }
         edge.listen()?;
         edge.add_seeds();
         log::info!(
@@ -363,7 +385,9 @@
     /// Moves from starting to serving, and from leaving to the exit.
     fn advance_phase(&mut self, now: Time) {
         match self.phase {
-            Phase::Starting if self.is_synced() && self.is_introduced(now) => {
+            Phase::Starting
+                if self.is_synced() && self.is_introduced(now) && self.has_records(now) =>
+            {
                 self.phase = Phase::Serving;
                 log::info!(
                     target: "process",
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -55,9 +55,11 @@
                 self.call_store(now, kind, &call, timeout);
             }
         }
-        if !self.announced && now >= self.announce_at && self.has_store(now) {
+        let may_write = self.has_store(now) || (self.repeats_record && self.may_write_record(now));
+        if !self.announced && now >= self.announce_at && may_write {
             self.announce(now);
         }
+        self.write_record(now);
         self.expire_calls(now);
         self.request_view(now);
     }
@@ -248,7 +250,7 @@
         match purpose {
             Purpose::Watch(kind) if was_calling => self.handle_store_response(now, kind, None),
             Purpose::Watch(_) => {}
-            Purpose::Announce => self.announced = false,
+            Purpose::Announce => self.handle_announce_failure(now),
             Purpose::View(peer) => {
                 log::info!(target: "peer", "event=view_failed peer={peer}");
                 self.peers.record_view(peer, false);
@@ -296,6 +298,9 @@
             return;
         }
         self.last_store_response = Some(now);
+        if kind == Kind::Runners && !matches!(update, Update::Incomplete) {
+            self.scheduler.origins_mut().versions_mut().confirm(now);
+        }
         if let Some(era) = era {
             self.observe_era(now, era, Some(kind));
         }
@@ -348,6 +353,9 @@
                 }
             }
         }
+        if kind == Kind::Routers && !self.is_router_list_loaded {
+            self.finish_records();
+        }
         self.is_router_list_loaded |= kind == Kind::Routers;
         if kind == Kind::Routers
             && let Some(watcher) = self.watchers.get_mut(&kind)
@@ -383,6 +391,8 @@
                         // Later on, other routers report their refusals themselves.
                         if !self.is_router_list_loaded {
                             self.apply_refusals(now, &router.refusals);
+                            let is_own = object.name == self.settings.instance.as_str();
+                            self.apply_record(now, &router, is_own);
                         }
                     }
                     Err(error) => {
@@ -421,6 +431,10 @@
             manifest.version,
             manifest.routes.len()
         );
+        if let Some(known) = &self.manifest {
+            let now = self.clock.now();
+            self.route_changes.record(now, known, &manifest);
+        }
         self.scheduler.set_manifest(&manifest);
         self.stats.set_manifest(&manifest);
         self.manifest = Some(Arc::new(manifest));
--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -94,6 +94,8 @@
     kind: Kind,
     state: State,
     watch_time: Span,
+    // Whether the next full list must be as the store is now.
+    needs_current: bool,
     // Latest era of the store, 0 before the first response.
     era: u64,
     objects: Vec<Object>,
@@ -112,6 +114,7 @@
             kind,
             state: State::Listing { after: None },
             watch_time: watch_time(DEFAULT_CHANGE_BOUND),
+            needs_current: false,
             era: 0,
             objects: Vec::new(),
             next_call_at: Time(0),
@@ -129,6 +132,13 @@
         self
     }
 
+    /// Requires that the first full list is as the store is now, not seconds old.
+    #[must_use]
+    pub fn with_current_list(mut self, needs_current: bool) -> Self {
+        self.needs_current = needs_current;
+        self
+    }
+
     /// Returns the call that is due and the timeout for its response, or `None`
     /// while a call is in flight or a delay has not elapsed.
     pub fn next_call(&mut self, now: Time) -> Option<(Request, Span)> {
@@ -143,7 +153,11 @@
         };
         Some(match &self.state {
             State::Listing { after } => {
-                (Request::list(self.kind, after.as_deref()), RESPONSE_TIMEOUT)
+                let list = match self.needs_current {
+                    true => Request::list_current,
+                    false => Request::list,
+                };
+                (list(self.kind, after.as_deref()), RESPONSE_TIMEOUT)
             }
             State::Watching { revision } => (
                 Request::watch(self.kind, *revision, watch_time),
@@ -252,6 +266,7 @@
         self.state = State::Watching {
             revision: page.revision,
         };
+        self.needs_current = false;
         let revision = Revision::new(self.era, page.revision);
         Update::Snapshot(std::mem::take(&mut self.objects), revision)
     }
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -390,3 +390,20 @@
         }
     }
 }
+
+/// Records of routers that were killed must be read as they are now; the lists that follow
+/// must cost as little as before.
+#[test]
+fn only_the_first_list_of_a_restarted_router_is_current() {
+    let mut watcher = Watcher::new(Kind::Routers).with_current_list(true);
+    let mut targets = Vec::new();
+    for (status, at) in [(503, NOW), (200, NOW + Span(1000)), (200, NOW + Span(2000))] {
+        let (call, _) = watcher.next_call(at).unwrap();
+        targets.push(call.target);
+        watcher.handle_response(at, response(status, br#"{"items":[],"at":5}"#));
+        watcher.list_again(at + Span(500));
+    }
+    let current = "/-/objects/routers".to_owned();
+    let stale = format!("{current}?allow_stale=1");
+    assert_eq!(targets, [current.clone(), current, stale]);
+}
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -68,6 +68,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Writes per second that the store accepts from all routers together.
+    pub store_writes_per_s: f64,
+    /// Whether the fleet starts for the first time, so that no stream began before.
+    pub bootstrap: bool,
     /// Interval at which a runner writes to the store that it is alive.
     pub heartbeat: Span,
     /// Bounds that the operator sets.
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,7 +6,8 @@
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
-//! answers), [`stream`] (software versions at which streams began) and [`budget`] (retry
+//! answers), [`stream`], [`version`] and [`route`] (software versions at which streams began, and services
+//! that may have begun them), [`record`] (when these are written to the store) and [`budget`] (retry
 //! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
 //! caller is told to use.
 
@@ -20,11 +21,14 @@
 mod place;
 mod queue;
 pub mod rate;
+pub mod record;
 pub mod report;
 pub mod request;
+pub mod route;
 pub mod runner;
 pub mod scheduler;
 pub mod share;
 pub mod stream;
+pub mod version;
 
 pub use crate::scheduler::Scheduler;
--- a/crates/schedule/src/request.rs
+++ b/crates/schedule/src/request.rs
@@ -10,6 +10,10 @@
     /// Digest of the id of the request that brought the first event, if the caller names
     /// it.
     pub stream: Option<Digest>,
+    /// Longest time since the stream began: the route's timeout minus the remaining time.
+    pub max_age: Span,
+    /// Whether no other service can have begun the stream.
+    pub is_sole_service: bool,
 }
 
 /// Properties of a request that scheduling depends on; the body is not among
--- a/crates/schedule/src/scheduler/exchange.rs
+++ b/crates/schedule/src/scheduler/exchange.rs
@@ -11,7 +11,7 @@
 use crate::runner::Load;
 use crate::scheduler::Scheduler;
 use crate::share::Usage;
-use crate::stream::{Digest, Origin};
+use crate::stream::{Digest, Origin, Streams};
 
 /// Maximum number of suspected requests in one report.
 const MAX_REPORT_SUSPECTS: usize = 8;
@@ -116,6 +116,17 @@
         self.streams.merge(now, streams);
     }
 
+    /// Returns the origins of streams and the versions that serve.
+    #[must_use]
+    pub fn origins(&self) -> &Streams {
+        &self.streams
+    }
+
+    /// Returns the origins of streams and the versions that serve, to be updated.
+    pub fn origins_mut(&mut self) -> &mut Streams {
+        &mut self.streams
+    }
+
     /// Returns the refusals that a router that starts must know.
     #[must_use]
     pub fn refusals(&self, now: Time) -> Refusals {
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -226,7 +226,7 @@
         }
         let mut pending = Pending::new(now, request);
         if let Some(resumed) = pending.request.resumed {
-            let version = self.streams.version(&service, resumed.stream);
+            let version = self.streams.version(now, &service, resumed);
             pending.software = version.cloned();
             let origin = resumed
                 .stream
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -10,6 +10,8 @@
 use balsamchute_model::prelude::*;
 
 use crate::report::Begun;
+use crate::request::Resumed;
+use crate::version::{Set, Versions};
 
 /// Time for which the origin of a stream is kept. No caller takes a stream up later than
 /// the longest timeout of a route.
@@ -22,9 +24,8 @@
 /// lost.
 const REPORT_TIME: Span = Span(300);
 
-/// Time for which a version that no runner has any more still counts as one that may have
-/// begun a stream.
-const VERSION_MEMORY: Span = Span::from_secs(20);
+/// Streams in the record of the store at most, the newest ones; 20 KB as text.
+const MAX_RECORD_STREAMS: usize = 1000;
 
 /// Digest of the id of a request that began a stream.
 pub type Digest = u64;
@@ -38,15 +39,27 @@
     pub software: Software,
 }
 
+/// How a router learned of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// The stream began here.
+    Local,
+    /// The stream began here before the router restarted.
+    EarlierLife,
+    /// Another router told it, or its record in the store.
+    Peer,
+}
+
 /// Origins of streams that one router knows, and the versions that serve.
 #[derive(Clone, Debug, Default)]
 pub struct Streams {
     origins: HashMap<Digest, Origin>,
     /// Streams in the order in which this router learned of them, with the time and
-    /// whether they began at this router.
-    order: VecDeque<(Time, Digest, bool)>,
-    /// Versions of each service, with the time at which a runner last had them.
-    versions: BTreeMap<Service, BTreeMap<Software, Time>>,
+    /// the source.
+    order: VecDeque<(Time, Digest, Source)>,
+    /// Number of streams that began here.
+    begun: u64,
+    versions: Versions,
 }
 
 impl Streams {
@@ -58,42 +71,84 @@
 
     /// Records that a stream began at this router.
     pub fn record(&mut self, now: Time, stream: Digest, origin: Origin) {
-        self.insert(now, stream, origin, true);
+        self.begun += 1;
+        self.insert(now, stream, origin, Source::Local);
     }
 
     /// Adds the streams that another router knows.
     pub fn merge(&mut self, now: Time, begun: &[Begun]) {
+        self.merge_from(now, begun, Source::Peer);
+    }
+
+    /// Adds the streams of the record that this router wrote before it restarted.
+    pub fn merge_own(&mut self, now: Time, begun: &[Begun]) {
+        self.merge_from(now, begun, Source::EarlierLife);
+    }
+
+    fn merge_from(&mut self, now: Time, begun: &[Begun], source: Source) {
         for group in begun {
             for &stream in &group.streams {
                 let origin = Origin {
                     service: group.service.clone(),
                     software: group.software.clone(),
                 };
-                self.insert(now, stream, origin, false);
+                self.insert(now, stream, origin, source);
             }
         }
     }
 
-    fn insert(&mut self, now: Time, stream: Digest, origin: Origin, is_local: bool) {
+    fn insert(&mut self, now: Time, stream: Digest, origin: Origin, source: Source) {
         if self.origins.insert(stream, origin).is_none() {
-            self.order.push_back((now, stream, is_local));
+            self.order.push_back((now, stream, source));
         }
     }
 
     /// Records that a listed runner has a version.
     pub fn record_version(&mut self, now: Time, entry: &Entry) {
-        match self.versions.get_mut(&entry.service) {
-            Some(versions) => match versions.get_mut(&entry.software) {
-                Some(listed_at) => *listed_at = now,
-                None => {
-                    versions.insert(entry.software.clone(), now);
-                }
-            },
-            None => {
-                let versions = BTreeMap::from([(entry.software.clone(), now)]);
-                self.versions.insert(entry.service.clone(), versions);
-            }
+        self.versions.record(now, &entry.service, &entry.software);
+    }
+
+    /// Returns the versions that served.
+    #[must_use]
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
+    /// Returns the versions that served, to be updated.
+    pub fn versions_mut(&mut self) -> &mut Versions {
+        &mut self.versions
+    }
+
+    /// Returns the versions for the record in the store.
+    #[must_use]
+    pub fn record_versions(&self, now: Time) -> Set {
+        self.versions.record_set(now)
+    }
+
+    /// Returns the number of streams that began here.
+    #[must_use]
+    pub fn begun(&self) -> u64 {
+        self.begun
+    }
+
+    /// Returns the number of streams that began here if they must outlast all routers, because
+    /// a release is under way.
+    #[must_use]
+    pub fn unrecorded(&self, now: Time) -> Option<u64> {
+        self.versions.has_release(now).then_some(self.begun)
+    }
+
+    /// Returns the streams for the record in the store: those that began here, in this life
+    /// or an earlier one. Empty while the record names one version of each service.
+    #[must_use]
+    pub fn record_streams(&self, versions: &Set) -> Vec<Begun> {
+        if versions.values().all(|versions| versions.len() < 2) {
+            return Vec::new();
         }
+        let newest_first = self.order.iter().rev();
+        let own = newest_first.filter(|(.., source)| *source != Source::Peer);
+        let streams = own.map(|&(_, stream, _)| stream);
+        self.group(streams.take(MAX_RECORD_STREAMS))
     }
 
     /// Drops what is too old.
@@ -104,10 +159,7 @@
             self.order.pop_front();
             self.origins.remove(&stream);
         }
-        for versions in self.versions.values_mut() {
-            versions.retain(|_, listed_at| now.since(*listed_at) < VERSION_MEMORY);
-        }
-        self.versions.retain(|_, versions| !versions.is_empty());
+        self.versions.expire(now);
     }
 
     /// Returns where a stream began, if this router knows.
@@ -116,16 +168,16 @@
         self.origins.get(&stream)
     }
 
-    /// Returns the version at which a stream of the service may go on, or `None` if
-    /// several are possible.
+    /// Returns the version at which a stream of the service may go on, or `None` if several
+    /// are possible, if others may have served unseen, or if another service began it.
     #[must_use]
-    pub fn version(&self, service: &Service, stream: Option<Digest>) -> Option<&Software> {
-        let origin = stream.and_then(|stream| self.origin(stream));
-        if let Some(origin) = origin.filter(|origin| origin.service == *service) {
-            return Some(&origin.software);
+    pub fn version(&self, now: Time, service: &Service, resumed: Resumed) -> Option<&Software> {
+        match resumed.stream.and_then(|stream| self.origin(stream)) {
+            Some(origin) if origin.service == *service => Some(&origin.software),
+            Some(_) => None,
+            None if resumed.is_sole_service => self.versions.sole(now, service, resumed.max_age),
+            None => None,
         }
-        let mut versions = self.versions.get(service)?.keys();
-        versions.next().filter(|_| versions.next().is_none())
     }
 
     /// Returns the streams that began at this router a short time ago.
@@ -133,7 +185,7 @@
     pub fn recent(&self, now: Time) -> Vec<Begun> {
         let newest_first = self.order.iter().rev();
         let recent = newest_first.take_while(|(at, ..)| now.since(*at) < REPORT_TIME);
-        let local = recent.filter(|(_, _, is_local)| *is_local);
+        let local = recent.filter(|(.., source)| *source == Source::Local);
         self.group(local.map(|&(_, stream, _)| stream))
     }
 
--- /dev/null
+++ b/crates/schedule/src/version.rs
@@ -0,0 +1,169 @@
+//! Software versions that may have begun a stream, and when a sole one may be inferred.
+//!
+//! Responds to releases: while they last, or while routers restart, runners of several versions
+//! serve, and the version listed now need not be the one that began a stream.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use balsamchute_model::prelude::*;
+
+/// Versions of each service.
+pub type Set = BTreeMap<Service, BTreeSet<Software>>;
+
+/// Time for which a version that left is remembered in memory: longer than the timeout of
+/// the routes in use. Streams that may be older are refused.
+const MEMORY: Span = Span::from_secs(600);
+
+/// Time for which a version that left is in the record of the store.
+const RECORD_TIME: Span = Span::from_secs(60);
+
+/// Time since the last listing of a second version in which a release counts as under way.
+const RELEASE_TIME: Span = Span::from_secs(20);
+
+/// Age of the last confirmation of the list of runners above which versions may have come
+/// and gone unseen.
+const MAX_CONFIRMATION_AGE: Span = Span(3500);
+
+/// Added to the greatest age of a stream, for the time that the request travels and waits to
+/// be read, and for the interval at which listed versions are recorded.
+const AGE_MARGIN: Span = Span(1000);
+
+/// What is known of the versions that served before the router's own observation began.
+#[derive(Clone, Debug, Default)]
+enum Earlier {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// No router served before.
+    NoStreams,
+    /// All records in the store were merged; they name versions of these services.
+    Recorded(BTreeSet<Service>),
+}
+
+/// Versions that one router knows to have served, and the time for which it can tell that
+/// no others did.
+#[derive(Clone, Debug, Default)]
+pub struct Versions {
+    /// Time at which a runner last had each version.
+    served: BTreeMap<Service, BTreeMap<Software, Time>>,
+    /// Begin of the time in which the list of runners was confirmed without a gap.
+    covered_since: Option<Time>,
+    confirmed_at: Time,
+    has_gap: bool,
+    earlier: Earlier,
+    /// Services named by the records merged so far.
+    recorded: BTreeSet<Service>,
+}
+
+impl Versions {
+    /// Records that a listed runner has a version.
+    pub fn record(&mut self, now: Time, service: &Service, software: &Software) {
+        match self.served.get_mut(service) {
+            Some(versions) => match versions.get_mut(software) {
+                Some(served_at) => *served_at = now,
+                None => {
+                    versions.insert(software.clone(), now);
+                }
+            },
+            None => {
+                let versions = BTreeMap::from([(software.clone(), now)]);
+                self.served.insert(service.clone(), versions);
+            }
+        }
+    }
+
+    /// Records that the list of runners was as the store has it.
+    pub fn confirm(&mut self, now: Time) {
+        if self.covered_since.is_none() {
+            self.covered_since = Some(now);
+        } else if !self.is_confirmed(now) {
+            self.covered_since = Some(now);
+            self.has_gap = true;
+        }
+        self.confirmed_at = now.max(self.confirmed_at);
+    }
+
+    /// Returns whether the list of runners was confirmed a short time ago.
+    #[must_use]
+    pub fn is_confirmed(&self, now: Time) -> bool {
+        self.covered_since.is_some() && now.since(self.confirmed_at) <= MAX_CONFIRMATION_AGE
+    }
+
+    /// Adds the versions of a record in the store. Clocks may differ, so they count as served
+    /// until now.
+    pub fn merge(&mut self, now: Time, record: &Set) {
+        for (service, versions) in record {
+            self.recorded.insert(service.clone());
+            for software in versions {
+                self.record(now, service, software);
+            }
+        }
+    }
+
+    /// Records that no stream began before this router started.
+    pub fn set_first(&mut self) {
+        self.earlier = Earlier::NoStreams;
+    }
+
+    /// Records that the records of all routers were merged.
+    pub fn set_recorded(&mut self) {
+        self.earlier = Earlier::Recorded(std::mem::take(&mut self.recorded));
+    }
+
+    /// Returns the only version that may have begun a stream of the service that is at most
+    /// `max_age` old, or `None` if there are several or others may have served unseen.
+    #[must_use]
+    pub fn sole(&self, now: Time, service: &Service, max_age: Span) -> Option<&Software> {
+        let max_age = max_age + AGE_MARGIN;
+        if max_age > MEMORY || !self.is_confirmed(now) {
+            return None;
+        }
+        let begun = now - max_age;
+        let is_recorded = match &self.earlier {
+            Earlier::Unknown => false,
+            Earlier::NoStreams => true,
+            Earlier::Recorded(services) => services.contains(service),
+        };
+        let is_covered = self.covered_since.is_some_and(|since| begun >= since);
+        if !is_covered && (self.has_gap || !is_recorded) {
+            return None;
+        }
+        let mut versions = self.within(now, service, max_age);
+        versions.next().filter(|_| versions.next().is_none())
+    }
+
+    fn within(&self, now: Time, service: &Service, age: Span) -> impl Iterator<Item = &Software> {
+        let versions = self.served.get(service).into_iter().flatten();
+        versions
+            .filter(move |(_, served_at)| now.since(**served_at) <= age)
+            .map(|(software, _)| software)
+    }
+
+    /// Returns the versions for the record in the store.
+    #[must_use]
+    pub fn record_set(&self, now: Time) -> Set {
+        let services = self.served.keys();
+        services
+            .map(|service| {
+                let versions = self.within(now, service, RECORD_TIME).cloned();
+                (service.clone(), versions.collect::<BTreeSet<_>>())
+            })
+            .filter(|(_, versions)| !versions.is_empty())
+            .collect()
+    }
+
+    /// Returns whether several versions of a service were listed a short time ago.
+    #[must_use]
+    pub fn has_release(&self, now: Time) -> bool {
+        let mut services = self.served.keys();
+        services.any(|service| self.within(now, service, RELEASE_TIME).nth(1).is_some())
+    }
+
+    /// Drops versions that left long ago.
+    pub fn expire(&mut self, now: Time) {
+        for versions in self.served.values_mut() {
+            versions.retain(|_, served_at| now.since(*served_at) <= MEMORY);
+        }
+        self.served.retain(|_, versions| !versions.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/version.rs
@@ -0,0 +1,205 @@
+//! Inference of the version that began a stream, and writes of what must outlast all routers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use balsamchute_model::manifest::Backend;
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::record::Writer;
+use balsamchute_schedule::report::Begun;
+use balsamchute_schedule::route::Changes;
+use balsamchute_schedule::stream::{Origin, Streams};
+use balsamchute_schedule::version::{Set, Versions};
+
+const NOW: Time = Time(1_000_000);
+const MAX_AGE: Span = Span(8000);
+
+fn service() -> Service {
+    Service::new("s").unwrap()
+}
+
+fn software(name: &str) -> Software {
+    Software::from(name.to_owned())
+}
+
+fn set(names: &[&str]) -> Set {
+    let versions: BTreeSet<Software> = names.iter().map(|name| software(name)).collect();
+    BTreeMap::from([(service(), versions)])
+}
+
+/// Lists versions every second from `from` to `until`, each list confirmed.
+fn list(versions: &mut Versions, from: u64, until: u64, names: &[&str]) {
+    for second in from..=until {
+        let now = NOW + Span::from_secs(second);
+        versions.confirm(now);
+        for name in names {
+            versions.record(now, &service(), &software(name));
+        }
+    }
+}
+
+fn sole(versions: &Versions, second: u64) -> Option<String> {
+    let now = NOW + Span::from_secs(second);
+    let sole = versions.sole(now, &service(), MAX_AGE);
+    sole.map(ToString::to_string)
+}
+
+/// A router that started after the old version left knows the new one only.
+#[test]
+fn a_sole_version_is_inferred_only_for_streams_younger_than_the_observation() {
+    let mut versions = Versions::default();
+    list(&mut versions, 0, 8, &["new"]);
+    assert_eq!(sole(&versions, 8), None);
+    list(&mut versions, 9, 9, &["new"]);
+    assert_eq!(sole(&versions, 9).as_deref(), Some("new"));
+}
+
+#[test]
+fn a_version_that_left_or_came_back_counts_until_no_stream_is_as_old() {
+    let mut versions = Versions::default();
+    versions.set_first();
+    list(&mut versions, 0, 20, &["old"]);
+    list(&mut versions, 21, 22, &["new"]);
+    list(&mut versions, 23, 31, &["old"]);
+    assert_eq!(sole(&versions, 31), None);
+    list(&mut versions, 32, 32, &["old"]);
+    assert_eq!(sole(&versions, 32).as_deref(), Some("old"));
+}
+
+/// A release may have come and gone while the list of runners was not confirmed.
+#[test]
+fn a_router_that_was_cut_off_infers_nothing_of_that_time() {
+    let mut versions = Versions::default();
+    versions.set_first();
+    list(&mut versions, 0, 20, &["old"]);
+    for second in 20..=30 {
+        versions.record(NOW + Span::from_secs(second), &service(), &software("old"));
+    }
+    assert!(sole(&versions, 23).is_some());
+    assert_eq!(sole(&versions, 24), None);
+    list(&mut versions, 30, 38, &["old"]);
+    assert_eq!(sole(&versions, 38), None);
+    list(&mut versions, 39, 39, &["old"]);
+    assert!(sole(&versions, 39).is_some());
+}
+
+#[test]
+fn records_show_which_versions_served_before_the_start_and_their_absence_shows_nothing() {
+    for (records, expected) in [
+        (vec![], None),
+        (vec![set(&["new"]), set(&["new"])], Some("new")),
+        (vec![set(&["new"]), set(&["old"])], None),
+        (vec![set(&["new", "old"])], None),
+    ] {
+        let mut versions = Versions::default();
+        for record in &records {
+            versions.merge(NOW, record);
+        }
+        versions.set_recorded();
+        list(&mut versions, 0, 1, &["new"]);
+        assert_eq!(sole(&versions, 1).as_deref(), expected, "{records:?}");
+    }
+    let mut unread = Versions::default();
+    list(&mut unread, 0, 1, &["new"]);
+    assert_eq!(sole(&unread, 1), None);
+}
+
+/// Without a release, origins are not stored; those of an earlier life are stored again.
+#[test]
+fn origins_are_stored_only_while_several_versions_serve() {
+    let mut streams = Streams::new();
+    let origin = Origin {
+        service: service(),
+        software: software("old"),
+    };
+    streams
+        .versions_mut()
+        .record(NOW, &service(), &software("old"));
+    streams.record(NOW, 1, origin);
+    let earlier = Begun {
+        service: service(),
+        software: software("new"),
+        streams: vec![2],
+    };
+    streams.merge_own(NOW, std::slice::from_ref(&earlier));
+    streams.merge(
+        NOW,
+        &[Begun {
+            streams: vec![3],
+            ..earlier
+        }],
+    );
+    assert_eq!(streams.unrecorded(NOW), None);
+    assert_eq!(streams.record_streams(&streams.record_versions(NOW)), []);
+    streams
+        .versions_mut()
+        .record(NOW, &service(), &software("new"));
+    assert_eq!(streams.unrecorded(NOW), Some(1));
+    let stored = streams.record_streams(&streams.record_versions(NOW));
+    let digests: Vec<u64> = stored.into_iter().flat_map(|begun| begun.streams).collect();
+    assert_eq!(digests, [2, 1]);
+    assert_eq!(streams.unrecorded(NOW + Span(21_000)), None);
+}
+
+#[test]
+fn a_record_is_written_at_changes_of_versions_and_while_streams_begin_in_a_release() {
+    let mut writer = Writer::new(0.5, 400.0);
+    assert!(!writer.is_due(NOW, 8, &set(&["a"]), Some(1)));
+    writer.record_write(NOW, set(&["a"]), 0);
+    let later = NOW + Span(60_000);
+    assert!(!writer.is_due(later, 8, &set(&["a"]), None));
+    assert!(writer.is_due(later, 8, &set(&["a", "b"]), None));
+    assert!(!writer.is_due(later, 20, &set(&["a", "b"]), None));
+    assert!(writer.is_due(later + Span(1000), 20, &set(&["a", "b"]), None));
+    writer.record_write(later, set(&["a", "b"]), 1);
+    assert!(!writer.is_due(later + Span(249), 8, &set(&["a", "b"]), Some(2)));
+    assert!(writer.is_due(later + Span(250), 8, &set(&["a", "b"]), Some(2)));
+    assert!(!writer.is_due(later + Span(250), 8, &set(&["a", "b"]), Some(1)));
+    writer.record_failure();
+    assert!(!writer.is_due(later + Span(9000), 8, &set(&["a"]), Some(2)));
+}
+
+/// All routers together must stay below a quarter of the store's write rate.
+#[test]
+fn large_fleets_write_streams_less_often() {
+    for writes_per_s in [400.0, 90.0] {
+        let writer = Writer::new(0.0, writes_per_s);
+        for routers in [1, 8, 25, 88, 195, 350] {
+            let interval_s = writer.interval(routers).0 as f64 / 1000.0;
+            let rate = f64::from(routers) / interval_s;
+            assert!(rate < writes_per_s / 4.0, "{routers}: {rate}");
+        }
+        assert!(writer.interval(1) >= Span(250));
+    }
+}
+
+#[test]
+fn a_route_with_two_backends_or_a_new_one_has_no_sole_service() {
+    let route = |services: &[&str]| Route {
+        name: "r".to_owned(),
+        backends: services
+            .iter()
+            .map(|name| Backend {
+                service: Service::new(name).unwrap(),
+                weight: 1,
+            })
+            .collect(),
+        host: "h".to_owned(),
+        prefix: "/r/".to_owned(),
+        retry_policy: RetryPolicy::Resumable,
+        stream: true,
+        timeout: MAX_AGE,
+        latency_target: Span(800),
+        event_gap_target: Span(200),
+        max_attempts: 2,
+        public: false,
+    };
+    let manifest = |services: &[&str]| Manifest::new(1, vec![route(services)]);
+    let mut changes = Changes::default();
+    assert!(changes.is_sole(NOW, &route(&["s"])));
+    assert!(!changes.is_sole(NOW, &route(&["s", "t"])));
+    changes.record(NOW, &manifest(&["s"]), &manifest(&["s"]));
+    assert!(changes.is_sole(NOW, &route(&["s"])));
+    changes.record(NOW, &manifest(&["t"]), &manifest(&["s"]));
+    assert!(!changes.is_sole(NOW + MAX_AGE, &route(&["s"])));
+    assert!(changes.is_sole(NOW + MAX_AGE + Span(1), &route(&["s"])));
+}
