--- a/crates/edge/src/edge/announce.rs
+++ b/crates/edge/src/edge/announce.rs
@@ -56,6 +56,14 @@
 
     /// Continues after the first list of routers, all of whose records are merged.
     pub(super) fn finish_records(&mut self) {
+        if !self.settings.bootstrap {
+            log::info!(
+                target: "store",
+                "event=records_read streams={} is_complete={}",
+                self.scheduler.origins().len(),
+                !self.has_malformed_record
+            );
+        }
         // A malformed record may have named further versions.
         if !self.settings.bootstrap && !self.has_malformed_record {
             self.scheduler.origins_mut().versions_mut().set_recorded();
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -162,6 +162,18 @@
         self.versions.expire(now);
     }
 
+    /// Returns the number of streams whose origin is known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Returns whether no stream's origin is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty()
+    }
+
     /// Returns where a stream began, if this router knows.
     #[must_use]
     pub fn origin(&self, stream: Digest) -> Option<&Origin> {
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -146,6 +146,8 @@
     assert!(!writer.is_due(NOW, 8, &set(&["a"]), Some(1)));
     writer.record_write(NOW, set(&["a"]), 0);
     let later = NOW + Span(60_000);
+    // A service that lost all its runners is no release.
+    assert!(!writer.is_due(later, 8, &Set::new(), None));
     assert!(!writer.is_due(later, 8, &set(&["a"]), None));
     assert!(writer.is_due(later, 8, &set(&["a", "b"]), None));
     assert!(!writer.is_due(later, 20, &set(&["a", "b"]), None));
