--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod pool;
 pub mod process;
+pub mod record;
 pub mod registry;
 pub mod watcher;
 
@@ -21,7 +22,6 @@
 mod edge;
 mod frame;
 mod output;
-mod record;
 mod server;
 mod socket;
 mod stats;
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -15,7 +15,7 @@
 
 /// text is not a record: {0}
 #[derive(Debug, Display)]
-pub(crate) struct Error(String);
+pub struct Error(String);
 
 impl std::error::Error for Error {}
 
@@ -31,7 +31,8 @@
 /// # Panics
 ///
 /// Panics if the record cannot be encoded, which cannot occur.
-pub(crate) fn encode(now: Time, refusals: &Refusals) -> String {
+#[must_use]
+pub fn encode(now: Time, refusals: &Refusals) -> String {
     let record = Record {
         written_at: now,
         refusals: refusals.clone(),
@@ -40,7 +41,8 @@
 }
 
 /// Encodes versions that serve.
-pub(crate) fn encode_versions(versions: &Set) -> String {
+#[must_use]
+pub fn encode_versions(versions: &Set) -> String {
     to_text(versions)
 }
 
@@ -50,13 +52,14 @@
 /// # Errors
 ///
 /// Returns [`Error`] if the text is not a record.
-pub(crate) fn decode_versions(text: &str) -> Result<Set, Error> {
+pub fn decode_versions(text: &str) -> Result<Set, Error> {
     from_text(text)
 }
 
 /// Encodes origins of streams with the time at which they are written; empty if there are
 /// none.
-pub(crate) fn encode_streams(now: Time, streams: &[Begun]) -> String {
+#[must_use]
+pub fn encode_streams(now: Time, streams: &[Begun]) -> String {
     match streams.is_empty() {
         true => String::new(),
         false => to_text(&(now, streams)),
@@ -68,7 +71,7 @@
 /// # Errors
 ///
 /// Returns [`Error`] if the text is not a record.
-pub(crate) fn decode_streams(now: Time, text: &str) -> Result<Vec<Begun>, Error> {
+pub fn decode_streams(now: Time, text: &str) -> Result<Vec<Begun>, Error> {
     if text.is_empty() {
         return Ok(Vec::new());
     }
@@ -89,7 +92,7 @@
 /// # Errors
 ///
 /// Returns [`Error`] if the text is not a record.
-pub(crate) fn decode(now: Time, text: &str) -> Result<Refusals, Error> {
+pub fn decode(now: Time, text: &str) -> Result<Refusals, Error> {
     let record: Record = from_text(text)?;
     match now.since(record.written_at) {
         age if age < MAX_AGE => Ok(record.refusals),
