--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -21,6 +21,10 @@
 /// flight.
 const EXIT_MARGIN: Span = Span(300);
 
+/// Assumed age of the list of runners that a peer which reads the store has: about the time
+/// in which it notices that the store is silent.
+const PEER_CONFIRMATION_AGE: Span = Span(1500);
+
 impl Edge {
     pub(super) fn add_seeds(&mut self) {
         let port = self.settings.listen.peers.port();
@@ -122,6 +126,9 @@
         let now = self.now();
         let sender = frame.sender.peers;
         self.observe_era(now, frame.sender.revision.era, None);
+        if frame.sender.has_store {
+            self.confirm_by_peer(now, frame.sender.revision);
+        }
         if let Some(source) = self.peers.receive(now, frame)
             && let Some(report) = self.peers.report(sender)
         {
@@ -129,6 +136,16 @@
         }
     }
 
+    /// Confirms the list of runners if a peer that reads the store, up to `revision`, knows
+    /// nothing later than this router does.
+    pub(super) fn confirm_by_peer(&mut self, now: Time, revision: Revision) {
+        if self.is_runner_list_loaded && revision <= self.registry.revision() {
+            let confirmed_at = now - PEER_CONFIRMATION_AGE;
+            let origins = self.scheduler.origins_mut();
+            origins.versions_mut().confirm(confirmed_at);
+        }
+    }
+
     pub(super) fn sweep(&mut self, now: Time) {
         self.sweep_callers(now);
         self.sweep_upstreams(now);
