--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -163,6 +163,13 @@
     },
     /// Store the refusals of the scheduler: a crash that this router saw changed them.
     StoreRefusals,
+    /// Log that the evacuation of a failure domain began or ended.
+    Evacuation {
+        /// Failure domain.
+        domain: String,
+        /// Whether it began; it ended otherwise.
+        began: bool,
+    },
     /// Log that the number of runners that crashed under a prompt part has changed.
     Blame {
         /// Digest of the service and the part's id.
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -7,13 +7,15 @@
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
 //! answers), [`stream`] (software versions at which streams began) and [`budget`] (retry
-//! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
+//! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`evacuation`] holds the failure domains whose
+//! runners get no new attempts. [`directory`] chooses the routers that a
 //! caller is told to use.
 
 pub mod action;
 pub mod budget;
 pub mod cache;
 pub mod directory;
+pub mod evacuation;
 pub mod notice;
 mod parts;
 mod pending;
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -1,5 +1,7 @@
 //! Choice of the runner for a request.
 
+use std::collections::BTreeSet;
+
 use balsamchute_base::rank;
 use balsamchute_model::prelude::*;
 use indexmap::IndexMap;
@@ -107,12 +109,26 @@
     NoRunner,
 }
 
+/// Returns whether a runner may get new attempts, by its entry, by what it said in answers
+/// and by the evacuated domains. A pause that it asked for is a matter of time and is not
+/// included. Every check of whether a runner is open asks this function.
+pub(crate) fn is_available(
+    target: &Target,
+    notices: &Notices,
+    evacuated: &BTreeSet<String>,
+) -> bool {
+    target.is_ready()
+        && !notices.is_leaving(&target.entry)
+        && !evacuated.contains(&target.entry.domain)
+}
+
 /// State of the fleet that the choice of a runner depends on.
 pub(crate) struct Selector<'a> {
     pub now: Time,
     pub domain: &'a str,
     pub targets: &'a IndexMap<Runner, Target>,
     pub notices: &'a Notices,
+    pub evacuated: &'a BTreeSet<String>,
     pub rates: &'a Rates,
     pub engine: Option<&'a balsamchute_model::manifest::Engine>,
 }
@@ -152,11 +168,9 @@
         self.choose_best(pending, priority, &candidates)
     }
 
-    /// Returns whether a runner accepts requests of this router, by its entry and by
-    /// what it said in answers.
+    /// Returns whether a runner accepts requests of this router now.
     fn is_open(&self, target: &Target) -> bool {
-        target.is_ready()
-            && !self.notices.is_leaving(&target.entry)
+        is_available(target, self.notices, self.evacuated)
             && self.notices.paused_until(self.now, &target.entry).is_none()
     }
 
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -252,6 +252,11 @@
             self.cancel(now, id);
             return;
         }
+        if self.is_evacuated(&request.service) {
+            self.end_wait(id, Refusal::NoRunner);
+            self.cancel(now, id);
+            return;
+        }
         let opening = self.next_opening(now, &request.service);
         if let (Opening::At(opens_at), 0) = (opening, pending.possible_runs)
             && opens_at >= wait_end
@@ -291,8 +296,7 @@
             || self.targets.values().any(|target| {
                 target.entry.service == pending.request.service
                     && pending.fits(&target.entry.software)
-                    && target.is_ready()
-                    && !self.notices.is_leaving(&target.entry)
+                    && self.is_available(target)
                     && (pending.possible_runs == 0 || !pending.tried.contains(&target.entry.runner))
             })
     }
@@ -301,9 +305,7 @@
     /// limit on their rate.
     pub(super) fn is_limited(&self, service: &Service) -> bool {
         let open = self.targets.values().filter(|target| {
-            target.entry.service == *service
-                && target.is_ready()
-                && !self.notices.is_leaving(&target.entry)
+            target.entry.service == *service && self.is_available(target)
         });
         let mut limited = open.map(|target| self.rates.is_limited(&target.entry));
         limited.next() == Some(true) && limited.all(|is_limited| is_limited)
@@ -314,10 +316,7 @@
     fn next_opening(&self, now: Time, service: &Service) -> Opening {
         let mut opening = Opening::Unknown;
         for target in self.targets.values() {
-            if target.entry.service != *service
-                || !target.is_ready()
-                || self.notices.is_leaving(&target.entry)
-            {
+            if target.entry.service != *service || !self.is_available(target) {
                 continue;
             }
             opening = match (self.notices.paused_until(now, &target.entry), opening) {
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -141,6 +141,7 @@
             domain: &self.settings.domain,
             targets: &self.targets,
             notices: &self.notices,
+            evacuated: &self.evacuated,
             rates: &self.rates,
             engine: self.engines.get(&pending.request.service),
         };
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -3,9 +3,10 @@
 
 mod attempt;
 mod dispatch;
+mod evacuate;
 mod exchange;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use balsamchute_claim::suspect::{self, Admission, Registry};
 use balsamchute_model::manifest::Engine;
@@ -69,6 +70,8 @@
     crash_suspects: Registry,
     parts: Parts,
     notices: Notices,
+    // Failure domains whose runners get no new attempts.
+    evacuated: BTreeSet<String>,
     rates: Rates,
     streams: Streams,
     router_count: u32,
@@ -100,6 +103,7 @@
             crash_suspects: Registry::new(suspect::Settings::default()),
             parts,
             notices: Notices::new(),
+            evacuated: BTreeSet::new(),
             rates,
             streams: Streams::new(),
             router_count: 1,
@@ -245,6 +249,10 @@
             self.refuse(id, Refusal::CrashesRunners);
             return;
         }
+        if self.is_evacuated(&service) {
+            self.refuse(id, Refusal::NoRunner);
+            return;
+        }
         let priority = self.priority(&pending);
         let max_wait = max_wait(&pending.request, priority);
         let is_limited = self.is_limited(&service);
@@ -402,7 +410,9 @@
         self.crash_suspects.expire(now);
         self.parts.expire(now);
         for target in self.targets.values_mut() {
-            if target.take_probe(now) {
+            // Taken also where it is not made, so that it is not made late.
+            let is_due = target.take_probe(now);
+            if is_due && !self.evacuated.contains(&target.entry.domain) {
                 self.actions.push(Action::Probe {
                     runner: target.entry.runner.clone(),
                     address: target.entry.address,
