Follow evacuations in the edge; name no router that is gone in the directory

Cause: the operator evacuates failure domains by objects in the store; routers that do not reach it must learn of them. Tests of the peer table showed that the directory named a killed router for more than 7 s where hubs were 2 s late (83 routers), and after a pause of 7 s of the answering router (8 and 83). A listing shows that a router lives only by a frame number that is not known yet, and datagrams that waited during a pause of 3 s are ignored.

--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -125,7 +125,9 @@
     fn metrics_page(&self, now: Time) -> (u16, &'static str, Vec<u8>) {
         let routers = self.peers.alive(now).count() + 1;
         let runners = self.registry.entries().count();
-        match self.stats.render(routers, self.manifest_version(), runners) {
+        let evacuated = self.scheduler.evacuated().len();
+        let version = self.manifest_version();
+        match self.stats.render(routers, version, runners, evacuated) {
             Ok(page) => (200, TEXT, page.into_bytes()),
             Err(error) => {
                 log::error!(target: "process", "event=metrics_failed error={:?}", error.to_string());
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -69,7 +69,9 @@
             self.scheduler.clear_peers();
         }
         let report = self.scheduler.report(now);
-        for outgoing in self.peers.outgoing(now, &descriptor, &report) {
+        let evacuations = self.shared_evacuations(now);
+        for mut outgoing in self.peers.outgoing(now, &descriptor, &report) {
+            outgoing.frame.evacuations = evacuations.clone();
             self.send_frame(&outgoing);
         }
     }
@@ -118,8 +120,10 @@
         }
     }
 
-    fn receive_frame(&mut self, frame: Frame) {
+    fn receive_frame(&mut self, mut frame: Frame) {
         let now = self.now();
+        let evacuations = std::mem::take(&mut frame.evacuations);
+        self.merge_evacuations(now, &evacuations);
         let sender = frame.sender.peers;
         self.observe_era(now, frame.sender.revision.era, None);
         if let Some(source) = self.peers.receive(now, frame)
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod deliver;
 mod endpoints;
+mod evacuations;
 mod fleet;
 mod responses;
 mod runners;
@@ -29,6 +30,7 @@
 
 use crate::caller;
 use crate::client;
+use crate::edge::evacuations::Domains;
 use crate::error::Error;
 use crate::output::Output;
 use crate::peers::{Phase, Table};
@@ -112,6 +114,8 @@
     // Bytes of the request bodies of all transactions.
     body_bytes: usize,
     watchers: BTreeMap<Kind, Watcher>,
+    // Evacuated failure domains; `None` where the platform has no evacuations.
+    evacuations: Option<Domains>,
     // Slab indices of the connections to the store, by kind of object.
     watch_connections: BTreeMap<Kind, usize>,
     // Whether this router's object was written to the store, or is being written.
@@ -161,6 +165,9 @@
             retry_window: settings.bounds.retry_window,
         });
         let bounds = &settings.bounds;
+        let evacuation_watcher = bounds
+            .evacuation
+            .map(|bound| Watcher::new(Kind::Evacuations).with_change_bound(bound));
         let watchers = [
             Watcher::new(Kind::Manifest).with_change_bound(bounds.manifest_change),
             Watcher::new(Kind::Runners).with_change_bound(bounds.runner_drain),
@@ -187,7 +194,12 @@
             caller_listener: 0,
             caller_count: 0,
             body_bytes: 0,
-            watchers: watchers.map(|watcher| (watcher.kind(), watcher)).into(),
+            watchers: watchers
+                .into_iter()
+                .chain(evacuation_watcher)
+                .map(|watcher| (watcher.kind(), watcher))
+                .collect(),
+            evacuations: bounds.evacuation.map(|_| Domains::default()),
             watch_connections: BTreeMap::new(),
             announced: false,
             announce_at: now,
@@ -314,6 +326,7 @@
         for change in self.registry.expire(now) {
             self.apply_runner_change(now, change);
         }
+        self.advance_evacuations(now);
         self.exchange(now);
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
             self.last_sweep = now;
@@ -363,7 +376,11 @@
     /// Moves from starting to serving, and from leaving to the exit.
     fn advance_phase(&mut self, now: Time) {
         match self.phase {
-            Phase::Starting if self.is_synced() && self.is_introduced(now) => {
+            Phase::Starting
+                if self.is_synced()
+                    && self.is_introduced(now)
+                    && self.may_serve_evacuations(now) =>
+            {
                 self.phase = Phase::Serving;
                 log::info!(
                     target: "process",
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -43,7 +43,13 @@
 impl Edge {
     /// Makes the calls to the store and to peers that are due.
     pub(super) fn poll_store(&mut self, now: Time) {
-        for kind in [Kind::Routers, Kind::Manifest, Kind::Runners] {
+        let kinds = [
+            Kind::Routers,
+            Kind::Manifest,
+            Kind::Runners,
+            Kind::Evacuations,
+        ];
+        for kind in kinds {
             if !self.reads_store(now, kind) {
                 continue;
             }
@@ -71,6 +77,7 @@
             Kind::Manifest => self.manifest.is_some(),
             Kind::Runners => self.is_runner_list_loaded,
             Kind::Routers => self.is_router_list_loaded,
+            Kind::Evacuations => self.knows_evacuations(),
         };
         if !is_loaded {
             return kind == Kind::Routers || self.peers.is_empty() || age >= PEER_VIEW_WAIT;
@@ -312,6 +319,9 @@
         match update {
             Update::Failed(_) | Update::Incomplete => {}
             Update::Snapshot(objects, revision) => self.apply_list(now, kind, objects, revision),
+            Update::Changes(changes, revision) if kind == Kind::Evacuations => {
+                self.apply_evacuation_changes(now, changes, revision);
+            }
             Update::Changes(changes, revision) => {
                 if kind == Kind::Runners {
                     if revision <= self.registry.revision() {
@@ -334,6 +344,7 @@
                     self.apply_store_change(now, kind, StoreChange::Set(object));
                 }
             }
+            Kind::Evacuations => self.apply_evacuation_list(now, objects, revision),
             Kind::Runners if revision < self.registry.revision() => {
                 // The next watch begins at this list and repeats the missing
                 // changes.
@@ -498,6 +509,7 @@
             self.apply_manifest(&view.manifest, Some(peer));
         }
         self.scheduler.apply_streams(now, &view.streams);
+        self.apply_evacuation_view(now, &view.evacuations);
         for entry in view.held {
             if let Some(change) = self.registry.hold(now, entry) {
                 self.apply_runner_change(now, change);
@@ -530,6 +542,7 @@
             expiring: self.registry.expiring(now).collect(),
             revision: self.registry.revision(),
             streams: self.scheduler.streams(),
+            evacuations: self.shared_evacuations(now),
         }
     }
 }
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::evacuation;
 use balsamchute_schedule::report::{Begun, Report};
 use serde::{Deserialize, Serialize};
 
@@ -68,6 +69,9 @@
     pub descriptor: Descriptor,
     /// Time since the descriptor was published.
     pub age: Span,
+    /// Highest number known of the third router's frames; 0 if the sender does not tell.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 /// Periodic datagram between routers.
@@ -90,6 +94,9 @@
     /// Receivers whose own reports the sum includes, each with the sequence number of
     /// its frame that carried the report.
     pub included: Vec<(SocketAddr, u64)>,
+    /// Evacuated failure domains.
+    #[serde(default)]
+    pub evacuations: evacuation::Shared,
 }
 
 /// Configuration that a router reads from a peer: one that has just started, has no
@@ -110,4 +117,7 @@
     pub revision: Revision,
     /// Streams that callers may take up, with the software versions that began them.
     pub streams: Vec<Begun>,
+    /// Evacuated failure domains.
+    #[serde(default)]
+    pub evacuations: evacuation::Shared,
 }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -47,6 +47,15 @@
 /// routers join or leave.
 const HUB_EXIT_ROUTERS: usize = 14;
 
+/// Time between two updates of the table above which the process was paused. Datagrams that
+/// waited meanwhile do not show that their senders are alive: with later ones, the directory
+/// named a router that was killed during a pause of 7 s.
+const PAUSE: Span = Span(3000);
+
+/// Time after a pause in which datagrams are ignored: time to read those that waited, and
+/// less than the interval of the exchange.
+const PAUSE_IGNORED: Span = Span(60);
+
 /// Upper bound of the peer table; further addresses are ignored.
 const MAX_PEERS: usize = 1000;
 
@@ -74,6 +83,8 @@
     report: Report,
     // Sequence number of the frame with the report.
     sequence: u64,
+    // Highest number known of the router's frames, also from listings.
+    latest_sequence: u64,
 }
 
 impl Peer {
@@ -105,6 +116,9 @@
     sent_reports: VecDeque<(u64, Report)>,
     sequence: u64,
     roster: Roster,
+    last_update: Option<Time>,
+    // Time up to which datagrams are ignored.
+    ignored_until: Time,
     // Time since which another router is known to have newer state.
     behind_since: Option<Time>,
     // Router that did not answer the last request for its view.
@@ -132,6 +146,8 @@
             sent_reports: VecDeque::new(),
             sequence: 0,
             roster: Roster::default(),
+            last_update: None,
+            ignored_until: Time(0),
             behind_since: None,
             failed_source: None,
         }
@@ -153,6 +169,9 @@
     /// Records a frame. Returns the source name under which its report is to be
     /// merged, or `None` if the report does not count at this tier.
     pub fn receive(&mut self, now: Time, frame: Frame) -> Option<Instance> {
+        if self.was_paused(now) || now < self.ignored_until {
+            return None;
+        }
         for &address in &frame.known_addresses {
             self.add(address);
         }
@@ -193,6 +212,10 @@
             Some((_, own_report)) => frame.report.excluding(own_report),
             None => frame.report,
         };
+        let known = slot
+            .as_ref()
+            .filter(|peer| peer.descriptor.incarnation == frame.sender.incarnation);
+        let known_sequence = known.map_or(0, |peer| peer.latest_sequence);
         *slot = Some(Peer {
             descriptor: frame.sender,
             last_seen: now,
@@ -200,6 +223,7 @@
             scope: frame.scope,
             report,
             sequence: frame.sequence,
+            latest_sequence: frame.sequence.max(known_sequence),
         });
         source.filter(|_| is_merged)
     }
@@ -221,11 +245,20 @@
         match slot {
             Some(peer) => {
                 let is_same = peer.descriptor.incarnation == listing.descriptor.incarnation;
+                // The time that a listing takes does not show in its age. Passed on and
+                // back, it would keep a router alive that is gone; its frames show that it
+                // lives only by a number that is not known yet.
+                let shows_life = match (is_same, listing.sequence) {
+                    (true, 0) => true,
+                    (true, sequence) => sequence > peer.latest_sequence,
+                    (false, _) => !peer.is_alive(now),
+                };
                 let is_newer = peer.descriptor.incarnation < listing.descriptor.incarnation
-                    || (last_seen > peer.last_seen && (is_same || !peer.is_alive(now)));
+                    || (last_seen > peer.last_seen && shows_life);
                 if is_newer {
                     peer.descriptor = listing.descriptor;
                     peer.last_seen = last_seen;
+                    peer.latest_sequence = listing.sequence;
                 }
             }
             None => {
@@ -237,6 +270,7 @@
                     scope: Scope::Fleet,
                     report: Report::default(),
                     sequence: 0,
+                    latest_sequence: listing.sequence,
                 });
             }
         }
@@ -245,6 +279,10 @@
     /// Recomputes the tier of the `local` router. Returns `true` if its kind
     /// changed; merged reports of peers must then be dropped.
     pub fn update(&mut self, now: Time, local: &Descriptor) -> bool {
+        if self.was_paused(now) {
+            self.ignored_until = now + PAUSE_IGNORED;
+        }
+        self.last_update = Some(now);
         let fleet_size = self.count_seen_within(now, RECENT_TIMEOUT) as usize + 1;
         let is_large = match self.tier {
             Tier::Direct => fleet_size >= HUB_ENTER_ROUTERS,
@@ -260,6 +298,12 @@
         changed
     }
 
+    /// Returns whether the process was paused until now, so that the table was not updated.
+    fn was_paused(&self, now: Time) -> bool {
+        self.last_update
+            .is_some_and(|last_update| now.since(last_update) >= PAUSE)
+    }
+
     /// Returns the position of this router in the exchange.
     #[must_use]
     pub fn tier(&self) -> Tier {
--- a/crates/edge/src/peers/outgoing.rs
+++ b/crates/edge/src/peers/outgoing.rs
@@ -5,6 +5,7 @@
 
 use balsamchute_base::digest::Hasher;
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::evacuation;
 use balsamchute_schedule::report::{Report, Sum};
 
 use crate::peers::{Descriptor, Frame, Listing, Peer, RECENT_TIMEOUT, Roster, Scope, Table, Tier};
@@ -38,7 +39,7 @@
 
 impl Table {
     /// Returns the frames that are due. `own_report` is the report of this
-    /// router.
+    /// router. The caller adds the evacuations.
     pub fn outgoing(
         &mut self,
         now: Time,
@@ -59,6 +60,7 @@
             report: own_report.clone(),
             sequence: self.sequence,
             included: Vec::new(),
+            evacuations: evacuation::Shared::default(),
         };
         match self.tier {
             Tier::Direct => vec![Outgoing {
@@ -170,6 +172,7 @@
                 report: sum.into_report(),
                 sequence: self.sequence,
                 included,
+                evacuations: evacuation::Shared::default(),
             },
         })
     }
@@ -238,6 +241,7 @@
                 report: sum.into_report(),
                 sequence: self.sequence,
                 included: Vec::new(),
+                evacuations: evacuation::Shared::default(),
             },
         }
     }
@@ -272,6 +276,7 @@
             .map(|peer| Listing {
                 descriptor: peer.descriptor.clone(),
                 age: now.since(peer.last_seen),
+                sequence: peer.latest_sequence,
             })
             .collect()
     }
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -122,9 +122,16 @@
     /// # Errors
     ///
     /// Returns an error if the metrics cannot be encoded.
-    pub fn render(&self, routers: usize, manifest: u64, runners: usize) -> Result<String, Error> {
+    pub fn render(
+        &self,
+        routers: usize,
+        manifest: u64,
+        runners: usize,
+        evacuated: usize,
+    ) -> Result<String, Error> {
         self.metrics.set_fleet(routers as u64, manifest);
         self.metrics.set_runners(runners as u64);
+        self.metrics.set_evacuated_domains(evacuated as u64);
         match (resident_memory_bytes(), getrusage(UsageWho::RUSAGE_SELF)) {
             (Some(memory), Ok(usage)) => {
                 let (user, system) = (usage.user_time(), usage.system_time());
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use balsamchute_edge::peers::{Descriptor, Frame, Listing, Phase, Scope, Table, Tier};
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::evacuation::Shared;
 use balsamchute_schedule::report::{Load, Report, Sum, Usage};
 
 const NOW: Time = Time(1_000_000);
@@ -45,6 +46,7 @@
         report: Report::default(),
         sequence: 1,
         included: Vec::new(),
+        evacuations: Shared::default(),
     }
 }
 
@@ -237,6 +239,7 @@
         roster: vec![Listing {
             descriptor: frame(3, incarnation).sender,
             age: Span(100),
+            sequence: 1,
         }],
         ..frame(2, 4000)
     };
@@ -500,6 +503,7 @@
     let listing = |port| Listing {
         descriptor: descriptor(port, "failure-domain"),
         age: Span(100),
+        sequence: 1_000_000,
     };
     let frame = Frame {
         roster: (1..400).map(listing).collect(),
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -113,6 +113,7 @@
     config_version: Gauge<u64>,
     reasons: Counter<u64>,
     runners: Gauge<u64>,
+    evacuated_domains: Gauge<u64>,
     memory_bytes: Gauge<u64>,
     processor_seconds: Gauge<f64>,
 }
@@ -209,6 +210,11 @@
                 "Refusals, failures, repeats and lost calls, by reason.",
             ),
             runners: gauge(&meter, "balsamchute_runners", "Runners that are listed."),
+            evacuated_domains: gauge(
+                &meter,
+                "balsamchute_evacuated_domains",
+                "Failure domains whose runners get no new requests.",
+            ),
             memory_bytes: gauge(&meter, "balsamchute_memory_bytes", "Resident memory."),
             processor_seconds: meter
                 .f64_gauge("balsamchute_processor_seconds")
@@ -330,6 +336,11 @@
         self.runners.record(runners, &[]);
     }
 
+    /// Sets the number of failure domains that are evacuated.
+    pub fn set_evacuated_domains(&self, domains: u64) {
+        self.evacuated_domains.record(domains, &[]);
+    }
+
     /// Sets the resident memory and the processor time used by the process.
     pub fn set_process(&self, memory_bytes: u64, processor_seconds: f64) {
         self.memory_bytes.record(memory_bytes, &[]);
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -26,6 +26,9 @@
     pub manifest_change: Span,
     /// Longest time from the report that a runner drains until it gets no more requests.
     pub runner_drain: Span,
+    /// Longest time from the confirmation of an evacuation until it is in force; `None`
+    /// where the platform has no evacuations.
+    pub evacuation: Option<Span>,
 }
 
 /// Resource limits of the process.
@@ -61,6 +64,8 @@
     pub instance: Instance,
     /// Failure domain that this instance is in.
     pub domain: String,
+    /// Failure domains of the deployment; may be empty.
+    pub domains: Vec<String>,
     /// Addresses that the process listens on.
     pub listen: Listen,
     /// Addresses of machines with routers to contact first; some may be down. The
--- a/crates/schedule/src/evacuation.rs
+++ b/crates/schedule/src/evacuation.rs
@@ -102,7 +102,9 @@
         Shared {
             revision: self.revision,
             listed: self.listed.clone(),
-            held: held.map(|(domain, left)| (domain.to_owned(), left)).collect(),
+            held: held
+                .map(|(domain, left)| (domain.to_owned(), left))
+                .collect(),
         }
     }
 
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -304,9 +304,10 @@
     /// Returns whether the service has runners that accept requests, and all of them name a
     /// limit on their rate.
     pub(super) fn is_limited(&self, service: &Service) -> bool {
-        let open = self.targets.values().filter(|target| {
-            target.entry.service == *service && self.is_available(target)
-        });
+        let open = self
+            .targets
+            .values()
+            .filter(|target| target.entry.service == *service && self.is_available(target));
         let mut limited = open.map(|target| self.rates.is_limited(&target.entry));
         limited.next() == Some(true) && limited.all(|is_limited| is_limited)
     }
--- a/crates/schedule/src/scheduler/evacuate.rs
+++ b/crates/schedule/src/scheduler/evacuate.rs
@@ -71,9 +71,8 @@
                 return false;
             }
             let is_evacuated = self.evacuated.contains(&target.entry.domain);
-            has_evacuated |= is_evacuated
-                && target.is_ready()
-                && !self.notices.is_leaving(&target.entry);
+            has_evacuated |=
+                is_evacuated && target.is_ready() && !self.notices.is_leaving(&target.entry);
         }
         has_evacuated
     }
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 pub mod environment;
+mod evacuation;
 mod interfaces;
 mod log_commands;
 mod notice;
