--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -513,3 +513,36 @@
     let bytes = rmp_serde::to_vec(&frame).unwrap().len();
     assert!(bytes < 60_000, "{bytes} bytes");
 }
+
+/// Frame of a router before the evacuations.
+#[derive(serde::Serialize)]
+struct EarlierFrame {
+    sender: Descriptor,
+    known_addresses: Vec<SocketAddr>,
+    roster: Vec<(Descriptor, Span)>,
+    scope: Scope,
+    report: Report,
+    sequence: u64,
+    included: Vec<(SocketAddr, u64)>,
+}
+
+/// During a release of the router, both versions exchange frames.
+#[test]
+fn a_frame_without_evacuations_and_numbers_of_listings_is_decoded() {
+    let frame = frame(2, 5);
+    let earlier = EarlierFrame {
+        sender: frame.sender.clone(),
+        known_addresses: frame.known_addresses.clone(),
+        roster: vec![(descriptor(3, "a"), Span(100))],
+        scope: frame.scope,
+        report: frame.report.clone(),
+        sequence: frame.sequence,
+        included: Vec::new(),
+    };
+    let bytes = rmp_serde::to_vec(&earlier).unwrap();
+    let decoded: Frame = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(decoded.evacuations, Shared::default());
+    let mut table = Table::new(peer_address(1));
+    table.receive(NOW, decoded);
+    assert_eq!(table.alive(NOW).count(), 2);
+}
