--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use balsamchute_edge::peers::{Descriptor, Frame, Listing, Phase, Scope, Table, Tier};
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::evacuation::Shared;
 use balsamchute_schedule::report::{Load, Report, Sum, Usage};
 
 const NOW: Time = Time(1_000_000);
@@ -45,6 +46,7 @@
         report: Report::default(),
         sequence: 1,
         included: Vec::new(),
+        evacuations: Shared::default(),
     }
 }
 
@@ -237,6 +239,7 @@
         roster: vec![Listing {
             descriptor: frame(3, incarnation).sender,
             age: Span(100),
+            sequence: 1,
         }],
         ..frame(2, 4000)
     };
@@ -500,6 +503,7 @@
     let listing = |port| Listing {
         descriptor: descriptor(port, "failure-domain"),
         age: Span(100),
+        sequence: 1_000_000,
     };
     let frame = Frame {
         roster: (1..400).map(listing).collect(),
@@ -509,3 +513,36 @@
     let bytes = rmp_serde::to_vec(&frame).unwrap().len();
     assert!(bytes < 60_000, "{bytes} bytes");
 }
+
+/// Frame of a router before the evacuations.
+#[derive(serde::Serialize)]
+struct EarlierFrame {
+    sender: Descriptor,
+    known_addresses: Vec<SocketAddr>,
+    roster: Vec<(Descriptor, Span)>,
+    scope: Scope,
+    report: Report,
+    sequence: u64,
+    included: Vec<(SocketAddr, u64)>,
+}
+
+/// During a release of the router, both versions exchange frames.
+#[test]
+fn a_frame_without_evacuations_and_numbers_of_listings_is_decoded() {
+    let frame = frame(2, 5);
+    let earlier = EarlierFrame {
+        sender: frame.sender.clone(),
+        known_addresses: frame.known_addresses.clone(),
+        roster: vec![(descriptor(3, "a"), Span(100))],
+        scope: frame.scope,
+        report: frame.report.clone(),
+        sequence: frame.sequence,
+        included: Vec::new(),
+    };
+    let bytes = rmp_serde::to_vec(&earlier).unwrap();
+    let decoded: Frame = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(decoded.evacuations, Shared::default());
+    let mut table = Table::new(peer_address(1));
+    table.receive(NOW, decoded);
+    assert_eq!(table.alive(NOW).count(), 2);
+}
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,15 +6,18 @@
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
-//! answers), [`stream`], [`version`] and [`route`] (software versions at which streams began, and services
-//! that may have begun them), [`record`] (when these are written to the store) and [`budget`] (retry
-//! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
+//! answers), [`stream`], [`version`] and [`route`] (software versions at which streams
+//! began, and services that may have begun them), [`record`] (when these are written to the
+//! store) and [`budget`] (retry budget, split over all routers); [`scheduler::Scheduler`]
+//! combines them. [`evacuation`] holds the failure domains whose runners get no new
+//! attempts. [`directory`] chooses the routers that a
 //! caller is told to use.
 
 pub mod action;
 pub mod budget;
 pub mod cache;
 pub mod directory;
+pub mod evacuation;
 pub mod notice;
 mod parts;
 mod pending;
