Pace requests to cold runners by a budget shared by all routers

Cause: routers send to runners that have just started as if they were warm; such a runner sustains few requests per second and crashes above that.

Change: schedule::cold holds what is believed of a runner (response, entry, report, own observation) and the rate that follows. rate.rs paces limits that runners name and cold runners by one Budget. Routers report cold runners and what they sent to them; the part of routers that are no longer heard stays unused for 120 s. Manifest, settings and the header X-Cold-Ms are decoded in platform/.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -42,6 +42,8 @@
             .peers
             .count_seen_within(now, self.settings.bounds.retry_window);
         self.scheduler.set_router_count(recent_peers + 1);
+        let alive_peers = self.peers.alive(now).count() as u32;
+        self.scheduler.set_alive_count(now, alive_peers + 1);
     }
 
     /// Returns the descriptor that this router publishes.
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -20,6 +20,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_model::settings::Bounds;
 use balsamchute_schedule::action::Id;
+use balsamchute_schedule::cold;
 use balsamchute_schedule::scheduler::{self, Scheduler};
 use mio::event::Event;
 use mio::net::{TcpListener, UdpSocket};
@@ -160,6 +161,10 @@
             retry_slack: settings.bounds.retry_slack,
             retry_window: settings.bounds.retry_window,
         });
+        let scheduler = scheduler.with_cold_bound(cold::Bound {
+            ratio: settings.bounds.cold_ratio,
+            slack: settings.bounds.cold_slack,
+        });
         let bounds = &settings.bounds;
         let watchers = [
             Watcher::new(Kind::Manifest).with_change_bound(bounds.manifest_change),
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -5,6 +5,7 @@
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{End, Id};
+use balsamchute_schedule::cold;
 
 use crate::edge::{Edge, Slot};
 use crate::transaction::Fallback;
@@ -90,10 +91,12 @@
         let leaving = response::says_leaving(&response.head);
         let pause = response::pause(&response.head);
         let limit = response::rate_limit(&response.head);
+        let cold_left = response::cold_left(&response.head);
         let errors = [
             leaving.as_ref().err(),
             pause.as_ref().err(),
             limit.as_ref().err(),
+            cold_left.as_ref().err(),
         ];
         for error in errors.into_iter().flatten() {
             self.stats.count_malformed("runner_notice");
@@ -111,6 +114,28 @@
         if let (true, Ok(limit)) = (is_current, limit) {
             self.scheduler.record_limit(now, &runner, started_at, limit);
         }
+        if let (true, Ok(Some(left))) = (is_current, cold_left) {
+            self.scheduler.record_cold(now, &runner, started_at, left);
+        }
+    }
+
+    /// Logs and counts that a runner became cold, or ceased to be.
+    pub(super) fn log_cold(&self, change: &cold::Change) {
+        let cold::Change {
+            runner,
+            left,
+            source,
+        } = change;
+        let source = source.as_str();
+        match left {
+            Some(left) => {
+                self.stats.count_cold(source);
+                log::info!(target: "runner", "event=runner_cold runner={runner} left_ms={} source={source}", left.0);
+            }
+            None => {
+                log::info!(target: "runner", "event=runner_cold_ended runner={runner} source={source}");
+            }
+        }
     }
 
     /// Decodes the buffered part of a response body and forwards or completes the
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -56,6 +56,7 @@
                             per_second.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
                         log::info!(target: "runner", "event=runner_limited runner={runner} per_second={per_second}");
                     }
+                    Action::Cold(change) => self.log_cold(&change),
                     Action::Blame { part, crashes } => {
                         log::warn!(target: "runner", "event=part_blamed part={part:032x} crashes={crashes}");
                     }
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -346,6 +346,7 @@
                 for change in changes {
                     self.apply_runner_change(now, change);
                 }
+                self.scheduler.end_first_list();
             }
         }
         self.is_router_list_loaded |= kind == Kind::Routers;
@@ -514,6 +515,7 @@
             for change in changes {
                 self.apply_runner_change(now, change);
             }
+            self.scheduler.end_first_list();
         }
     }
 
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -111,6 +111,11 @@
         self.metrics.count_reason("malformed", kind);
     }
 
+    /// Counts a runner that became cold, by the source of that belief.
+    pub fn count_cold(&self, source: &'static str) {
+        self.metrics.count_reason("cold", source);
+    }
+
     /// Counts a call to the store by its result.
     pub fn count_store_call(&self, succeeded: bool) {
         let reason = if succeeded { "answered" } else { "failed" };
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -68,6 +68,7 @@
         limits: Vec::new(),
         demand: Vec::new(),
         streams: Vec::new(),
+        cold: Vec::new(),
     }
 }
 
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -109,8 +109,17 @@
     pub tokens_per_event: u32,
 }
 
+/// Behaviour of a service's runners after their start, while their caches are empty.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time after its start for which a runner is cold.
+    pub duration: Span,
+    /// Requests per second that a cold runner sustains, above 0.
+    pub per_second: f64,
+}
+
 /// Properties of a service, shared by all of its runners.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
     /// Service that the properties apply to.
     pub service: Service,
@@ -119,6 +128,8 @@
     /// Capacity of the model engine of each runner; `None` for a service without
     /// engines.
     pub engine: Option<Engine>,
+    /// Behaviour of runners after their start; `None` if it does not limit requests.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on callers, and the capacity of the model runners.
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -26,6 +26,11 @@
     pub manifest_change: Span,
     /// Longest time from the report that a runner drains until it gets no more requests.
     pub runner_drain: Span,
+    /// Requests to a cold runner in any one second over all routers, as a ratio of those
+    /// that its service sustains.
+    pub cold_ratio: f64,
+    /// Requests to a cold runner in any one second that are allowed in addition.
+    pub cold_slack: f64,
 }
 
 /// Resource limits of the process.
--- a/crates/schedule/benches/admission.rs
+++ b/crates/schedule/benches/admission.rs
@@ -68,6 +68,7 @@
         service: service(),
         max_connections: 300,
         engine: Some(engine),
+        cold_start: None,
     };
     scheduler.set_manifest(&Manifest::new(1, Vec::new()).with_services(vec![spec]));
     for number in 0..size.runners {
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -5,6 +5,8 @@
 
 use balsamchute_model::prelude::*;
 
+use crate::cold;
+
 /// Number that the process assigns to a request, unique within the process.
 pub type Id = u64;
 
@@ -178,6 +180,8 @@
         /// Requests per second from all routers together; `None` if it names none.
         per_second: Option<f64>,
     },
+    /// Log and count that a runner became cold, or ceased to be.
+    Cold(cold::Change),
     /// Answer that the request failed, or cut off an answer that has begun.
     Fail {
         /// Number of the request that failed.
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,13 +6,14 @@
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
-//! answers), [`stream`] (software versions at which streams began) and [`budget`] (retry
+//! answers), [`cold`] (runners that started a short time ago), [`stream`] (software versions at which streams began) and [`budget`] (retry
 //! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
 //! caller is told to use.
 
 pub mod action;
 pub mod budget;
 pub mod cache;
+pub mod cold;
 pub mod directory;
 pub mod notice;
 mod parts;
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -63,6 +63,43 @@
     pub sent: u32,
 }
 
+/// Runner whose start the reporting router observed, or that told it that it is cold.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Cold {
+    /// Runner that is cold, or was until a short time ago.
+    pub runner: Runner,
+    /// Start time of the process, as in [`Entry::started_at`].
+    pub started_at: u64,
+    /// Remaining time for which the runner is cold, and the time since that was told;
+    /// `None` if the reporting routers only know it from others or from the list.
+    pub told: Option<Told>,
+    /// Requests sent within the last second.
+    pub sent: u32,
+}
+
+/// Remaining time for which a runner is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Told {
+    /// Time that remains when the report is made; 0 if the runner is warm.
+    pub left: Span,
+    /// Time since the router heard it.
+    pub age: Span,
+}
+
+/// Difference of ages below which of two statements the one with more time left counts:
+/// the other one may be of the process before a restart.
+const TOLD_TOGETHER: Span = Span(500);
+
+impl Told {
+    /// Returns whether this statement counts rather than the other one.
+    fn outweighs(&self, other: &Told) -> bool {
+        if self.age + TOLD_TOGETHER <= other.age {
+            return true;
+        }
+        self.age < other.age + TOLD_TOGETHER && self.left > other.left
+    }
+}
+
 /// Requests for a service that arrived at one router, decayed exponentially. One of a
 /// workspace that asks for more than its share counts in part.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -107,6 +144,9 @@
     /// Streams that began a short time ago.
     #[serde(default)]
     pub streams: Vec<Begun>,
+    /// Runners that are cold, or were until a short time ago.
+    #[serde(default)]
+    pub cold: Vec<Cold>,
 }
 
 impl Report {
@@ -139,6 +179,10 @@
             let own = own.limits.iter().find(|own| is_same_process(own, limit));
             limit.sent = limit.sent.saturating_sub(own.map_or(0, |own| own.sent));
         }
+        for cold in &mut self.cold {
+            let own = own.cold.iter().find(|own| is_same_cold(own, cold));
+            cold.sent = cold.sent.saturating_sub(own.map_or(0, |own| own.sent));
+        }
         for item in &mut self.demand {
             let own = own.demand.iter().find(|own| own.service == item.service);
             item.requests = (item.requests - own.map_or(0.0, |own| own.requests)).max(0.0);
@@ -169,7 +213,7 @@
 const MAX_SUM_LOADS: usize = 600;
 
 /// Limits that a sum holds at most.
-const MAX_SUM_LIMITS: usize = 256;
+pub(crate) const MAX_SUM_LIMITS: usize = 256;
 
 /// Streams that a sum holds at most.
 const MAX_SUM_STREAMS: usize = 1024;
@@ -187,6 +231,7 @@
     demand: BTreeMap<Service, f32>,
     streams: BTreeMap<(Service, Software), Vec<u64>>,
     stream_count: usize,
+    cold: BTreeMap<Runner, Cold>,
 }
 
 impl Sum {
@@ -229,6 +274,9 @@
         for demand in &report.demand {
             *self.demand.entry(demand.service.clone()).or_default() += demand.requests;
         }
+        for cold in &report.cold {
+            self.add_cold(cold);
+        }
         for begun in &report.streams {
             let room = MAX_SUM_STREAMS - self.stream_count;
             let added = &begun.streams[..begun.streams.len().min(room)];
@@ -259,6 +307,26 @@
         }
     }
 
+    /// Adds a cold runner, as [`Sum::add_limit`] does a limit.
+    fn add_cold(&mut self, cold: &Cold) {
+        let is_full = self.cold.len() >= MAX_SUM_LIMITS;
+        match self.cold.get_mut(&cold.runner) {
+            Some(sum) if is_same_cold(sum, cold) => {
+                sum.sent = sum.sent.saturating_add(cold.sent);
+                sum.told = match (sum.told, cold.told) {
+                    (Some(known), Some(other)) if other.outweighs(&known) => Some(other),
+                    (None, other) => other,
+                    (known, _) => known,
+                };
+            }
+            Some(sum) if sum.started_at > cold.started_at => {}
+            None if is_full => {}
+            Some(_) | None => {
+                self.cold.insert(cold.runner.clone(), cold.clone());
+            }
+        }
+    }
+
     /// Returns the sum as a report. Of more than `MAX_SUM_LOADS` runners, those
     /// with the fewest requests in flight are left out. Receivers treat them as
     /// idle, which is the smallest error.
@@ -298,6 +366,7 @@
                     streams,
                 })
                 .collect(),
+            cold: self.cold.into_values().collect(),
         }
     }
 }
@@ -306,6 +375,10 @@
     a.runner == b.runner && a.started_at == b.started_at
 }
 
+fn is_same_cold(a: &Cold, b: &Cold) -> bool {
+    a.runner == b.runner && a.started_at == b.started_at
+}
+
 /// Adds records to a sum, merged with those of the same fingerprint.
 fn add_suspects(sum: &mut BTreeMap<u128, Suspect>, suspects: &[Suspect]) {
     for suspect in suspects {
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -57,6 +57,7 @@
             "{}.{id}.{attempt_number}",
             self.settings.attempt_prefix
         ));
+        self.record_cold_end(now, &dispatch.runner, end);
         let Some(target) = self.targets.get_mut(&dispatch.runner) else {
             return;
         };
@@ -298,14 +299,17 @@
     }
 
     /// Returns whether the service has runners that accept requests, and all of them name a
-    /// limit on their rate.
-    pub(super) fn is_limited(&self, service: &Service) -> bool {
+    /// limit on their rate or are cold and have no token of this router.
+    pub(super) fn is_limited(&self, now: Time, service: &Service) -> bool {
         let open = self.targets.values().filter(|target| {
             target.entry.service == *service
                 && target.is_ready()
                 && !self.notices.is_leaving(&target.entry)
         });
-        let mut limited = open.map(|target| self.rates.is_limited(&target.entry));
+        let mut limited = open.map(|target| {
+            self.rates.is_limited(&target.entry)
+                || self.rates.is_cold_without_token(now, &target.entry.runner)
+        });
         limited.next() == Some(true) && limited.all(|is_limited| is_limited)
     }
 
--- a/crates/schedule/src/scheduler/exchange.rs
+++ b/crates/schedule/src/scheduler/exchange.rs
@@ -46,6 +46,7 @@
             limits: self.rates.limits(now).collect(),
             demand: self.rates.demand().collect(),
             streams: self.streams.recent(now),
+            cold: self.cold_report(now),
         }
     }
 
@@ -90,6 +91,7 @@
                 .record_leaving(&leaving.runner, leaving.started_at);
         }
         self.streams.merge(now, &report.streams);
+        self.apply_cold_report(now, peer, &report.cold);
         for (runner, per_second) in
             self.rates
                 .apply_report(now, peer, &report.limits, &report.demand)
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -2,18 +2,20 @@
 //! budget.
 
 mod attempt;
+mod cold;
 mod dispatch;
 mod exchange;
 
 use std::collections::BTreeMap;
 
 use balsamchute_claim::suspect::{self, Admission, Registry};
-use balsamchute_model::manifest::Engine;
+use balsamchute_model::manifest::{ColdStart, Engine};
 use balsamchute_model::prelude::*;
 use indexmap::IndexMap;
 
 use crate::action::{Action, End, Failure, Id, Refusal};
 use crate::budget::Budget;
+use crate::cold::{Bound, Colds};
 use crate::notice::Notices;
 use crate::parts::Parts;
 use crate::pending::{Dispatch, Pending, Stage};
@@ -70,6 +72,9 @@
     parts: Parts,
     notices: Notices,
     rates: Rates,
+    colds: Colds,
+    /// Cold starts of the services whose runners are protected after a start.
+    cold_starts: BTreeMap<Service, ColdStart>,
     streams: Streams,
     router_count: u32,
     actions: Vec<Action>,
@@ -101,6 +106,8 @@
             parts,
             notices: Notices::new(),
             rates,
+            colds: Colds::new(Bound::default()),
+            cold_starts: BTreeMap::new(),
             streams: Streams::new(),
             router_count: 1,
             actions: Vec::new(),
@@ -146,6 +153,7 @@
             .values()
             .filter_map(|spec| Some((spec.service.clone(), spec.engine?)))
             .collect();
+        self.set_cold_starts(manifest);
         self.capacity = manifest.limits.cost_per_second;
         for (service, shares) in &mut self.shares {
             let is_model = self.engines.contains_key(service);
@@ -158,6 +166,9 @@
     /// requests.
     pub fn set_runner(&mut self, now: Time, entry: Entry) {
         self.streams.record_version(now, &entry);
+        let cold_start = self.cold_starts.get(&entry.service);
+        self.colds.set_entry(now, &entry, cold_start);
+        let runner = entry.runner.clone();
         match self.targets.get_mut(&entry.runner) {
             Some(target) => target.update(entry),
             None => {
@@ -165,6 +176,7 @@
                 self.targets.insert(target.entry.runner.clone(), target);
             }
         }
+        self.update_cold(now, &runner);
         self.dispatch_all(now);
     }
 
@@ -172,6 +184,7 @@
     /// progress there continue.
     pub fn remove_runner(&mut self, runner: &Runner) {
         self.targets.shift_remove(runner);
+        self.rates.clear_cold(runner);
     }
 
     /// Records that a process of a runner, identified by its start time, said in an
@@ -210,6 +223,7 @@
             target.eject(now);
             let disconnects = target.take_recent_disconnects(now);
             self.record_crash(now, &disconnects);
+            self.record_cold_refusal(now, runner);
         }
     }
 
@@ -247,7 +261,7 @@
         }
         let priority = self.priority(&pending);
         let max_wait = max_wait(&pending.request, priority);
-        let is_limited = self.is_limited(&service);
+        let is_limited = self.is_limited(now, &service);
         let queue = self.queues.entry(service.clone()).or_default();
         let is_scarce = priority != Priority::WithinShare || is_limited;
         if is_scarce && queue.is_overfull(now, &pending.request, max_wait) {
@@ -301,6 +315,7 @@
             return;
         };
         let is_first = dispatch.events == 0;
+        self.colds.record_contact(now, &dispatch.runner);
         dispatch.events += events;
         dispatch.last_event_at = now;
         pending.answer_begun = true;
@@ -394,6 +409,7 @@
         }
         self.breakdown.advance(now);
         self.rates.advance(now);
+        self.advance_cold(now);
         for target in self.targets.values() {
             self.rates.refill(now, &target.entry);
             self.streams.record_version(now, &target.entry);
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -64,6 +64,7 @@
         service: service(name),
         max_connections: 100,
         engine,
+        cold_start: None,
     };
     let limits = Limits {
         cost_per_second: Some(CAPACITY_TOKENS_PER_S),
--- a/tests/all/edge/notice.rs
+++ b/tests/all/edge/notice.rs
@@ -6,10 +6,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
+
 use super::environment::{
-    Router, Runner, header, respond, respond_with_body, send_raw, wait_until,
+    Router, Runner, Store, header, respond, respond_with_body, send_raw, wait_until,
 };
-use super::{request, start_router};
+use super::{entry, manifest, request, start_router};
 
 /// Returns a runner whose answers all carry `fields`.
 fn with_fields(fields: &'static str) -> Runner {
@@ -133,3 +135,47 @@
     }
     assert!(counted.len() >= 8, "{} requests in 6 s", counted.len());
 }
+
+/// Guards against a herd of requests to a runner that started a short time ago, as its
+/// responses say, and against values that are not understood.
+#[test]
+fn a_cold_runner_gets_few_requests_and_a_malformed_time_changes_nothing() {
+    let cold = with_fields("X-Cold-Ms: 9000");
+    let malformed = with_fields("X-Cold-Ms: soon");
+    let store = Store::start();
+    let mut manifest = manifest(1, &["k1"]).expect("a manifest");
+    manifest["services"][0]["cold_start_s"] = json!(9);
+    manifest["services"][0]["cold_per_s"] = json!(7.6);
+    store.put("config", "main", Some(manifest));
+    store.put("servers", "i-0", entry(cold.address, "s"));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    assert!(send(&router).ends_with("\r\n\r\na"));
+    wait_until("the runner is known as cold", || {
+        router.log().contains("event=runner_cold runner=i-0")
+    });
+    // Requests that find no token wait for one, or are refused.
+    let begin = Instant::now();
+    let end = begin + Duration::from_secs(3);
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                while Instant::now() < end {
+                    send(&router);
+                    thread::sleep(Duration::from_millis(10));
+                }
+            });
+        }
+    });
+    // The bound is 16.4 in any second, the rate 6.03 a second.
+    let received = cold.requests().len();
+    assert!((4..=35).contains(&received), "{received}");
+    store.put("servers", "i-1", entry(malformed.address, "s"));
+    wait_until("the second runner is used", || {
+        send(&router);
+        malformed.requests().len() >= 3
+    });
+    let log = router.log();
+    assert_eq!(log.matches("event=notice_ignored runner=i-1").count(), 1);
+    assert!(log.contains("event=runner_cold runner=i-1 left_ms=9000 source=start"));
+}
