Report the start of a runner that refused connections, from its next response

Cause: a report of a refusal kept the time of the refusal, so that routers that had heard of it ignored the later start.

Change: the next response counts as a new observation.

Measured: cargo test -p balsamchute-schedule passes.

--- a/crates/schedule/src/cold.rs
+++ b/crates/schedule/src/cold.rs
@@ -331,6 +331,7 @@
             && belief.end == End::AfterContact
         {
             belief.end = End::AfterStart(now);
+            belief.heard_at = now;
         }
     }
 
@@ -460,6 +461,8 @@
         let belief = process.belief?;
         let age = now.since(belief.heard_at);
         let is_own = match belief.source {
+            // Without a response, the process that refused may have been replaced.
+            Source::Refusal if belief.end == End::AfterContact => age < MEMORY,
             Source::Response | Source::Refusal | Source::Break => left > Span(0) || age < MEMORY,
             Source::Entry | Source::Report | Source::Start | Source::Evacuation => false,
         };
--- a/crates/schedule/tests/cold.rs
+++ b/crates/schedule/tests/cold.rs
@@ -11,7 +11,9 @@
 use balsamchute_schedule::cold::Bound;
 use balsamchute_schedule::report::{Report, Sum};
 use balsamchute_schedule::request::Request;
-use common::{NOW, entry, named_scheduler, plain_request, runner, sends, service};
+use common::{
+    NOW, entry, model_request, named_scheduler, plain_request, runner, scheduler, sends, service,
+};
 
 const COLD: Span = Span(10_000);
 const SECOND: Span = Span(1000);
@@ -419,6 +421,12 @@
     }
     let contact = later + Span(800);
     end_attempt(&mut scheduler, contact, End::Done);
+    // Routers that did not meet the refusal learn of the start.
+    let mut other = with_warm_runner();
+    let report = scheduler.report(contact + Span(100));
+    let peer = Instance::new("r2").unwrap();
+    other.apply_report(contact + Span(300), &peer, &report);
+    assert!(is_cold(&mut other, contact + COLD - Span(10)));
     assert!(is_cold(&mut scheduler, contact + COLD - Span(10)));
     assert!(!is_cold(&mut scheduler, contact + COLD + RAMP));
 }
@@ -513,7 +521,7 @@
 /// Services that name no rate for cold runners are treated as before.
 #[test]
 fn services_without_a_cold_rate_are_not_limited() {
-    let mut scheduler = named_scheduler("r1.1", 100);
+    let mut scheduler = scheduler(100);
     scheduler.end_first_list();
     scheduler.set_runner(NOW, listed("p0", 1, Span(9000)));
     scheduler.record_cold(NOW, &runner("p0"), 1, Span(9000));
@@ -522,6 +530,17 @@
     end_attempt(&mut scheduler, NOW, End::Broke);
     assert!(!is_cold(&mut scheduler, NOW));
     assert!(scheduler.report(NOW).cold.is_empty());
+    // Nor are those beside a service that names one.
+    let mut scheduler = cold_scheduler("r1.1", 9.3);
+    let model = Entry {
+        warmup: Span(9000),
+        ..entry("m1", "model", 64)
+    };
+    scheduler.set_runner(NOW, model);
+    for id in 1..=20 {
+        scheduler.submit(NOW, id, model_request("w1", 1, 10));
+    }
+    assert_eq!(sends(&scheduler.take_actions()).len(), 20);
     // A manifest that ends the protection takes effect at once.
     let mut scheduler = cold_scheduler("r1.1", 9.3);
     scheduler.set_runner(NOW, listed("p0", 1, Span(9000)));
