--- a/crates/schedule/tests/cold.rs
+++ b/crates/schedule/tests/cold.rs
@@ -51,7 +51,8 @@
 struct Router {
     scheduler: Scheduler,
     lag: Span,
-    is_cut_off: bool,
+    /// Routers of one side hear each other.
+    side: usize,
     joined_at: Time,
     due: f64,
 }
@@ -102,7 +103,7 @@
         self.routers.push(Router {
             scheduler,
             lag: Span(100 + (number as u64 * 70) % 201),
-            is_cut_off: false,
+            side: 0,
             joined_at: self.now,
             due: 0.0,
         });
@@ -118,13 +119,6 @@
         }
     }
 
-    /// Returns whether the others hear a router: not until 400 ms after its start.
-    fn is_heard(&self, number: usize) -> bool {
-        let router = &self.routers[number];
-        let is_known = router.joined_at == NOW || self.now.since(router.joined_at) >= Span(400);
-        !router.is_cut_off && is_known
-    }
-
     /// Plays `span`; `per_second` gives the requests that arrive at a router.
     fn play(&mut self, span: Span, per_second: impl Fn(usize) -> f64) {
         let end = self.now + span;
@@ -170,20 +164,22 @@
         }
     }
 
-    /// Delivers sums of the reports, each to a router at its own age. Routers that are cut
-    /// off, or started a short time ago, neither get nor give any.
+    /// Delivers sums of the reports, each to a router at its own age. Routers of other
+    /// sides, and those that started a short time ago, neither get nor give any.
     fn exchange(&mut self) {
-        let heard: Vec<bool> = (0..self.routers.len())
-            .map(|number| self.is_heard(number))
-            .collect();
-        let alive = heard.iter().filter(|is_heard| **is_heard).count() as u32;
         let now = self.now;
-        let routers = self.routers.iter().zip(&heard);
-        let reports =
-            routers.map(|(router, is_heard)| is_heard.then(|| router.scheduler.report(now)));
+        let is_heard =
+            |router: &Router| router.joined_at == NOW || now.since(router.joined_at) >= Span(400);
+        let sides = self.routers.iter();
+        let sides: Vec<Option<usize>> = sides
+            .map(|router| is_heard(router).then_some(router.side))
+            .collect();
+        let routers = self.routers.iter();
+        let reports = routers.map(|router| is_heard(router).then(|| router.scheduler.report(now)));
         self.reports.push_back((now, reports.collect()));
         for (number, router) in self.routers.iter_mut().enumerate() {
-            let alive = if heard[number] { alive } else { 1 };
+            let on_side = sides.iter().filter(|side| **side == sides[number]);
+            let alive = sides[number].map_or(1, |_| on_side.count() as u32);
             router.scheduler.set_alive_count(now, alive);
             router.scheduler.set_router_count(alive);
             let due = self.reports.iter().rev();
@@ -191,12 +187,14 @@
             let Some((_, reports)) = due.next() else {
                 continue;
             };
-            let (true, Some(Some(own))) = (heard[number], reports.get(number)) else {
+            let (true, Some(Some(own))) = (alive > 1, reports.get(number)) else {
                 continue;
             };
             let mut sum = Sum::new();
-            for report in reports.iter().flatten() {
-                sum.add(report);
+            for (report, side) in reports.iter().zip(&sides) {
+                if let (Some(report), true) = (report, *side == sides[number]) {
+                    sum.add(report);
+                }
             }
             let fleet = Instance::new("fleet").unwrap();
             let report = sum.into_report().excluding(own);
@@ -276,7 +274,7 @@
             fleet.restart_runners();
             fleet.play(Span(800), |_| 0.0);
             let since = fleet.now;
-            fleet.routers[0].is_cut_off = true;
+            fleet.routers[0].side = 1;
             fleet.play(Span(1000), |_| each);
             fleet.start_router(Span(8200));
             fleet.play(Span(7000), |_| each);
@@ -287,16 +285,38 @@
 
 /// Guards against parts of a partition that each use the whole rate.
 #[test]
-fn routers_that_all_lose_each_other_keep_to_the_bound() {
+fn the_sides_of_a_partition_keep_to_the_bound() {
+    for per_second in [9.3, 7.6] {
+        for sides in [2, 8] {
+            let mut fleet = Fleet::new(8, per_second, 6);
+            fleet.play(Span(2000), |_| 75.0);
+            for (number, router) in fleet.routers.iter_mut().enumerate() {
+                router.side = number % sides;
+            }
+            fleet.play(Span(12_000), |_| 75.0);
+            let since = play_restart(&mut fleet, 75.0);
+            assert_bound(&fleet, since, &format!("{sides} sides"));
+        }
+    }
+}
+
+/// Guards against tokens of a router that lost its demand, beside those of the one that
+/// has it now.
+#[test]
+fn demand_that_moves_between_routers_keeps_to_the_bound() {
     for per_second in [9.3, 7.6] {
         let mut fleet = Fleet::new(8, per_second, 6);
         fleet.play(Span(2000), |_| 75.0);
-        for router in &mut fleet.routers {
-            router.is_cut_off = true;
+        fleet.restart_runners();
+        fleet.play(Span(800), |_| 0.0);
+        let since = fleet.now;
+        for busy in [0, 3, 5, 1] {
+            fleet.play(
+                Span(1500),
+                |number| if number == busy { 500.0 } else { 10.0 },
+            );
         }
-        fleet.play(Span(12_000), |_| 75.0);
-        let since = play_restart(&mut fleet, 75.0);
-        assert_bound(&fleet, since, "all cut off");
+        assert_bound(&fleet, since, "moving demand");
     }
 }
 
