--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -22,6 +22,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_model::settings::Bounds;
 use balsamchute_schedule::action::Id;
+use balsamchute_schedule::cold;
 use balsamchute_schedule::record::Writer;
 use balsamchute_schedule::route;
 use balsamchute_schedule::scheduler::{self, Scheduler};
@@ -175,6 +176,10 @@
             retry_slack: settings.bounds.retry_slack,
             retry_window: settings.bounds.retry_window,
         });
+        let scheduler = scheduler.with_cold_bound(cold::Bound {
+            ratio: settings.bounds.cold_ratio,
+            slack: settings.bounds.cold_slack,
+        });
         let bounds = &settings.bounds;
         let evacuation_watcher = bounds
             .evacuation
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -57,6 +57,7 @@
                         log::info!(target: "runner", "event=runner_limited runner={runner} per_second={per_second}");
                     }
                     Action::Evacuation { domain, began } => self.log_evacuation(&domain, began),
+                    Action::Cold(change) => self.log_cold(&change),
                     Action::Blame { part, crashes } => {
                         log::warn!(target: "runner", "event=part_blamed part={part:032x} crashes={crashes}");
                     }
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -362,6 +362,7 @@
                 for change in changes {
                     self.apply_runner_change(now, change);
                 }
+                self.scheduler.end_first_list();
             }
         }
         if kind == Kind::Routers && !self.is_router_list_loaded {
@@ -540,6 +541,7 @@
             for change in changes {
                 self.apply_runner_change(now, change);
             }
+            self.scheduler.end_first_list();
         }
         // While the store changes all the time, the frames of a hub are always ahead of its
         // members, and only its views confirm their list.
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -70,6 +70,7 @@
         limits: Vec::new(),
         demand: Vec::new(),
         streams: Vec::new(),
+        cold: Vec::new(),
     }
 }
 
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -29,6 +29,11 @@
     /// Longest time from the confirmation of an evacuation until it is in force; `None`
     /// where the platform has no evacuations.
     pub evacuation: Option<Span>,
+    /// Requests to a cold runner in any one second over all routers, as a ratio of those
+    /// that its service sustains.
+    pub cold_ratio: f64,
+    /// Requests to a cold runner in any one second that are allowed in addition.
+    pub cold_slack: f64,
 }
 
 /// Resource limits of the process.
--- a/crates/schedule/src/scheduler/evacuate.rs
+++ b/crates/schedule/src/scheduler/evacuate.rs
@@ -45,8 +45,9 @@
         &self.evacuated
     }
 
-    /// Records that the runners of a domain may get attempts again.
-    fn on_evacuation_ended(&mut self, _now: Time, domain: String) {
+    /// Records that the runners of a domain may get attempts again. They may be cold.
+    fn on_evacuation_ended(&mut self, now: Time, domain: String) {
+        self.record_domain_cold(now, &domain);
         self.actions.push(Action::Evacuation {
             domain,
             began: false,
--- a/crates/schedule/tests/evacuation.rs
+++ b/crates/schedule/tests/evacuation.rs
@@ -273,6 +273,10 @@
     scheduler.set_runner(NOW, entry("m1", "model", 6));
     scheduler.set_evacuations(NOW, set(&["a"]));
     scheduler.take_actions();
+    // The router has seen all versions that served since the first start.
+    let versions = scheduler.origins_mut().versions_mut();
+    versions.set_first();
+    versions.confirm(NOW);
     let request = Request {
         resumed: Some(Resumed {
             stream: None,
