Skip flows without a look at their first request where no runner has room

A round looked up the first request of all workspaces and routes, and passed over the runners twice.

--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -158,13 +158,7 @@
     where
         F: Fn(&Target) -> bool,
     {
-        let is_usable = |target: &Target| pending.fits(&target.entry.software) && usable(target);
-        let candidates = self.candidates(
-            &pending.request.service,
-            is_usable,
-            &pending.tried,
-            pending.possible_runs == 0,
-        );
+        let candidates = self.candidates(pending, usable);
         if candidates.is_empty() {
             return Choice::NoRunner;
         }
@@ -199,24 +193,26 @@
 
     /// Computes the state of a round for a service.
     pub fn round(&self, service: &Service) -> Round {
-        let candidates = self.candidates(service, |_| true, &[], true);
-        let of_service = self
-            .targets
-            .values()
-            .filter(|target| target.entry.service == *service);
         let mut stable_until = Time(u64::MAX);
         let mut has_any_room = (false, false);
-        for target in of_service {
+        let mut open = Vec::with_capacity(self.targets.len());
+        for (index, target) in self.targets.values().enumerate() {
+            if target.entry.service != *service {
+                continue;
+            }
             let paused_until = self.notices.paused_until(self.now, &target.entry);
             stable_until = stable_until.min(target.next_change(self.now));
             stable_until = stable_until.min(paused_until.unwrap_or(stable_until));
             let load = target.load(self.now);
-            // The other priorities admit a part of the runners that this one admits.
             has_any_room.0 |= load.running < target.entry.slots;
             has_any_room.1 |= Priority::WithinShare.admits(target.entry.slots, &load);
+            if self.is_open(target) {
+                open.push(Candidate { index, load });
+            }
         }
+        self.leave_out_ejected(&mut open);
         Round::new(
-            candidates,
+            open,
             |index| &self.targets[index],
             has_any_room,
             stable_until,
@@ -224,42 +220,49 @@
     }
 
     /// Returns the runners that may take a request, in the order of the list.
-    fn candidates<F>(
-        &self,
-        service: &Service,
-        is_usable: F,
-        tried: &[Runner],
-        may_repeat: bool,
-    ) -> Vec<Candidate>
+    fn candidates<F>(&self, pending: &Pending, is_usable: F) -> Vec<Candidate>
     where
         F: Fn(&Target) -> bool,
     {
         let is_ready = |target: &Target| {
-            target.entry.service == *service && self.is_open(target) && is_usable(target)
+            target.entry.service == pending.request.service
+                && pending.fits(&target.entry.software)
+                && self.is_open(target)
+                && is_usable(target)
         };
         let targets = self.targets.values().enumerate();
-        let mut candidates: Vec<(usize, &Target)> =
-            targets.filter(|(_, target)| is_ready(target)).collect();
-        let is_untried = |target: &Target| !tried.contains(&target.entry.runner);
-        let has_untried = candidates.iter().any(|(_, target)| is_untried(target));
-        if has_untried || !may_repeat {
-            candidates.retain(|(_, target)| is_untried(target));
+        let ready = targets.filter(|(_, target)| is_ready(target));
+        let mut candidates: Vec<Candidate> = ready
+            .map(|(index, target)| Candidate {
+                index,
+                load: target.load(self.now),
+            })
+            .collect();
+        let is_untried = |candidate: &Candidate| {
+            let target = &self.targets[candidate.index];
+            !pending.tried.contains(&target.entry.runner)
+        };
+        if candidates.iter().any(is_untried) || pending.possible_runs > 0 {
+            candidates.retain(is_untried);
         }
-        let is_healthy = |target: &Target| !target.is_ejected(self.now);
+        self.leave_out_ejected(&mut candidates);
+        candidates
+    }
+
+    /// Leaves out ejected runners, except if most of them are: the cause is then probably
+    /// not the runners alone.
+    fn leave_out_ejected(&self, candidates: &mut Vec<Candidate>) {
+        let is_healthy = |candidate: &Candidate| {
+            let target = &self.targets[candidate.index];
+            !target.is_ejected(self.now)
+        };
         let healthy = candidates
             .iter()
-            .filter(|(_, target)| is_healthy(target))
+            .filter(|candidate| is_healthy(candidate))
             .count();
-        // If most of the runners are ejected, the cause is probably not the
-        // runners alone; ejections are ignored then.
-        if healthy * 2 >= candidates.len() {
-            candidates.retain(|(_, target)| is_healthy(target));
+        if healthy < candidates.len() && healthy * 2 >= candidates.len() {
+            candidates.retain(is_healthy);
         }
-        let candidates = candidates.into_iter().map(|(index, target)| Candidate {
-            index,
-            load: target.load(self.now),
-        });
-        candidates.collect()
     }
 
     /// Returns whether a runner accepts requests of this router, by its entry and by
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -25,13 +25,21 @@
     late: VecDeque<Id>,
     /// Whether a plain request was queued since the backlog was last empty.
     has_plain: bool,
+    /// Whether a request was queued since then that may have run before or be bound to a
+    /// software version.
+    has_bound: bool,
 }
 
 impl Backlog {
     fn head<'a>(&self, flow: &'a Flow) -> Option<Head<'a>> {
         let is_late = self.timely.is_empty();
         let id = *self.timely.front().or(self.late.front())?;
-        Some(Head { flow, id, is_late })
+        Some(Head {
+            flow,
+            id,
+            is_late,
+            is_new_prompt: !self.has_plain && !self.has_bound,
+        })
     }
 
     fn ids_mut(&mut self, is_late: bool) -> &mut VecDeque<Id> {
@@ -79,6 +87,9 @@
     /// Whether this request, and with it every other one of the flow, had
     /// missed its latency target on arrival.
     pub is_late: bool,
+    /// Whether the request is a prompt that never ran and that any runner may take. `false`
+    /// if that is not known.
+    pub is_new_prompt: bool,
 }
 
 /// Waiting requests of one service, by flow.
@@ -92,7 +103,7 @@
     /// Adds a request behind those that are queued. Returns whether it is the first of
     /// its flow: one behind others cannot be dispatched before they are.
     pub fn push_back(&mut self, request: &Request, id: Id) -> bool {
-        let ids = self.ids_mut(request);
+        let ids = self.backlog_mut(request).ids_mut(request.is_late());
         ids.push_back(id);
         ids.len() == 1
     }
@@ -127,7 +138,9 @@
 
     /// Adds a request in front of those that are queued.
     pub fn push_front(&mut self, request: &Request, id: Id) {
-        self.ids_mut(request).push_front(id);
+        let backlog = self.backlog_mut(request);
+        backlog.has_bound = true;
+        backlog.ids_mut(request.is_late()).push_front(id);
     }
 
     /// Removes a request, if it is queued in the flow.
@@ -165,9 +178,10 @@
         backlogs.filter_map(|(flow, backlog)| backlog.head(flow))
     }
 
-    fn ids_mut(&mut self, request: &Request) -> &mut VecDeque<Id> {
+    fn backlog_mut(&mut self, request: &Request) -> &mut Backlog {
         let backlog = self.backlogs.entry(flow(request)).or_default();
         backlog.has_plain |= request.prompt.is_none();
-        backlog.ids_mut(request.is_late())
+        backlog.has_bound |= request.resumed.is_some();
+        backlog
     }
 }
--- a/crates/schedule/src/round.rs
+++ b/crates/schedule/src/round.rs
@@ -77,6 +77,11 @@
         for_prompt || (for_plain && has_plain)
     }
 
+    /// Returns whether a candidate may have room for a prompt of some size.
+    pub fn may_have_prompt_room(&self, priority: Priority) -> bool {
+        self.has_room[priority as usize]
+    }
+
     /// Returns whether a runner may have room for a request. `size` is that of its prompt
     /// in tokens, `None` for a plain request.
     pub fn may_have_room(&self, priority: Priority, size: Option<u64>) -> bool {
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -53,10 +53,6 @@
             0 => pending.part_keys.clone(),
             _ => Keys::new(),
         };
-        let attempt = Attempt::new(&format!(
-            "{}.{id}.{attempt_number}",
-            self.settings.attempt_prefix
-        ));
         let Some(target) = self.targets.get_mut(&dispatch.runner) else {
             return;
         };
@@ -79,6 +75,8 @@
             End::Broke => {
                 target.record_failure(now);
                 let entry = &target.entry;
+                let prefix = &self.settings.attempt_prefix;
+                let attempt = Attempt::new(&format!("{prefix}.{id}.{attempt_number}"));
                 let process = Attempt::new(&format!("{}.{}", entry.runner, entry.started_at));
                 if let (true, Ok(attempt), Ok(process)) = (dispatch.written, attempt, process) {
                     target.record_disconnect(Disconnect {
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -143,13 +143,9 @@
                 ),
             };
             last = Some((workspace, served, priority));
-            let pending = &self.pending[&head.id];
             if let Some(round) = round
                 && priority != Priority::WithinShare
-                && !pending.has_run()
-                && pending.is_unbound()
-                && !round
-                    .may_have_room(priority, pending.request.prompt.as_ref().map(needed_tokens))
+                && self.finds_full(round, &head, priority)
             {
                 continue;
             }
@@ -158,6 +154,16 @@
         heads
     }
 
+    /// Returns whether a request beyond the share is known to find all runners full.
+    fn finds_full(&self, round: &Round, head: &Head<'_>, priority: Priority) -> bool {
+        if head.is_new_prompt && !round.may_have_prompt_room(priority) {
+            return true;
+        }
+        let pending = &self.pending[&head.id];
+        let size = pending.request.prompt.as_ref().map(needed_tokens);
+        !pending.has_run() && pending.is_unbound() && !round.may_have_room(priority, size)
+    }
+
     /// Ranks a request: one that may have run already goes first, then one of the least
     /// served workspace, then one that arrived within its latency target, then one of the
     /// route with the lowest ratio of served to demanded cost.
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -307,7 +307,6 @@
     pub fn cancel(&mut self, now: Time, id: Id) {
         let stage = self.pending.get(&id).map(|pending| pending.stage.clone());
         let service = self.remove_request(id);
-        self.settled.clear();
         // Removing a waiting request frees no capacity at a runner.
         if let (Some(Stage::Dispatched(dispatch)), Some(service)) = (stage, service) {
             self.release_load(&dispatch);
@@ -483,7 +482,13 @@
         let pending = self.pending.swap_remove(&id)?;
         let service = pending.request.service.clone();
         if matches!(pending.stage, Stage::Waiting) {
-            self.dequeue(&service, &flow(&pending.request), id);
+            let flow = flow(&pending.request);
+            self.dequeue(&service, &flow, id);
+            let queue = self.queues.get(&service);
+            // The next request of the flow has perhaps not been tried.
+            if queue.is_some_and(|queue| queue.head(&flow).is_some()) {
+                self.settled.remove(&service);
+            }
         }
         Some(service)
     }
