Accept for a time instead of a number at an overloaded router

A router that one workspace floods accepted 16 connections a turn, its accept queue filled, and callers gave up after a second. Not measured under load yet.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -149,6 +149,13 @@
         let total = now.since(transaction.arrival);
         self.stats
             .record_end(&transaction, Outcome::NotRun, refusal.as_str(), total);
+        let closes = self
+            .admission
+            .is_closed(now, transaction.workspace.as_ref());
+        if let (true, Some(Slot::Caller(caller))) = (closes, self.slots.get_mut(transaction.caller))
+        {
+            caller.close = true;
+        }
         self.respond_with_error(now, &transaction, 503, Some(retry), refusal.as_str());
     }
 
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -20,6 +20,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_model::settings::Bounds;
 use balsamchute_schedule::action::Id;
+use balsamchute_schedule::admission::Admission;
 use balsamchute_schedule::scheduler::{self, Scheduler};
 use mio::event::Event;
 use mio::net::{TcpListener, UdpSocket};
@@ -60,10 +61,6 @@
 /// Size of the read buffer, which bounds a single read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Callers' connections that one turn of the loop accepts. Bounds the delay
-/// that a flood of connections causes to requests in flight and to disconnects.
-const MAX_ACCEPTS_PER_TURN: usize = 16;
-
 /// Share of the file descriptors that callers' connections may use.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.6;
 
@@ -136,6 +133,7 @@
     last_exchange: Time,
     // Whether the last turn left callers' connections in the accept queue.
     has_pending_accepts: bool,
+    admission: Admission,
     done: bool,
 }
 
@@ -205,6 +203,7 @@
             // The first datagrams go out with the first tick.
             last_exchange: Time(0),
             has_pending_accepts: false,
+            admission: Admission::new(),
             done: false,
             settings,
         };
@@ -404,10 +403,11 @@
     }
 
     fn accept(&mut self, index: usize) {
+        let began = self.now();
+        let is_for_callers = index == self.caller_listener;
         for count in 0.. {
-            if count == MAX_ACCEPTS_PER_TURN && index == self.caller_listener {
-                log::info!(target: "caller", "event=accepts_wait open={}", self.caller_count);
-                self.has_pending_accepts = true;
+            if is_for_callers && !self.admission.may_accept(began, self.now(), count) {
+                self.record_accepts(true);
                 return;
             }
             let accepted = match &self.slots[index] {
@@ -418,7 +418,12 @@
             };
             match accepted {
                 Ok((stream, _)) => self.add_connection(index, Socket::new(stream)),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    if is_for_callers {
+                        self.record_accepts(false);
+                    }
+                    return;
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     log::warn!(target: "process", "event=accept_failed error={:?}", error.to_string());
@@ -428,6 +433,17 @@
         }
     }
 
+    /// Records the end of accepting in this turn, and whether connections are left.
+    fn record_accepts(&mut self, leaves_any: bool) {
+        self.has_pending_accepts = leaves_any;
+        let change = self.admission.record_turn(self.now(), leaves_any);
+        if let Some(is_overloaded) = change {
+            log::warn!(target: "caller", "event=accept_overload began={is_overloaded} open={}", self.caller_count);
+        } else if leaves_any && !self.admission.is_overloaded(self.now()) {
+            log::info!(target: "caller", "event=accepts_wait open={}", self.caller_count);
+        }
+    }
+
     fn add_connection(&mut self, listener_index: usize, socket: Socket) {
         let now = self.now();
         let slot = match &self.slots[listener_index] {
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -8,9 +8,10 @@
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
 //! answers), [`stream`] (software versions at which streams began) and [`budget`] (retry
 //! budget, split over all routers); [`scheduler::Scheduler`] combines them. [`directory`] chooses the routers that a
-//! caller is told to use.
+//! caller is told to use. [`admission`] decides how many connections are accepted.
 
 pub mod action;
+pub mod admission;
 pub mod budget;
 pub mod cache;
 pub mod directory;
