--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -130,6 +130,7 @@
         let Some(queue) = self.queues.get(service) else {
             return Vec::new();
         };
+        let shares = self.shares.get(service);
         let mut heads = Vec::new();
         // Flows are ordered by workspace.
         let mut last: Option<(&Option<Workspace>, f64, Priority)> = None;
@@ -137,10 +138,13 @@
             let (workspace, _) = head.flow;
             let (served, priority) = match last {
                 Some((other, served, priority)) if other == workspace => (served, priority),
-                _ => (
-                    self.served_cost(service, workspace.as_ref()),
-                    self.workspace_priority(service, workspace.as_ref()),
-                ),
+                _ => match (shares, workspace) {
+                    (Some(shares), Some(workspace)) => {
+                        let served = shares.served(workspace);
+                        (served, shares.priority(served))
+                    }
+                    _ => (0.0, Priority::WithinShare),
+                },
             };
             last = Some((workspace, served, priority));
             if let Some(round) = round
@@ -242,13 +246,7 @@
     /// Returns the priority of requests that have not run.
     fn workspace_priority(&self, service: &Service, workspace: Option<&Workspace>) -> Priority {
         match (self.shares.get(service), workspace) {
-            (Some(shares), Some(workspace)) if !shares.is_under_share(workspace) => {
-                match (shares.is_behind(workspace), shares.is_ahead(workspace)) {
-                    (true, _) => Priority::Behind,
-                    (false, true) => Priority::Ahead,
-                    (false, false) => Priority::Surplus,
-                }
-            }
+            (Some(shares), Some(workspace)) => shares.priority(shares.served(workspace)),
             _ => Priority::WithinShare,
         }
     }
--- a/crates/schedule/src/share.rs
+++ b/crates/schedule/src/share.rs
@@ -10,6 +10,8 @@
 
 use balsamchute_model::prelude::*;
 
+use crate::place::Priority;
+
 /// Demanded and served cost, decayed exponentially.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -202,6 +204,21 @@
         self.served(workspace) < self.served_fair_share * BEHIND_RATIO
     }
 
+    /// Returns the priority of a workspace that was served this decayed cost, see
+    /// [`Shares::served`]. Dispatching compares all workspaces at each event, and most of
+    /// its time was spent on looking up the served cost.
+    pub(crate) fn priority(&self, served: f64) -> Priority {
+        if served < self.fair_share {
+            Priority::WithinShare
+        } else if served < self.served_fair_share * BEHIND_RATIO {
+            Priority::Behind
+        } else if served > self.served_fair_share * AHEAD_RATIO {
+            Priority::Ahead
+        } else {
+            Priority::Surplus
+        }
+    }
+
     /// Returns the requests that arrived here as far as the max-min shares of all served
     /// cost cover the demand of their workspaces. Requests that are repeated after a
     /// refusal do not add to it. Those of workspaces that were served less than their
