--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -192,14 +192,16 @@
     }
 
     /// Computes the state of a round for a service.
-    pub fn round(&self, service: &Service) -> Round {
+    pub fn round<'b>(&'b self, service: &'b Service) -> Round {
         let mut stable_until = Time(u64::MAX);
         let mut has_any_room = (false, false);
         let mut open = Vec::with_capacity(self.targets.len());
+        let mut service = service;
         for (index, target) in self.targets.values().enumerate() {
             if target.entry.service != *service {
                 continue;
             }
+            service = &target.entry.service;
             let paused_until = self.notices.paused_until(self.now, &target.entry);
             stable_until = stable_until.min(target.next_change(self.now));
             stable_until = stable_until.min(paused_until.unwrap_or(stable_until));
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -179,7 +179,12 @@
 
     /// Adds a runner or updates its registration, and dispatches waiting
     /// requests.
-    pub fn set_runner(&mut self, now: Time, entry: Entry) {
+    pub fn set_runner(&mut self, now: Time, mut entry: Entry) {
+        // Names that share their text are compared by address; each round compares all.
+        let mut services = self.targets.values().map(|target| &target.entry.service);
+        if let Some(service) = services.find(|service| **service == entry.service) {
+            entry.service = service.clone();
+        }
         self.streams.record_version(now, &entry);
         match self.targets.get_mut(&entry.runner) {
             Some(target) => {
