--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,19 +6,22 @@
 //! (fair shares of the fleet's capacity by workspace), [`runner`] (load and
 //! health of runners), [`cache`] (estimate of the prompt prefixes that a runner
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
-//! answers), [`cold`] (runners that started a short time ago), [`stream`], [`version`] and [`route`] (software versions at which streams
-//! began, and services that may have begun them), [`record`] (when these are written to the
-//! store) and [`budget`] (retry budget, split over all routers); [`scheduler::Scheduler`]
-//! combines them. [`evacuation`] holds the failure domains whose runners get no new
-//! attempts. [`directory`] chooses the routers that a
-//! caller is told to use.
+//! answers), [`cold`] (runners that started a short time ago), [`stream`], [`version`] and
+//! [`route`] (software versions at which streams began, and services that may have begun
+//! them), [`record`] (when these are written to the store) and [`budget`] (retry budget,
+//! split over all routers); [`scheduler::Scheduler`] combines them. [`evacuation`] holds the
+//! failure domains whose runners get no new attempts. [`directory`] chooses the routers that
+//! a caller is told to use, and [`admission`] how many connections are accepted.
 
 pub mod action;
+pub mod admission;
 pub mod budget;
 pub mod cache;
 pub mod cold;
 pub mod directory;
 pub mod evacuation;
+mod hash;
+mod home;
 pub mod notice;
 mod parts;
 mod pending;
@@ -28,6 +31,7 @@
 pub mod record;
 pub mod report;
 pub mod request;
+mod round;
 pub mod route;
 pub mod runner;
 pub mod scheduler;
--- a/crates/schedule/src/scheduler/evacuate.rs
+++ b/crates/schedule/src/scheduler/evacuate.rs
@@ -19,6 +19,7 @@
             return;
         }
         let previous = std::mem::replace(&mut self.evacuated, domains);
+        self.settled.clear();
         let begun: Vec<String> = self.evacuated.difference(&previous).cloned().collect();
         let ended: Vec<String> = previous.difference(&self.evacuated).cloned().collect();
         for domain in begun {
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -17,6 +17,8 @@
 use crate::action::{Action, End, Failure, Id, Refusal};
 use crate::budget::Budget;
 use crate::cold::{Bound, Colds};
+use crate::hash::NumberState;
+use crate::home::Homes;
 use crate::notice::Notices;
 use crate::parts::Parts;
 use crate::pending::{Dispatch, Pending, Stage};
@@ -24,6 +26,7 @@
 use crate::queue::{Flow, Queue, flow};
 use crate::rate::Rates;
 use crate::request::Request;
+use crate::round::Round;
 use crate::runner::Target;
 use crate::scheduler::attempt::max_wait;
 use crate::share::{Breakdown, Shares};
@@ -59,7 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     settings: Settings,
-    pending: IndexMap<Id, Pending>,
+    pending: IndexMap<Id, Pending, NumberState>,
     queues: BTreeMap<Service, Queue>,
     targets: IndexMap<Runner, Target>,
     engines: BTreeMap<Service, Engine>,
@@ -80,6 +83,14 @@
     cold_starts: BTreeMap<Service, ColdStart>,
     streams: Streams,
     router_count: u32,
+    /// Home runners of prompt prefixes, for the present set of runners.
+    homes: Homes,
+    /// Services of which no waiting request finds a runner until the next event, with the
+    /// state of the runners. Events that may change it remove the entry, and a tick
+    /// computes all again.
+    settled: BTreeMap<Service, Round>,
+    /// Whether nothing is kept from one decision to the next.
+    recomputes: bool,
     actions: Vec<Action>,
 }
 
@@ -97,7 +108,7 @@
         let rates = Rates::new(&settings.attempt_prefix);
         Scheduler {
             settings,
-            pending: IndexMap::new(),
+            pending: IndexMap::default(),
             queues: BTreeMap::new(),
             targets: IndexMap::new(),
             engines: BTreeMap::new(),
@@ -114,10 +125,21 @@
             cold_starts: BTreeMap::new(),
             streams: Streams::new(),
             router_count: 1,
+            homes: Homes::default(),
+            settled: BTreeMap::new(),
+            recomputes: false,
             actions: Vec::new(),
         }
     }
 
+    /// Computes every decision anew, from the state of all runners and waiting requests.
+    /// Slower by orders of magnitude; for tests that compare the choices.
+    #[must_use]
+    pub fn with_recomputation(mut self) -> Self {
+        self.recomputes = true;
+        self
+    }
+
     /// Removes and returns the actions for the process, in the order in which
     /// they must be carried out.
     pub fn take_actions(&mut self) -> Vec<Action> {
@@ -159,6 +181,7 @@
             .collect();
         self.set_cold_starts(manifest);
         self.capacity = manifest.limits.cost_per_second;
+        self.settled.clear();
         for (service, shares) in &mut self.shares {
             let is_model = self.engines.contains_key(service);
             let capacity = self.capacity.filter(|_| is_model);
@@ -168,14 +191,25 @@
 
     /// Adds a runner or updates its registration, and dispatches waiting
     /// requests.
-    pub fn set_runner(&mut self, now: Time, entry: Entry) {
+    pub fn set_runner(&mut self, now: Time, mut entry: Entry) {
+        // Names that share their text are compared by address; each round compares all.
+        let mut services = self.targets.values().map(|target| &target.entry.service);
+        if let Some(service) = services.find(|service| **service == entry.service) {
+            entry.service = service.clone();
+        }
         self.streams.record_version(now, &entry);
         let cold_start = self.cold_starts.get(&entry.service);
         self.colds.set_entry(now, &entry, cold_start);
         let runner = entry.runner.clone();
         match self.targets.get_mut(&entry.runner) {
-            Some(target) => target.update(entry),
+            Some(target) => {
+                if target.entry.service != entry.service {
+                    self.homes.clear();
+                }
+                target.update(entry);
+            }
             None => {
+                self.homes.clear();
                 let target = Target::new(entry);
                 self.targets.insert(target.entry.runner.clone(), target);
             }
@@ -189,18 +223,22 @@
     pub fn remove_runner(&mut self, runner: &Runner) {
         self.targets.shift_remove(runner);
         self.rates.clear_cold(runner);
+        self.homes.clear();
+        self.settled.clear();
     }
 
     /// Records that a process of a runner, identified by its start time, said in an
     /// answer that it leaves: it gets no further requests. Returns whether that was
     /// not known.
     pub fn record_leaving(&mut self, runner: &Runner, started_at: u64) -> bool {
+        self.settled.clear();
         self.notices.record_leaving(runner, started_at)
     }
 
     /// Records that a process of a runner, identified by its start time, wants no
     /// request from this router for `pause`.
     pub fn record_pause(&mut self, now: Time, runner: &Runner, started_at: u64, pause: Span) {
+        self.settled.clear();
         self.notices.record_pause(runner, started_at, now + pause);
     }
 
@@ -214,6 +252,7 @@
         started_at: u64,
         per_second: Option<f64>,
     ) {
+        self.settled.clear();
         if self.rates.record(now, runner, started_at, per_second) {
             let runner = runner.clone();
             self.actions.push(Action::Limit { runner, per_second });
@@ -223,6 +262,7 @@
     /// Records that a runner refused the connection of a probe: it has crashed, with the
     /// attempts whose connections broke shortly before.
     pub fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
+        self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
             target.eject(now);
             let disconnects = target.take_recent_disconnects(now);
@@ -284,7 +324,7 @@
         }
         let is_first = queue.push_back(&pending.request, id);
         self.pending.insert(id, pending);
-        if is_first {
+        if is_first && !self.stays_settled(now, &service, id) {
             self.dispatch_service(now, &service);
         }
     }
@@ -473,7 +513,13 @@
         let pending = self.pending.swap_remove(&id)?;
         let service = pending.request.service.clone();
         if matches!(pending.stage, Stage::Waiting) {
-            self.dequeue(&service, &flow(&pending.request), id);
+            let flow = flow(&pending.request);
+            self.dequeue(&service, &flow, id);
+            let queue = self.queues.get(&service);
+            // The next request of the flow has perhaps not been tried.
+            if queue.is_some_and(|queue| queue.head(&flow).is_some()) {
+                self.settled.remove(&service);
+            }
         }
         Some(service)
     }
