--- a/crates/schedule/benches/flood.rs
+++ b/crates/schedule/benches/flood.rs
@@ -114,6 +114,7 @@
         service: service(),
         max_connections: 300,
         engine: Some(engine),
+        cold_start: None,
     };
     let limits = Limits {
         cost_per_second: Some(340_000),
