--- a/crates/schedule/src/cold.rs
+++ b/crates/schedule/src/cold.rs
@@ -76,7 +76,7 @@
 
     /// Returns the requests per second at which all routers together send to a runner
     /// that sustains `per_second`. The unused tokens of all routers, of one second and
-    /// [`UNUSED_TOKENS`], and the new ones of the next second stay below the bound.
+    /// `UNUSED_TOKENS`, and the new ones of the next second stay below the bound.
     #[must_use]
     pub fn rate(&self, per_second: f64) -> f64 {
         let room = self.max_in_second(per_second) - UNUSED_TOKENS;
--- a/crates/schedule/src/rate.rs
+++ b/crates/schedule/src/rate.rs
@@ -1,6 +1,6 @@
 //! Limits on the rate of requests to a runner, shared by all routers without an exchange
 //! for each request. A runner names a limit in its answers, or is cold (see
-//! [`cold`](crate::cold)); both are paced by a [`Budget`].
+//! [`cold`](crate::cold)); both are paced by a `Budget`.
 //!
 //! A runner names the requests per second that it accepts from all routers together. Each
 //! router takes the part of the limit that its requests are of all requests for the
@@ -510,7 +510,7 @@
         self.cold.clear();
     }
 
-    /// Returns the requests that this router sent to a runner within [`COLD_WINDOW`].
+    /// Returns the requests that this router sent to a runner within `COLD_WINDOW`.
     #[must_use]
     pub fn sent_to_cold(&self, now: Time, runner: &Runner) -> u32 {
         let limit = self.cold.get(runner);
