Log the ids of each attempt of a stream, and count those out of order

answered, failed, caller_gone, runner_broke, withdraw and ended_by_close name the id after which the caller asked to go on, the last id that it was sent, and the first and last id of the attempt. stream_gap is one line for the first event of an attempt that is missing, repeated or without an id, counted in balsamchute_stream_gaps_total by kind. The protocol only demands that ids increase, so within a run a larger step counts as a gap only after two equal ones; at the start of a run that goes on, the next number is expected until then. Nothing of what is forwarded changes.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -243,7 +243,7 @@
             deadline: now + time_left,
             last_event,
             resumes,
-            splitter: Splitter::new(),
+            splitter: Splitter::with_last_event_id(last_event),
             delivery: Delivery::NotStarted,
             upstream: None,
             runners: SmallVec::new(),
@@ -367,10 +367,11 @@
         if let Some(transaction) = id.and_then(|id| self.take_transaction(id)) {
             log::info!(
                 target: "request",
-                "event=caller_gone request={} attempts={} after_ms={}",
+                "event=caller_gone request={} attempts={} after_ms={} {}",
                 transaction.request_id,
                 transaction.attempts(),
-                now.since(transaction.arrival).0
+                now.since(transaction.arrival).0,
+                transaction.progress()
             );
             let total = now.since(transaction.arrival);
             self.stats
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -1,6 +1,7 @@
 //! Delivery of responses to callers.
 
 use balsamchute_adapter::response::{self, Framing, Generated};
+use balsamchute_http::event::Gap;
 use balsamchute_http::head::Response;
 use balsamchute_http::write;
 use balsamchute_model::prelude::*;
@@ -29,7 +30,13 @@
         let events;
         if by_event {
             match transaction.splitter.push(&body, &mut bytes) {
-                Ok(count) => events = count,
+                Ok(progress) => {
+                    events = progress.events;
+                    if let Some(gap) = progress.gap {
+                        log_gap(transaction, &connection.runner, gap);
+                        self.stats.count_stream_gap(gap.kind);
+                    }
+                }
                 Err(error) => {
                     let reason = error.to_string();
                     self.fail_invalid_response(index, id, &reason);
@@ -96,13 +103,14 @@
         let first_sent = transaction.first_sent.unwrap_or(now);
         log::info!(
             target: "request",
-            "event=answered request={} status={} attempts={} first_ms={} total_ms={} events={}",
+            "event=answered request={} status={} attempts={} first_ms={} total_ms={} events={} {}",
             transaction.request_id,
             head.status,
             transaction.attempts(),
             first_sent.since(transaction.arrival).0,
             now.since(transaction.arrival).0,
-            transaction.splitter.event_count()
+            transaction.splitter.event_count(),
+            transaction.progress()
         );
         let outcome = match head.status {
             200..=299 => Outcome::Done,
@@ -176,12 +184,13 @@
         };
         log::warn!(
             target: "request",
-            "event=failed request={} reason={} attempts={} answered={} after_ms={}",
+            "event=failed request={} reason={} attempts={} answered={} after_ms={} {}",
             transaction.request_id,
             failure.as_str(),
             transaction.attempts(),
             transaction.has_started(),
-            now.since(transaction.arrival).0
+            now.since(transaction.arrival).0,
+            transaction.progress()
         );
         let total = now.since(transaction.arrival);
         self.stats
@@ -241,3 +250,16 @@
             .is_some_and(Transaction::has_started)
     }
 }
+
+fn log_gap(transaction: &Transaction, runner: &Runner, gap: Gap) {
+    log::warn!(
+        target: "request",
+        "event=stream_gap request={} attempt={} runner={runner} kind={} expected={} got={} {}",
+        transaction.request_id,
+        transaction.attempts(),
+        gap.kind.as_str(),
+        gap.expected,
+        gap.got.map_or_else(|| "-".to_owned(), |id| id.to_string()),
+        transaction.progress()
+    );
+}
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -218,10 +218,11 @@
         if framing == Framing::UntilClose {
             log::info!(
                 target: "request",
-                "event=ended_by_close request={} attempt={} status={status} events={}",
+                "event=ended_by_close request={} attempt={} status={status} events={} {}",
                 transaction.request_id,
                 transaction.attempts(),
-                transaction.splitter.event_count()
+                transaction.splitter.event_count(),
+                transaction.progress()
             );
         }
         let end = match classification {
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -523,7 +523,7 @@
         };
         log::info!(
             target: "request",
-            "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={} framing={} partial={}",
+            "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={} framing={} partial={} {}",
             transaction.request_id,
             transaction.attempts(),
             connection.runner,
@@ -531,7 +531,8 @@
             now.since(connection.since).0,
             transaction.splitter.event_count(),
             connection.response.as_ref().map_or("-", |response| response.framing.as_str()),
-            transaction.splitter.partial_len()
+            transaction.splitter.partial_len(),
+            transaction.progress()
         );
         self.detach(index, id);
         self.scheduler.finish_attempt(now, id, End::Broke);
@@ -546,10 +547,11 @@
         };
         log::info!(
             target: "request",
-            "event=withdraw request={} attempt={} events={}",
+            "event=withdraw request={} attempt={} events={} {}",
             transaction.request_id,
             transaction.attempts(),
-            transaction.splitter.event_count()
+            transaction.splitter.event_count(),
+            transaction.progress()
         );
         if let Some(index) = transaction.upstream.take() {
             self.close(index);
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 
+use balsamchute_http::event;
 use balsamchute_metrics::Error;
 use balsamchute_metrics::metrics::{Labels, Metrics};
 use balsamchute_model::prelude::*;
@@ -111,6 +112,11 @@
         self.metrics.count_reason("malformed", kind);
     }
 
+    /// Counts an attempt of which an event departs from the order of its stream.
+    pub fn count_stream_gap(&self, kind: event::Kind) {
+        self.metrics.count_stream_gap(kind.as_str());
+    }
+
     /// Counts a runner that became cold, by the source of that belief.
     pub fn count_cold(&self, source: &'static str) {
         self.metrics.count_reason("cold", source);
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -1,5 +1,6 @@
 //! State of a request in flight between its caller and a runner.
 
+use std::fmt;
 use std::sync::Arc;
 
 use balsamchute_http::event::Splitter;
@@ -60,7 +61,19 @@
 impl Transaction {
     /// Returns the event id after which the next attempt resumes.
     pub fn resume_after(&self) -> Option<u64> {
-        self.splitter.last_event_id().or(self.last_event)
+        self.splitter.last_event_id()
+    }
+
+    /// Returns the ids of the stream for the log: `after`, the one after which the caller
+    /// asked to resume, `last`, the last one that was forwarded, and `part`, the first and
+    /// the last one of the current attempt.
+    pub fn progress(&self) -> impl fmt::Display {
+        let (after, last) = (self.last_event, self.splitter.last_event_id());
+        let part = self.splitter.part();
+        fmt::from_fn(move |f| {
+            let (after, last) = (after.unwrap_or(0), last.unwrap_or(0));
+            write!(f, "after={after} last={last} part={part}")
+        })
     }
 
     /// Returns the number of attempts sent to runners, including the current one.
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -1,4 +1,7 @@
-//! Splitting of server-sent event streams at event boundaries.
+//! Splitting of server-sent event streams at event boundaries, and the order of their
+//! ids.
+
+use std::fmt;
 
 use crate::error::Error;
 use crate::framing::Framing;
@@ -7,6 +10,109 @@
 /// [`Splitter::push`] repeats the value.
 const MAX_PARTIAL_BYTES: usize = 256 * 1024;
 
+/// Equal steps between ids after which the step counts as that of the stream.
+const MIN_STEPS: u32 = 2;
+
+/// Way in which an event departs from the order of its stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// The id is greater than the next one.
+    Missing,
+    /// The id is not greater than the last one.
+    Repeated,
+    /// The event has no numeric id.
+    WithoutId,
+}
+
+impl Kind {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Missing => "missing",
+            Kind::Repeated => "repeated",
+            Kind::WithoutId => "without_id",
+        }
+    }
+}
+
+/// Event that departs from the order of its stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Gap {
+    /// Way in which it departs.
+    pub kind: Kind,
+    /// Id that was expected next. While the ids show no regular step, the number after
+    /// the last one.
+    pub expected: u64,
+    /// Id of the event, if it is numeric.
+    pub got: Option<u64>,
+}
+
+/// Events that became complete by [`Splitter::push`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// Number of events.
+    pub events: u64,
+    /// First event of the part that departs from the order, if it is among these.
+    pub gap: Option<Gap>,
+}
+
+/// Events of a stream that one runner sent.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Part {
+    /// Number of events.
+    pub events: u64,
+    /// First and last numeric id.
+    pub ids: Option<(u64, u64)>,
+}
+
+impl fmt::Display for Part {
+    /// Writes the first and the last id, such as `3-17`, or `-` without any.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.ids {
+            Some((first, last)) => write!(f, "{first}-{last}"),
+            None => f.write_str("-"),
+        }
+    }
+}
+
+/// Difference between ids of consecutive events of one runner.
+#[derive(Clone, Copy, Debug, Default)]
+enum Step {
+    #[default]
+    Unknown,
+    /// All steps were equal.
+    Regular {
+        size: u64,
+        seen: u32,
+    },
+    Irregular,
+}
+
+impl Step {
+    /// Returns the step of the stream, if the ids have shown one.
+    fn size(self) -> Option<u64> {
+        match self {
+            Step::Regular { size, seen } if seen >= MIN_STEPS => Some(size),
+            Step::Unknown | Step::Regular { .. } | Step::Irregular => None,
+        }
+    }
+
+    fn record(&mut self, step: u64) {
+        *self = match *self {
+            Step::Unknown => Step::Regular {
+                size: step,
+                seen: 1,
+            },
+            Step::Regular { size, seen } if size == step => Step::Regular {
+                size,
+                seen: seen.saturating_add(1),
+            },
+            Step::Regular { .. } | Step::Irregular => Step::Irregular,
+        };
+    }
+}
+
 /// Splitter that passes on only complete events of a stream.
 ///
 /// Bytes of an incomplete event are buffered. If the stream breaks off inside
@@ -15,12 +121,15 @@
 pub struct Splitter {
     // Bytes after the last complete event.
     partial: Vec<u8>,
-    // Id of the last event with a numeric id.
+    // Id of the last event with a numeric id, or the one that the caller named.
     last_id: Option<u64>,
     // Number of complete events.
     events: u64,
-    // Number of complete events since the stream was last resumed.
-    events_of_part: u64,
+    // Complete events since the stream was last resumed.
+    part: Part,
+    // Whether an event of the part departed from the order.
+    has_gap: bool,
+    step: Step,
 }
 
 impl Splitter {
@@ -30,27 +139,43 @@
         Self::default()
     }
 
+    /// Creates a splitter at the start of a stream that goes on after the event with this
+    /// id, if any.
+    #[must_use]
+    pub fn with_last_event_id(last_id: Option<u64>) -> Self {
+        Splitter {
+            last_id,
+            ..Self::default()
+        }
+    }
+
     /// Adds received bytes and appends the events that are now complete to
-    /// `out`. Returns the number of these events. Blocks of comments alone are passed on
+    /// `out`. Returns what these events are. Blocks of comments alone are passed on
     /// and not counted.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Malformed`] if the buffered incomplete event exceeds
     /// 256 KiB.
-    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<u64, Error> {
+    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<Progress, Error> {
         // The blank line that ends an event may span buffered and new bytes: it is
         // `\n\n` or `\n\r\n`, at most three bytes long.
         let mut from = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
         let mut consumed = 0;
-        let mut events = 0;
+        let mut progress = Progress::default();
         while let Some(end) = event_end(&self.partial, from) {
             let event = &self.partial[consumed..end];
-            if let Some(id) = event_id(event) {
-                self.last_id = Some(id);
+            if has_field(event) {
+                let id = event_id(event);
+                if let Some(gap) = self.gap(id)
+                    && !std::mem::replace(&mut self.has_gap, true)
+                {
+                    progress.gap = Some(gap);
+                }
+                self.record(id);
+                progress.events += 1;
             }
-            events += u64::from(has_field(event));
             consumed = end;
             from = end;
         }
@@ -61,13 +186,53 @@
                 "incomplete event exceeds 256 KiB".to_owned(),
             ));
         }
-        self.events += events;
-        self.events_of_part += events;
-        Ok(events)
+        Ok(progress)
+    }
+
+    /// Returns how an event with this id departs from the order.
+    fn gap(&self, id: Option<u64>) -> Option<Gap> {
+        let step = self.step.size();
+        let expected = self.last_id.unwrap_or(0).saturating_add(step.unwrap_or(1));
+        let is_resumed = self.part.ids.is_none() && self.last_id.is_some();
+        let kind = match (id, self.last_id) {
+            (None, _) => Kind::WithoutId,
+            (Some(id), Some(last)) if id <= last => Kind::Repeated,
+            (Some(id), _) if id > expected && (step.is_some() || is_resumed) => Kind::Missing,
+            (Some(_), _) => return None,
+        };
+        Some(Gap {
+            kind,
+            expected,
+            got: id,
+        })
+    }
+
+    fn record(&mut self, id: Option<u64>) {
+        self.events += 1;
+        self.part.events += 1;
+        let Some(id) = id else {
+            return;
+        };
+        // The step from another runner's last event may be a gap.
+        let is_first_of_stream = self.last_id.is_none();
+        if self.part.ids.is_some() || is_first_of_stream {
+            let step = id.saturating_sub(self.last_id.unwrap_or(0));
+            self.step.record(step);
+        }
+        self.last_id = Some(id);
+        let first = self.part.ids.map_or(id, |(first, _)| first);
+        self.part.ids = Some((first, id));
+    }
+
+    /// Returns the events since the stream was last resumed.
+    #[must_use]
+    pub fn part(&self) -> Part {
+        self.part
     }
 
-    /// Returns the id of the last complete event with a numeric `id` field. Events
-    /// with another id or without one do not change it.
+    /// Returns the id of the last complete event with a numeric `id` field, or the one
+    /// after which the stream goes on. Events with another id or without one do not
+    /// change it.
     #[must_use]
     pub fn last_event_id(&self) -> Option<u64> {
         self.last_id
@@ -85,7 +250,7 @@
     /// contain an event then.
     #[must_use]
     pub fn is_complete(&self, framing: Framing) -> bool {
-        let shows_progress = framing != Framing::UntilClose || self.events_of_part > 0;
+        let shows_progress = framing != Framing::UntilClose || self.part.events > 0;
         self.partial.is_empty() && shows_progress
     }
 
@@ -99,7 +264,8 @@
     /// complete event. Discards the incomplete one.
     pub fn start_part(&mut self) {
         self.partial.clear();
-        self.events_of_part = 0;
+        self.part = Part::default();
+        self.has_gap = false;
     }
 }
 
--- /dev/null
+++ b/crates/http/tests/order.rs
@@ -0,0 +1,63 @@
+//! Order of the ids in event streams.
+
+use balsamchute_http::event::{Gap, Kind, Splitter};
+
+/// Encodes events with these ids.
+fn events(ids: &[u64]) -> String {
+    let events = ids.iter().map(|id| format!("id: {id}\ndata: {id}\n\n"));
+    events.collect()
+}
+
+/// Returns the first gap of a part.
+fn gap(splitter: &mut Splitter, text: &str) -> Option<Gap> {
+    splitter.push(text.as_bytes(), &mut Vec::new()).unwrap().gap
+}
+
+/// Returns the gap of an event that follows three with ids that rise by `step`, in the same
+/// part or in the next one.
+fn gap_after_three(step: u64, id: u64, is_resumed: bool) -> Option<(Kind, u64)> {
+    let mut splitter = Splitter::new();
+    assert_eq!(
+        gap(&mut splitter, &events(&[step, 2 * step, 3 * step])),
+        None
+    );
+    if is_resumed {
+        splitter.start_part();
+    }
+    gap(&mut splitter, &events(&[id])).map(|gap| (gap.kind, gap.expected))
+}
+
+#[test]
+fn an_id_that_does_not_follow_the_last_one_is_a_gap_in_the_same_part_and_the_next() {
+    for is_resumed in [false, true] {
+        let gap = |step, id| gap_after_three(step, id, is_resumed);
+        assert_eq!(gap(1, 4), None);
+        assert_eq!(gap(1, 5), Some((Kind::Missing, 4)));
+        assert_eq!(gap(1, 3), Some((Kind::Repeated, 4)));
+        assert_eq!(gap(1, 1), Some((Kind::Repeated, 4)));
+        assert_eq!(gap(5, 20), None);
+        assert_eq!(gap(5, 18), None);
+        assert_eq!(gap(5, 21), Some((Kind::Missing, 20)));
+    }
+}
+
+/// The protocol only demands that ids increase.
+#[test]
+fn ids_without_a_regular_step_have_no_gap_within_a_part() {
+    for ids in [&[1, 6, 11, 16][..], &[7, 9, 10, 14], &[0, 1, 3]] {
+        assert_eq!(gap(&mut Splitter::new(), &events(ids)), None, "{ids:?}");
+    }
+}
+
+#[test]
+fn a_stream_that_a_caller_takes_up_is_expected_to_go_on_after_its_last_event() {
+    for (id, kind) in [
+        (12, Some(Kind::Repeated)),
+        (13, None),
+        (14, Some(Kind::Missing)),
+    ] {
+        let mut splitter = Splitter::with_last_event_id(Some(12));
+        let found = gap(&mut splitter, &events(&[id]));
+        assert_eq!(found.map(|gap| gap.kind), kind);
+    }
+}
--- a/crates/metrics/src/metrics.rs
+++ b/crates/metrics/src/metrics.rs
@@ -112,6 +112,7 @@
     routers: Gauge<u64>,
     config_version: Gauge<u64>,
     reasons: Counter<u64>,
+    stream_gaps: Counter<u64>,
     runners: Gauge<u64>,
     evacuated_domains: Gauge<u64>,
     memory_bytes: Gauge<u64>,
@@ -209,6 +210,11 @@
                 "balsamchute_reasons",
                 "Refusals, failures, repeats and lost calls, by reason.",
             ),
+            stream_gaps: counter(
+                &meter,
+                "balsamchute_stream_gaps",
+                "Attempts of which an event departs from the order of its stream.",
+            ),
             runners: gauge(&meter, "balsamchute_runners", "Runners that are listed."),
             evacuated_domains: gauge(
                 &meter,
@@ -331,6 +337,12 @@
         self.reasons.add(1, &labels);
     }
 
+    /// Counts an attempt of which an event departs from the order of its stream. `kind`
+    /// must come from a closed set, because each one adds a series.
+    pub fn count_stream_gap(&self, kind: &'static str) {
+        self.stream_gaps.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Sets the number of runners that the process knows.
     pub fn set_runners(&self, runners: u64) {
         self.runners.record(runners, &[]);
--- a/crates/metrics/tests/page.rs
+++ b/crates/metrics/tests/page.rs
@@ -55,6 +55,7 @@
     };
     metrics.set_load(&service[0], load);
     metrics.set_fleet(8, 41);
+    metrics.count_stream_gap("repeated");
     for part in ["poll", "claims"] {
         metrics.observe_platform_calls(part, || vec![("read", 7), ("write", 9)]);
     }
@@ -76,6 +77,8 @@
     assert_eq!(sample_value(&page, calls), 9.0);
     let calls = "balsamchute_platform_calls_total{kind=\"read\",part=\"poll\"}";
     assert_eq!(sample_value(&page, calls), 7.0);
+    let gaps = "balsamchute_stream_gaps_total{kind=\"repeated\"}";
+    assert_eq!(sample_value(&page, gaps), 1.0);
     assert_eq!(sample_value(&page, "balsamchute_backlog{"), 5.0);
     assert_eq!(sample_value(&page, "balsamchute_slots{"), 8.0);
     assert_eq!(sample_value(&page, "balsamchute_slots_used{"), 6.0);
