--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -6,6 +6,7 @@
 mod interfaces;
 mod log_commands;
 mod notice;
+mod order;
 mod poison;
 mod restore;
 mod store;
--- /dev/null
+++ b/tests/all/edge/order.rs
@@ -0,0 +1,205 @@
+//! Answers that go on at another runner: each piece once, none missing.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use serde_json::json;
+
+use super::environment::{Runner, Store, header, respond, send_raw};
+use super::{
+    EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, request, start_router,
+};
+
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Body that a run sends when it is asked to go on after this event, in chunks. Without
+/// [`LAST_CHUNK`] its connection breaks off at the end.
+type Run = fn(u64) -> String;
+
+/// Run that goes on as it was asked to, up to event 6.
+const GOOD: Run = |after| events(after + 1, 6) + LAST_CHUNK;
+
+/// Response of a router whose runners run a stream one after the other.
+struct Played {
+    /// Decoded body.
+    body: String,
+    is_complete: bool,
+    attempts: usize,
+    log: String,
+}
+
+impl Played {
+    /// Sends a request for a stream that allows three attempts. The attempts get these runs
+    /// in turn.
+    fn new<const N: usize>(fields: &str, runs: [Run; N]) -> Self {
+        let arrivals = Arc::new(AtomicUsize::new(0));
+        let runners: Vec<Runner> = (0..N)
+            .map(|_| {
+                let arrivals = arrivals.clone();
+                Runner::start(move |head, stream| {
+                    let run = runs[arrivals.fetch_add(1, Ordering::SeqCst).min(N - 1)];
+                    let after = header(head, "last-event-id").unwrap_or("0");
+                    let body = run(after.parse().expect("a number"));
+                    respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+                    body.ends_with(LAST_CHUNK)
+                })
+            })
+            .collect();
+        let store = Store::start();
+        let mut config = manifest(1, &["k1"]).expect("a manifest");
+        config["routes"][0]["max_attempts"] = json!(3);
+        store.put("config", "main", Some(config));
+        for (index, runner) in runners.iter().enumerate() {
+            store.put("servers", &format!("i-{index}"), entry(runner.address, "s"));
+        }
+        let router = Router::start("r1", store.address);
+        router.wait_ready();
+        let response = send_raw(router.callers, &request("GET", "/stream/x", fields, ""));
+        let (body, is_complete) = match header(&response, "transfer-encoding") {
+            Some(_) => decode_chunks(&response),
+            None => (String::new(), false),
+        };
+        Played {
+            body,
+            is_complete,
+            attempts: arrivals.load(Ordering::SeqCst),
+            log: router.log(),
+        }
+    }
+
+    /// Checks that the caller got the events `from` to `to`, each once, and whether the
+    /// response was complete.
+    fn check(&self, from: u64, to: u64, is_complete: bool) {
+        let expected: String = (from..=to)
+            .map(|id| format!("id: {id}\ndata: event {id}\n\n"))
+            .collect();
+        let Played { body, log, .. } = self;
+        assert_eq!(*body, expected, "{log}");
+        assert_eq!(self.is_complete, is_complete, "{log}");
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+#[test]
+fn a_plain_answer_that_broke_off_after_a_part_was_forwarded_is_not_appended_to() {
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    let script = Arc::new(move |head: &str, stream: &mut TcpStream| {
+        let fields = "Content-Length: 900000\r\n";
+        match arrivals.fetch_add(1, Ordering::SeqCst) {
+            0 => respond(stream, head, 200, fields, &"a".repeat(700_000)),
+            _ => respond(stream, head, 200, fields, &"b".repeat(900_000)),
+        }
+        false
+    });
+    let runners = [(); 2].map(|()| {
+        let script = script.clone();
+        Runner::start(move |head, stream| script(head, stream))
+    });
+    let (_store, router) = start_router(&[&runners[0], &runners[1]]);
+    let response = send_raw(router.callers, &request("GET", "/safe/x", "", ""));
+    let (body, is_complete) = decode_chunks(&response);
+    assert!(
+        body.len() > 500_000 && !body.contains('b'),
+        "{}",
+        body.len()
+    );
+    assert!(!is_complete && response.ends_with("<reset>"));
+}
+
+#[test]
+fn a_stream_whose_last_event_has_no_id_is_not_resumed() {
+    let begins: [Run; 2] = [
+        |_| chunk("data: a\n\n") + &chunk("data: b\n\n"),
+        |_| events(1, 2) + &chunk("data: b\n\n"),
+    ];
+    for begin in begins {
+        let played = Played::new("", [begin, GOOD]);
+        assert!(played.body.ends_with("data: b\n\n"), "{}", played.body);
+        assert!(
+            !played.is_complete && played.attempts == 1,
+            "{}",
+            played.log
+        );
+    }
+}
+
+/// An event without an id is passed by once a later one has an id.
+#[test]
+fn a_stream_with_an_event_without_an_id_resumes_after_a_later_id() {
+    let played = Played::new("", [|_| chunk("data: a\n\n") + &events(1, 2), GOOD]);
+    assert!(played.is_complete, "{}", played.log);
+    assert_eq!(played.body.matches("data: ").count(), 7, "{}", played.body);
+}
+
+#[test]
+fn a_run_that_ignores_where_to_go_on_is_left_for_another_runner() {
+    let played = Played::new("", [|_| events(1, 3), |_| events(1, 6) + LAST_CHUNK, GOOD]);
+    played.check(1, 6, true);
+}
+
+#[test]
+fn a_run_that_repeats_the_last_event_is_left_for_another_runner() {
+    let again: Run = |after| events(after, 6) + LAST_CHUNK;
+    let played = Played::new("", [|_| events(1, 3), again, GOOD]);
+    played.check(1, 6, true);
+}
+
+#[test]
+fn a_run_that_skips_the_next_event_is_left_for_another_runner() {
+    let skip: Run = |after| events(after + 2, 6) + LAST_CHUNK;
+    let played = Played::new("", [|_| events(1, 3), skip, GOOD]);
+    played.check(1, 6, true);
+}
+
+#[test]
+fn a_run_that_a_caller_takes_up_and_that_ignores_where_to_go_on_is_left_for_another_runner() {
+    let runs: [Run; 2] = [
+        |_| events(1, 6) + LAST_CHUNK,
+        |after| events(after, 6) + LAST_CHUNK,
+    ];
+    for run in runs {
+        let played = Played::new("Last-Event-Id: 3\r\n", [run, GOOD]);
+        played.check(4, 6, true);
+    }
+}
+
+/// The events after the step back may belong to another run.
+#[test]
+fn a_run_whose_ids_step_back_or_repeat_is_left_for_another_runner() {
+    let runs: [Run; 2] = [
+        |_| events(1, 3) + &events(1, 6) + LAST_CHUNK,
+        |_| events(1, 3) + &events(3, 6) + LAST_CHUNK,
+    ];
+    for run in runs {
+        let played = Played::new("", [run, GOOD]);
+        played.check(1, 6, true);
+        assert_eq!(played.attempts, 2);
+    }
+}
+
+#[test]
+fn a_stream_that_no_runner_goes_on_with_in_order_is_cut_off() {
+    let from_start: Run = |_| events(1, 6) + LAST_CHUNK;
+    let played = Played::new("", [|_| events(1, 3), from_start, from_start]);
+    played.check(1, 3, false);
+    assert_eq!(played.attempts, 3);
+}
+
+/// The first run began an event that the second one does not send.
+#[test]
+fn a_stream_that_broke_off_inside_an_event_is_not_complete_without_that_event() {
+    let first: Run = |_| events(1, 3) + &chunk("id: 4\ndata: ev");
+    let played = Played::new("", [first, |_| LAST_CHUNK.to_owned(), GOOD]);
+    played.check(1, 6, true);
+}
+
+#[test]
+fn a_run_that_skips_the_event_in_which_the_last_one_broke_off_is_left_for_another_runner() {
+    let first: Run = |_| chunk("id: 1\ndata: event 1\n\nid: 2\nda");
+    let played = Played::new("", [first, |_| events(3, 6) + LAST_CHUNK, GOOD]);
+    played.check(1, 6, true);
+}
