Send no request again whose answer has begun and cannot be resumed

Callers of an idempotent route whose answer exceeds 512 KiB got a part of one runner's answer followed by the whole answer of another one, with an orderly end. Callers of a resumable stream got events twice if the last event before the break had no numeric id.

Cause: the scheduler decides on another attempt by the route's policy alone. It does not know that a part reached the caller that the next attempt cannot go on after. An idempotent request may run twice, but its answers cannot be joined; a stream goes on after the last numeric id, which need not be the last event.

The router tells the scheduler with each part whether the answer can go on elsewhere: never for a plain one, and for a stream if the last event has an id. may_retry, through which every further attempt passes (breaks, invalid answers, failures, stalls), then says no, and the caller's connection is reset. A stalled answer may still go on at its runner.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -74,9 +74,11 @@
         }
         write::chunk(caller.socket.write_buffer(), &bytes);
         let caller = transaction.caller;
+        let is_resumable = by_event && transaction.splitter.is_resumable();
         // Comments of a stream are no progress.
         if events > 0 {
             self.scheduler.record_events(now, id, events);
+            self.scheduler.set_resumable(id, is_resumable);
         }
         self.flush_caller(caller);
         self.transactions.contains_key(&id)
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -127,6 +127,8 @@
     events: u64,
     // Complete events since the stream was last resumed.
     part: Part,
+    // Whether the last complete event has no numeric id.
+    ends_without_id: bool,
     // Whether an event of the part departed from the order.
     has_gap: bool,
     step: Step,
@@ -210,6 +212,7 @@
     fn record(&mut self, id: Option<u64>) {
         self.events += 1;
         self.part.events += 1;
+        self.ends_without_id = id.is_none();
         let Some(id) = id else {
             return;
         };
@@ -224,6 +227,13 @@
         self.part.ids = Some((first, id));
     }
 
+    /// Returns whether [`last_event_id`](Self::last_event_id) names the last complete event,
+    /// so that a stream that goes on after this id repeats none.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        !self.ends_without_id
+    }
+
     /// Returns the events since the stream was last resumed.
     #[must_use]
     pub fn part(&self) -> Part {
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -59,6 +59,8 @@
     pub failed_connects: u32,
     /// Whether the caller has received a part of the answer.
     pub answer_begun: bool,
+    /// Whether another attempt can go on after what the caller has received.
+    pub is_resumable: bool,
     /// Software version that began the stream, the only one at which it may go on.
     pub software: Option<Software>,
     /// Whether the request takes up a stream that is known to have begun.
@@ -77,6 +79,7 @@
             rejections: 0,
             failed_connects: 0,
             answer_begun: false,
+            is_resumable: true,
             software: None,
             takes_up: false,
         }
@@ -88,6 +91,7 @@
             || (self.request.retry_policy.allows_retry()
                 && self.possible_runs < self.request.max_attempts);
         is_repeatable
+            && self.is_resumable
             && self.rejections <= MAX_REJECTIONS
             && self.failed_connects <= MAX_FAILED_CONNECTS
             && now < self.request.deadline
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -403,6 +403,14 @@
         self.dispatch_service(now, &service);
     }
 
+    /// Sets whether another attempt can go on after the part of the answer that the caller
+    /// has received; initially `true`. Otherwise the request is not sent again.
+    pub fn set_resumable(&mut self, id: Id, is_resumable: bool) {
+        if let Some(pending) = self.pending.get_mut(&id) {
+            pending.is_resumable = is_resumable;
+        }
+    }
+
     /// Handles the outcome of an attempt: completes, retries or fails the
     /// request.
     pub fn finish_attempt(&mut self, now: Time, id: Id, end: End) {
--- a/crates/schedule/tests/retry.rs
+++ b/crates/schedule/tests/retry.rs
@@ -153,6 +153,22 @@
     assert_ne!(retries[0].1, first_sends[0].1);
 }
 
+// A second answer must not follow a part of the first one, which may go on after a stall.
+#[test]
+fn a_request_whose_answer_cannot_be_resumed_is_not_sent_again() {
+    for end in [End::Broke, End::Invalid, End::RunnerFailed] {
+        let mut scheduler = two_plain_runners(100);
+        send_first(&mut scheduler, RetryPolicy::Idempotent, 3);
+        scheduler.record_events(NOW, 1, 1);
+        scheduler.set_resumable(1, false);
+        scheduler.tick(NOW + Span(900));
+        assert_eq!(scheduler.take_actions(), []);
+        scheduler.finish_attempt(NOW + Span(900), 1, end);
+        assert_eq!(sends(&scheduler.take_actions()), []);
+        assert!(scheduler.is_empty());
+    }
+}
+
 // Guards against load that stays counted at a runner after its request timed
 // out.
 #[test]
