End an attempt whose events do not follow the last one of the stream

Callers got events twice, or the events of two runs as one stream, where a runner ignored Last-Event-Id and began at 1, sent the event again after which it was asked to go on, or began again within its run. The same held for a stream that a caller took up.

Cause: the router cut events out of what runners sent and forwarded them without a look at their ids.

An event whose id is not greater than the last one is never forwarded. The splitter passes on what precedes it and refuses the rest of the part; the attempt ends as invalid, so that another runner goes on after the last event, or the caller's connection is reset if none may. A take-up that got no event yet ends as 502 then.

The other way, to drop events up to the last one and forward the rest, gives the caller a stream with each id once without another attempt. It was not chosen: a runner that began again generates anew, so that its later events need not belong to those that the caller has, which is two runs joined and cannot be seen in the ids. A runner that only repeats the last event would be served well by it, but cannot be told from the other. The price is an attempt, and streams that are cut off where all runners repeat; callers see that and take them up.

No allocation is added for an event.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -1,7 +1,7 @@
 //! Delivery of responses to callers.
 
 use balsamchute_adapter::response::{self, Framing, Generated};
-use balsamchute_http::event::Gap;
+use balsamchute_http::event::{Gap, Progress};
 use balsamchute_http::head::Response;
 use balsamchute_http::write;
 use balsamchute_model::prelude::*;
@@ -13,10 +13,8 @@
 
 impl Edge {
     /// Forwards the buffered part of a response; with `by_event`, only complete
-    /// events. Returns whether the transaction is still in progress.
+    /// events, up to one that is refused. Returns whether the attempt is still in progress.
     pub(super) fn forward(&mut self, index: usize, id: Id, by_event: bool) -> bool {
-        let now = self.now();
-        let leaving = self.leaving_since.is_some();
         let (Some(Slot::Upstream(connection)), Some(transaction)) =
             (self.slots.get_mut(index), self.transactions.get_mut(&id))
         else {
@@ -27,29 +25,46 @@
         };
         let body = std::mem::take(&mut response.body);
         let mut bytes = Vec::new();
-        let events;
+        let mut progress = Progress::default();
         if by_event {
             match transaction.splitter.push(&body, &mut bytes) {
-                Ok(progress) => {
-                    events = progress.events;
-                    if let Some(gap) = progress.gap {
-                        log_gap(transaction, &connection.runner, gap);
-                        self.stats.count_stream_gap(gap.kind);
-                    }
-                }
+                Ok(pushed) => progress = pushed,
                 Err(error) => {
                     let reason = error.to_string();
                     self.fail_invalid_response(index, id, &reason);
                     return false;
                 }
             }
+            if let Some(gap) = progress.gap {
+                log_gap(transaction, &connection.runner, gap);
+                self.stats.count_stream_gap(gap.kind);
+            }
         } else {
             bytes = body;
-            events = 1;
+            progress.events = 1;
         }
-        if bytes.is_empty() {
-            return true;
+        let is_in_progress =
+            bytes.is_empty() || self.forward_part(index, id, &bytes, progress.events);
+        if is_in_progress && progress.is_refused {
+            self.fail_invalid_response(index, id, "stream does not go on after its last event");
+            return false;
         }
+        is_in_progress
+    }
+
+    /// Forwards bytes of a body with this number of events. Returns whether the transaction
+    /// is still in progress.
+    fn forward_part(&mut self, index: usize, id: Id, bytes: &[u8], events: u64) -> bool {
+        let now = self.now();
+        let leaving = self.leaving_since.is_some();
+        let (Some(Slot::Upstream(connection)), Some(transaction)) =
+            (self.slots.get_mut(index), self.transactions.get_mut(&id))
+        else {
+            return false;
+        };
+        let Some(response) = &connection.response else {
+            return false;
+        };
         connection.withheld = 0;
         // The response head precedes the first part of the body.
         let head = (!transaction.has_started()).then(|| response.head.clone());
@@ -72,9 +87,9 @@
         if let Some(previous) = transaction.last_sent.replace(now) {
             self.stats.record_part_gap(transaction, now.since(previous));
         }
-        write::chunk(caller.socket.write_buffer(), &bytes);
+        write::chunk(caller.socket.write_buffer(), bytes);
         let caller = transaction.caller;
-        let is_resumable = by_event && transaction.splitter.is_resumable();
+        let is_resumable = transaction.route.stream && transaction.splitter.is_resumable();
         // Comments of a stream are no progress.
         if events > 0 {
             self.scheduler.record_events(now, id, events);
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -48,13 +48,26 @@
     pub got: Option<u64>,
 }
 
+impl Gap {
+    /// Returns whether the event must not be forwarded. Events without an id may stand
+    /// anywhere, and ids need not rise by the same step.
+    fn is_refused(self) -> bool {
+        match self.kind {
+            Kind::Repeated => true,
+            Kind::Missing | Kind::WithoutId => false,
+        }
+    }
+}
+
 /// Events that became complete by [`Splitter::push`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
     /// Number of events.
     pub events: u64,
-    /// First event of the part that departs from the order, if it is among these.
+    /// Event that departs from the order, if it is the first one of the part or refused.
     pub gap: Option<Gap>,
+    /// Whether the rest of the part is refused.
+    pub is_refused: bool,
 }
 
 /// Events of a stream that one runner sent.
@@ -131,6 +144,8 @@
     ends_without_id: bool,
     // Whether an event of the part departed from the order.
     has_gap: bool,
+    // Whether the part cannot go on where the stream is.
+    is_refused: bool,
     step: Step,
 }
 
@@ -155,6 +170,10 @@
     /// `out`. Returns what these events are. Blocks of comments alone are passed on
     /// and not counted.
     ///
+    /// An event whose id is not greater than the last one is refused, with all that
+    /// follows it in the part: such a runner has begun again, so its later events need
+    /// not belong to what the caller has.
+    ///
     /// # Errors
     ///
     /// Returns [`Error::Malformed`] if the buffered incomplete event exceeds
@@ -166,14 +185,20 @@
         self.partial.extend_from_slice(bytes);
         let mut consumed = 0;
         let mut progress = Progress::default();
-        while let Some(end) = event_end(&self.partial, from) {
+        while let Some(end) = event_end(&self.partial, from)
+            && !self.is_refused
+        {
             let event = &self.partial[consumed..end];
             if has_field(event) {
                 let id = event_id(event);
-                if let Some(gap) = self.gap(id)
-                    && !std::mem::replace(&mut self.has_gap, true)
-                {
-                    progress.gap = Some(gap);
+                if let Some(gap) = self.gap(id) {
+                    self.is_refused = gap.is_refused();
+                    if !std::mem::replace(&mut self.has_gap, true) || self.is_refused {
+                        progress.gap = Some(gap);
+                    }
+                }
+                if self.is_refused {
+                    break;
                 }
                 self.record(id);
                 progress.events += 1;
@@ -183,11 +208,15 @@
         }
         out.extend_from_slice(&self.partial[..consumed]);
         self.partial.drain(..consumed);
+        if self.is_refused {
+            self.partial.clear();
+        }
         if self.partial.len() > MAX_PARTIAL_BYTES {
             return Err(Error::Malformed(
                 "incomplete event exceeds 256 KiB".to_owned(),
             ));
         }
+        progress.is_refused = self.is_refused;
         Ok(progress)
     }
 
@@ -260,6 +289,9 @@
     /// contain an event then.
     #[must_use]
     pub fn is_complete(&self, framing: Framing) -> bool {
+        if self.is_refused {
+            return false;
+        }
         let shows_progress = framing != Framing::UntilClose || self.part.events > 0;
         self.partial.is_empty() && shows_progress
     }
@@ -276,6 +308,7 @@
         self.partial.clear();
         self.part = Part::default();
         self.has_gap = false;
+        self.is_refused = false;
     }
 }
 
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -1,6 +1,7 @@
 //! Order of the ids in event streams.
 
 use balsamchute_http::event::{Gap, Kind, Splitter};
+use balsamchute_http::framing::Framing;
 
 /// Encodes events with these ids.
 fn events(ids: &[u64]) -> String {
@@ -61,3 +62,25 @@
         assert_eq!(found.map(|gap| gap.kind), kind);
     }
 }
+
+/// What follows may belong to another run.
+#[test]
+fn an_event_that_is_not_after_the_last_one_ends_its_part() {
+    for id in [1, 3] {
+        let mut splitter = Splitter::new();
+        let mut out = Vec::new();
+        let text = events(&[1, 2, 3, id, 4]);
+        let progress = splitter.push(text.as_bytes(), &mut out).unwrap();
+        assert!(progress.is_refused);
+        assert_eq!(out, events(&[1, 2, 3]).as_bytes());
+        splitter.push(events(&[4]).as_bytes(), &mut out).unwrap();
+        assert_eq!(
+            (out.len(), splitter.last_event_id()),
+            (text.len() * 3 / 5, Some(3))
+        );
+        assert!(!splitter.is_complete(Framing::Chunked));
+        splitter.start_part();
+        let progress = splitter.push(events(&[4]).as_bytes(), &mut out).unwrap();
+        assert!(!progress.is_refused && splitter.is_complete(Framing::Chunked));
+    }
+}
