Refuse a run that does not begin with the next event of the stream

Callers missed an event where a runner that was asked to go on after event N began at N+2: the router appended its run all the same.

The protocol only says that ids increase, so a larger id is no fault by itself. But where all ids so far rose by the same step, at least twice, an id beyond the next one at the seam of two runs shows that events are missing, and it is the router that makes the seam. The attempt ends as invalid, and another runner may send the missing events; if none may, the caller's connection is reset.

Within one run a larger step is logged and counted, and forwarded: these are the runner's own bytes, nothing was joined, and ids that hold, for example, numbers of tokens may rise by another step at any time. Where the step is not known (fewer than two steps, steps that differ, and the first event of a stream that a caller takes up), a part that does not begin with the number after the last id is forwarded as well, and counted as missing with refused=false.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -45,7 +45,7 @@
         }
         let is_in_progress =
             bytes.is_empty() || self.forward_part(index, id, &bytes, progress.events);
-        if is_in_progress && progress.is_refused {
+        if is_in_progress && progress.is_refused() {
             self.fail_invalid_response(index, id, "stream does not go on after its last event");
             return false;
         }
@@ -271,12 +271,13 @@
 fn log_gap(transaction: &Transaction, runner: &Runner, gap: Gap) {
     log::warn!(
         target: "request",
-        "event=stream_gap request={} attempt={} runner={runner} kind={} expected={} got={} {}",
+        "event=stream_gap request={} attempt={} runner={runner} kind={} expected={} got={} refused={} {}",
         transaction.request_id,
         transaction.attempts(),
         gap.kind.as_str(),
         gap.expected,
         gap.got.map_or_else(|| "-".to_owned(), |id| id.to_string()),
+        gap.is_refused,
         transaction.progress()
     );
 }
--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -46,17 +46,8 @@
     pub expected: u64,
     /// Id of the event, if it is numeric.
     pub got: Option<u64>,
-}
-
-impl Gap {
-    /// Returns whether the event must not be forwarded. Events without an id may stand
-    /// anywhere, and ids need not rise by the same step.
-    fn is_refused(self) -> bool {
-        match self.kind {
-            Kind::Repeated => true,
-            Kind::Missing | Kind::WithoutId => false,
-        }
-    }
+    /// Whether the event is refused, with the rest of the part.
+    pub is_refused: bool,
 }
 
 /// Events that became complete by [`Splitter::push`].
@@ -66,8 +57,14 @@
     pub events: u64,
     /// Event that departs from the order, if it is the first one of the part or refused.
     pub gap: Option<Gap>,
-    /// Whether the rest of the part is refused.
-    pub is_refused: bool,
+}
+
+impl Progress {
+    /// Returns whether the rest of the part is refused.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        self.gap.is_some_and(|gap| gap.is_refused)
+    }
 }
 
 /// Events of a stream that one runner sent.
@@ -172,7 +169,8 @@
     ///
     /// An event whose id is not greater than the last one is refused, with all that
     /// follows it in the part: such a runner has begun again, so its later events need
-    /// not belong to what the caller has.
+    /// not belong to what the caller has. So is a part that begins after the next id, if
+    /// the ids have shown what that is. Within a part ids may rise by any step.
     ///
     /// # Errors
     ///
@@ -192,7 +190,7 @@
             if has_field(event) {
                 let id = event_id(event);
                 if let Some(gap) = self.gap(id) {
-                    self.is_refused = gap.is_refused();
+                    self.is_refused = gap.is_refused;
                     if !std::mem::replace(&mut self.has_gap, true) || self.is_refused {
                         progress.gap = Some(gap);
                     }
@@ -216,7 +214,6 @@
                 "incomplete event exceeds 256 KiB".to_owned(),
             ));
         }
-        progress.is_refused = self.is_refused;
         Ok(progress)
     }
 
@@ -225,16 +222,20 @@
         let step = self.step.size();
         let expected = self.last_id.unwrap_or(0).saturating_add(step.unwrap_or(1));
         let is_resumed = self.part.ids.is_none() && self.last_id.is_some();
-        let kind = match (id, self.last_id) {
-            (None, _) => Kind::WithoutId,
-            (Some(id), Some(last)) if id <= last => Kind::Repeated,
-            (Some(id), _) if id > expected && (step.is_some() || is_resumed) => Kind::Missing,
+        let is_step_known = step.is_some();
+        let (kind, is_refused) = match (id, self.last_id) {
+            (None, _) => (Kind::WithoutId, false),
+            (Some(id), Some(last)) if id <= last => (Kind::Repeated, true),
+            (Some(id), _) if id > expected && (is_step_known || is_resumed) => {
+                (Kind::Missing, is_step_known && is_resumed)
+            }
             (Some(_), _) => return None,
         };
         Some(Gap {
             kind,
             expected,
             got: id,
+            is_refused,
         })
     }
 
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -71,7 +71,7 @@
         let mut out = Vec::new();
         let text = events(&[1, 2, 3, id, 4]);
         let progress = splitter.push(text.as_bytes(), &mut out).unwrap();
-        assert!(progress.is_refused);
+        assert!(progress.is_refused());
         assert_eq!(out, events(&[1, 2, 3]).as_bytes());
         splitter.push(events(&[4]).as_bytes(), &mut out).unwrap();
         assert_eq!(
@@ -81,6 +81,26 @@
         assert!(!splitter.is_complete(Framing::Chunked));
         splitter.start_part();
         let progress = splitter.push(events(&[4]).as_bytes(), &mut out).unwrap();
-        assert!(!progress.is_refused && splitter.is_complete(Framing::Chunked));
+        assert!(!progress.is_refused() && splitter.is_complete(Framing::Chunked));
     }
 }
+
+/// The step of the ids shows at the seam of two parts that an event is missing. Within a
+/// part the protocol allows any step.
+#[test]
+fn a_part_that_begins_after_the_next_id_is_refused() {
+    let refusal = |first: &[u64], is_resumed, id| {
+        let mut splitter = Splitter::new();
+        gap(&mut splitter, &events(first));
+        if is_resumed {
+            splitter.start_part();
+        }
+        gap(&mut splitter, &events(&[id])).map(|gap| gap.is_refused)
+    };
+    assert_eq!(refusal(&[1, 2, 3], true, 4), None);
+    assert_eq!(refusal(&[1, 2, 3], true, 5), Some(true));
+    assert_eq!(refusal(&[5, 10], true, 16), Some(true));
+    assert_eq!(refusal(&[1, 2, 3], false, 5), Some(false));
+    assert_eq!(refusal(&[1], true, 3), Some(false));
+    assert_eq!(refusal(&[1, 6, 11], true, 17), Some(false));
+}
