End no stream before an event that is known to follow

Callers got the orderly end of a stream before its last event where the first run broke off inside an event and the next one ended at once, with a last chunk or a length and without any event.

Cause: is_complete looked at the part of the last runner only. The bytes of an event that the runner before had begun are proof that the stream goes on, and start_part discarded them with that knowledge. The same holds for a part that was refused because it began with a later event.

The splitter keeps that an event is due until one was forwarded; a part that ends before it counts as broken off, so that another runner goes on or the caller's connection is reset. Without such evidence a framed part without an event stays complete: its runner was asked for what follows the last event and says in good order that nothing does, as after a break between the last event and the end of the body.

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -139,6 +139,8 @@
     part: Part,
     // Whether the last complete event has no numeric id.
     ends_without_id: bool,
+    // Whether a former part showed that an event follows the last one.
+    is_event_due: bool,
     // Whether an event of the part departed from the order.
     has_gap: bool,
     // Whether the part cannot go on where the stream is.
@@ -196,6 +198,7 @@
                     }
                 }
                 if self.is_refused {
+                    self.is_event_due |= id > self.last_id;
                     break;
                 }
                 self.record(id);
@@ -243,6 +246,7 @@
         self.events += 1;
         self.part.events += 1;
         self.ends_without_id = id.is_none();
+        self.is_event_due = false;
         let Some(id) = id else {
             return;
         };
@@ -287,14 +291,13 @@
 
     /// Returns whether the stream is complete if its body ends here in good order. A
     /// body without a length or chunks also ends so if the sender crashes: it must
-    /// contain an event then.
+    /// contain an event then. So must a part if an event is known to follow: the part before
+    /// broke off inside one, or was refused because it began with a later one.
     #[must_use]
     pub fn is_complete(&self, framing: Framing) -> bool {
-        if self.is_refused {
-            return false;
-        }
         let shows_progress = framing != Framing::UntilClose || self.part.events > 0;
-        self.partial.is_empty() && shows_progress
+        let is_cut = self.is_refused || self.is_event_due || !self.partial.is_empty();
+        shows_progress && !is_cut
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -306,6 +309,7 @@
     /// Starts the part of another runner, which resumes the stream after the last
     /// complete event. Discards the incomplete one.
     pub fn start_part(&mut self) {
+        self.is_event_due |= has_field(&self.partial);
         self.partial.clear();
         self.part = Part::default();
         self.has_gap = false;
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -104,3 +104,29 @@
     assert_eq!(refusal(&[1], true, 3), Some(false));
     assert_eq!(refusal(&[1, 6, 11], true, 17), Some(false));
 }
+
+/// Without such evidence a part that ends before any event is complete: the one before may
+/// have broken off between the last event and the end.
+#[test]
+fn a_part_without_an_event_is_not_complete_if_an_event_is_known_to_follow() {
+    let is_complete = |rest: &str| {
+        let mut splitter = Splitter::new();
+        gap(&mut splitter, &(events(&[1, 2]) + rest));
+        // Two parts without any event follow.
+        splitter.start_part();
+        splitter.start_part();
+        splitter.is_complete(Framing::Chunked)
+    };
+    assert!(is_complete(""));
+    assert!(is_complete(": comment\n"));
+    assert!(!is_complete("i"));
+    assert!(!is_complete("id: 3\ndata"));
+    let mut splitter = Splitter::new();
+    gap(&mut splitter, &events(&[1, 2]));
+    splitter.start_part();
+    assert!(gap(&mut splitter, &events(&[4])).is_some_and(|gap| gap.is_refused));
+    splitter.start_part();
+    assert!(!splitter.is_complete(Framing::Chunked));
+    gap(&mut splitter, &events(&[3]));
+    assert!(splitter.is_complete(Framing::Chunked));
+}
