Expect the event in which a run broke off from the next one

Callers missed an event where a run broke off inside it, early in its stream, and the next run began with a later one: fewer than two steps between ids do not show which id is next.

The part that broke off shows it, if the line with the id was there. start_part keeps that id; a part that begins after it is refused like one that begins after the next regular step.

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -41,8 +41,8 @@
 pub struct Gap {
     /// Way in which it departs.
     pub kind: Kind,
-    /// Id that was expected next. While the ids show no regular step, the number after
-    /// the last one.
+    /// Id that was expected next. While neither a regular step nor an event that was
+    /// broken off shows it, the number after the last one.
     pub expected: u64,
     /// Id of the event, if it is numeric.
     pub got: Option<u64>,
@@ -141,6 +141,8 @@
     ends_without_id: bool,
     // Whether a former part showed that an event follows the last one.
     is_event_due: bool,
+    // Id of that event, if the part broke off after the line.
+    due_id: Option<u64>,
     // Whether an event of the part departed from the order.
     has_gap: bool,
     // Whether the part cannot go on where the stream is.
@@ -172,7 +174,8 @@
     /// An event whose id is not greater than the last one is refused, with all that
     /// follows it in the part: such a runner has begun again, so its later events need
     /// not belong to what the caller has. So is a part that begins after the next id, if
-    /// the ids have shown what that is. Within a part ids may rise by any step.
+    /// the ids or an event that was broken off have shown what that is. Within a part ids
+    /// may rise by any step.
     ///
     /// # Errors
     ///
@@ -223,14 +226,16 @@
     /// Returns how an event with this id departs from the order.
     fn gap(&self, id: Option<u64>) -> Option<Gap> {
         let step = self.step.size();
-        let expected = self.last_id.unwrap_or(0).saturating_add(step.unwrap_or(1));
-        let is_resumed = self.part.ids.is_none() && self.last_id.is_some();
-        let is_step_known = step.is_some();
+        let next = self.last_id.unwrap_or(0).saturating_add(step.unwrap_or(1));
+        let expected = self.due_id.unwrap_or(next);
+        let is_resumed =
+            self.part.ids.is_none() && (self.last_id.is_some() || self.due_id.is_some());
+        let is_next_known = step.is_some() || self.due_id.is_some();
         let (kind, is_refused) = match (id, self.last_id) {
             (None, _) => (Kind::WithoutId, false),
             (Some(id), Some(last)) if id <= last => (Kind::Repeated, true),
-            (Some(id), _) if id > expected && (is_step_known || is_resumed) => {
-                (Kind::Missing, is_step_known && is_resumed)
+            (Some(id), _) if id > expected && (is_next_known || is_resumed) => {
+                (Kind::Missing, is_next_known && is_resumed)
             }
             (Some(_), _) => return None,
         };
@@ -247,6 +252,7 @@
         self.part.events += 1;
         self.ends_without_id = id.is_none();
         self.is_event_due = false;
+        self.due_id = None;
         let Some(id) = id else {
             return;
         };
@@ -309,7 +315,12 @@
     /// Starts the part of another runner, which resumes the stream after the last
     /// complete event. Discards the incomplete one.
     pub fn start_part(&mut self) {
-        self.is_event_due |= has_field(&self.partial);
+        if has_field(&self.partial) {
+            self.is_event_due = true;
+            let lines = self.partial.iter().rposition(|&b| b == b'\n').unwrap_or(0);
+            let id = event_id(&self.partial[..lines]);
+            self.due_id = id.filter(|&id| Some(id) > self.last_id).or(self.due_id);
+        }
         self.partial.clear();
         self.part = Part::default();
         self.has_gap = false;
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -130,3 +130,26 @@
     gap(&mut splitter, &events(&[3]));
     assert!(splitter.is_complete(Framing::Chunked));
 }
+
+#[test]
+fn a_part_that_skips_the_event_in_which_the_last_one_broke_off_is_refused() {
+    let refusal = |first: &str, id| {
+        let mut splitter = Splitter::new();
+        gap(&mut splitter, first);
+        splitter.start_part();
+        // The next part breaks off before its first event.
+        gap(&mut splitter, "data: a");
+        splitter.start_part();
+        gap(&mut splitter, &events(&[id])).map(|gap| gap.is_refused)
+    };
+    for first in [
+        "id: 7\n",
+        "id: 7\r\ndata: a\n",
+        "id: 2\ndata\n\nid: 7\ndata: id: 9",
+    ] {
+        assert_eq!(refusal(first, 7), None, "{first}");
+        assert_eq!(refusal(first, 8), Some(true), "{first}");
+    }
+    // The number may go on.
+    assert_eq!(refusal("id: 7", 71), None);
+}
