Take the last id field of an event, and digits only

An event with several id fields counted with the first one, where an id field without a value or one that is no number follows too, and "+4" counted as 4. A router would have resumed such a stream after another event than the one that a reader of the HTML standard's format holds for the last. No runner that is known sends such events.

The last id field counts now, and an event whose last one is not made of digits has no id. Before, of ten forms pushed byte by byte these four failed: two fields (9 for 4), a field that is no number after one that is (4 for none), one without a value (9 for none), +4 (4 for none). Events split at every byte, CR LF, comments between events and numbers beyond 64 bits passed at once.

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -349,12 +349,19 @@
     lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
-/// Returns the number in the first `id` field of an event, or `None` if that
-/// field is missing or not a number. Later `id` fields are ignored.
+/// Returns the number in the last `id` field of an event, or `None` if that field is
+/// missing or not a number of 64 bits. Earlier `id` fields do not count, as in the HTML
+/// standard.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|&b| b == b'\n')
-        .find(|line| line.starts_with(b"id:"))?;
-    let text = std::str::from_utf8(&line[3..]).ok()?;
-    text.trim().parse().ok()
+    let value = event
+        .rsplit(|&b| b == b'\n')
+        .find_map(|line| match line {
+            b"id" | b"id\r" => Some(&[][..]),
+            _ => line.strip_prefix(b"id:"),
+        })?
+        .trim_ascii();
+    if !value.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(value).ok()?.parse().ok()
 }
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -153,3 +153,31 @@
     // The number may go on.
     assert_eq!(refusal("id: 7", 71), None);
 }
+
+/// A wrong id leads to a wrong `Last-Event-Id`. As in the HTML standard, the last `id` field
+/// of an event counts; comments and other fields may stand anywhere.
+#[test]
+fn the_id_of_an_event_does_not_depend_on_its_form_and_fragments() {
+    let cases = [
+        ("id: 4\r\ndata: a\r\n\r\n", Some(4)),
+        ("id:4\ndata: a\n\n", Some(4)),
+        (": id: 9\nx-v: 2\ndata: id: 9\nid: 4\n\n", Some(4)),
+        (": comment\n\nid: 4\n\n: comment\n\n", Some(4)),
+        ("id: 9\nid: 4\ndata: a\n\n", Some(4)),
+        ("id: 4\nid: x\ndata: a\n\n", None),
+        ("id: 9\nid\ndata: a\n\n", None),
+        ("id: +4\n\n", None),
+        ("id: 18446744073709551615\n\n", Some(u64::MAX)),
+        ("id: 18446744073709551616\n\n", None),
+    ];
+    for (text, id) in cases {
+        let (mut splitter, mut out) = (Splitter::new(), Vec::new());
+        for byte in text.as_bytes() {
+            splitter.push(&[*byte], &mut out).unwrap();
+        }
+        let found = splitter.last_event_id();
+        assert_eq!((found, splitter.event_count()), (id, 1), "{text:?}");
+        assert_eq!(splitter.is_resumable(), id.is_some(), "{text:?}");
+        assert_eq!(out, text.as_bytes());
+    }
+}
