Test slow callers and early requests across two runs of a stream

Two runs of large events whose first one ends inside an event, by a close and by a reset, read with a small receive buffer; and a request on the same connection during the stream.

--- a/tests/all/edge/answers.rs
+++ b/tests/all/edge/answers.rs
@@ -89,8 +89,8 @@
 const LONG_ANSWER: usize = 500_000;
 
 /// Connects a caller with a small receive buffer, which keeps the rest of an answer out
-/// of the buffers of the system, and sends a request for a long answer.
-fn connect_slow_caller(router: &Router) -> TcpStream {
+/// of the buffers of the system, and sends a request.
+pub fn send_slowly_read(router: &Router, text: &str) -> TcpStream {
     let socket =
         socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket
@@ -100,10 +100,16 @@
         .connect(&router.callers.into())
         .expect("the router accepts");
     let mut stream: TcpStream = socket.into();
-    let text = request("POST", "/once/x", "", "");
     stream
         .write_all(text.as_bytes())
         .expect("the router reads the request");
+    stream
+}
+
+/// Sends a request for a long answer that is read slowly, and waits until it has ended in
+/// the router.
+fn connect_slow_caller(router: &Router) -> TcpStream {
+    let stream = send_slowly_read(router, &request("POST", "/once/x", "", ""));
     wait_until("the request has ended", || {
         router.log().contains("event=answered")
     });
@@ -112,15 +118,20 @@
 
 /// Reads a response to its end, with a pause between reads; returns the length of its
 /// body.
-fn read_slowly(mut stream: TcpStream, pause: Duration) -> usize {
+fn read_slowly(stream: TcpStream, pause: Duration) -> usize {
+    let response = read_response_slowly(stream, pause);
+    let (_, body) = response.split_once("\r\n\r\n").expect("a message head");
+    body.len()
+}
+
+/// Reads a response to its end, with a pause between reads.
+pub fn read_response_slowly(mut stream: TcpStream, pause: Duration) -> String {
     let (mut received, mut buffer) = (Vec::new(), [0; 4096]);
     while let Ok(length @ 1..) = stream.read(&mut buffer) {
         received.extend_from_slice(&buffer[..length]);
         thread::sleep(pause);
     }
-    let response = String::from_utf8_lossy(&received);
-    let (_, body) = response.split_once("\r\n\r\n").expect("a message head");
-    body.len()
+    String::from_utf8_lossy(&received).into_owned()
 }
 
 fn long_answer() -> Runner {
--- a/tests/all/edge/order.rs
+++ b/tests/all/edge/order.rs
@@ -3,9 +3,11 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use serde_json::json;
 
+use super::answers::{read_response_slowly, send_slowly_read};
 use super::environment::{Runner, Store, header, respond, send_raw};
 use super::{
     EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, request, start_router,
@@ -199,3 +201,75 @@
     let played = Played::new("", [first, |_| events(3, 6) + LAST_CHUNK, GOOD]);
     played.check(1, 6, true);
 }
+
+/// Encodes events of 50,000 bytes as HTTP chunks.
+fn large_events(from: u64, to: u64) -> String {
+    let events = (from..=to).map(|id| chunk(&large_event(id)));
+    events.collect()
+}
+
+fn large_event(id: u64) -> String {
+    format!("id: {id}\ndata: {}\n\n", format!("{id:05}").repeat(10_000))
+}
+
+/// Starts runners of which each but the last one ends inside an event, after six more.
+/// With `resets` the connection is reset.
+fn start_large(resets: bool) -> Vec<Runner> {
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    let script = Arc::new(move |head: &str, stream: &mut TcpStream| {
+        let after = header(head, "last-event-id").unwrap_or("0");
+        let after: u64 = after.parse().expect("a number");
+        let is_last = arrivals.fetch_add(1, Ordering::SeqCst) == 1;
+        let body = match is_last {
+            true => large_events(after + 1, 24) + LAST_CHUNK,
+            false => {
+                let next = chunk(&large_event(after + 13));
+                large_events(after + 1, after + 12) + &next[..20_000]
+            }
+        };
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+        if resets && !is_last {
+            let socket = socket2::SockRef::from(&*stream);
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+        is_last
+    });
+    let runners = [(); 2].map(|()| {
+        let script = script.clone();
+        Runner::start(move |head, stream| script(head, stream))
+    });
+    runners.into()
+}
+
+/// The first runner ends while most of its events wait in the router and in the buffers of
+/// the system.
+#[test]
+fn a_caller_that_reads_slowly_gets_each_event_once_across_two_runs() {
+    for resets in [false, true] {
+        let runners = start_large(resets);
+        let (_store, router) = start_router(&[&runners[0], &runners[1]]);
+        let stream = send_slowly_read(&router, &request("GET", "/stream/x", "", ""));
+        let response = read_response_slowly(stream, Duration::from_millis(5));
+        let (body, is_complete) = decode_chunks(&response);
+        let expected: String = (1..=24).map(large_event).collect();
+        assert!(body == expected && is_complete, "{}", router.log());
+    }
+}
+
+#[test]
+fn a_request_that_arrives_during_a_resumed_stream_is_answered_after_it() {
+    let runners = start_large(false);
+    let (_store, router) = start_router(&[&runners[0], &runners[1]]);
+    let first = request("GET", "/stream/x", "", "").replace("Connection: close\r\n", "");
+    let second = request("GET", "/none/x", "", "").replace("q1", "q2");
+    let mut stream = send_slowly_read(&router, &first);
+    std::thread::sleep(Duration::from_millis(50));
+    std::io::Write::write_all(&mut stream, second.as_bytes()).expect("the router reads");
+    let responses = read_response_slowly(stream, Duration::from_millis(5));
+    let (first, second) = responses
+        .split_once("0\r\n\r\n")
+        .expect("the end of the stream");
+    let (body, _) = decode_chunks(first);
+    assert!(body == (1..=24).map(large_event).collect::<String>());
+    assert!(second.starts_with("HTTP/1.1 404 "), "{second}");
+}
