Let no pause of a caller count as a stall of its runner

A resumable stream of a caller that paused moved to another runner. The router stops reading from a runner while more than 128 KiB wait for its caller, so no event is recorded, and after three times the allowed pause between events the attempt was withdrawn, an attempt and retry budget were spent, and a sound runner was recorded as failed. The order of the events held: the next run goes on after the last event that was taken over.

Before: edge::order::a_caller_that_pauses_does_not_move_its_stream_to_another_runner, withdraw after 703 ms at event 60 of 160, two attempts; now one.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -440,6 +440,10 @@
                         expired.push(index);
                     }
                 }
+                // Reading from its runner may have paused.
+                CallerPhase::Busy(id) if connection.socket.unsent() > 0 => {
+                    self.scheduler.defer_stall(now, *id);
+                }
                 CallerPhase::Idle if age > limits.idle_timeout => expired.push(index),
                 CallerPhase::Idle if leaving && age > CLOSING_TIMEOUT => expired.push(index),
                 CallerPhase::Closing if age > CLOSING_TIMEOUT => expired.push(index),
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -403,6 +403,18 @@
         self.dispatch_service(now, &service);
     }
 
+    /// Restarts the time after which the attempt counts as stalled: its caller has not taken
+    /// what it was sent, which says nothing of the runner.
+    pub fn defer_stall(&mut self, now: Time, id: Id) {
+        if let Some(Pending {
+            stage: Stage::Dispatched(dispatch),
+            ..
+        }) = self.pending.get_mut(&id)
+        {
+            dispatch.last_event_at = now;
+        }
+    }
+
     /// Sets whether another attempt can go on after the part of the answer that the caller
     /// has received; initially `true`. Otherwise the request is not sent again.
     pub fn set_resumable(&mut self, id: Id, is_resumable: bool) {
--- a/tests/all/edge/order.rs
+++ b/tests/all/edge/order.rs
@@ -273,3 +273,34 @@
     assert!(body == (1..=24).map(large_event).collect::<String>());
     assert!(second.starts_with("HTTP/1.1 404 "), "{second}");
 }
+
+/// Reading from a runner pauses with the caller. Its silence is no stall then.
+#[test]
+fn a_caller_that_pauses_does_not_move_its_stream_to_another_runner() {
+    let runners = [(); 2].map(|()| {
+        Runner::start(|head, stream| {
+            let after = header(head, "last-event-id").unwrap_or("0");
+            let after: u64 = after.parse().expect("a number");
+            let body = large_events(after + 1, 160) + LAST_CHUNK;
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+            true
+        })
+    });
+    let store = Store::start();
+    let mut config = manifest(1, &["k1"]).expect("a manifest");
+    config["routes"][0]["gap_aim_ms"] = json!(100);
+    store.put("config", "main", Some(config));
+    for (index, runner) in runners.iter().enumerate() {
+        store.put("servers", &format!("i-{index}"), entry(runner.address, "s"));
+    }
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    let stream = send_slowly_read(&router, &request("GET", "/stream/x", "", ""));
+    std::thread::sleep(Duration::from_millis(1500));
+    let response = read_response_slowly(stream, Duration::ZERO);
+    let (body, is_complete) = decode_chunks(&response);
+    let expected: String = (1..=160).map(large_event).collect();
+    assert!(body == expected && is_complete, "{}", router.log());
+    let attempts: usize = runners.iter().map(|runner| runner.requests().len()).sum();
+    assert_eq!(attempts, 1, "{}", router.log());
+}
