Pass on the events before an incomplete one that is too large

push returned an error where the rest of its bytes exceeded the limit on incomplete events, and the caller of push then dropped the complete events of the same call, after which the stream would have been resumed: missing events. A router reads at most 64 KiB at a time, so no connection reaches this today.

The error comes with the next call, once all complete events were passed on. Before: events_before_an_incomplete_event_beyond_the_limit_are_passed_on got the error at once.

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -180,7 +180,7 @@
     /// # Errors
     ///
     /// Returns [`Error::Malformed`] if the buffered incomplete event exceeds
-    /// 256 KiB.
+    /// 256 KiB and no event is now complete.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<Progress, Error> {
         // The blank line that ends an event may span buffered and new bytes: it is
         // `\n\n` or `\n\r\n`, at most three bytes long.
@@ -215,7 +215,8 @@
         if self.is_refused {
             self.partial.clear();
         }
-        if self.partial.len() > MAX_PARTIAL_BYTES {
+        // Complete events are passed on first.
+        if consumed == 0 && self.partial.len() > MAX_PARTIAL_BYTES {
             return Err(Error::Malformed(
                 "incomplete event exceeds 256 KiB".to_owned(),
             ));
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -181,3 +181,13 @@
         assert_eq!(out, text.as_bytes());
     }
 }
+
+#[test]
+fn events_before_an_incomplete_event_beyond_the_limit_are_passed_on() {
+    let (mut splitter, mut out) = (Splitter::new(), Vec::new());
+    let text = events(&[1]) + "id: 2\ndata: " + &"x".repeat(300_000);
+    let pushed = splitter.push(text.as_bytes(), &mut out);
+    assert_eq!(pushed.map(|progress| progress.events), Ok(1));
+    assert_eq!(out, events(&[1]).as_bytes());
+    assert!(splitter.push(b"x", &mut out).is_err());
+}
