--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -231,6 +231,7 @@
             fingerprint: fingerprint(&head, workspace.as_ref(), &body),
         };
         let last_event = caller.last_event_id;
+        let resumed_after = last_event.filter(|_| route.retry_policy == RetryPolicy::Resumable);
         let resumes = caller.resumes.map(str::to_owned);
         self.body_bytes += body.len();
         let transaction = Transaction {
@@ -243,7 +244,7 @@
             deadline: now + time_left,
             last_event,
             resumes,
-            splitter: Splitter::with_last_event_id(last_event),
+            splitter: Splitter::with_last_event_id(resumed_after),
             delivery: Delivery::NotStarted,
             upstream: None,
             runners: SmallVec::new(),
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -61,7 +61,7 @@
 impl Transaction {
     /// Returns the event id after which the next attempt resumes.
     pub fn resume_after(&self) -> Option<u64> {
-        self.splitter.last_event_id()
+        self.splitter.last_event_id().or(self.last_event)
     }
 
     /// Returns the ids of the stream for the log: `after`, the one after which the caller
