--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -3,6 +3,8 @@
 
 use std::fmt;
 
+use memchr::{memchr, memrchr_iter};
+
 use crate::error::Error;
 use crate::framing::Framing;
 
@@ -333,7 +335,7 @@
 /// which ends an event.
 fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let mut search_start = from;
-    while let Some(offset) = bytes[search_start..].iter().position(|&b| b == b'\n') {
+    while let Some(offset) = memchr(b'\n', &bytes[search_start..]) {
         let next = search_start + offset + 1;
         match bytes.get(next..) {
             Some([b'\n', ..]) => return Some(next + 1),
@@ -354,13 +356,17 @@
 /// missing or not a number of 64 bits. Earlier `id` fields do not count, as in the HTML
 /// standard.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let value = event
-        .rsplit(|&b| b == b'\n')
-        .find_map(|line| match line {
+    let starts = memrchr_iter(b'\n', event).map(|newline| newline + 1);
+    let mut end = event.len();
+    let value = starts.chain([0]).find_map(|start| {
+        let line = &event[start..end];
+        end = start.saturating_sub(1);
+        match line {
             b"id" | b"id\r" => Some(&[][..]),
             _ => line.strip_prefix(b"id:"),
-        })?
-        .trim_ascii();
+        }
+    })?;
+    let value = value.trim_ascii();
     if !value.iter().all(u8::is_ascii_digit) {
         return None;
     }
