Refuse a resumed run whose first event has no id

Callers got the events of a second run after those of the first one where the second run did not give its events ids: nothing shows that it goes on after the last event.

A resumed part must begin with an id; otherwise the attempt is invalid and another runner goes on. Blocks without data, such as a retry field, are no events to readers: they may stand anywhere, and no longer keep a stream from being resumed.

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -22,7 +22,7 @@
     Missing,
     /// The id is not greater than the last one.
     Repeated,
-    /// The event has no numeric id.
+    /// The event has data and no numeric id.
     WithoutId,
 }
 
@@ -139,7 +139,7 @@
     events: u64,
     // Complete events since the stream was last resumed.
     part: Part,
-    // Whether the last complete event has no numeric id.
+    // Whether the last complete event with data has no numeric id.
     ends_without_id: bool,
     // Whether a former part showed that an event follows the last one.
     is_event_due: bool,
@@ -175,9 +175,9 @@
     ///
     /// An event whose id is not greater than the last one is refused, with all that
     /// follows it in the part: such a runner has begun again, so its later events need
-    /// not belong to what the caller has. So is a part that begins after the next id, if
-    /// the ids or an event that was broken off have shown what that is. Within a part ids
-    /// may rise by any step.
+    /// not belong to what the caller has. So is a resumed part whose first event with data
+    /// has no id, and one that begins after the next id, if the ids or an event that was
+    /// broken off have shown what that is. Within a part ids may rise by any step.
     ///
     /// # Errors
     ///
@@ -194,8 +194,8 @@
             && !self.is_refused
         {
             let event = &self.partial[consumed..end];
-            if has_field(event) {
-                let id = event_id(event);
+            let (id, is_counted) = (event_id(event), has_field(event));
+            if id.is_some() || has_data(event) {
                 if let Some(gap) = self.gap(id) {
                     self.is_refused = gap.is_refused;
                     if !std::mem::replace(&mut self.has_gap, true) || self.is_refused {
@@ -207,11 +207,13 @@
                     break;
                 }
                 self.record(id);
-                progress.events += 1;
             }
+            progress.events += u64::from(is_counted);
             consumed = end;
             from = end;
         }
+        self.events += progress.events;
+        self.part.events += progress.events;
         out.extend_from_slice(&self.partial[..consumed]);
         self.partial.drain(..consumed);
         if self.is_refused {
@@ -235,7 +237,7 @@
             self.part.ids.is_none() && (self.last_id.is_some() || self.due_id.is_some());
         let is_next_known = step.is_some() || self.due_id.is_some();
         let (kind, is_refused) = match (id, self.last_id) {
-            (None, _) => (Kind::WithoutId, false),
+            (None, _) => (Kind::WithoutId, is_resumed),
             (Some(id), Some(last)) if id <= last => (Kind::Repeated, true),
             (Some(id), _) if id > expected && (is_next_known || is_resumed) => {
                 (Kind::Missing, is_next_known && is_resumed)
@@ -251,8 +253,6 @@
     }
 
     fn record(&mut self, id: Option<u64>) {
-        self.events += 1;
-        self.part.events += 1;
         self.ends_without_id = id.is_none();
         self.is_event_due = false;
         self.due_id = None;
@@ -270,8 +270,8 @@
         self.part.ids = Some((first, id));
     }
 
-    /// Returns whether [`last_event_id`](Self::last_event_id) names the last complete event,
-    /// so that a stream that goes on after this id repeats none.
+    /// Returns whether [`last_event_id`](Self::last_event_id) names the last complete event
+    /// with data, so that a stream that goes on after this id repeats none.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
         !self.ends_without_id
@@ -352,6 +352,12 @@
     lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
+/// Returns whether an event has a `data` field. Readers ignore one without.
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|&b| b == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+}
+
 /// Returns the number in the last `id` field of an event, or `None` if that field is
 /// missing or not a number of 64 bits. Earlier `id` fields do not count, as in the HTML
 /// standard.
--- a/tests/all/edge/order.rs
+++ b/tests/all/edge/order.rs
@@ -172,6 +172,15 @@
     }
 }
 
+/// Nothing shows that its events follow the last one.
+#[test]
+fn a_run_that_goes_on_without_ids_is_left_for_another_runner() {
+    let without_ids: Run = |_| chunk("retry: 9\n\n") + &chunk("data: event 1\n\n") + LAST_CHUNK;
+    let played = Played::new("", [|_| events(1, 3), without_ids, GOOD]);
+    let body = played.body.replace("retry: 9\n\n", "");
+    Played { body, ..played }.check(1, 6, true);
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_may_begin_at_any_event() {
     let run: Run = |_| events(1, 6) + LAST_CHUNK;
