--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -231,6 +231,7 @@
             fingerprint: fingerprint(&head, workspace.as_ref(), &body),
         };
         let last_event = caller.last_event_id;
+        let resumed_after = last_event.filter(|_| route.retry_policy == RetryPolicy::Resumable);
         let resumes = caller.resumes.map(str::to_owned);
         self.body_bytes += body.len();
         let transaction = Transaction {
@@ -243,7 +244,7 @@
             deadline: now + time_left,
             last_event,
             resumes,
-            splitter: Splitter::new(),
+            splitter: Splitter::with_last_event_id(resumed_after),
             delivery: Delivery::NotStarted,
             upstream: None,
             runners: SmallVec::new(),
@@ -367,10 +368,11 @@
         if let Some(transaction) = id.and_then(|id| self.take_transaction(id)) {
             log::info!(
                 target: "request",
-                "event=caller_gone request={} attempts={} after_ms={}",
+                "event=caller_gone request={} attempts={} after_ms={} {}",
                 transaction.request_id,
                 transaction.attempts(),
-                now.since(transaction.arrival).0
+                now.since(transaction.arrival).0,
+                transaction.progress()
             );
             let total = now.since(transaction.arrival);
             self.stats
@@ -439,6 +441,10 @@
                         expired.push(index);
                     }
                 }
+                // Reading from its runner may have paused.
+                CallerPhase::Busy(id) if connection.socket.unsent() > 0 => {
+                    self.scheduler.defer_stall(now, *id);
+                }
                 CallerPhase::Idle if age > limits.idle_timeout => expired.push(index),
                 CallerPhase::Idle if leaving && age > CLOSING_TIMEOUT => expired.push(index),
                 CallerPhase::Closing if age > CLOSING_TIMEOUT => expired.push(index),
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -1,6 +1,7 @@
 //! Delivery of responses to callers.
 
 use balsamchute_adapter::response::{self, Framing, Generated};
+use balsamchute_http::event::{Gap, Progress};
 use balsamchute_http::head::Response;
 use balsamchute_http::write;
 use balsamchute_model::prelude::*;
@@ -12,10 +13,8 @@
 
 impl Edge {
     /// Forwards the buffered part of a response; with `by_event`, only complete
-    /// events. Returns whether the transaction is still in progress.
+    /// events, up to one that is refused. Returns whether the attempt is still in progress.
     pub(super) fn forward(&mut self, index: usize, id: Id, by_event: bool) -> bool {
-        let now = self.now();
-        let leaving = self.leaving_since.is_some();
         let (Some(Slot::Upstream(connection)), Some(transaction)) =
             (self.slots.get_mut(index), self.transactions.get_mut(&id))
         else {
@@ -26,23 +25,46 @@
         };
         let body = std::mem::take(&mut response.body);
         let mut bytes = Vec::new();
-        let events;
+        let mut progress = Progress::default();
         if by_event {
             match transaction.splitter.push(&body, &mut bytes) {
-                Ok(count) => events = count,
+                Ok(pushed) => progress = pushed,
                 Err(error) => {
                     let reason = error.to_string();
                     self.fail_invalid_response(index, id, &reason);
                     return false;
                 }
             }
+            if let Some(gap) = progress.gap {
+                log_gap(transaction, &connection.runner, gap);
+                self.stats.count_stream_gap(gap.kind);
+            }
         } else {
             bytes = body;
-            events = 1;
+            progress.events = 1;
         }
-        if bytes.is_empty() {
-            return true;
+        let is_in_progress =
+            bytes.is_empty() || self.forward_part(index, id, &bytes, progress.events);
+        if is_in_progress && progress.is_refused() {
+            self.fail_invalid_response(index, id, "stream does not go on after its last event");
+            return false;
         }
+        is_in_progress
+    }
+
+    /// Forwards bytes of a body with this number of events. Returns whether the transaction
+    /// is still in progress.
+    fn forward_part(&mut self, index: usize, id: Id, bytes: &[u8], events: u64) -> bool {
+        let now = self.now();
+        let leaving = self.leaving_since.is_some();
+        let (Some(Slot::Upstream(connection)), Some(transaction)) =
+            (self.slots.get_mut(index), self.transactions.get_mut(&id))
+        else {
+            return false;
+        };
+        let Some(response) = &connection.response else {
+            return false;
+        };
         connection.withheld = 0;
         // The response head precedes the first part of the body.
         let head = (!transaction.has_started()).then(|| response.head.clone());
@@ -65,11 +87,13 @@
         if let Some(previous) = transaction.last_sent.replace(now) {
             self.stats.record_part_gap(transaction, now.since(previous));
         }
-        write::chunk(caller.socket.write_buffer(), &bytes);
+        write::chunk(caller.socket.write_buffer(), bytes);
         let caller = transaction.caller;
+        let is_resumable = transaction.route.stream && transaction.splitter.is_resumable();
         // Comments of a stream are no progress.
         if events > 0 {
             self.scheduler.record_events(now, id, events);
+            self.scheduler.set_resumable(id, is_resumable);
         }
         self.flush_caller(caller);
         self.transactions.contains_key(&id)
@@ -96,13 +120,14 @@
         let first_sent = transaction.first_sent.unwrap_or(now);
         log::info!(
             target: "request",
-            "event=answered request={} status={} attempts={} first_ms={} total_ms={} events={}",
+            "event=answered request={} status={} attempts={} first_ms={} total_ms={} events={} {}",
             transaction.request_id,
             head.status,
             transaction.attempts(),
             first_sent.since(transaction.arrival).0,
             now.since(transaction.arrival).0,
-            transaction.splitter.event_count()
+            transaction.splitter.event_count(),
+            transaction.progress()
         );
         let outcome = match head.status {
             200..=299 => Outcome::Done,
@@ -176,12 +201,13 @@
         };
         log::warn!(
             target: "request",
-            "event=failed request={} reason={} attempts={} answered={} after_ms={}",
+            "event=failed request={} reason={} attempts={} answered={} after_ms={} {}",
             transaction.request_id,
             failure.as_str(),
             transaction.attempts(),
             transaction.has_started(),
-            now.since(transaction.arrival).0
+            now.since(transaction.arrival).0,
+            transaction.progress()
         );
         let total = now.since(transaction.arrival);
         self.stats
@@ -241,3 +267,17 @@
             .is_some_and(Transaction::has_started)
     }
 }
+
+fn log_gap(transaction: &Transaction, runner: &Runner, gap: Gap) {
+    log::warn!(
+        target: "request",
+        "event=stream_gap request={} attempt={} runner={runner} kind={} expected={} got={} refused={} {}",
+        transaction.request_id,
+        transaction.attempts(),
+        gap.kind.as_str(),
+        gap.expected,
+        gap.got.map_or_else(|| "-".to_owned(), |id| id.to_string()),
+        gap.is_refused,
+        transaction.progress()
+    );
+}
