Log and count where the version of a resumed stream comes from

event=send names version_from= (answer, local, earlier_life, peer, record, sole_version) and list_age_ms= for an inferred version, and balsamchute_reasons_total counts them under kind="resumed". event=runner_listed names the software version and the start time, so that a runner that restarts in place shows.

Before, the log named only the version that was listed, which does not distinguish a version that was known from one that was inferred.

--- a/crates/edge/src/edge/announce.rs
+++ b/crates/edge/src/edge/announce.rs
@@ -50,7 +50,7 @@
         origins.versions_mut().merge(now, &versions);
         match is_own {
             true => origins.merge_own(now, &streams),
-            false => origins.merge(now, &streams),
+            false => origins.merge_record(now, &streams),
         }
     }
 
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -7,6 +7,7 @@
 use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
+use balsamchute_schedule::stream::Basis;
 
 use crate::edge::responses::Advance;
 use crate::edge::{Edge, Slot};
@@ -87,13 +88,15 @@
         let software = self.registry.get(runner).map(|entry| &entry.software);
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} version_from={} list_age_ms={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             transaction.request_id,
             transaction.attempts(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
             software.map(ToString::to_string).unwrap_or_default(),
             transaction.resume_after().unwrap_or(0),
             transaction.resumes.as_deref().unwrap_or("-"),
+            rationale.basis.map_or("-", Basis::as_str),
+            rationale.basis.and_then(Basis::list_age).map_or(0, Span::as_millis),
             transaction.manifest,
             now.since(transaction.arrival).0,
             rationale.within_share,
@@ -109,6 +112,9 @@
         );
         self.stats
             .record_sent(transaction, now.since(transaction.arrival));
+        if let Some(basis) = rationale.basis {
+            self.stats.count_resumption(basis);
+        }
         let idle = match may_reuse {
             true => self.take_idle_connection(now, runner),
             false => None,
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -458,9 +458,11 @@
             Change::Set(entry) => {
                 log::info!(
                     target: "runner",
-                    "event=runner_listed runner={} service={} state={:?} domain={} address={} revision={}",
+                    "event=runner_listed runner={} service={} software={:?} started_at={} state={:?} domain={} address={} revision={}",
                     entry.runner,
                     entry.service,
+                    entry.software.to_string(),
+                    entry.started_at,
                     entry.state,
                     entry.domain,
                     entry.address,
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -5,6 +5,7 @@
 use balsamchute_metrics::Error;
 use balsamchute_metrics::metrics::{Labels, Metrics};
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::stream::Basis;
 use balsamchute_wire::record::Outcome;
 use nix::sys::resource::{UsageWho, getrusage};
 
@@ -111,6 +112,11 @@
         self.metrics.count_reason("malformed", kind);
     }
 
+    /// Counts an attempt that continues a stream, by how its software version is known.
+    pub fn count_resumption(&self, basis: Basis) {
+        self.metrics.count_reason("resumed", basis.as_str());
+    }
+
     /// Counts a runner that became cold, by the source of that belief.
     pub fn count_cold(&self, source: &'static str) {
         self.metrics.count_reason("cold", source);
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -6,6 +6,7 @@
 use balsamchute_model::prelude::*;
 
 use crate::cold;
+use crate::stream::Basis;
 
 /// Number that the process assigns to a request, unique within the process.
 pub type Id = u64;
@@ -101,17 +102,20 @@
     pub running: u32,
     /// Prompt tokens of all routers that wait for prefill at the runner.
     pub queued_prefill_tokens: u64,
+    /// How the software version is known at which the stream goes on; `None` if it begins.
+    pub basis: Option<Basis>,
 }
 
 impl Rationale {
-    /// Returns this rationale with the cost, the served cost and the fair share of
-    /// `other`.
+    /// Returns this rationale with the cost, the served cost, the fair share and the basis
+    /// of `other`.
     #[must_use]
     pub fn with_share(self, other: &Rationale) -> Self {
         Rationale {
             cost: other.cost,
             served_cost: other.served_cost,
             fair_share: other.fair_share,
+            basis: other.basis,
             ..self
         }
     }
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -5,6 +5,7 @@
 
 use crate::parts::{self, Keys};
 use crate::request::Request;
+use crate::stream::Basis;
 
 /// Rejections by runners above which a request is not retried.
 const MAX_REJECTIONS: u32 = 3;
@@ -61,6 +62,8 @@
     pub answer_begun: bool,
     /// Software version that began the stream, the only one at which it may go on.
     pub software: Option<Software>,
+    /// How that version is known.
+    pub basis: Option<Basis>,
     /// Whether the request takes up a stream that is known to have begun.
     pub takes_up: bool,
 }
@@ -78,6 +81,7 @@
             failed_connects: 0,
             answer_begun: false,
             software: None,
+            basis: None,
             takes_up: false,
         }
     }
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -220,6 +220,7 @@
             cost: pending.request.cost(),
             served_cost: self.served_cost(service, workspace),
             fair_share: self.shares.get(service).map_or(0.0, Shares::fair_share),
+            basis: pending.basis,
             ..Rationale::default()
         }
     }
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -30,7 +30,7 @@
 use crate::runner::Target;
 use crate::scheduler::attempt::max_wait;
 use crate::share::{Breakdown, Shares};
-use crate::stream::{Origin, Streams};
+use crate::stream::{Basis, Origin, Streams};
 
 /// Divisor of the share window that yields the decay window of usage. With
 /// decay over the whole window, a workspace that exceeded its share would get
@@ -284,8 +284,10 @@
         }
         let mut pending = Pending::new(now, request);
         if let Some(resumed) = pending.request.resumed {
-            let version = self.streams.version(now, &service, resumed);
-            pending.software = version.cloned();
+            if let Some((software, basis)) = self.streams.version(now, &service, resumed) {
+                pending.software = Some(software.clone());
+                pending.basis = Some(basis);
+            }
             let origin = resumed
                 .stream
                 .and_then(|stream| self.streams.origin(stream));
@@ -370,6 +372,7 @@
         let begins = pending.software.is_none() && pending.request.stream;
         if begins && pending.request.retry_policy == RetryPolicy::Resumable {
             pending.software = Some(dispatch.software.clone());
+            pending.basis = Some(Basis::Answer);
             let origin = Origin {
                 service: service.clone(),
                 software: dispatch.software.clone(),
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -43,19 +43,57 @@
 
 /// How a router learned of a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
+pub enum Source {
     /// The stream began here.
     Local,
     /// The stream began here before the router restarted.
     EarlierLife,
-    /// Another router told it, or its record in the store.
+    /// Another router reported it.
     Peer,
+    /// The record of another router in the store names it.
+    Record,
+}
+
+/// Why a stream goes on at a software version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Basis {
+    /// The version began the stream in the same answer.
+    Answer,
+    /// The origin of the stream is known.
+    Known(Source),
+    /// No other version was listed since the stream can have begun. The list of runners was
+    /// confirmed this long ago.
+    Sole(Span),
+}
+
+impl Basis {
+    /// Returns the basis as written to logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Basis::Answer => "answer",
+            Basis::Known(Source::Local) => "local",
+            Basis::Known(Source::EarlierLife) => "earlier_life",
+            Basis::Known(Source::Peer) => "peer",
+            Basis::Known(Source::Record) => "record",
+            Basis::Sole(_) => "sole_version",
+        }
+    }
+
+    /// Returns the age of the list of runners from which the version was inferred.
+    #[must_use]
+    pub fn list_age(self) -> Option<Span> {
+        match self {
+            Basis::Sole(age) => Some(age),
+            Basis::Answer | Basis::Known(_) => None,
+        }
+    }
 }
 
 /// Origins of streams that one router knows, and the versions that serve.
 #[derive(Clone, Debug, Default)]
 pub struct Streams {
-    origins: HashMap<Digest, Origin>,
+    origins: HashMap<Digest, (Origin, Source)>,
     /// Streams in the order in which this router learned of them, with the time and
     /// the source.
     order: VecDeque<(Time, Digest, Source)>,
@@ -82,6 +120,11 @@
         self.merge_from(now, begun, Source::Peer);
     }
 
+    /// Adds the streams of another router's record in the store.
+    pub fn merge_record(&mut self, now: Time, begun: &[Begun]) {
+        self.merge_from(now, begun, Source::Record);
+    }
+
     /// Adds the streams of the record that this router wrote before it restarted.
     pub fn merge_own(&mut self, now: Time, begun: &[Begun]) {
         self.merge_from(now, begun, Source::EarlierLife);
@@ -100,7 +143,7 @@
     }
 
     fn insert(&mut self, now: Time, stream: Digest, origin: Origin, source: Source) {
-        if self.origins.insert(stream, origin).is_none() {
+        if self.origins.insert(stream, (origin, source)).is_none() {
             self.order.push_back((now, stream, source));
         }
     }
@@ -149,7 +192,8 @@
             return Vec::new();
         }
         let newest_first = self.order.iter().rev();
-        let own = newest_first.filter(|(.., source)| *source != Source::Peer);
+        let own = newest_first
+            .filter(|(.., source)| matches!(source, Source::Local | Source::EarlierLife));
         let streams = own.map(|&(_, stream, _)| stream);
         let limit = MAX_ORIGINS / routers.max(1) as usize;
         self.group(streams.take(limit.min(MAX_RECORD_STREAMS)))
@@ -181,17 +225,29 @@
     /// Returns where a stream began, if this router knows.
     #[must_use]
     pub fn origin(&self, stream: Digest) -> Option<&Origin> {
-        self.origins.get(&stream)
+        self.origins.get(&stream).map(|(origin, _)| origin)
     }
 
     /// Returns the version at which a stream of the service may go on, or `None` if several
     /// are possible, if others may have served unseen, or if another service began it.
     #[must_use]
-    pub fn version(&self, now: Time, service: &Service, resumed: Resumed) -> Option<&Software> {
-        match resumed.stream.and_then(|stream| self.origin(stream)) {
-            Some(origin) if origin.service == *service => Some(&origin.software),
+    pub fn version(
+        &self,
+        now: Time,
+        service: &Service,
+        resumed: Resumed,
+    ) -> Option<(&Software, Basis)> {
+        let known = resumed.stream.and_then(|stream| self.origins.get(&stream));
+        match known {
+            Some((origin, source)) if origin.service == *service => {
+                Some((&origin.software, Basis::Known(*source)))
+            }
             Some(_) => None,
-            None if resumed.is_sole_service => self.versions.sole(now, service, resumed.max_age),
+            None if resumed.is_sole_service => {
+                let sole = self.versions.sole(now, service, resumed.max_age);
+                let basis = Basis::Sole(self.versions.confirmation_age(now));
+                sole.map(|software| (software, basis))
+            }
             None => None,
         }
     }
@@ -214,7 +270,7 @@
     fn group(&self, streams: impl Iterator<Item = Digest>) -> Vec<Begun> {
         let mut groups: BTreeMap<&Origin, Vec<Digest>> = BTreeMap::new();
         for stream in streams {
-            if let Some(origin) = self.origins.get(&stream) {
+            if let Some((origin, _)) = self.origins.get(&stream) {
                 groups.entry(origin).or_default().push(stream);
             }
         }
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -89,6 +89,12 @@
         self.covered_since.is_some() && now.since(self.confirmed_at) <= MAX_CONFIRMATION_AGE
     }
 
+    /// Returns the time since the list of runners was last confirmed.
+    #[must_use]
+    pub fn confirmation_age(&self, now: Time) -> Span {
+        now.since(self.confirmed_at)
+    }
+
     /// Adds the versions of a record in the store. Clocks may differ, so they count as served
     /// until now.
     pub fn merge(&mut self, now: Time, record: &Set) {
