Treat the origin of a stream as unknown where its runner may have restarted in place

Callers saw a stream continued at another software version than the one that began it, in the same answer or when they took it up at any router.

Cause: a runner may restart under its id and address at another version. Until its entry arrives, the router takes the first event of the new process for one of the version that is listed, records and reports that origin, and never revises it. Sources that tell different origins of a stream replaced each other in the order in which they arrived.

Evidence: edge::restarts::a_stream_of_a_restarted_runner_is_not_continued_at_the_version_before fails without the change: events 3 to 5 come from the runner of the old version, after events 1 and 2 of the new one. In tests/origin.rs, three of four tests fail without it: the same in the scheduler, at a second router that heard the first report, after a refused connection, and for two sources that disagree.

An origin is now known or unknown, and what sources tell is joined: two that differ make it unknown, whichever comes last. A refused connection shows that the listed process is gone: until another entry is listed, or the list was confirmed 6 s later, streams that begin at the runner are of unknown version, and none is continued there. Other routers learn of it by a version that no runner has, which routers without this change refuse as no_runner_of_version; frames are unchanged.

--- a/crates/edge/src/edge/announce.rs
+++ b/crates/edge/src/edge/announce.rs
@@ -5,6 +5,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::record::has_all;
 use balsamchute_schedule::report::Refusals;
+use balsamchute_schedule::stream::Correction;
 use balsamchute_schedule::version::Set;
 
 use crate::client::{Message, Purpose};
@@ -84,6 +85,14 @@
         self.record_writer.record_failure();
     }
 
+    /// Logs the streams whose origin became unknown.
+    pub(super) fn log_corrections(&mut self) {
+        for Correction { stream, cause } in self.scheduler.origins_mut().take_corrections() {
+            self.stats.count_correction();
+            log::warn!(target: "request", "event=origin_corrected stream={stream:016x} cause={cause:?}");
+        }
+    }
+
     /// Writes this router's object again if its record of versions or streams changed.
     pub(super) fn write_record(&mut self, now: Time) {
         if self.is_writing || !self.announced || !self.may_write_record(now) {
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -65,6 +65,7 @@
         if !self.announced && now >= self.announce_at && may_write {
             self.announce(now);
         }
+        self.log_corrections();
         self.write_record(now);
         self.expire_calls(now);
         self.request_view(now);
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -117,6 +117,11 @@
         self.metrics.count_reason("resumed", basis.as_str());
     }
 
+    /// Counts a stream whose origin became unknown.
+    pub fn count_correction(&self) {
+        self.metrics.count_reason("resumed", "origin_corrected");
+    }
+
     /// Counts a runner that became cold, by the source of that belief.
     pub fn count_cold(&self, source: &'static str) {
         self.metrics.count_reason("cold", source);
--- a/crates/model/src/runner.rs
+++ b/crates/model/src/runner.rs
@@ -22,6 +22,25 @@
 #[serde(from = "String", into = "String")]
 pub struct Software(Arc<str>);
 
+/// Name that stands for an unknown version; no runner has it.
+const UNKNOWN: &str = "\0unknown";
+
+impl Software {
+    /// Returns the version of a stream of which it is known that the version that began it
+    /// cannot be told. A router that does not know of this takes it for a version that no
+    /// runner has.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Software(Arc::from(UNKNOWN))
+    }
+
+    /// Returns whether this is [`Software::unknown`].
+    #[must_use]
+    pub fn is_unknown(&self) -> bool {
+        &*self.0 == UNKNOWN
+    }
+}
+
 impl Default for Software {
     fn default() -> Self {
         Software(Arc::from(""))
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -5,6 +5,7 @@
 
 use crate::parts::{self, Keys};
 use crate::request::Request;
+use crate::runner::Target;
 use crate::stream::Basis;
 
 /// Rejections by runners above which a request is not retried.
@@ -35,6 +36,20 @@
     pub written: bool,
 }
 
+impl Dispatch {
+    /// Returns the version of the process that answers, `listed` being the present state of the
+    /// runner. It is unknown if another process may have taken the place of the one that the
+    /// request was sent to.
+    pub fn software_that_answers(&self, listed: Option<&Target>) -> Software {
+        let is_certain = listed
+            .is_none_or(|target| target.entry.software == self.software && !target.is_in_doubt());
+        match is_certain {
+            true => self.software.clone(),
+            false => Software::unknown(),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) enum Stage {
     Waiting,
@@ -104,8 +119,15 @@
     }
 
     /// Returns whether the stream may go on at a runner of this software version.
-    pub fn fits(&self, software: &Software) -> bool {
-        self.software.as_ref().is_none_or(|began| began == software)
+    fn fits(&self, software: &Software) -> bool {
+        let began = self.software.as_ref();
+        began.is_none_or(|began| began == software && !began.is_unknown())
+    }
+
+    /// Returns whether the request may go to a runner by its software version. A stream is not
+    /// continued at a runner whose process may be another one than is listed.
+    pub fn may_continue_at(&self, target: &Target) -> bool {
+        self.software.is_none() || (self.fits(&target.entry.software) && !target.is_in_doubt())
     }
 
     /// Returns whether any runner of the service may take the request: it was sent to none
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -244,7 +244,7 @@
     {
         let is_ready = |target: &Target| {
             target.entry.service == pending.request.service
-                && pending.fits(&target.entry.software)
+                && pending.may_continue_at(target)
                 && self.is_open(target)
                 && is_usable(target)
         };
--- a/crates/schedule/src/request.rs
+++ b/crates/schedule/src/request.rs
@@ -55,6 +55,12 @@
 }
 
 impl Request {
+    /// Returns whether the answer is a stream that another runner may continue.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        self.stream && self.retry_policy == RetryPolicy::Resumable
+    }
+
     /// Returns whether the request had missed its latency target when it
     /// arrived.
     #[must_use]
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -39,6 +39,11 @@
 /// crashed: a process that ends may close its connections before its listener.
 const PROBE_DELAY: Span = Span(50);
 
+/// Time after a refused connection in which the next process of the runner may serve before
+/// its entry is listed: the store drops the entry of a process that is gone after three
+/// check-in intervals, and lists a new one within one.
+const REFUSAL_TIME: Span = Span(6000);
+
 /// Load that requests in flight place on a runner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -131,6 +136,9 @@
     pub disconnects: SmallVec<[Disconnect; 4]>,
     /// Whether the router has connected to the runner since the last break.
     is_probed: bool,
+    /// Time of the last connection that the runner refused, while the process that is listed
+    /// may be gone.
+    refused_at: Option<Time>,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     peer_sum: PeerSum,
     health: Health,
@@ -147,6 +155,7 @@
             cache: Cache::new(),
             disconnects: SmallVec::new(),
             is_probed: true,
+            refused_at: None,
             peer_loads: BTreeMap::new(),
             peer_sum: PeerSum::default(),
             health: Health::default(),
@@ -161,9 +170,35 @@
             self.cache.clear();
             self.health = Health::default();
         }
+        let is_same = |known: &Entry| {
+            known.started_at == entry.started_at && known.software == entry.software
+        };
+        if !is_same(&self.entry) {
+            self.refused_at = None;
+        }
         self.entry = entry;
     }
 
+    /// Records that the runner refused a connection: the process that is listed is gone.
+    pub fn record_refusal(&mut self, now: Time) {
+        self.refused_at = Some(now);
+    }
+
+    /// Ends the doubt about the listed process if it is still listed long after the last
+    /// refusal, by a list that was confirmed at `confirmed_at`.
+    pub fn confirm_process(&mut self, confirmed_at: Time) {
+        let is_outdated = |refused_at| confirmed_at >= refused_at + REFUSAL_TIME;
+        if self.refused_at.is_some_and(is_outdated) {
+            self.refused_at = None;
+        }
+    }
+
+    /// Returns whether requests may reach another process than the listed one.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        self.refused_at.is_some()
+    }
+
     /// Returns whether the platform lists the runner as accepting requests.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -69,6 +69,7 @@
             End::NoConnection { refused } => {
                 target.eject(now);
                 if refused {
+                    target.record_refusal(now);
                     let disconnects = target.take_recent_disconnects(now);
                     self.record_crash(now, &disconnects);
                 }
@@ -294,7 +295,7 @@
         pending.software.is_none()
             || self.targets.values().any(|target| {
                 target.entry.service == pending.request.service
-                    && pending.fits(&target.entry.software)
+                    && pending.may_continue_at(target)
                     && self.is_available(target)
                     && (pending.possible_runs == 0 || !pending.tried.contains(&target.entry.runner))
             })
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -198,6 +198,7 @@
             entry.service = service.clone();
         }
         self.streams.record_version(now, &entry);
+        self.replace_process(now, &entry);
         let cold_start = self.cold_starts.get(&entry.service);
         self.colds.set_entry(now, &entry, cold_start);
         let runner = entry.runner.clone();
@@ -218,6 +219,26 @@
         self.dispatch_all(now);
     }
 
+    /// Makes the origin of streams unknown that a new process of a runner may have begun before
+    /// its entry arrived.
+    fn replace_process(&mut self, now: Time, entry: &Entry) {
+        let known = self.targets.get(&entry.runner).map(|target| &target.entry);
+        let is_known = known.is_some_and(|known| {
+            known.started_at == entry.started_at && known.software == entry.software
+        });
+        if is_known {
+            return;
+        }
+        let doubtful = self.streams.replace_process(now, entry);
+        for pending in self.pending.values_mut() {
+            if pending.basis == Some(Basis::Answer)
+                && doubtful.contains(&pending.request.stream_digest)
+            {
+                pending.software = Some(Software::unknown());
+            }
+        }
+    }
+
     /// Removes a runner, which receives no further requests; attempts in
     /// progress there continue.
     pub fn remove_runner(&mut self, runner: &Runner) {
@@ -265,6 +286,7 @@
         self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
             target.eject(now);
+            target.record_refusal(now);
             let disconnects = target.take_recent_disconnects(now);
             self.record_crash(now, &disconnects);
             self.record_cold_refusal(now, runner);
@@ -368,17 +390,20 @@
         self.colds.record_contact(now, &dispatch.runner);
         dispatch.events += events;
         dispatch.last_event_at = now;
-        pending.answer_begun = true;
-        let begins = pending.software.is_none() && pending.request.stream;
-        if begins && pending.request.retry_policy == RetryPolicy::Resumable {
-            pending.software = Some(dispatch.software.clone());
-            pending.basis = Some(Basis::Answer);
+        let is_begun = std::mem::replace(&mut pending.answer_begun, true);
+        if !is_begun && pending.request.is_resumable() && pending.software.is_none() {
+            let listed = self.targets.get(&dispatch.runner);
+            let software = pending.software.get_or_insert_with(|| {
+                pending.basis = Some(Basis::Answer);
+                dispatch.software_that_answers(listed)
+            });
             let origin = Origin {
                 service: service.clone(),
-                software: dispatch.software.clone(),
+                software: software.clone(),
             };
+            let stream = pending.request.stream_digest;
             self.streams
-                .record(now, pending.request.stream_digest, origin);
+                .record_at(now, stream, origin, &dispatch.runner);
         }
         if !is_first {
             return;
@@ -461,7 +486,9 @@
         self.breakdown.advance(now);
         self.rates.advance(now);
         self.advance_cold(now);
-        for target in self.targets.values() {
+        let confirmed_at = self.streams.versions().confirmed_at();
+        for target in self.targets.values_mut() {
+            target.confirm_process(confirmed_at);
             self.rates.refill(now, &target.entry);
             self.streams.record_version(now, &target.entry);
         }
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -22,6 +22,10 @@
 /// begin there a second.
 const MAX_ORIGINS: usize = 20_000;
 
+/// Difference between the clocks of a runner and of a router above which one of them counts
+/// as later, as for [`Entry::started_at`].
+const CLOCK_TOLERANCE: Span = Span(5000);
+
 /// Time for which a router reports a stream that began: several reports, as any may be
 /// lost.
 const REPORT_TIME: Span = Span(300);
@@ -54,6 +58,24 @@
     Record,
 }
 
+/// Why the origin of a stream became unknown.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The runner may have restarted at another version before the first event.
+    Restart(Runner),
+    /// This source tells another origin than was known.
+    Contradiction(Source),
+}
+
+/// Stream whose origin became unknown.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Correction {
+    /// Digest of the id of the request that began the stream.
+    pub stream: Digest,
+    /// Why the origin is unknown.
+    pub cause: Cause,
+}
+
 /// Why a stream goes on at a software version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Basis {
@@ -97,9 +119,12 @@
     /// Streams in the order in which this router learned of them, with the time and
     /// the source.
     order: VecDeque<(Time, Digest, Source)>,
-    /// Number of streams that began here.
+    /// Streams that began here, with the time of the first event and the runner that sent it.
+    local: VecDeque<(Time, Digest, Runner)>,
+    /// Number of streams that began here or whose origin changed.
     begun: u64,
     versions: Versions,
+    corrections: Vec<Correction>,
 }
 
 impl Streams {
@@ -115,6 +140,47 @@
         self.insert(now, stream, origin, Source::Local);
     }
 
+    /// Records that a stream began at this router, by an event of a runner.
+    pub fn record_at(&mut self, now: Time, stream: Digest, origin: Origin, runner: &Runner) {
+        self.record(now, stream, origin);
+        self.local.push_back((now, stream, runner.clone()));
+    }
+
+    /// Records that another process of a runner is listed. Returns the streams of which it may
+    /// have sent the first event although they count as begun by the process before, at another
+    /// version; their origin becomes unknown.
+    pub fn replace_process(&mut self, now: Time, entry: &Entry) -> Vec<Digest> {
+        let may_be_later = |begun_at: Time| begun_at + CLOCK_TOLERANCE >= Time(entry.started_at);
+        let is_doubtful = |stream: &Digest| {
+            let origin = self.origin(*stream);
+            origin.is_some_and(|origin| {
+                origin.software != entry.software && !origin.software.is_unknown()
+            })
+        };
+        let local = self.local.iter();
+        let doubtful: Vec<Digest> = local
+            .filter(|(begun_at, _, runner)| *runner == entry.runner && may_be_later(*begun_at))
+            .map(|(_, stream, _)| *stream)
+            .filter(is_doubtful)
+            .collect();
+        for &stream in &doubtful {
+            self.forget(now, stream, Cause::Restart(entry.runner.clone()));
+        }
+        doubtful
+    }
+
+    /// Makes the origin of a stream unknown, and reports that.
+    fn forget(&mut self, now: Time, stream: Digest, cause: Cause) {
+        self.corrections.push(Correction { stream, cause });
+        if let Some((origin, source)) = self.origins.get_mut(&stream) {
+            origin.software = Software::unknown();
+            *source = Source::Local;
+            self.begun += 1;
+            self.order.retain(|(_, other, _)| *other != stream);
+            self.order.push_back((now, stream, Source::Local));
+        }
+    }
+
     /// Adds the streams that another router knows.
     pub fn merge(&mut self, now: Time, begun: &[Begun]) {
         self.merge_from(now, begun, Source::Peer);
@@ -143,11 +209,24 @@
     }
 
     fn insert(&mut self, now: Time, stream: Digest, origin: Origin, source: Source) {
-        if self.origins.insert(stream, (origin, source)).is_none() {
-            self.order.push_back((now, stream, source));
+        match self.origins.get_mut(&stream) {
+            None => {
+                self.origins.insert(stream, (origin, source));
+                self.order.push_back((now, stream, source));
+            }
+            Some((known, _)) if *known == origin || known.software.is_unknown() => {}
+            // The order in which reports and records arrive shows nothing.
+            Some(_) => {
+                self.forget(now, stream, Cause::Contradiction(source));
+            }
         }
     }
 
+    /// Removes and returns the streams whose origin became unknown.
+    pub fn take_corrections(&mut self) -> Vec<Correction> {
+        std::mem::take(&mut self.corrections)
+    }
+
     /// Records that a listed runner has a version.
     pub fn record_version(&mut self, now: Time, entry: &Entry) {
         self.versions.record(now, &entry.service, &entry.software);
@@ -170,13 +249,13 @@
         self.versions.record_set(now)
     }
 
-    /// Returns the number of streams that began here.
+    /// Returns the number of streams that began here or whose origin changed.
     #[must_use]
     pub fn begun(&self) -> u64 {
         self.begun
     }
 
-    /// Returns the number of streams that began here if they must outlast all routers, because
+    /// Returns the number of such streams if they must outlast all routers, because
     /// a release is under way.
     #[must_use]
     pub fn unrecorded(&self, now: Time) -> Option<u64> {
@@ -207,6 +286,11 @@
             self.order.pop_front();
             self.origins.remove(&stream);
         }
+        while let Some(&(begun_at, ..)) = self.local.front()
+            && (now.since(begun_at) > MAX_AGE || self.local.len() > MAX_ORIGINS)
+        {
+            self.local.pop_front();
+        }
         self.versions.expire(now);
     }
 
@@ -239,7 +323,9 @@
     ) -> Option<(&Software, Basis)> {
         let known = resumed.stream.and_then(|stream| self.origins.get(&stream));
         match known {
-            Some((origin, source)) if origin.service == *service => {
+            Some((origin, source))
+                if origin.service == *service && !origin.software.is_unknown() =>
+            {
                 Some((&origin.software, Basis::Known(*source)))
             }
             Some(_) => None,
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -89,6 +89,12 @@
         self.covered_since.is_some() && now.since(self.confirmed_at) <= MAX_CONFIRMATION_AGE
     }
 
+    /// Returns the time at which the list of runners was last confirmed.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Time {
+        self.confirmed_at
+    }
+
     /// Returns the time since the list of runners was last confirmed.
     #[must_use]
     pub fn confirmation_age(&self, now: Time) -> Span {
--- /dev/null
+++ b/crates/schedule/tests/origin.rs
@@ -0,0 +1,128 @@
+//! Origins of streams when runners restart in place and when sources disagree.
+
+mod common;
+
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::Scheduler;
+use balsamchute_schedule::action::{End, Id};
+use balsamchute_schedule::report::{Begun, Sum};
+use balsamchute_schedule::request::{Request, Resumed};
+use common::{NOW, entry, model_request, named_scheduler, runner, scheduler, sends, service};
+
+fn versioned(name: &str, version: &str, started_at: u64) -> Entry {
+    Entry {
+        software: Software::from(version.to_owned()),
+        started_at,
+        ..entry(name, "model", 64)
+    }
+}
+
+fn begin(stream: u64) -> Request {
+    Request {
+        stream_digest: stream,
+        ..model_request("w1", stream, 100)
+    }
+}
+
+fn take_up(id: u64, stream: u64) -> Request {
+    Request {
+        resumed: Some(Resumed {
+            stream: Some(stream),
+            max_age: Span(15_000),
+            is_sole_service: true,
+        }),
+        ..begin(id)
+    }
+}
+
+fn submit(scheduler: &mut Scheduler, now: Time, id: Id, request: Request) -> Vec<(Id, String)> {
+    scheduler.submit(now, id, request);
+    sends(&scheduler.take_actions())
+}
+
+/// Begins a stream at the only runner, `x`, of version `old`, and lists `y` of the same
+/// version.
+fn begun_at_x(scheduler: &mut Scheduler, now: Time, id: Id) {
+    if scheduler.targets().count() == 0 {
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+    }
+    assert_eq!(
+        submit(scheduler, now, id, begin(id)),
+        [(id, "x".to_owned())]
+    );
+    scheduler.record_write(id);
+    scheduler.record_events(now, id, 1);
+    scheduler.set_runner(now, versioned("y", "old", 1));
+}
+
+fn breaks(scheduler: &mut Scheduler, now: Time, id: Id) -> Vec<(Id, String)> {
+    scheduler.finish_attempt(now, id, End::Broke);
+    sends(&scheduler.take_actions())
+}
+
+/// The first event may be of the process whose entry arrives after it.
+#[test]
+fn a_stream_of_a_runner_that_restarted_in_place_is_not_continued_at_the_version_before() {
+    let mut first = scheduler(100);
+    begun_at_x(&mut first, NOW, 1);
+    let mut second = named_scheduler("r2.1", 100);
+    second.set_runner(NOW, versioned("y", "old", 1));
+    let peer = Instance::new("r1").unwrap();
+    second.apply_report(NOW, &peer, &first.report(NOW));
+    let later = NOW + Span(2000);
+    first.set_runner(later, versioned("x", "new", NOW.0 - 500));
+    first.set_runner(later, versioned("z", "new", 1));
+    second.apply_report(later, &peer, &first.report(later));
+    assert_eq!(breaks(&mut first, later, 1), []);
+    for router in [&mut first, &mut second] {
+        assert_eq!(submit(router, later, 2, take_up(2, 1)), []);
+    }
+}
+
+#[test]
+fn a_stream_that_began_long_before_its_runner_restarted_is_continued_at_its_version() {
+    let mut scheduler = scheduler(100);
+    begun_at_x(&mut scheduler, NOW, 1);
+    let later = NOW + Span(10_000);
+    scheduler.set_runner(later, versioned("x", "new", later.0));
+    assert_eq!(breaks(&mut scheduler, later, 1), [(1, "y".to_owned())]);
+    let sent = submit(&mut scheduler, later, 2, take_up(2, 1));
+    assert_eq!(sent, [(2, "y".to_owned())]);
+}
+
+/// A refused connection shows that the process is gone; the next one has no entry yet.
+#[test]
+fn a_stream_that_begins_after_its_runner_refused_a_connection_is_of_unknown_version() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, versioned("x", "old", 1));
+    scheduler.origins_mut().versions_mut().confirm(NOW);
+    scheduler.record_refused_probe(NOW, &runner("x"));
+    let later = NOW + Span(1000);
+    begun_at_x(&mut scheduler, later, 1);
+    assert_eq!(breaks(&mut scheduler, later, 1), []);
+    assert_eq!(submit(&mut scheduler, later, 2, take_up(2, 1)), []);
+}
+
+fn told(version: &str) -> Vec<Begun> {
+    vec![Begun {
+        service: service("model"),
+        software: Software::from(version.to_owned()),
+        streams: vec![7],
+    }]
+}
+
+/// Reports and records arrive in any order, and a request id may be used twice.
+#[test]
+fn a_stream_of_which_sources_tell_two_versions_is_refused_whichever_came_last() {
+    for versions in [["old", "new"], ["new", "old"]] {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+        scheduler.set_runner(NOW, versioned("z", "new", 1));
+        for version in versions {
+            scheduler.apply_streams(NOW, &told(version));
+        }
+        let mut sum = Sum::new();
+        sum.add(&scheduler.report(NOW));
+        assert_eq!(submit(&mut scheduler, NOW, 1, take_up(1, 7)), []);
+    }
+}
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -7,6 +7,7 @@
 mod log_commands;
 mod notice;
 mod poison;
+mod restarts;
 mod restore;
 mod store;
 mod versions;
--- /dev/null
+++ b/tests/all/edge/restarts.rs
@@ -0,0 +1,85 @@
+//! Streams of runners that restart in place, under their id and address, at another version.
+
+use std::io::Read;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::environment::{Runner, Store, connect, header, respond, send_raw, wait_until};
+use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest, start_routers};
+
+/// Time in which routers tell each other of a stream.
+const SPREAD_TIME: Duration = Duration::from_millis(600);
+
+/// Runner that begins streams with two events, which break off once `breaks` is set, and
+/// continues others to their end.
+fn runner(breaks: &Arc<AtomicBool>) -> Runner {
+    let breaks = breaks.clone();
+    Runner::start(move |head: &str, stream: &mut TcpStream| {
+        if header(head, "last-event-id").is_some() {
+            let body = format!("{}0\r\n\r\n", events(3, 5));
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+            return true;
+        }
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 2));
+        wait_until("the stream breaks", || breaks.load(Ordering::SeqCst));
+        false
+    })
+}
+
+fn list(store: &Store, name: &str, runner: &Runner, version: &str, started_at: u64) {
+    let mut value = entry(runner.address, "s").expect("an entry");
+    value["version"] = json!(version);
+    value["born"] = json!(started_at);
+    store.put("servers", name, Some(value));
+}
+
+fn request(id: &str, fields: &str) -> String {
+    format!(
+        "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
+         Authorization: Token k1\r\nConnection: close\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
+}
+
+/// The stream begins before the entry of the process that sends it arrives.
+#[test]
+fn a_stream_of_a_restarted_runner_is_not_continued_at_the_version_before() {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let breaks = Arc::new(AtomicBool::new(false));
+    let (restarted, other) = (runner(&breaks), runner(&breaks));
+    list(&store, "i-0", &restarted, "v1", 1);
+    let routers = start_routers(&store, 2);
+    let mut caller = connect(routers[0].callers);
+    std::io::Write::write_all(&mut caller, request("q1", "").as_bytes()).expect("a request");
+    let mut response = String::new();
+    while !response.contains("id: 2\n") {
+        let mut bytes = [0; 512];
+        let length = caller.read(&mut bytes).expect("the stream goes on");
+        response.push_str(&String::from_utf8_lossy(&bytes[..length]));
+    }
+    list(&store, "i-1", &other, "v1", 1);
+    let now = std::time::SystemTime::now();
+    let now = now.duration_since(std::time::UNIX_EPOCH).expect("a time");
+    list(&store, "i-0", &restarted, "v2", now.as_millis() as u64);
+    let is_listed = |router: &Router| {
+        let log = router.log();
+        log.contains("runner=i-1 ") && log.contains("software=\"v2\"")
+    };
+    wait_until("the entries are listed", || routers.iter().all(is_listed));
+    thread::sleep(SPREAD_TIME);
+    breaks.store(true, Ordering::SeqCst);
+    // The answer is cut off, with a reset if its end was not read.
+    let _ = caller.read_to_string(&mut response);
+    assert!(!response.contains("id: 3\n"), "{response}");
+    let fields = "Last-Event-Id: 2\r\nResumes: q1\r\n";
+    for router in &routers {
+        let response = send_raw(router.callers, &request("q2", fields));
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    }
+    assert_eq!(other.requests(), Vec::<String>::new());
+}
