Know a stream by the ids of all requests that took it up

A caller takes a stream up by the id of the request that brought its first event. Where that is a request that itself took a stream up (the first one brought no event, or the caller names the last one of a chain), the origin was not known under its id: the resumption was refused while several versions served, and inferred from the list of runners otherwise.

Evidence: a_stream_is_known_by_the_ids_of_the_requests_that_took_it_up fails without the change (refused as unknown_version). The origin is now recorded under the id of each request of a stream that brings an event, with the version that the stream is bound to.

--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -391,8 +391,9 @@
         dispatch.events += events;
         dispatch.last_event_at = now;
         let is_begun = std::mem::replace(&mut pending.answer_begun, true);
-        if !is_begun && pending.request.is_resumable() && pending.software.is_none() {
+        if !is_begun && pending.request.is_resumable() {
             let listed = self.targets.get(&dispatch.runner);
+            // A caller may name any request of a stream that it takes up again.
             let software = pending.software.get_or_insert_with(|| {
                 pending.basis = Some(Basis::Answer);
                 dispatch.software_that_answers(listed)
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -126,3 +126,18 @@
         assert_eq!(submit(&mut scheduler, NOW, 1, take_up(1, 7)), []);
     }
 }
+
+/// A caller may name the request that continued the stream last.
+#[test]
+fn a_stream_is_known_by_the_ids_of_the_requests_that_took_it_up() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, versioned("x", "old", 1));
+    scheduler.set_runner(NOW, versioned("z", "new", 1));
+    scheduler.apply_streams(NOW, &told("new"));
+    let sent = submit(&mut scheduler, NOW, 1, take_up(8, 7));
+    assert_eq!(sent, [(1, "z".to_owned())]);
+    scheduler.record_events(NOW, 1, 1);
+    scheduler.cancel(NOW, 1);
+    let sent = submit(&mut scheduler, NOW, 2, take_up(9, 8));
+    assert_eq!(sent, [(2, "z".to_owned())]);
+}
