Begin streams at versions that all routers know, while these have room

A router that has not heard of a new version, and of a stream that began there, infers the old version as the sole one and continues the stream at it: within 3.5 s of losing the store, 3.7 s if it learns the list from peers, and up to about 1 s behind others through hubs. Callers saw a stream of the new version continued at the old one.

Evidence: streams_begin_at_a_version_that_all_routers_know_while_it_has_room fails without the change; a stream begins at the runner of the new version at once although the old one has room.

For the first 5 s in which a router lists a version, it begins streams of resumable routes at runners of versions that it has listed for longer, if one of these has room for the request now. After that time each router has heard of the version, or its list counts as unconfirmed and it infers nothing. Plain requests, other streams and streams that are continued are not affected, and no capacity is idle while work waits: without room, any version is taken. The record of versions is written within 2 s, before streams begin at the new version, so the same rule covers a kill of all routers right after the version is listed.

What remains: a stream that begins at a new version in these 5 s because no other runner has room, and whose report does not reach a router that is cut off from the store and still infers. A router that restarts within 5 s of the listing prefers none where the records name both.

The alternative, to confirm the list anew for each resumption of unknown origin, has no such window. It costs one read of the store and a wait of up to 1 s for each of them, also in fleets where only one version was ever listed, or a refusal whenever the store is slow.

The comparison of kept and recomputed choices now plays restarts at another version; choices are the same.

--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -5,11 +5,13 @@
 use balsamchute_model::prelude::*;
 
 use crate::action::{Action, Id, Rationale};
+use crate::home::Homes;
 use crate::parts::Verdict;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::{Choice, Priority, Selector, needed_tokens};
 use crate::queue::{Flow, Head, flow};
 use crate::round::Round;
+use crate::runner::Target;
 use crate::scheduler::Scheduler;
 use crate::share::Shares;
 
@@ -280,20 +282,62 @@
         let mut homes = std::mem::take(&mut self.homes);
         let pending = &self.pending[&id];
         let selector = self.selector(now, &pending.request.service);
+        let is_usable = |target: &Target| !excluded.contains(&target.entry.runner);
+        let choice = self.choose_settled(now, pending, priority, round, &mut homes, is_usable);
+        if let Some(choice) = choice {
+            self.homes = homes;
+            return choice;
+        }
         let is_unbound = pending.is_unbound() && verdict == Verdict::Sound;
         let choice = match is_unbound && !self.recomputes {
             true => selector.choose_in(round, pending, priority, &mut homes),
             false => {
                 let homes = (!self.recomputes).then_some(&mut homes);
-                selector.choose(pending, priority, homes, |target| {
-                    !excluded.contains(&target.entry.runner)
-                })
+                selector.choose(pending, priority, homes, is_usable)
             }
         };
         self.homes = homes;
         choice
     }
 
+    /// Chooses the runner at which a stream begins among those whose version all routers know:
+    /// one that has not heard of a new version may take another for the origin of its streams.
+    /// Returns `None` if no version is new or no such runner has room.
+    fn choose_settled<F>(
+        &self,
+        now: Time,
+        pending: &Pending,
+        priority: Priority,
+        round: &Round,
+        homes: &mut Homes,
+        is_usable: F,
+    ) -> Option<Choice>
+    where
+        F: Fn(&Target) -> bool,
+    {
+        if pending.software.is_some() || !pending.request.is_resumable() {
+            return None;
+        }
+        let service = &pending.request.service;
+        let unsettled = self.streams.versions().unsettled(now, service);
+        let size = pending.request.prompt.as_ref().map(needed_tokens);
+        if unsettled.is_empty() || !round.may_have_room(priority, size) {
+            return None;
+        }
+        let selector = self.selector(now, service);
+        let choice = selector.choose(
+            pending,
+            priority,
+            (!self.recomputes).then_some(homes),
+            |target| {
+                is_usable(target)
+                    && !unsettled.contains(&&target.entry.software)
+                    && !target.is_ejected(now)
+            },
+        );
+        Some(choice).filter(|choice| matches!(choice, Choice::Runner { .. }))
+    }
+
     /// Returns the runners that run a suspected request of this router. Suspected parts
     /// count until the answer begins.
     fn suspected_runners(&self, now: Time) -> BTreeSet<Runner> {
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use balsamchute_model::prelude::*;
+use smallvec::SmallVec;
 
 /// Versions of each service.
 pub type Set = BTreeMap<Service, BTreeSet<Software>>;
@@ -24,6 +25,11 @@
 /// and gone unseen.
 const MAX_CONFIRMATION_AGE: Span = Span(3500);
 
+/// Time for which a version must have been listed until every router that still infers another
+/// one as the sole version has heard of it: [`MAX_CONFIRMATION_AGE`], 0.2 s more if the list
+/// is learned from peers, and the time until the streams that begin are reported.
+const SETTLE_TIME: Span = Span(5000);
+
 /// Added to the greatest age of a stream, for the time that the request travels and waits to
 /// be read, and for the interval at which listed versions are recorded.
 const AGE_MARGIN: Span = Span(1000);
@@ -40,12 +46,19 @@
     Recorded(BTreeSet<Service>),
 }
 
+/// Time in which a version was listed without a long break.
+#[derive(Clone, Copy, Debug)]
+struct Listing {
+    since: Time,
+    until: Time,
+}
+
 /// Versions that one router knows to have served, and the time for which it can tell that
 /// no others did.
 #[derive(Clone, Debug, Default)]
 pub struct Versions {
-    /// Time at which a runner last had each version.
-    served: BTreeMap<Service, BTreeMap<Software, Time>>,
+    /// Time in which runners had each version.
+    served: BTreeMap<Service, BTreeMap<Software, Listing>>,
     /// Begin of the time in which the list of runners was confirmed without a gap.
     covered_since: Option<Time>,
     confirmed_at: Time,
@@ -58,15 +71,20 @@
 impl Versions {
     /// Records that a listed runner has a version.
     pub fn record(&mut self, now: Time, service: &Service, software: &Software) {
+        let listing = Listing {
+            since: now,
+            until: now,
+        };
         match self.served.get_mut(service) {
             Some(versions) => match versions.get_mut(software) {
-                Some(served_at) => *served_at = now,
+                Some(known) if now.since(known.until) <= SETTLE_TIME => known.until = now,
+                Some(known) => *known = listing,
                 None => {
-                    versions.insert(software.clone(), now);
+                    versions.insert(software.clone(), listing);
                 }
             },
             None => {
-                let versions = BTreeMap::from([(software.clone(), now)]);
+                let versions = BTreeMap::from([(software.clone(), listing)]);
                 self.served.insert(service.clone(), versions);
             }
         }
@@ -102,16 +120,39 @@
     }
 
     /// Adds the versions of a record in the store. Clocks may differ, so they count as served
-    /// until now.
+    /// until now, and from long ago.
     pub fn merge(&mut self, now: Time, record: &Set) {
         for (service, versions) in record {
             self.recorded.insert(service.clone());
             for software in versions {
-                self.record(now, service, software);
+                let versions = self.served.entry(service.clone()).or_default();
+                let listing = Listing {
+                    since: Time(0),
+                    until: now,
+                };
+                versions.insert(software.clone(), listing);
             }
         }
     }
 
+    /// Returns the versions of a service that some routers may not have heard of, or none if
+    /// all versions are that new.
+    #[must_use]
+    pub fn unsettled(&self, now: Time, service: &Service) -> SmallVec<[&Software; 2]> {
+        let is_settled = |listing: &Listing| now.since(listing.since) >= SETTLE_TIME;
+        let Some(versions) = self.served.get(service) else {
+            return SmallVec::new();
+        };
+        let mut listed = versions.values();
+        let has_settled =
+            listed.any(|listing| is_settled(listing) && now.since(listing.until) <= SETTLE_TIME);
+        let unsettled = versions.iter().filter(|(_, listing)| !is_settled(listing));
+        match has_settled {
+            true => unsettled.map(|(software, _)| software).collect(),
+            false => SmallVec::new(),
+        }
+    }
+
     /// Records that no stream began before this router started.
     pub fn set_first(&mut self) {
         self.earlier = Earlier::NoStreams;
@@ -147,7 +188,7 @@
     fn within(&self, now: Time, service: &Service, age: Span) -> impl Iterator<Item = &Software> {
         let versions = self.served.get(service).into_iter().flatten();
         versions
-            .filter(move |(_, served_at)| now.since(**served_at) <= age)
+            .filter(move |(_, listing)| now.since(listing.until) <= age)
             .map(|(software, _)| software)
     }
 
@@ -174,7 +215,7 @@
     /// Drops versions that left long ago.
     pub fn expire(&mut self, now: Time) {
         for versions in self.served.values_mut() {
-            versions.retain(|_, served_at| now.since(*served_at) <= MEMORY);
+            versions.retain(|_, listing| now.since(listing.until) <= MEMORY);
         }
         self.served.retain(|_, versions| !versions.is_empty());
     }
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -4,7 +4,7 @@
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::Scheduler;
-use balsamchute_schedule::action::{End, Id};
+use balsamchute_schedule::action::{Action, End, Id};
 use balsamchute_schedule::report::{Begun, Sum};
 use balsamchute_schedule::request::{Request, Resumed};
 use common::{NOW, entry, model_request, named_scheduler, runner, scheduler, sends, service};
@@ -141,3 +141,53 @@
     let sent = submit(&mut scheduler, NOW, 2, take_up(9, 8));
     assert_eq!(sent, [(2, "z".to_owned())]);
 }
+
+fn is_refused(scheduler: &mut Scheduler, id: Id) -> bool {
+    let is_refusal =
+        |action: &Action| matches!(action, Action::Refuse { id: refused, .. } if *refused == id);
+    scheduler.take_actions().iter().any(is_refusal)
+}
+
+/// A router that has not heard of the new version infers the old one.
+#[test]
+fn streams_begin_at_a_version_that_all_routers_know_while_it_has_room() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(
+        NOW,
+        Entry {
+            slots: 4,
+            ..versioned("x", "old", 1)
+        },
+    );
+    let release = NOW + Span(20_000);
+    for at in (NOW.0..release.0).step_by(1000) {
+        scheduler.tick(Time(at));
+    }
+    scheduler.set_runner(release, versioned("z", "new", 1));
+    let request = |id| Request {
+        deadline: release + Span(15_000),
+        ..begin(id)
+    };
+    let first: Vec<String> = (1..=6)
+        .flat_map(|id| {
+            let sent = submit(&mut scheduler, release, id, request(id));
+            // Prefill is done at once, so that only the slots limit the runner.
+            scheduler.record_events(release, id, 1);
+            sent.into_iter().map(|(_, runner)| runner)
+        })
+        .collect();
+    assert_eq!(first, ["x", "x", "x", "x", "z", "z"]);
+    assert!(!is_refused(&mut scheduler, 6));
+    let plain = Request {
+        retry_policy: RetryPolicy::AtMostOnce,
+        ..request(10)
+    };
+    scheduler.cancel(release, 1);
+    scheduler.cancel(release, 2);
+    assert_eq!(submit(&mut scheduler, release, 10, plain)[0].1, "z");
+    let settled = release + Span(10_000);
+    for at in (release.0..settled.0).step_by(1000) {
+        scheduler.tick(Time(at));
+    }
+    assert_eq!(submit(&mut scheduler, settled, 11, request(11))[0].1, "z");
+}
--- a/crates/schedule/tests/play.rs
+++ b/crates/schedule/tests/play.rs
@@ -33,12 +33,16 @@
         3 => ("plain", 4),
         _ => ("model", 6),
     };
+    let state = match random.random_range(0..8) {
+        0 => State::Draining,
+        _ => State::Ready,
+    };
+    // A runner may restart at another version.
+    let started_at = random.random_range(1..3);
     Entry {
-        state: match random.random_range(0..8) {
-            0 => State::Draining,
-            _ => State::Ready,
-        },
-        started_at: random.random_range(1..3),
+        state,
+        started_at,
+        software: Software::from(format!("v{started_at}")),
         domain: ["a", "b"][random.random_range(0..2)].to_owned(),
         warmup: Span(random.random_range(0..2)),
         ..entry(&format!("i-{number}"), service_name, slots)
