Count the time of a suspension into the age of the list of runners

After a suspension of its machine a router took its list of runners for as recent as before: the monotonic clock does not count that time. Until it heard of a version that was listed meanwhile, it inferred the old one as the sole version of streams that other routers had begun at the new one.

Found by reading: the clock of crates/base is Instant, which is CLOCK_MONOTONIC. A suspension was not played, since it needs privileges; the pure test a_router_that_was_suspended_infers_nothing_of_that_time covers the decision.

Each turn of the loop compares CLOCK_BOOTTIME with CLOCK_MONOTONIC, logs a growth of the difference as event=suspended, and takes it off the time of the last confirmation, before the events of the turn. Other ages still leave a suspension out.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use balsamchute_model::prelude::*;
+use stakker::CX;
 
 use crate::edge::{Edge, Slot};
 use crate::frame::{Descriptor, Frame, MAX_DATAGRAM_BYTES, Phase};
@@ -152,6 +153,13 @@
         }
     }
 
+    /// Records that the machine was suspended: the list of runners is older than the clock
+    /// shows.
+    pub fn record_suspension(&mut self, _cx: CX![], suspended: Span) {
+        let origins = self.scheduler.origins_mut();
+        origins.versions_mut().record_suspension(suspended);
+    }
+
     pub(super) fn sweep(&mut self, now: Time) {
         self.sweep_callers(now);
         self.sweep_upstreams(now);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod server;
 mod socket;
 mod stats;
+mod suspension;
 mod transaction;
 mod upstream;
 
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -16,6 +16,7 @@
 use crate::error::Error;
 use crate::line::Format;
 use crate::output::Output;
+use crate::suspension::Suspension;
 
 /// Events that one turn of the loop handles.
 const MAX_EVENTS: usize = 256;
@@ -79,6 +80,7 @@
     stakker.run(Instant::now(), false);
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
+    let mut suspension = Suspension::new();
     loop {
         let has_pending_accepts = edge.query(&mut stakker, |edge, _| edge.has_pending_accepts());
         let sleep = match has_pending_accepts {
@@ -91,6 +93,10 @@
             Err(error) => return Err(Error::Poll(error)),
         }
         let turn_began = Instant::now();
+        if let Some(suspended) = suspension.growth() {
+            log::warn!(target: "process", "event=suspended for_ms={}", suspended.0);
+            call!([edge], record_suspension(suspended));
+        }
         if stop.load(Ordering::Relaxed) {
             call!([edge], begin_shutdown());
         }
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -101,6 +101,11 @@
         self.confirmed_at = now.max(self.confirmed_at);
     }
 
+    /// Records that the machine was suspended, for a time that the clock does not count.
+    pub fn record_suspension(&mut self, suspended: Span) {
+        self.confirmed_at = self.confirmed_at - suspended;
+    }
+
     /// Returns whether the list of runners was confirmed a short time ago.
     #[must_use]
     pub fn is_confirmed(&self, now: Time) -> bool {
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -82,6 +82,22 @@
     assert!(sole(&versions, 39).is_some());
 }
 
+/// The clock does not count the time for which a machine is suspended.
+#[test]
+fn a_router_that_was_suspended_infers_nothing_of_that_time() {
+    let mut versions = Versions::default();
+    versions.set_first();
+    list(&mut versions, 0, 20, &["old"]);
+    versions.record_suspension(Span(2000));
+    assert!(sole(&versions, 20).is_some());
+    versions.record_suspension(Span(2000));
+    assert_eq!(sole(&versions, 20), None);
+    list(&mut versions, 20, 28, &["old"]);
+    assert_eq!(sole(&versions, 28), None);
+    list(&mut versions, 29, 29, &["old"]);
+    assert!(sole(&versions, 29).is_some());
+}
+
 #[test]
 fn records_show_which_versions_served_before_the_start_and_their_absence_shows_nothing() {
     for (records, expected) in [
