--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -483,7 +483,7 @@
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         // The bounds are those of the example settings in `platform/tests/decode.rs`.
         let text = format!(
-            "node_name = \"{name}\"\nzone = \"a\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
+            "bootstrap = true\nnode_name = \"{name}\"\nzone = \"a\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
              heartbeat_ms = 1200\n[listen]\nfront = \"{callers}\"\nready = \"{ready}\"\ndirectory = \"{directory}\"\n\
              [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = {descriptors}\n[bounds]\ndrain_ms = 2000\n\
              grace_s = 8\napply_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 54\n\
@@ -547,10 +547,19 @@
         self.signal_if_running(signal);
         self.signal_if_running(nix::sys::signal::Signal::SIGCONT);
         self.wait();
+        self.set_bootstrap("bootstrap = false\n");
         self.child = spawn(&self.settings_file, &self.log_file);
         self.started = Instant::now();
     }
 
+    /// Replaces the line of the settings that names whether the fleet starts for the first
+    /// time, if it is there.
+    pub fn set_bootstrap(&self, line: &str) {
+        let text = std::fs::read_to_string(&self.settings_file).expect("settings");
+        let text = text.replace("bootstrap = true\n", line);
+        std::fs::write(&self.settings_file, text).expect("settings can be written");
+    }
+
     /// Returns the time since the process was started.
     #[allow(dead_code, reason = "used by the soak")]
     pub fn age(&self) -> Duration {
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -76,9 +76,6 @@
     fn restart_all(&mut self, meanwhile: impl FnOnce(&Store)) {
         for router in &self.routers {
             router.signal(Signal::SIGKILL);
-            let text = std::fs::read_to_string(&router.settings_file).expect("settings");
-            let text = format!("bootstrap = false\n{text}");
-            std::fs::write(&router.settings_file, text).expect("settings can be written");
         }
         meanwhile(&self.store);
         for router in &mut self.routers {
@@ -212,6 +209,31 @@
     }
 }
 
+/// Replaces the two runners of a fleet by one of version `v2`.
+fn replace_runners(store: &Store, new: &Runner) {
+    store.put("servers", "i-0", None);
+    store.put("servers", "i-1", None);
+    let mut value = entry(new.address, "s").expect("an entry");
+    value["version"] = json!("v2");
+    store.put("servers", "i-2", Some(value));
+}
+
+/// The records of the time before cannot be read.
+#[test]
+fn a_router_whose_settings_do_not_say_that_the_fleet_is_new_infers_nothing_of_the_time_before() {
+    let mut fleet = Fleet::start(&["v1", "v1"], true, 1);
+    let begun = begin_streams(&fleet.routers[0], 1);
+    let new = runner("v2", true);
+    fleet.routers[0].set_bootstrap("");
+    fleet.restart_all(|store| {
+        replace_runners(store, &new);
+        store.set_unavailable_for(Some("routers"));
+    });
+    let response = resume(&fleet.routers[0], 0, &begun[0].0);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(new.requests(), Vec::<String>::new());
+}
+
 /// A router that lists only the new version must not take it for the origin of a stream that
 /// the old one began.
 #[test]
@@ -221,11 +243,7 @@
     thread::sleep(SPREAD_TIME);
     let new = runner("v2", true);
     fleet.restart_all(|store| {
-        store.put("servers", "i-0", None);
-        store.put("servers", "i-1", None);
-        let mut value = entry(new.address, "s").expect("an entry");
-        value["version"] = json!("v2");
-        store.put("servers", "i-2", Some(value));
+        replace_runners(store, &new);
     });
     for (number, (id, ..)) in begun.iter().enumerate() {
         let response = resume(&fleet.routers[number], number, id);
