Record the routes under which streams begin beyond the life of all routers

After all routers restarted, or one of them, a stream was continued at the service that its route leads to now, although the manifest had moved the route while it was under way: changes of routes were known in memory only. The same without a restart where a route took over the path of one that was removed.

Evidence: edge::versions::a_stream_is_not_continued_at_the_service_that_a_route_was_moved_to fails without the change (200 from the service that did not begin the stream, 503 expected), and so do the new parts of a_route_with_two_backends_or_a_new_one_has_no_sole_service.

A router's object names a digest of its resumable routes (hosts, prefixes, backends, timeouts), the longest timeout, and whether all streams that may be under way began under them. A router that starts infers nothing for as long as a stream may last unless all records are settled under the routes of its first manifest. An object without the field counts as not settled. The first write waits for the manifest and the records, for 1 s at most, so that routers that restart together do not read unsettled records of each other.

Each change of a resumable route costs two writes a router, spread over the interval of the records, so all routers stay below a quarter of the rate of the store. That was computed, not measured. The object of a router that was removed may keep an old digest: a router that restarts then refuses streams of unknown origin for the longest timeout.

--- a/crates/edge/src/edge/announce.rs
+++ b/crates/edge/src/edge/announce.rs
@@ -18,8 +18,8 @@
 /// Delay after a failed write of this router's object.
 const ANNOUNCE_RETRY_DELAY: Span = Span(500);
 
-/// Time for which the first write waits for the list of runners, and the start of service
-/// for the records of all routers.
+/// Time for which the first write waits for what it names, and the start of service for the
+/// records of all routers.
 const RECORD_WAIT: Span = Span(1000);
 
 impl Edge {
@@ -36,10 +36,11 @@
             false => record::decode_versions(&router.versions),
         };
         let streams = record::decode_streams(now, &router.streams);
-        let (versions, streams) = match (versions, streams) {
-            (Ok(versions), Ok(streams)) => (versions, streams),
-            (versions, streams) => {
-                let reason = versions.err().or(streams.err());
+        let routes = record::decode_routes(&router.routes);
+        let (versions, streams, routes) = match (versions, streams, routes) {
+            (Ok(versions), Ok(streams), Ok(routes)) => (versions, streams, routes),
+            (versions, streams, routes) => {
+                let reason = versions.err().or(streams.err()).or(routes.err());
                 let reason = reason.map(|error| error.to_string());
                 log::warn!(target: "store", "event=record_ignored peer={} reason={reason:?}", router.peers);
                 self.stats.count_malformed("router_record");
@@ -47,6 +48,10 @@
                 return;
             }
         };
+        // Without versions, the router has served nothing yet.
+        if !versions.is_empty() {
+            self.route_changes.merge(routes);
+        }
         let origins = self.scheduler.origins_mut();
         origins.versions_mut().merge(now, &versions);
         match is_own {
@@ -68,6 +73,7 @@
         // A malformed record may have named further versions.
         if !self.settings.bootstrap && !self.has_malformed_record {
             self.scheduler.origins_mut().versions_mut().set_recorded();
+            self.route_changes.set_complete();
         }
     }
 
@@ -101,6 +107,9 @@
         let versions = self.scheduler.origins().record_versions(now);
         let streams = self.scheduler.origins().unrecorded(now);
         let routers = self.router_count(now);
+        if self.written_routes != self.route_changes.to_record(now) {
+            self.record_writer.record_change();
+        }
         if self.record_writer.is_due(now, routers, &versions, streams) {
             self.repeats_record = true;
             self.replace_object(now);
@@ -119,7 +128,9 @@
 
     /// Writes this router's object.
     pub(super) fn announce(&mut self, now: Time) {
-        if !self.is_runner_list_loaded && now.since(self.started) < RECORD_WAIT {
+        let is_complete = self.manifest.is_some() && self.is_runner_list_loaded;
+        let is_waiting = now.since(self.started) < RECORD_WAIT;
+        if is_waiting && !(is_complete && self.has_records(now)) {
             return;
         }
         self.announced = true;
@@ -132,6 +143,7 @@
         let origins = self.scheduler.origins();
         let (versions, begun) = (origins.record_versions(now), origins.begun());
         self.record_writer.record_write(now, versions, begun);
+        self.written_routes = self.route_changes.to_record(now);
         let store = self.settings.store;
         match self.open_client(store, Purpose::Announce) {
             Some(index) => {
@@ -190,6 +202,10 @@
                 now,
                 &origins.record_streams(&versions, self.router_count(now)),
             ),
+            routes: self
+                .route_changes
+                .to_record(now)
+                .map_or_else(String::new, |routes| record::encode_routes(&routes)),
         }
     }
 
@@ -200,7 +216,8 @@
         let versions = origins.record_versions(now);
         let stored = record::decode_versions(&router.versions).unwrap_or_default();
         let needs_streams = origins.unrecorded(now).is_some_and(|streams| streams > 0);
-        has_all(&stored, &versions) && !needs_streams
+        let routes = record::decode_routes(&router.routes).ok();
+        has_all(&stored, &versions) && !needs_streams && routes == self.route_changes.to_record(now)
     }
 
     /// Applies the refusals of a router's object, unless they are out of date. Returns
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -131,6 +131,8 @@
     // Whether a record of versions or streams in the store could not be decoded.
     has_malformed_record: bool,
     route_changes: route::Changes,
+    // Routes in the last record that was written.
+    written_routes: Option<route::Record>,
     // Era of the store; `None` before the first response that names one.
     store_era: Option<u64>,
     last_store_response: Option<Time>,
@@ -225,6 +227,7 @@
             record_writer,
             has_malformed_record: false,
             route_changes: route::Changes::default(),
+            written_routes: None,
             store_era: None,
             last_store_response: None,
             store_failed_since: None,
@@ -245,6 +248,7 @@
         };
         if edge.settings.bootstrap {
             edge.scheduler.origins_mut().versions_mut().set_first();
+            edge.route_changes.set_complete();
         }
         edge.listen()?;
         edge.add_seeds();
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -444,9 +444,10 @@
             manifest.version,
             manifest.routes.len()
         );
-        if let Some(known) = &self.manifest {
-            let now = self.clock.now();
-            self.route_changes.record(now, known, &manifest);
+        let now = self.clock.now();
+        match &self.manifest {
+            Some(known) => self.route_changes.record(now, known, &manifest),
+            None => self.route_changes.start(now, &manifest),
         }
         self.scheduler.set_manifest(&manifest);
         self.stats.set_manifest(&manifest);
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -2,6 +2,7 @@
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::report::{Begun, Refusals};
+use balsamchute_schedule::route;
 use balsamchute_schedule::version::Set;
 use displaydoc::Display;
 use serde::de::DeserializeOwned;
@@ -82,6 +83,25 @@
     }
 }
 
+/// Encodes the routes under which a router serves.
+#[must_use]
+pub fn encode_routes(routes: &route::Record) -> String {
+    to_text(routes)
+}
+
+/// Decodes the routes under which a router served; those of a router that wrote none are
+/// not settled.
+///
+/// # Errors
+///
+/// Returns [`Error`] if the text is not a record.
+pub fn decode_routes(text: &str) -> Result<route::Record, Error> {
+    match text.is_empty() {
+        true => Ok(route::Record::default()),
+        false => from_text(text),
+    }
+}
+
 fn to_text(record: &impl Serialize) -> String {
     let bytes = rmp_serde::to_vec(record).expect("a record encodes as MessagePack");
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
--- a/crates/schedule/src/record.rs
+++ b/crates/schedule/src/record.rs
@@ -41,6 +41,8 @@
     written_at: Time,
     /// Time at which a change of the versions was noticed.
     changed_at: Option<Time>,
+    /// Whether something else in the record has changed.
+    is_outdated: bool,
 }
 
 impl Writer {
@@ -55,9 +57,16 @@
             streams: 0,
             written_at: Time(0),
             changed_at: None,
+            is_outdated: false,
         }
     }
 
+    /// Records that another part of the record than versions and streams has changed. It is
+    /// written as often as streams are, by each router at its position in the interval.
+    pub fn record_change(&mut self) {
+        self.is_outdated = true;
+    }
+
     /// Returns whether the record is to be written now, `streams` being the number of streams
     /// that began at this router. Always `false` before the record of the start.
     pub fn is_due(
@@ -79,8 +88,14 @@
             };
             return now.since(changed_at) >= spread && waited >= MIN_INTERVAL;
         }
+        let interval = self.interval(routers);
+        if self.is_outdated {
+            let changed_at = *self.changed_at.get_or_insert(now);
+            let spread = Span((interval.0 as f64 * self.position) as u64);
+            return now.since(changed_at) >= spread && waited >= interval;
+        }
         self.changed_at = None;
-        streams.is_some_and(|streams| streams != self.streams) && waited >= self.interval(routers)
+        streams.is_some_and(|streams| streams != self.streams) && waited >= interval
     }
 
     /// Returns the interval between writes of streams in a fleet of `routers`.
@@ -96,6 +111,7 @@
         self.streams = streams;
         self.written_at = now;
         self.changed_at = None;
+        self.is_outdated = false;
     }
 
     /// Records that the last write may not have reached the store: the start's write repeats.
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -6,7 +6,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::record::Writer;
 use balsamchute_schedule::report::Begun;
-use balsamchute_schedule::route::Changes;
+use balsamchute_schedule::route::{Changes, Record};
 use balsamchute_schedule::stream::{Origin, Streams};
 use balsamchute_schedule::version::{Set, Versions};
 
@@ -172,6 +172,11 @@
     assert!(!writer.is_due(later + Span(249), 8, &set(&["a", "b"]), Some(2)));
     assert!(writer.is_due(later + Span(250), 8, &set(&["a", "b"]), Some(2)));
     assert!(!writer.is_due(later + Span(250), 8, &set(&["a", "b"]), Some(1)));
+    writer.record_change();
+    let changed = later + Span(1000);
+    assert!(!writer.is_due(changed, 88, &set(&["a", "b"]), None));
+    assert!(!writer.is_due(changed + Span(499), 88, &set(&["a", "b"]), None));
+    assert!(writer.is_due(changed + Span(500), 88, &set(&["a", "b"]), None));
     writer.record_failure();
     assert!(!writer.is_due(later + Span(9000), 8, &set(&["a"]), Some(2)));
 }
@@ -245,4 +250,40 @@
     changes.record(NOW, &manifest(&["t"]), &manifest(&["s"]));
     assert!(!changes.is_sole(NOW + MAX_AGE, &route(&["s"])));
     assert!(changes.is_sole(NOW + MAX_AGE + Span(1), &route(&["s"])));
+    // Another route takes over the path of one that is gone.
+    let mut longer = route(&["t"]);
+    (longer.name, longer.prefix) = ("longer".to_owned(), "/r/x/".to_owned());
+    let both = Manifest::new(1, vec![route(&["s"]), longer]);
+    let mut changes = Changes::default();
+    changes.record(NOW, &both, &manifest(&["s"]));
+    assert!(!changes.is_sole(NOW + MAX_AGE, &route(&["s"])));
+    // Before the start, other routes may have been in force.
+    let record = |services: &[&str]| {
+        let mut changes = Changes::default();
+        changes.start(NOW, &manifest(services));
+        changes.set_complete();
+        changes.to_record(NOW).unwrap()
+    };
+    for (records, is_sole) in [
+        (vec![], true),
+        (vec![record(&["s"])], true),
+        (vec![record(&["s"]), record(&["t"])], false),
+        (
+            vec![Record {
+                is_settled: false,
+                ..record(&["s"])
+            }],
+            false,
+        ),
+        (vec![Record::default()], false),
+    ] {
+        let mut changes = Changes::default();
+        changes.start(NOW, &manifest(&["s"]));
+        assert!(!changes.is_sole(NOW, &route(&["s"])));
+        records.iter().for_each(|record| changes.merge(*record));
+        changes.set_complete();
+        assert_eq!(changes.is_sole(NOW, &route(&["s"])), is_sole, "{records:?}");
+        assert_eq!(changes.to_record(NOW).unwrap().is_settled, is_sole);
+        assert!(changes.is_sole(NOW + MAX_AGE + Span(1), &route(&["s"])));
+    }
 }
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::environment::{Runner, Store, connect, header, respond, send_raw};
 use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest, start_routers};
@@ -251,3 +251,43 @@
     }
     assert_eq!(new.requests(), Vec::<String>::new());
 }
+
+/// Returns a manifest whose stream route leads to a service.
+fn manifest_to(version: u64, service: &str) -> Option<Value> {
+    let mut value = manifest(version, &["k1"])?;
+    value["routes"][0]["service"] = json!(service);
+    value["services"] = json!([{"name": "s", "max_conns": 99}, {"name": "t", "max_conns": 99}]);
+    Some(value)
+}
+
+/// The manifest changes right before all routers are killed, or while they are down.
+#[test]
+fn a_stream_is_not_continued_at_the_service_that_a_route_was_moved_to() {
+    for is_down in [false, true] {
+        let store = Store::start();
+        store.put("config", "main", manifest_to(1, "s"));
+        let runners = [runner("v1", true), runner("v1", true)];
+        for (service, runner) in ["s", "t"].iter().zip(&runners) {
+            store.put("servers", service, entry(runner.address, service));
+        }
+        let routers = start_routers(&store, 1);
+        thread::sleep(SPREAD_TIME);
+        let mut fleet = Fleet {
+            store,
+            runners: Vec::new(),
+            routers,
+        };
+        let begun = begin_streams(&fleet.routers[0], 1);
+        if !is_down {
+            fleet.store.put("config", "main", manifest_to(2, "t"));
+            thread::sleep(SPREAD_TIME);
+        }
+        fleet.restart_all(|store| store.put("config", "main", manifest_to(2, "t")));
+        let response = resume(&fleet.routers[0], 0, &begun[0].0);
+        assert!(
+            response.starts_with("HTTP/1.1 503 "),
+            "{is_down} {response}"
+        );
+        assert_eq!(runners[1].requests(), Vec::<String>::new());
+    }
+}
