Withdraw streams from runners that are listed at another version before they answer

A stream that had broken off was sent to a runner that had restarted in place; its entry arrived after the request and before the answer, and the answer of the new version was appended to the events of the old one. The same where the origin became unknown while the stream waited for its second runner.

Evidence: a_stream_is_not_continued_by_a_process_whose_entry_arrives_after_the_request and a_stream_that_was_moved_before_its_origin_became_unknown_is_cut_off fail without the change.

An entry of another process withdraws the attempts without an answer whose runner is not of the version of their stream; they go to a runner that is, or are cut off.

--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns whether the stream may go on at a runner of this software version.
-    fn fits(&self, software: &Software) -> bool {
+    pub fn fits(&self, software: &Software) -> bool {
         let began = self.software.as_ref();
         began.is_none_or(|began| began == software && !began.is_unknown())
     }
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -198,7 +198,7 @@
             entry.service = service.clone();
         }
         self.streams.record_version(now, &entry);
-        self.replace_process(now, &entry);
+        let is_replaced = self.replace_process(now, &entry);
         let cold_start = self.cold_starts.get(&entry.service);
         self.colds.set_entry(now, &entry, cold_start);
         let runner = entry.runner.clone();
@@ -216,18 +216,21 @@
             }
         }
         self.update_cold(now, &runner);
+        if is_replaced {
+            self.withdraw_streams(now);
+        }
         self.dispatch_all(now);
     }
 
     /// Makes the origin of streams unknown that a new process of a runner may have begun before
-    /// its entry arrived.
-    fn replace_process(&mut self, now: Time, entry: &Entry) {
+    /// its entry arrived. Returns whether the entry is of such a process.
+    fn replace_process(&mut self, now: Time, entry: &Entry) -> bool {
         let known = self.targets.get(&entry.runner).map(|target| &target.entry);
         let is_known = known.is_some_and(|known| {
             known.started_at == entry.started_at && known.software == entry.software
         });
         if is_known {
-            return;
+            return false;
         }
         let doubtful = self.streams.replace_process(now, entry);
         for pending in self.pending.values_mut() {
@@ -237,6 +240,7 @@
                 pending.software = Some(Software::unknown());
             }
         }
+        true
     }
 
     /// Removes a runner, which receives no further requests; attempts in
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -4,7 +4,7 @@
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::Scheduler;
-use balsamchute_schedule::action::{Action, End, Id};
+use balsamchute_schedule::action::{Action, End, Failure, Id};
 use balsamchute_schedule::report::{Begun, Sum};
 use balsamchute_schedule::request::{Request, Resumed};
 use common::{NOW, entry, model_request, named_scheduler, runner, scheduler, sends, service};
@@ -20,6 +20,7 @@
 fn begin(stream: u64) -> Request {
     Request {
         stream_digest: stream,
+        max_attempts: 3,
         ..model_request("w1", stream, 100)
     }
 }
@@ -90,6 +91,45 @@
     assert_eq!(sent, [(2, "y".to_owned())]);
 }
 
+/// The entry of the runner that began the stream arrives after another one was sent the rest.
+#[test]
+fn a_stream_that_was_moved_before_its_origin_became_unknown_is_cut_off() {
+    let mut scheduler = scheduler(100);
+    begun_at_x(&mut scheduler, NOW, 1);
+    assert_eq!(breaks(&mut scheduler, NOW, 1), [(1, "y".to_owned())]);
+    scheduler.set_runner(NOW + Span(100), versioned("x", "new", NOW.0));
+    let failure = Failure::RunnerBroke;
+    let actions = scheduler.take_actions();
+    assert_eq!(actions, [Action::Fail { id: 1, failure }]);
+}
+
+/// The new process has not answered yet when its entry arrives.
+#[test]
+fn a_stream_is_not_continued_by_a_process_whose_entry_arrives_after_the_request() {
+    for has_other in [true, false] {
+        let mut scheduler = scheduler(100);
+        begun_at_x(&mut scheduler, NOW, 1);
+        assert_eq!(breaks(&mut scheduler, NOW, 1), [(1, "y".to_owned())]);
+        scheduler.record_write(1);
+        if has_other {
+            scheduler.set_runner(NOW, versioned("v", "old", 1));
+        }
+        // The stream began long before the process did.
+        let started_at = NOW.0 + 10_000;
+        scheduler.set_runner(NOW + Span(100), versioned("y", "new", started_at));
+        let actions = scheduler.take_actions();
+        let (resumed, withdrawn) = match has_other {
+            true => (vec![(1, "v".to_owned())], Action::Abandon { id: 1 }),
+            false => {
+                let failure = Failure::RunnerBroke;
+                (vec![], Action::Fail { id: 1, failure })
+            }
+        };
+        assert_eq!(sends(&actions), resumed);
+        assert!(actions.contains(&withdrawn), "{actions:?}");
+    }
+}
+
 /// A refused connection shows that the process is gone; the next one has no entry yet.
 #[test]
 fn a_stream_that_begins_after_its_runner_refused_a_connection_is_of_unknown_version() {
