Confirm the list of runners by datagrams as of the time since which they waited

A router that had been stopped (SIGSTOP, a frozen machine) read the datagrams that waited in its socket and took its list for confirmed 1.5 s ago, although the other router had sent them before it could know of a new version. It inferred the old version as the sole one for 2 s more, and continued streams of the new one there.

A datagram was sent after the datagrams before it were read, so that time counts instead of the present; a view counts from when it was asked for. With datagrams each 100 ms the list looks 0.1 s older than before.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -105,6 +105,10 @@
     }
 
     pub(super) fn receive_datagrams(&mut self, index: usize) {
+        // A datagram may have waited since the last one was read: the process may have been
+        // stopped meanwhile.
+        let now = self.now();
+        let sent_after = std::mem::replace(&mut self.datagrams_read_at, now);
         loop {
             let Some(Slot::PeerSocket(socket)) = self.slots.get(index) else {
                 return;
@@ -119,7 +123,7 @@
                 Err(_) => continue,
             };
             match rmp_serde::from_slice(&self.read_buffer[..length]) {
-                Ok(frame) => self.receive_frame(frame),
+                Ok(frame) => self.receive_frame(frame, sent_after),
                 Err(error) => {
                     log::warn!(target: "peer", "event=datagram_ignored bytes={length} reason={:?}", error.to_string());
                 }
@@ -127,14 +131,14 @@
         }
     }
 
-    fn receive_frame(&mut self, mut frame: Frame) {
+    fn receive_frame(&mut self, mut frame: Frame, sent_after: Time) {
         let now = self.now();
         let evacuations = std::mem::take(&mut frame.evacuations);
         self.merge_evacuations(now, &evacuations);
         let sender = frame.sender.peers;
         self.observe_era(now, frame.sender.revision.era, None);
         if frame.sender.has_store {
-            self.confirm_by_peer(now, frame.sender.revision);
+            self.confirm_by_peer(sent_after, frame.sender.revision);
         }
         if let Some(source) = self.peers.receive(now, frame)
             && let Some(report) = self.peers.report(sender)
@@ -143,11 +147,11 @@
         }
     }
 
-    /// Confirms the list of runners if a peer that reads the store, up to `revision`, knows
-    /// nothing later than this router does.
-    pub(super) fn confirm_by_peer(&mut self, now: Time, revision: Revision) {
+    /// Confirms the list of runners if a peer that reads the store, up to `revision`, knew
+    /// nothing later than this router does, at `told_at` or afterwards.
+    pub(super) fn confirm_by_peer(&mut self, told_at: Time, revision: Revision) {
         if self.is_runner_list_loaded && revision <= self.registry.revision() {
-            let confirmed_at = now - PEER_CONFIRMATION_AGE;
+            let confirmed_at = told_at - PEER_CONFIRMATION_AGE;
             let origins = self.scheduler.origins_mut();
             origins.versions_mut().confirm(confirmed_at);
         }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -149,6 +149,8 @@
     leaving_since: Option<Time>,
     last_sweep: Time,
     last_exchange: Time,
+    // Time at which datagrams of other routers were last read.
+    datagrams_read_at: Time,
     // Whether the last turn left callers' connections in the accept queue.
     has_pending_accepts: bool,
     admission: Admission,
@@ -241,6 +243,7 @@
             last_sweep: now,
             // The first datagrams go out with the first tick.
             last_exchange: Time(0),
+            datagrams_read_at: now,
             has_pending_accepts: false,
             admission: Admission::new(),
             done: false,
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -554,7 +554,8 @@
             .alive(now)
             .any(|alive| alive.descriptor.peers == peer && alive.descriptor.has_store);
         if has_store {
-            self.confirm_by_peer(now, view.revision);
+            let told_at = self.last_view_request.unwrap_or(now);
+            self.confirm_by_peer(told_at, view.revision);
         }
     }
 
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -291,3 +291,24 @@
         assert_eq!(runners[1].requests(), Vec::<String>::new());
     }
 }
+
+/// Datagrams of another router waited while this one was stopped.
+#[test]
+fn a_router_that_was_stopped_infers_nothing_from_datagrams_that_it_read_late() {
+    let fleet = Fleet::start(&["v1"], true, 2);
+    let new = runner("v2", true);
+    thread::sleep(SPREAD_TIME);
+    fleet.routers[1].signal(Signal::SIGSTOP);
+    thread::sleep(Duration::from_millis(1000));
+    fleet.store.set_silent(true);
+    let mut value = entry(new.address, "s").expect("an entry");
+    value["version"] = json!("v2");
+    fleet.store.put("servers", "i-1", Some(value));
+    fleet.routers[0].signal(Signal::SIGKILL);
+    thread::sleep(Duration::from_millis(1500));
+    fleet.routers[1].signal(Signal::SIGCONT);
+    thread::sleep(Duration::from_millis(1500));
+    let response = resume(&fleet.routers[1], 1, "unknown");
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(fleet.received(), 0);
+}
