--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -131,6 +131,8 @@
     // Whether a record of versions or streams in the store could not be decoded.
     has_malformed_record: bool,
     route_changes: route::Changes,
+    // Routes in the last record that was written.
+    written_routes: Option<route::Record>,
     // Era of the store; `None` before the first response that names one.
     store_era: Option<u64>,
     last_store_response: Option<Time>,
@@ -147,6 +149,8 @@
     leaving_since: Option<Time>,
     last_sweep: Time,
     last_exchange: Time,
+    // Time at which datagrams of other routers were last read.
+    datagrams_read_at: Time,
     // Whether the last turn left callers' connections in the accept queue.
     has_pending_accepts: bool,
     admission: Admission,
@@ -225,6 +229,7 @@
             record_writer,
             has_malformed_record: false,
             route_changes: route::Changes::default(),
+            written_routes: None,
             store_era: None,
             last_store_response: None,
             store_failed_since: None,
@@ -238,6 +243,7 @@
             last_sweep: now,
             // The first datagrams go out with the first tick.
             last_exchange: Time(0),
+            datagrams_read_at: now,
             has_pending_accepts: false,
             admission: Admission::new(),
             done: false,
@@ -245,6 +251,7 @@
         };
         if edge.settings.bootstrap {
             edge.scheduler.origins_mut().versions_mut().set_first();
+            edge.route_changes.set_complete();
         }
         edge.listen()?;
         edge.add_seeds();
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -65,6 +65,7 @@
         if !self.announced && now >= self.announce_at && may_write {
             self.announce(now);
         }
+        self.log_corrections();
         self.write_record(now);
         self.expire_calls(now);
         self.request_view(now);
@@ -443,9 +444,10 @@
             manifest.version,
             manifest.routes.len()
         );
-        if let Some(known) = &self.manifest {
-            let now = self.clock.now();
-            self.route_changes.record(now, known, &manifest);
+        let now = self.clock.now();
+        match &self.manifest {
+            Some(known) => self.route_changes.record(now, known, &manifest),
+            None => self.route_changes.start(now, &manifest),
         }
         self.scheduler.set_manifest(&manifest);
         self.stats.set_manifest(&manifest);
@@ -458,9 +460,11 @@
             Change::Set(entry) => {
                 log::info!(
                     target: "runner",
-                    "event=runner_listed runner={} service={} state={:?} domain={} address={} revision={}",
+                    "event=runner_listed runner={} service={} software={:?} started_at={} state={:?} domain={} address={} revision={}",
                     entry.runner,
                     entry.service,
+                    entry.software.to_string(),
+                    entry.started_at,
                     entry.state,
                     entry.domain,
                     entry.address,
@@ -550,7 +554,8 @@
             .alive(now)
             .any(|alive| alive.descriptor.peers == peer && alive.descriptor.has_store);
         if has_store {
-            self.confirm_by_peer(now, view.revision);
+            let told_at = self.last_view_request.unwrap_or(now);
+            self.confirm_by_peer(told_at, view.revision);
         }
     }
 
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -30,7 +30,7 @@
 use crate::runner::Target;
 use crate::scheduler::attempt::max_wait;
 use crate::share::{Breakdown, Shares};
-use crate::stream::{Origin, Streams};
+use crate::stream::{Basis, Origin, Streams};
 
 /// Divisor of the share window that yields the decay window of usage. With
 /// decay over the whole window, a workspace that exceeded its share would get
@@ -198,6 +198,7 @@
             entry.service = service.clone();
         }
         self.streams.record_version(now, &entry);
+        let is_replaced = self.replace_process(now, &entry);
         let cold_start = self.cold_starts.get(&entry.service);
         self.colds.set_entry(now, &entry, cold_start);
         let runner = entry.runner.clone();
@@ -215,9 +216,33 @@
             }
         }
         self.update_cold(now, &runner);
+        if is_replaced {
+            self.withdraw_streams(now);
+        }
         self.dispatch_all(now);
     }
 
+    /// Makes the origin of streams unknown that a new process of a runner may have begun before
+    /// its entry arrived. Returns whether the entry is of such a process.
+    fn replace_process(&mut self, now: Time, entry: &Entry) -> bool {
+        let known = self.targets.get(&entry.runner).map(|target| &target.entry);
+        let is_known = known.is_some_and(|known| {
+            known.started_at == entry.started_at && known.software == entry.software
+        });
+        if is_known {
+            return false;
+        }
+        let doubtful = self.streams.replace_process(now, entry);
+        for pending in self.pending.values_mut() {
+            if pending.basis == Some(Basis::Answer)
+                && doubtful.contains(&pending.request.stream_digest)
+            {
+                pending.software = Some(Software::unknown());
+            }
+        }
+        true
+    }
+
     /// Removes a runner, which receives no further requests; attempts in
     /// progress there continue.
     pub fn remove_runner(&mut self, runner: &Runner) {
@@ -265,6 +290,7 @@
         self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
             target.eject(now);
+            target.record_refusal(now);
             let disconnects = target.take_recent_disconnects(now);
             self.record_crash(now, &disconnects);
             self.record_cold_refusal(now, runner);
@@ -284,8 +310,10 @@
         }
         let mut pending = Pending::new(now, request);
         if let Some(resumed) = pending.request.resumed {
-            let version = self.streams.version(now, &service, resumed);
-            pending.software = version.cloned();
+            if let Some((software, basis)) = self.streams.version(now, &service, resumed) {
+                pending.software = Some(software.clone());
+                pending.basis = Some(basis);
+            }
             let origin = resumed
                 .stream
                 .and_then(|stream| self.streams.origin(stream));
@@ -366,16 +394,21 @@
         self.colds.record_contact(now, &dispatch.runner);
         dispatch.events += events;
         dispatch.last_event_at = now;
-        pending.answer_begun = true;
-        let begins = pending.software.is_none() && pending.request.stream;
-        if begins && pending.request.retry_policy == RetryPolicy::Resumable {
-            pending.software = Some(dispatch.software.clone());
+        let is_begun = std::mem::replace(&mut pending.answer_begun, true);
+        if !is_begun && pending.request.is_resumable() {
+            let listed = self.targets.get(&dispatch.runner);
+            // A caller may name any request of a stream that it takes up again.
+            let software = pending.software.get_or_insert_with(|| {
+                pending.basis = Some(Basis::Answer);
+                dispatch.software_that_answers(listed)
+            });
             let origin = Origin {
                 service: service.clone(),
-                software: dispatch.software.clone(),
+                software: software.clone(),
             };
+            let stream = pending.request.stream_digest;
             self.streams
-                .record(now, pending.request.stream_digest, origin);
+                .record_at(now, stream, origin, &dispatch.runner);
         }
         if !is_first {
             return;
@@ -478,7 +511,9 @@
         self.breakdown.advance(now);
         self.rates.advance(now);
         self.advance_cold(now);
-        for target in self.targets.values() {
+        let confirmed_at = self.streams.versions().confirmed_at();
+        for target in self.targets.values_mut() {
+            target.confirm_process(confirmed_at);
             self.rates.refill(now, &target.entry);
             self.streams.record_version(now, &target.entry);
         }
--- /dev/null
+++ b/crates/schedule/tests/origin.rs
@@ -0,0 +1,233 @@
+//! Origins of streams when runners restart in place and when sources disagree.
+
+mod common;
+
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::Scheduler;
+use balsamchute_schedule::action::{Action, End, Failure, Id};
+use balsamchute_schedule::report::{Begun, Sum};
+use balsamchute_schedule::request::{Request, Resumed};
+use common::{NOW, entry, model_request, named_scheduler, runner, scheduler, sends, service};
+
+fn versioned(name: &str, version: &str, started_at: u64) -> Entry {
+    Entry {
+        software: Software::from(version.to_owned()),
+        started_at,
+        ..entry(name, "model", 64)
+    }
+}
+
+fn begin(stream: u64) -> Request {
+    Request {
+        stream_digest: stream,
+        max_attempts: 3,
+        ..model_request("w1", stream, 100)
+    }
+}
+
+fn take_up(id: u64, stream: u64) -> Request {
+    Request {
+        resumed: Some(Resumed {
+            stream: Some(stream),
+            max_age: Span(15_000),
+            is_sole_service: true,
+        }),
+        ..begin(id)
+    }
+}
+
+fn submit(scheduler: &mut Scheduler, now: Time, id: Id, request: Request) -> Vec<(Id, String)> {
+    scheduler.submit(now, id, request);
+    sends(&scheduler.take_actions())
+}
+
+/// Begins a stream at the only runner, `x`, of version `old`, and lists `y` of the same
+/// version.
+fn begun_at_x(scheduler: &mut Scheduler, now: Time, id: Id) {
+    if scheduler.targets().count() == 0 {
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+    }
+    assert_eq!(
+        submit(scheduler, now, id, begin(id)),
+        [(id, "x".to_owned())]
+    );
+    scheduler.record_write(id);
+    scheduler.record_events(now, id, 1);
+    scheduler.set_runner(now, versioned("y", "old", 1));
+}
+
+fn breaks(scheduler: &mut Scheduler, now: Time, id: Id) -> Vec<(Id, String)> {
+    scheduler.finish_attempt(now, id, End::Broke);
+    sends(&scheduler.take_actions())
+}
+
+/// The first event may be of the process whose entry arrives after it.
+#[test]
+fn a_stream_of_a_runner_that_restarted_in_place_is_not_continued_at_the_version_before() {
+    let mut first = scheduler(100);
+    begun_at_x(&mut first, NOW, 1);
+    let mut second = named_scheduler("r2.1", 100);
+    second.set_runner(NOW, versioned("y", "old", 1));
+    let peer = Instance::new("r1").unwrap();
+    second.apply_report(NOW, &peer, &first.report(NOW));
+    let later = NOW + Span(2000);
+    first.set_runner(later, versioned("x", "new", NOW.0 - 500));
+    first.set_runner(later, versioned("z", "new", 1));
+    second.apply_report(later, &peer, &first.report(later));
+    assert_eq!(breaks(&mut first, later, 1), []);
+    for router in [&mut first, &mut second] {
+        assert_eq!(submit(router, later, 2, take_up(2, 1)), []);
+    }
+}
+
+#[test]
+fn a_stream_that_began_long_before_its_runner_restarted_is_continued_at_its_version() {
+    let mut scheduler = scheduler(100);
+    begun_at_x(&mut scheduler, NOW, 1);
+    let later = NOW + Span(10_000);
+    scheduler.set_runner(later, versioned("x", "new", later.0));
+    assert_eq!(breaks(&mut scheduler, later, 1), [(1, "y".to_owned())]);
+    let sent = submit(&mut scheduler, later, 2, take_up(2, 1));
+    assert_eq!(sent, [(2, "y".to_owned())]);
+}
+
+/// The entry of the runner that began the stream arrives after another one was sent the rest.
+#[test]
+fn a_stream_that_was_moved_before_its_origin_became_unknown_is_cut_off() {
+    let mut scheduler = scheduler(100);
+    begun_at_x(&mut scheduler, NOW, 1);
+    assert_eq!(breaks(&mut scheduler, NOW, 1), [(1, "y".to_owned())]);
+    scheduler.set_runner(NOW + Span(100), versioned("x", "new", NOW.0));
+    let failure = Failure::RunnerBroke;
+    let actions = scheduler.take_actions();
+    assert_eq!(actions, [Action::Fail { id: 1, failure }]);
+}
+
+/// The new process has not answered yet when its entry arrives.
+#[test]
+fn a_stream_is_not_continued_by_a_process_whose_entry_arrives_after_the_request() {
+    for has_other in [true, false] {
+        let mut scheduler = scheduler(100);
+        begun_at_x(&mut scheduler, NOW, 1);
+        assert_eq!(breaks(&mut scheduler, NOW, 1), [(1, "y".to_owned())]);
+        scheduler.record_write(1);
+        if has_other {
+            scheduler.set_runner(NOW, versioned("v", "old", 1));
+        }
+        // The stream began long before the process did.
+        let started_at = NOW.0 + 10_000;
+        scheduler.set_runner(NOW + Span(100), versioned("y", "new", started_at));
+        let actions = scheduler.take_actions();
+        let (resumed, withdrawn) = match has_other {
+            true => (vec![(1, "v".to_owned())], Action::Abandon { id: 1 }),
+            false => {
+                let failure = Failure::RunnerBroke;
+                (vec![], Action::Fail { id: 1, failure })
+            }
+        };
+        assert_eq!(sends(&actions), resumed);
+        assert!(actions.contains(&withdrawn), "{actions:?}");
+    }
+}
+
+/// A refused connection shows that the process is gone; the next one has no entry yet.
+#[test]
+fn a_stream_that_begins_after_its_runner_refused_a_connection_is_of_unknown_version() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, versioned("x", "old", 1));
+    scheduler.origins_mut().versions_mut().confirm(NOW);
+    scheduler.record_refused_probe(NOW, &runner("x"));
+    let later = NOW + Span(1000);
+    begun_at_x(&mut scheduler, later, 1);
+    assert_eq!(breaks(&mut scheduler, later, 1), []);
+    assert_eq!(submit(&mut scheduler, later, 2, take_up(2, 1)), []);
+}
+
+fn told(version: &str) -> Vec<Begun> {
+    vec![Begun {
+        service: service("model"),
+        software: Software::from(version.to_owned()),
+        streams: vec![7],
+    }]
+}
+
+/// Reports and records arrive in any order, and a request id may be used twice.
+#[test]
+fn a_stream_of_which_sources_tell_two_versions_is_refused_whichever_came_last() {
+    for versions in [["old", "new"], ["new", "old"]] {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+        scheduler.set_runner(NOW, versioned("z", "new", 1));
+        for version in versions {
+            scheduler.apply_streams(NOW, &told(version));
+        }
+        let mut sum = Sum::new();
+        sum.add(&scheduler.report(NOW));
+        assert_eq!(submit(&mut scheduler, NOW, 1, take_up(1, 7)), []);
+    }
+}
+
+/// A caller may name the request that continued the stream last.
+#[test]
+fn a_stream_is_known_by_the_ids_of_the_requests_that_took_it_up() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, versioned("x", "old", 1));
+    scheduler.set_runner(NOW, versioned("z", "new", 1));
+    scheduler.apply_streams(NOW, &told("new"));
+    let sent = submit(&mut scheduler, NOW, 1, take_up(8, 7));
+    assert_eq!(sent, [(1, "z".to_owned())]);
+    scheduler.record_events(NOW, 1, 1);
+    scheduler.cancel(NOW, 1);
+    let sent = submit(&mut scheduler, NOW, 2, take_up(9, 8));
+    assert_eq!(sent, [(2, "z".to_owned())]);
+}
+
+fn is_refused(scheduler: &mut Scheduler, id: Id) -> bool {
+    let is_refusal =
+        |action: &Action| matches!(action, Action::Refuse { id: refused, .. } if *refused == id);
+    scheduler.take_actions().iter().any(is_refusal)
+}
+
+/// A router that has not heard of the new version infers the old one.
+#[test]
+fn streams_begin_at_a_version_that_all_routers_know_while_it_has_room() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(
+        NOW,
+        Entry {
+            slots: 4,
+            ..versioned("x", "old", 1)
+        },
+    );
+    let release = NOW + Span(20_000);
+    for at in (NOW.0..release.0).step_by(1000) {
+        scheduler.tick(Time(at));
+    }
+    scheduler.set_runner(release, versioned("z", "new", 1));
+    let request = |id| Request {
+        deadline: release + Span(15_000),
+        ..begin(id)
+    };
+    let first: Vec<String> = (1..=6)
+        .flat_map(|id| {
+            let sent = submit(&mut scheduler, release, id, request(id));
+            // Prefill is done at once, so that only the slots limit the runner.
+            scheduler.record_events(release, id, 1);
+            sent.into_iter().map(|(_, runner)| runner)
+        })
+        .collect();
+    assert_eq!(first, ["x", "x", "x", "x", "z", "z"]);
+    assert!(!is_refused(&mut scheduler, 6));
+    let plain = Request {
+        retry_policy: RetryPolicy::AtMostOnce,
+        ..request(10)
+    };
+    scheduler.cancel(release, 1);
+    scheduler.cancel(release, 2);
+    assert_eq!(submit(&mut scheduler, release, 10, plain)[0].1, "z");
+    let settled = release + Span(10_000);
+    for at in (release.0..settled.0).step_by(1000) {
+        scheduler.tick(Time(at));
+    }
+    assert_eq!(submit(&mut scheduler, settled, 11, request(11))[0].1, "z");
+}
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -8,6 +8,7 @@
 mod notice;
 mod order;
 mod poison;
+mod restarts;
 mod restore;
 mod store;
 mod versions;
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::environment::{Runner, Store, connect, header, respond, send_raw};
 use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest, start_routers};
@@ -76,9 +76,6 @@
     fn restart_all(&mut self, meanwhile: impl FnOnce(&Store)) {
         for router in &self.routers {
             router.signal(Signal::SIGKILL);
-            let text = std::fs::read_to_string(&router.settings_file).expect("settings");
-            let text = format!("bootstrap = false\n{text}");
-            std::fs::write(&router.settings_file, text).expect("settings can be written");
         }
         meanwhile(&self.store);
         for router in &mut self.routers {
@@ -212,6 +209,31 @@
     }
 }
 
+/// Replaces the two runners of a fleet by one of version `v2`.
+fn replace_runners(store: &Store, new: &Runner) {
+    store.put("servers", "i-0", None);
+    store.put("servers", "i-1", None);
+    let mut value = entry(new.address, "s").expect("an entry");
+    value["version"] = json!("v2");
+    store.put("servers", "i-2", Some(value));
+}
+
+/// The records of the time before cannot be read.
+#[test]
+fn a_router_whose_settings_do_not_say_that_the_fleet_is_new_infers_nothing_of_the_time_before() {
+    let mut fleet = Fleet::start(&["v1", "v1"], true, 1);
+    let begun = begin_streams(&fleet.routers[0], 1);
+    let new = runner("v2", true);
+    fleet.routers[0].set_bootstrap("");
+    fleet.restart_all(|store| {
+        replace_runners(store, &new);
+        store.set_unavailable_for(Some("routers"));
+    });
+    let response = resume(&fleet.routers[0], 0, &begun[0].0);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(new.requests(), Vec::<String>::new());
+}
+
 /// A router that lists only the new version must not take it for the origin of a stream that
 /// the old one began.
 #[test]
@@ -221,11 +243,7 @@
     thread::sleep(SPREAD_TIME);
     let new = runner("v2", true);
     fleet.restart_all(|store| {
-        store.put("servers", "i-0", None);
-        store.put("servers", "i-1", None);
-        let mut value = entry(new.address, "s").expect("an entry");
-        value["version"] = json!("v2");
-        store.put("servers", "i-2", Some(value));
+        replace_runners(store, &new);
     });
     for (number, (id, ..)) in begun.iter().enumerate() {
         let response = resume(&fleet.routers[number], number, id);
@@ -233,3 +251,64 @@
     }
     assert_eq!(new.requests(), Vec::<String>::new());
 }
+
+/// Returns a manifest whose stream route leads to a service.
+fn manifest_to(version: u64, service: &str) -> Option<Value> {
+    let mut value = manifest(version, &["k1"])?;
+    value["routes"][0]["service"] = json!(service);
+    value["services"] = json!([{"name": "s", "max_conns": 99}, {"name": "t", "max_conns": 99}]);
+    Some(value)
+}
+
+/// The manifest changes right before all routers are killed, or while they are down.
+#[test]
+fn a_stream_is_not_continued_at_the_service_that_a_route_was_moved_to() {
+    for is_down in [false, true] {
+        let store = Store::start();
+        store.put("config", "main", manifest_to(1, "s"));
+        let runners = [runner("v1", true), runner("v1", true)];
+        for (service, runner) in ["s", "t"].iter().zip(&runners) {
+            store.put("servers", service, entry(runner.address, service));
+        }
+        let routers = start_routers(&store, 1);
+        thread::sleep(SPREAD_TIME);
+        let mut fleet = Fleet {
+            store,
+            runners: Vec::new(),
+            routers,
+        };
+        let begun = begin_streams(&fleet.routers[0], 1);
+        if !is_down {
+            fleet.store.put("config", "main", manifest_to(2, "t"));
+            thread::sleep(SPREAD_TIME);
+        }
+        fleet.restart_all(|store| store.put("config", "main", manifest_to(2, "t")));
+        let response = resume(&fleet.routers[0], 0, &begun[0].0);
+        assert!(
+            response.starts_with("HTTP/1.1 503 "),
+            "{is_down} {response}"
+        );
+        assert_eq!(runners[1].requests(), Vec::<String>::new());
+    }
+}
+
+/// Datagrams of another router waited while this one was stopped.
+#[test]
+fn a_router_that_was_stopped_infers_nothing_from_datagrams_that_it_read_late() {
+    let fleet = Fleet::start(&["v1"], true, 2);
+    let new = runner("v2", true);
+    thread::sleep(SPREAD_TIME);
+    fleet.routers[1].signal(Signal::SIGSTOP);
+    thread::sleep(Duration::from_millis(1000));
+    fleet.store.set_silent(true);
+    let mut value = entry(new.address, "s").expect("an entry");
+    value["version"] = json!("v2");
+    fleet.store.put("servers", "i-1", Some(value));
+    fleet.routers[0].signal(Signal::SIGKILL);
+    thread::sleep(Duration::from_millis(1500));
+    fleet.routers[1].signal(Signal::SIGCONT);
+    thread::sleep(Duration::from_millis(1500));
+    let response = resume(&fleet.routers[1], 1, "unknown");
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(fleet.received(), 0);
+}
