Let the soak check the order of streams, with runner processes and releases

The soak took up about one stream in 900 requests, its streams were all eight events in 80 ms, its runners were threads whose links were closed, and all callers read as fast as they could, so it said little about rule ORDER.

- Events name the run that sent them: request, runner, lifetime, run, version and the event after which it goes on.
The four parts of the rule are promises of their own: "order: missing", "twice", "joined" and "ended early".
The promise "one version" is part of "joined"; "whole answer" stays for plain answers and for text that no runner sent.
- Streams have 2 to 80 events, 5 to 40 ms apart, some of up to 40 KB.
Callers close their connection, abandon silent streams, read slowly, and take a stream up with up to four requests, at once or later, with and without `Resumes`.
Their deadline covers all requests for a stream.
Streams of a second route may not be resumed and run once at most.
- Half of the runners are processes that are killed, stopped, and started again at their address: in a new lifetime, under a new id, or with another version that the store learns of up to 800 ms later.
Releases replace runners while streams run.
- A failed run keeps notes of faults, requests and arrivals beside the logs.

--- /dev/null
+++ b/tests/soak/answer.rs
@@ -0,0 +1,279 @@
+//! How runners answer, as threads of the soak and as processes.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use crate::environment::{header, respond};
+use crate::event::{self, Run, digest, event_of};
+
+/// What a runner says in its answers, and the number of times that its connections were
+/// reset.
+#[derive(Debug, Default)]
+pub struct Notices {
+    pub is_leaving: AtomicBool,
+    /// Requests per second that the runner names; 0 for none.
+    pub limit: AtomicU64,
+    pub resets: AtomicU64,
+}
+
+impl Notices {
+    fn fields(&self) -> String {
+        let mut fields = String::new();
+        if self.is_leaving.load(Ordering::SeqCst) {
+            fields.push_str("Server-Leaving: 1\r\n");
+        }
+        match self.limit.load(Ordering::SeqCst) {
+            0 => {}
+            limit => fields.push_str(&format!("Server-Limit: {limit}.0\r\n")),
+        }
+        fields
+    }
+}
+
+/// What a runner reports to the judge.
+#[derive(Clone, Debug)]
+pub enum Report {
+    /// A request arrived, with `Last-Event-Id` or 0.
+    Arrival {
+        id: String,
+        runner: usize,
+        runs: bool,
+        after: u64,
+    },
+    /// A request for another runner arrived.
+    Astray {
+        id: String,
+        runner: usize,
+        expected: String,
+    },
+    /// A request whose prompt part ends the runner arrived.
+    Crash { part: u64 },
+}
+
+impl Report {
+    /// Returns the report as a line without its end.
+    pub fn encode(&self) -> String {
+        match self {
+            Report::Arrival {
+                id,
+                runner,
+                runs,
+                after,
+            } => format!("arrival {id} {runner} {runs} {after}"),
+            Report::Astray {
+                id,
+                runner,
+                expected,
+            } => format!("astray {id} {runner} {expected}"),
+            Report::Crash { part } => format!("crash {part}"),
+        }
+    }
+
+    /// Reads a line of [`Report::encode`].
+    pub fn decode(line: &str) -> Option<Self> {
+        let words: Vec<&str> = line.split(' ').collect();
+        match words[..] {
+            ["arrival", id, runner, runs, after] => Some(Report::Arrival {
+                id: id.to_owned(),
+                runner: runner.parse().ok()?,
+                runs: runs.parse().ok()?,
+                after: after.parse().ok()?,
+            }),
+            ["astray", id, runner, expected] => Some(Report::Astray {
+                id: id.to_owned(),
+                runner: runner.parse().ok()?,
+                expected: expected.to_owned(),
+            }),
+            ["crash", part] => Some(Report::Crash {
+                part: part.parse().ok()?,
+            }),
+            _ => None,
+        }
+    }
+}
+
+/// One lifetime of a runner.
+#[derive(Debug)]
+pub struct Life {
+    pub number: usize,
+    pub born: u64,
+    pub version: usize,
+    /// Runners that had the address before.
+    pub former: Vec<usize>,
+    /// Number of runs so far.
+    pub runs: AtomicU64,
+}
+
+/// Returns the whole answer to a plain request; its length varies with the id.
+pub fn body_of(id: &str) -> String {
+    let padding = digest(id) % 3000;
+    format!("answer to {id} {}", "x".repeat(padding as usize))
+}
+
+/// Returns the part of a prompt that crashes runners.
+pub fn bad_part(head: &str) -> Option<u64> {
+    let prefix = header(head, "x-prompt-prefix")?;
+    let part = prefix.split(',').nth(1)?.split(':').next()?;
+    u64::from_str_radix(part, 16)
+        .ok()
+        .filter(|part| *part > 1000)
+}
+
+/// Answers a request at a runner; returns whether the connection stays open. Some requests,
+/// by their id, are turned away, broken off, spoilt or answered twice.
+pub fn answer(
+    life: &Life,
+    notices: &Notices,
+    head: &str,
+    stream: &mut TcpStream,
+    report: &dyn Fn(Report),
+) -> bool {
+    let id = header(head, "x-request-id").unwrap_or("-").to_owned();
+    let after = header(head, "last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
+    let arrival = |runs| Report::Arrival {
+        id: id.clone(),
+        runner: life.number,
+        runs,
+        after,
+    };
+    let expected = header(head, "x-expect-instance").unwrap_or("-");
+    let is_former = |number: &usize| expected == format!("i-{number}");
+    let fields = notices.fields();
+    if life.former.iter().any(is_former) {
+        report(arrival(false));
+        let fields = format!("X-Not-Executed: 1\r\n{fields}Content-Length: 0\r\n");
+        respond(stream, head, 421, &fields, "");
+        return true;
+    }
+    if expected != format!("i-{}", life.number) {
+        report(Report::Astray {
+            id: id.clone(),
+            runner: life.number,
+            expected: expected.to_owned(),
+        });
+    }
+    let choice = digest(&id) / 7 % 100;
+    if choice < 3 {
+        report(arrival(false));
+        let retry = if choice == 0 {
+            "Retry-After: 0.5\r\n"
+        } else {
+            ""
+        };
+        let fields = format!("X-Not-Executed: 1\r\n{retry}{fields}Content-Length: 0\r\n");
+        respond(stream, head, 503, &fields, "");
+        return true;
+    }
+    report(arrival(true));
+    thread::sleep(Duration::from_millis(digest(&id) % 40));
+    if let Some(name) = header(head, "x-stream") {
+        let run = Run {
+            request: id.clone(),
+            runner: life.number,
+            born: life.born,
+            count: life.runs.fetch_add(1, Ordering::SeqCst),
+            version: life.version,
+            after,
+        };
+        return send_stream(name, &run, notices, head, stream);
+    }
+    let body = body_of(&id);
+    let fields_without_length = fields.clone();
+    let fields = format!("{fields}Content-Length: {}\r\n", body.len());
+    match choice {
+        // The answer is lost.
+        3 => return false,
+        // It breaks off.
+        4 => {
+            respond(stream, head, 200, &fields, &body[..body.len() / 2]);
+            return false;
+        }
+        // It comes twice.
+        5..=6 => respond(stream, head, 200, &fields, &body),
+        // It has no length and ends with the connection.
+        7 => {
+            respond(stream, head, 200, &fields_without_length, &body);
+            return false;
+        }
+        _ => {}
+    }
+    respond(stream, head, 200, &fields, &body);
+    true
+}
+
+/// Event at which a run breaks off, and whether inside it.
+fn cut_of(name: &str, run: &Run, is_chunked: bool) -> Option<(u64, bool)> {
+    let choice = digest(&format!("{}/{}", run.request, run.after));
+    let total = event::total_of(name);
+    if choice % 100 >= 10 || run.after >= total {
+        return None;
+    }
+    let event = run.after + 1 + choice / 101 % (total - run.after);
+    // An end between two events is only known to be early if chunks show it.
+    let is_inside = !is_chunked || !(choice / 103).is_multiple_of(3);
+    Some((event, is_inside))
+}
+
+fn send_stream(
+    name: &str,
+    run: &Run,
+    notices: &Notices,
+    head: &str,
+    stream: &mut TcpStream,
+) -> bool {
+    let resets = notices.resets.load(Ordering::SeqCst);
+    let choice = digest(&run.request) / 7 % 100;
+    // Some answers have no length and end with the connection.
+    let is_chunked = !choice.is_multiple_of(4);
+    let framing = match is_chunked {
+        true => "Transfer-Encoding: chunked\r\n",
+        false => "",
+    };
+    let fields = notices.fields();
+    let fields = format!("{fields}Content-Type: text/event-stream\r\n{framing}");
+    respond(stream, head, 200, &fields, "");
+    // The first run of some breaks off before its first event.
+    if run.after == 0 && choice == 12 {
+        return false;
+    }
+    let cut = cut_of(name, run, is_chunked);
+    let gap = Duration::from_millis(event::gap_of(name));
+    for event in run.after + 1..=event::total_of(name) {
+        let text = event_of(name, event, run);
+        let is_cut = cut.is_some_and(|(at, _)| at == event);
+        let part = match cut {
+            Some((at, is_inside)) if at == event => {
+                &text[..text.len() / 2 * usize::from(is_inside)]
+            }
+            _ => &text,
+        };
+        let chunk = match is_chunked {
+            true if part.is_empty() => String::new(),
+            true => format!("{:x}\r\n{part}\r\n", part.len()),
+            false => part.to_owned(),
+        };
+        // Some events arrive in two pieces.
+        let is_split = digest(part).is_multiple_of(4);
+        let middle = chunk.len() / 2 * usize::from(is_split);
+        if stream.write_all(&chunk.as_bytes()[..middle]).is_err() {
+            return false;
+        }
+        if is_split {
+            thread::sleep(Duration::from_millis(3));
+        }
+        if stream.write_all(&chunk.as_bytes()[middle..]).is_err() || is_cut {
+            return false;
+        }
+        thread::sleep(gap);
+        if notices.resets.load(Ordering::SeqCst) != resets {
+            let socket = socket2::SockRef::from(&*stream);
+            // Without it, the connection ends in order.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+            return false;
+        }
+    }
+    is_chunked && stream.write_all(b"0\r\n\r\n").is_ok()
+}
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,28 +1,22 @@
 //! Routers, runners and the store of a run, and the faults that are injected into them.
 
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use balsamchute_standin::link::Link;
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt};
-use serde_json::{Value, json};
 
 use crate::Options;
-use crate::environment::{self, Copy, Route, Router, Runner, Store, header, respond};
+use crate::environment::{self, Copy, Route, Router, Store};
+use crate::event::digest;
 use crate::judge::Judge;
-use crate::plan::{Fault, RUNNERS};
-
-/// Events of a stream.
-pub const STREAM_EVENTS: u64 = 8;
-
-/// Software versions that serve side by side.
-pub const VERSIONS: usize = 2;
+use crate::plan::{Change, Fault, RUNNERS, VERSIONS};
+use crate::server::{Host, Server, now_ms};
 
 /// Copies of the store that are kept, one for each change.
 const MAX_COPIES: usize = 6;
@@ -37,8 +31,8 @@
 /// machine.
 const HANDLER_TIME: Duration = Duration::from_millis(500);
 
-/// Time after which a runner that crashed is back.
-const CRASH_TIME: Duration = Duration::from_millis(1500);
+/// Timeout of the routes of streams in milliseconds, and the time that their callers wait.
+pub const STREAM_TIMEOUT_MS: u64 = 8000;
 
 /// Sound prompt parts besides the one that crashes runners.
 const SOUND_PARTS: u64 = 10;
@@ -69,60 +63,17 @@
     }
 }
 
-/// Returns the whole answer to a plain request; its length varies with the id.
-pub fn body_of(id: &str) -> String {
-    let padding = digest(id) % 3000;
-    format!("answer to {id} {}", "x".repeat(padding as usize))
-}
-
-/// Returns an event of the answer to a stream by a runner with this software version.
-pub fn event_of(id: &str, event: u64, version: usize) -> String {
-    format!("id: {event}\ndata: {id} {event} v{version}\n\n")
-}
-
-/// FNV-1a, for choices that depend on the request alone.
-pub fn digest(id: &str) -> u64 {
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
-
-struct Server {
-    name: String,
-    runner: Runner,
-    // Also used by the runner itself, to crash.
-    link: Arc<OnceLock<Arc<Link>>>,
-    // Start of the runner's life in milliseconds since the Unix epoch; 0 for the first.
-    born: Arc<AtomicU64>,
-    is_leaving: Arc<AtomicBool>,
-    // Requests per second that the runner names in its answers; 0 for none.
-    limit: Arc<AtomicU64>,
-    version: usize,
-}
-
-impl Server {
-    fn link(&self) -> &Arc<Link> {
-        self.link.get().expect("the link is set")
-    }
-
-    fn entry(&self) -> Value {
-        let mut entry = environment::entry(self.link().address(), "s", 16);
-        entry["born"] = json!(self.born.load(Ordering::SeqCst));
-        entry["version"] = json!(format!("v{}", self.version));
-        entry
-    }
-}
-
 /// Everything that a run starts.
 pub struct Fleet {
     store: Store,
     store_links: Vec<Arc<Link>>,
     routers: Vec<Arc<Mutex<Router>>>,
     addresses: Vec<SocketAddr>,
-    servers: BTreeMap<usize, Server>,
+    servers: BTreeMap<usize, Arc<Server>>,
     // Number of the next runner, and the place of each in `servers`.
     next_runner: usize,
     places: Vec<usize>,
+    newest_version: usize,
     manifest_version: u64,
     copies: Vec<Copy>,
     pending: Vec<JoinHandle<()>>,
@@ -140,13 +91,14 @@
             servers: BTreeMap::new(),
             next_runner: 0,
             places: Vec::new(),
+            newest_version: VERSIONS - 1,
             manifest_version: 0,
             copies: Vec::new(),
             pending: Vec::new(),
         };
         fleet.put_manifest();
-        for _ in 0..RUNNERS {
-            let number = fleet.start_runner(judge);
+        for place in 0..RUNNERS {
+            let number = fleet.start_runner(place, place / 2 % VERSIONS, judge);
             fleet.places.push(number);
         }
         for index in 0..options.routers {
@@ -172,7 +124,8 @@
     fn put_manifest(&mut self) {
         self.manifest_version += 1;
         let routes = [
-            Route::new("stream", "stream", 4000).resumable(),
+            Route::new("stream", "stream", STREAM_TIMEOUT_MS).resumable(),
+            Route::new("single", "stream", STREAM_TIMEOUT_MS),
             Route::new("once", "non_idempotent", 4000),
             Route::new("safe", "idempotent", 4000),
         ];
@@ -189,54 +142,26 @@
         }
     }
 
-    fn start_runner(&mut self, judge: &Judge) -> usize {
+    fn start_runner(&mut self, place: usize, version: usize, judge: &Judge) -> usize {
         let number = self.next_runner;
         self.next_runner += 1;
-        let version = number % VERSIONS;
-        let is_leaving = Arc::new(AtomicBool::new(false));
-        let limit: Arc<AtomicU64> = Arc::default();
-        let (judge, leaving, own_limit) = (judge.clone(), is_leaving.clone(), limit.clone());
-        let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
-        let born: Arc<AtomicU64> = Arc::default();
-        let (own_link, own_born, store) = (link.clone(), born.clone(), self.store.handle());
-        let runner = Runner::start(move |head, stream| {
-            if let Some(part) = bad_part(head) {
-                judge.record_crashing(part);
-                let link = own_link.get().expect("the link is set").clone();
-                crash(number, link, own_born.clone(), store.handle());
-                return false;
-            }
-            let mut notices = String::new();
-            if leaving.load(Ordering::SeqCst) {
-                notices.push_str("Server-Leaving: 1\r\n");
-            }
-            match own_limit.load(Ordering::SeqCst) {
-                0 => {}
-                limit => notices.push_str(&format!("Server-Limit: {limit}.0\r\n")),
-            }
-            serve(number, head, stream, &judge, &notices)
-        });
-        let started = Link::start(([127, 0, 0, 1], 0).into(), runner.address);
-        let started = Arc::new(started.expect("the link starts"));
-        link.set(started).ok().expect("the link is set once");
-        let server = Server {
-            name: format!("i-{number}"),
-            runner,
-            link,
-            born,
-            is_leaving,
-            limit,
-            version,
+        let server = match place % 2 {
+            0 => Server::start_thread(number, version, &self.store, judge),
+            _ => Server::start_process(number, version, &self.store, judge),
         };
         self.keep_copy();
-        self.store
-            .put("servers", &server.name, Some(server.entry()));
-        self.servers.insert(number, server);
+        server.listing.put();
+        self.servers.insert(number, Arc::new(server));
         number
     }
 
+    fn server(&self, place: usize) -> Arc<Server> {
+        self.servers[&self.places[place]].clone()
+    }
+
     /// Begins a fault or carries out a change. A fault with a length ends by itself.
     pub fn apply(&mut self, fault: &Fault, judge: &Judge) {
+        judge.note(&format!("{fault:?}"));
         match fault {
             Fault::KillRouter(index) => self.kill(*index, judge),
             Fault::KillAllRouters => {
@@ -265,7 +190,9 @@
             }
             Fault::SilenceStore(index, time) => {
                 judge.record_fault(*time);
-                silence(&mut self.pending, &self.store_links[*index], *time);
+                let link = self.store_links[*index].clone();
+                link.set_stalled(true);
+                self.after(*time, move || link.set_stalled(false));
             }
             Fault::CutStore(index, time) => {
                 judge.record_fault(*time);
@@ -282,18 +209,20 @@
                 self.after(*time, move || store.set_unavailable(false));
             }
             Fault::RestoreStore(age) => self.restore(*age, judge),
-            Fault::ResetRunner(place) => {
-                let link = self.servers[&self.places[*place]].link();
-                link.reset().expect("connections can be reset");
-            }
-            Fault::SilenceRunner(place, time) => {
-                let link = self.servers[&self.places[*place]].link().clone();
-                silence(&mut self.pending, &link, *time);
-            }
+            Fault::ResetRunner(place) => self.server(*place).reset(),
+            Fault::SilenceRunner(place, time) => self.silence_runner(*place, *time, judge),
             Fault::ReplaceRunner(place) => self.replace_runner(*place, judge),
-            Fault::AnnounceLeaving(place) => {
-                let server = &self.servers[&self.places[*place]];
-                server.is_leaving.store(true, Ordering::SeqCst);
+            Fault::AnnounceLeaving(place) => self.server(*place).announce_leaving(),
+            Fault::RestartRunner {
+                place,
+                down,
+                change,
+            } => self.restart_runner(*place, *down, *change, judge),
+            Fault::Release => self.newest_version += 1,
+            Fault::UpgradeRunner(place, time) => {
+                let old = self.server(*place);
+                self.replace_with(*place, self.newest_version, judge);
+                self.after(*time, old.leave());
             }
             Fault::SpoilPart => {
                 BAD_PART.fetch_add(1, Ordering::SeqCst);
@@ -341,23 +270,73 @@
         }
         // The operator and the runners write again what the copy lacks.
         self.put_manifest();
-        let live: Vec<usize> = self.places.clone();
         for (number, server) in &self.servers {
-            let entry = live.contains(number).then(|| server.entry());
-            self.store.put("servers", &server.name, entry);
+            match self.places.contains(number) {
+                true => server.listing.put(),
+                false => self.store.put("servers", &format!("i-{number}"), None),
+            }
+        }
+    }
+
+    fn silence_runner(&mut self, place: usize, time: Duration, judge: &Judge) {
+        let server = self.server(place);
+        if let Host::Process(_) = server.host {
+            // What it received before counts as received afterwards.
+            judge.record_fault(time);
+        }
+        server.set_silent(true);
+        self.after(time, move || server.set_silent(false));
+    }
+
+    /// Kills a runner process and starts it again at its address.
+    fn restart_runner(&mut self, place: usize, down: Duration, change: Change, judge: &Judge) {
+        let mut server = self.server(place);
+        let Host::Process(process) = &server.host else {
+            return;
+        };
+        let process = process.clone();
+        judge.record_kill();
+        let generation = process.kill();
+        let (mut version, mut lag) = (server.listing.version(), Duration::ZERO);
+        match change {
+            Change::Life => {}
+            Change::Id(time) => {
+                let old = server.listing.clone();
+                let number = self.next_runner;
+                self.next_runner += 1;
+                server = Arc::new(server.rename(&process, number, &self.store));
+                self.servers.insert(number, server.clone());
+                self.places[place] = number;
+                self.after(down + time, move || old.remove());
+            }
+            Change::Version(time) => {
+                lag = time;
+                version = match version == self.newest_version {
+                    true => version - 1,
+                    false => self.newest_version,
+                };
+            }
         }
+        self.after(down, move || {
+            let born = now_ms();
+            if process.start(generation, born, version) {
+                thread::sleep(lag);
+                server.listing.update(born, version);
+            }
+        });
     }
 
-    /// Lets a runner drain and starts another one in its place.
+    /// Lets a runner drain and starts another one of its version in its place.
     fn replace_runner(&mut self, place: usize, judge: &Judge) {
-        let new = self.start_runner(judge);
+        let version = self.server(place).listing.version();
+        self.replace_with(place, version, judge);
+    }
+
+    fn replace_with(&mut self, place: usize, version: usize, judge: &Judge) {
+        let new = self.start_runner(place, version, judge);
         let old = std::mem::replace(&mut self.places[place], new);
-        let server = &self.servers[&old];
-        let mut entry = server.entry();
-        entry["state"] = json!("draining");
         self.keep_copy();
-        self.store
-            .put("servers", &self.servers[&old].name, Some(entry));
+        self.servers[&old].listing.drain();
         judge.record_leaving(old);
     }
 
@@ -365,7 +344,7 @@
     pub fn limit_runners(&mut self, limit: u64, judge: &Judge) {
         for place in 0..RUNNERS / 2 {
             let number = self.places[place];
-            self.servers[&number].limit.store(limit, Ordering::SeqCst);
+            self.servers[&number].limit(limit);
             judge.record_limit(number, limit);
         }
     }
@@ -391,8 +370,7 @@
         }
         // Runners that only said that they leave are replaced, so that some are left.
         for place in 0..self.places.len() {
-            let server = &self.servers[&self.places[place]];
-            if server.is_leaving.load(Ordering::SeqCst) {
+            if self.server(place).notices.is_leaving.load(Ordering::SeqCst) {
                 self.replace_runner(place, judge);
             }
         }
@@ -411,20 +389,19 @@
                 );
             }
         }
-        let served: usize = self
-            .servers
-            .values()
-            .map(|server| server.runner.requests().len())
-            .sum();
-        if served == 0 {
+        if judge.arrivals() == 0 {
             judge.report("service", "no request reached a runner");
         }
     }
 }
 
 impl Fleet {
-    /// Prints where the logs of the routers are, and keeps them.
-    pub fn keep_logs(self) {
+    /// Prints where the logs of the routers and the notes of the run are, and keeps them.
+    pub fn keep_logs(self, judge: &Judge) {
+        let name = format!("balsamchute-soak-notes-{}", std::process::id());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, judge.notes()).expect("the file can be written");
+        println!("notes {}", file.display());
         for router in &self.routers {
             let router = router.lock().expect("no thread panicked");
             println!("log {}", router.log_file);
@@ -433,128 +410,3 @@
         std::mem::forget(self.routers);
     }
 }
-
-fn silence(pending: &mut Vec<JoinHandle<()>>, link: &Arc<Link>, time: Duration) {
-    link.set_stalled(true);
-    let link = link.clone();
-    pending.push(thread::spawn(move || {
-        thread::sleep(time);
-        link.set_stalled(false);
-    }));
-}
-
-/// Returns the part of a prompt that crashes runners.
-fn bad_part(head: &str) -> Option<u64> {
-    let prefix = header(head, "x-prompt-prefix")?;
-    let part = prefix.split(',').nth(1)?.split(':').next()?;
-    u64::from_str_radix(part, 16)
-        .ok()
-        .filter(|part| *part > 1000)
-}
-
-/// Ends a runner, which is back after a time in a new life.
-fn crash(number: usize, link: Arc<Link>, born: Arc<AtomicU64>, store: Store) {
-    link.close();
-    thread::spawn(move || {
-        thread::sleep(CRASH_TIME);
-        link.open().expect("the link opens again");
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let start = since_epoch.expect("the clock is set").as_millis() as u64;
-        born.store(start, Ordering::SeqCst);
-        store.set_field("servers", &format!("i-{number}"), "born", json!(start));
-    });
-}
-
-/// Answers a request at a runner. Some requests, by their id, are turned away, broken
-/// off, spoilt or answered twice.
-fn serve(number: usize, head: &str, stream: &mut TcpStream, judge: &Judge, notices: &str) -> bool {
-    let id = header(head, "x-request-id").unwrap_or("-").to_owned();
-    let expected = header(head, "x-expect-instance").unwrap_or("-");
-    if expected != format!("i-{number}") {
-        judge.report(
-            "right runner",
-            &format!("{id} for {expected} reached i-{number}"),
-        );
-    }
-    let choice = digest(&id) / 7 % 100;
-    if choice < 3 {
-        judge.record_arrival(&id, number, false);
-        let retry = if choice == 0 {
-            "Retry-After: 0.5\r\n"
-        } else {
-            ""
-        };
-        let fields = format!("X-Not-Executed: 1\r\n{retry}{notices}Content-Length: 0\r\n");
-        respond(stream, head, 503, &fields, "");
-        return true;
-    }
-    judge.record_arrival(&id, number, true);
-    thread::sleep(Duration::from_millis(digest(&id) % 40));
-    if head.starts_with("POST /stream/") {
-        return serve_stream(&id, head, stream, notices, choice, number % VERSIONS);
-    }
-    let body = body_of(&id);
-    let fields = format!("{notices}Content-Length: {}\r\n", body.len());
-    match choice {
-        // The answer is lost.
-        3 => return false,
-        // It breaks off.
-        4 => {
-            respond(stream, head, 200, &fields, &body[..body.len() / 2]);
-            return false;
-        }
-        // It comes twice.
-        5..=6 => respond(stream, head, 200, &fields, &body),
-        // It has no length and ends with the connection.
-        7 => {
-            respond(stream, head, 200, notices, &body);
-            return false;
-        }
-        _ => {}
-    }
-    respond(stream, head, 200, &fields, &body);
-    true
-}
-
-fn serve_stream(
-    id: &str,
-    head: &str,
-    stream: &mut TcpStream,
-    notices: &str,
-    choice: u64,
-    version: usize,
-) -> bool {
-    let after: u64 = header(head, "last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
-    let fields =
-        format!("{notices}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-    // Some answers have no length and end with the connection.
-    let fields = match choice % 4 {
-        0 => format!("{notices}Content-Type: text/event-stream\r\n"),
-        _ => fields,
-    };
-    let is_chunked = !choice.is_multiple_of(4);
-    respond(stream, head, 200, &fields, "");
-    // The first run of some breaks off before its first event.
-    if after == 0 && choice == 12 {
-        return false;
-    }
-    for event in after + 1..=STREAM_EVENTS {
-        let text = event_of(id, event, version);
-        // The first run breaks off, on some requests inside an event.
-        let is_cut = after == 0 && choice < 10 && event == 4;
-        let part = if is_cut {
-            &text[..text.len() / 2]
-        } else {
-            &text
-        };
-        let chunk = match is_chunked {
-            true => format!("{:x}\r\n{part}\r\n", part.len()),
-            false => part.to_owned(),
-        };
-        if stream.write_all(chunk.as_bytes()).is_err() || is_cut {
-            return false;
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
-    is_chunked && stream.write_all(b"0\r\n\r\n").is_ok()
-}
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -5,6 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::answer::Report;
+use crate::server::now_ms;
+
 /// Time within which a router in touch must use a change: `drain_ms` and `apply_ms` of
 /// the settings.
 const CHANGE_BOUND: Duration = Duration::from_millis(2000);
@@ -50,6 +53,15 @@
     Idempotent,
     /// Stream that may be resumed.
     Stream,
+    /// Stream that may not be resumed, and runs at most once.
+    SingleStream,
+}
+
+impl Kind {
+    /// Returns whether a request of this kind runs at most once.
+    fn is_once(self) -> bool {
+        matches!(self, Kind::Once | Kind::SingleStream)
+    }
 }
 
 /// Outcome of a request for its caller.
@@ -70,6 +82,24 @@
     outcome: Option<Outcome>,
     runs: usize,
     arrivals: usize,
+    // `Last-Event-Id` that the caller sent, or 0.
+    after: u64,
+}
+
+/// Counts of streams.
+#[derive(Clone, Debug, Default)]
+pub struct Streams {
+    /// Streams of which a caller got an event.
+    pub begun: usize,
+    /// Requests that runners received with a later `Last-Event-Id` than the caller sent.
+    pub resumed: usize,
+    /// Streams for which callers sent another request, and these requests.
+    pub taken_up: usize,
+    pub take_ups: usize,
+    /// Streams that were taken up and got to their end.
+    pub taken_up_to_end: usize,
+    /// Requests that took up a stream and were refused as not run, by reason.
+    pub refused: BTreeMap<String, usize>,
 }
 
 #[derive(Debug, Default)]
@@ -86,8 +116,10 @@
     crashing: BTreeMap<u64, Vec<Instant>>,
     // Runners that name a limit, since when, and the requests that reached them.
     limited: BTreeMap<usize, (u64, Instant, Vec<Instant>)>,
-    // Streams that callers took up and got to their end.
-    taken_up: usize,
+    streams: Streams,
+    arrivals: usize,
+    runner_kills: usize,
+    notes: Vec<String>,
     // Times at which a thread of the soak woke up late, and by how much.
     wakeups: Vec<(Instant, Duration)>,
     violations: Vec<String>,
@@ -126,11 +158,73 @@
         self.state().violations.push(format!("{promise}: {detail}"));
     }
 
-    /// Records that a caller sends a request.
-    pub fn record_sent(&self, id: &str, kind: Kind) {
+    /// Records what happens at this moment, for traces.
+    pub fn note(&self, text: &str) {
+        let ms = now_ms() % 86_400_000;
+        let (hours, minutes) = (ms / 3_600_000, ms / 60_000 % 60);
+        let (seconds, ms) = (ms / 1000 % 60, ms % 1000);
+        let note = format!("{hours:02}:{minutes:02}:{seconds:02}.{ms:03}Z {text}");
+        self.state().notes.push(note);
+    }
+
+    /// Returns what was noted, a line each.
+    pub fn notes(&self) -> String {
+        self.state().notes.join("\n")
+    }
+
+    /// Records that a caller sends a request, with the event after which a stream goes on or
+    /// 0.
+    pub fn record_sent(&self, id: &str, kind: Kind, after: u64) {
         let mut state = self.state();
         state.sent.push(Instant::now());
-        state.requests.entry(id.to_owned()).or_default().kind = Some(kind);
+        let record = state.requests.entry(id.to_owned()).or_default();
+        (record.kind, record.after) = (Some(kind), after);
+    }
+
+    /// Changes the counts of streams.
+    pub fn count_streams(&self, count: impl FnOnce(&mut Streams)) {
+        count(&mut self.state().streams);
+    }
+
+    /// Returns the counts of streams.
+    pub fn streams(&self) -> Streams {
+        self.state().streams.clone()
+    }
+
+    /// Records that a runner process is killed.
+    pub fn record_kill(&self) {
+        self.state().runner_kills += 1;
+    }
+
+    /// Returns the number of requests that reached runners.
+    pub fn arrivals(&self) -> usize {
+        self.state().arrivals
+    }
+
+    /// Records what a runner reports.
+    pub fn record_report(&self, report: Report) {
+        match report {
+            Report::Arrival {
+                id,
+                runner,
+                runs,
+                after,
+            } => {
+                self.note(&format!(
+                    "{id} reaches i-{runner} runs={runs} after={after}"
+                ));
+                self.record_arrival(&id, runner, runs, after);
+            }
+            Report::Astray {
+                id,
+                runner,
+                expected,
+            } => self.report(
+                "right runner",
+                &format!("{id} for {expected} reached i-{runner}"),
+            ),
+            Report::Crash { part } => self.record_crashing(part),
+        }
     }
 
     /// Records the outcome of a request sent with `key`.
@@ -148,13 +242,16 @@
     }
 
     /// Records that a request reached a runner, and whether the runner runs it.
-    pub fn record_arrival(&self, id: &str, runner: usize, runs: bool) {
+    fn record_arrival(&self, id: &str, runner: usize, runs: bool, after: u64) {
         let now = Instant::now();
         let mut state = self.state();
+        state.arrivals += 1;
         let record = state.requests.entry(id.to_owned()).or_default();
         record.arrivals += 1;
         record.runs += usize::from(runs);
         let is_repeat = record.arrivals > 1;
+        let is_resumed = after > record.after;
+        state.streams.resumed += usize::from(is_resumed);
         if let Some((_, _, arrivals)) = state.limited.get_mut(&runner) {
             arrivals.push(now);
         }
@@ -195,13 +292,8 @@
         state.withdrawn.insert(key.to_owned(), Instant::now());
     }
 
-    /// Records that a stream which a caller took up is complete.
-    pub fn record_taken_up(&self) {
-        self.state().taken_up += 1;
-    }
-
     /// Records that a prompt with a part that crashes runners reached one.
-    pub fn record_crashing(&self, part: u64) {
+    fn record_crashing(&self, part: u64) {
         let mut state = self.state();
         state.crashing.entry(part).or_default().push(Instant::now());
     }
@@ -242,7 +334,7 @@
         let state = self.state();
         let mut violations = state.violations.clone();
         for (id, record) in &state.requests {
-            let is_once = record.kind == Some(Kind::Once);
+            let is_once = record.kind.is_some_and(Kind::is_once);
             if record.kind.is_none() {
                 violations.push(format!("unasked: {id} reached a runner"));
             }
@@ -287,6 +379,30 @@
         violations
     }
 
+    /// Returns the counts of streams and of the violations of their order.
+    pub fn stream_summary(&self) -> String {
+        let streams = self.streams();
+        let violations = self.violations();
+        let count = |part: &str| {
+            let promise = format!("order: {part}:");
+            let broken = violations.iter();
+            broken.filter(|text| text.starts_with(&promise)).count()
+        };
+        format!(
+            "streams begun={} resumed={} taken_up={} take_ups={} taken_up_to_end={} refused={:?} missing={} twice={} joined={} ended_early={}",
+            streams.begun,
+            streams.resumed,
+            streams.taken_up,
+            streams.take_ups,
+            streams.taken_up_to_end,
+            streams.refused,
+            count("missing"),
+            count("twice"),
+            count("joined"),
+            count("ended early")
+        )
+    }
+
     /// Returns counts of the run.
     pub fn summary(&self) -> String {
         let state = self.state();
@@ -297,7 +413,7 @@
                 .count()
         };
         format!(
-            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={} taken_up={} late_wakeups={} longest_ms={}",
+            "requests={} complete={} not_run={} unauthorized={} unknown={} repeats={} faults={} crashes={} runner_kills={} late_wakeups={} longest_ms={}",
             state.sent.len(),
             count(Outcome::Complete),
             count(Outcome::NotRun),
@@ -306,7 +422,7 @@
             state.repeats.len(),
             state.faults.len(),
             state.crashing.values().map(Vec::len).sum::<usize>(),
-            state.taken_up,
+            state.runner_kills,
             state.wakeups.len(),
             state
                 .wakeups
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,11 +18,19 @@
 #[path = "../all/edge/environment.rs"]
 mod environment;
 
+mod answer;
 mod callers;
+mod connection;
+mod event;
 mod fleet;
 mod judge;
+mod order;
 mod plan;
+mod process;
+mod server;
+mod streams;
 
+use std::collections::BTreeSet;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -42,6 +50,12 @@
 /// Time for which they do: until limits count, and two windows.
 const LIMIT_TIME: Duration = Duration::from_secs(9);
 
+/// Exit code of a test binary whose tests failed.
+const FAILURE_CODE: u8 = 101;
+
+/// Streams taken up by callers below which a run of 20 s says little about their order.
+const MIN_TAKEN_UP: usize = 100;
+
 /// Options of one run.
 #[derive(Clone, Debug)]
 struct Options {
@@ -79,6 +93,10 @@
 }
 
 fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == process::MODE) {
+        process::run(&args[1..]);
+    }
     let options = options();
     let is_selected = |filter: &String| "soak".contains(filter.as_str());
     if !options.filters.is_empty() && !options.filters.iter().any(is_selected) {
@@ -87,15 +105,36 @@
     let judge = run(&options);
     let violations = judge.violations();
     println!("soak seed={} {}", options.seed, judge.summary());
+    println!("soak seed={} {}", options.seed, judge.stream_summary());
+    let taken_up = judge.streams().taken_up;
+    if options.seconds >= 20 && taken_up < MIN_TAKEN_UP {
+        println!("warning: callers took up {taken_up} streams, fewer than {MIN_TAKEN_UP}");
+    }
     for violation in &violations {
         println!("violation {violation}");
     }
+    // The lines and the exit code of a test binary, so that CI can list promises that are
+    // known to be broken.
+    let promises = violations.iter().map(|text| promise_of(text));
+    for promise in promises.collect::<BTreeSet<_>>() {
+        println!("test soak::{promise} ... FAILED");
+    }
     match violations.is_empty() {
         true => ExitCode::SUCCESS,
-        false => ExitCode::FAILURE,
+        false => ExitCode::from(FAILURE_CODE),
     }
 }
 
+/// Returns the promise that a violation names, as a part of the name of a test.
+fn promise_of(violation: &str) -> String {
+    let mut parts = violation.split(": ");
+    let name = match (parts.next(), parts.next()) {
+        (Some("order"), Some(part)) => format!("order::{part}"),
+        (name, _) => name.unwrap_or_default().to_owned(),
+    };
+    name.replace(' ', "_")
+}
+
 /// Plays the plan of a seed and returns what was seen.
 fn run(options: &Options) -> Judge {
     let plan = Plan::new(
@@ -130,7 +169,7 @@
     }
     fleet.stop(&judge);
     if !judge.violations().is_empty() {
-        fleet.keep_logs();
+        fleet.keep_logs(&judge);
     }
     judge
 }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -5,13 +5,32 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Runners that a run starts with.
-pub const RUNNERS: usize = 4;
+/// Places of runners. Those with an odd number are taken by processes, the others by threads.
+pub const RUNNERS: usize = 6;
+
+/// Software versions that a run starts with.
+pub const VERSIONS: usize = 2;
 
 /// Shortest and longest time between two steps. Steps overlap: a fault lasts up to
 /// `MAX_FAULT_MS`.
 const STEP_MS: std::ops::Range<u64> = 150..1200;
 
+/// Shortest and longest time between two steps that concern runners.
+const RUNNER_STEP_MS: std::ops::Range<u64> = 150..900;
+
+/// Longest time for which a runner process is down, and by which its entry in the store lags
+/// behind its start.
+const MAX_DOWN_MS: u64 = 1500;
+const MAX_LAG_MS: u64 = 800;
+
+/// Shortest time from a release to the next one, and longest time between two runners of it.
+const RELEASE_TIME: Duration = Duration::from_secs(4);
+const MAX_UPGRADE_MS: u64 = 400;
+
+/// Longest time for which a runner serves after the store accepted that it drains, and the
+/// shortest: `drain_ms` of the settings.
+const DRAIN_MS: std::ops::Range<u64> = 2000..3500;
+
 /// Longest fault. Shorter than the timeouts of callers, so that some requests outlive it.
 const MAX_FAULT_MS: u64 = 2500;
 
@@ -44,12 +63,34 @@
     ReplaceRunner(usize),
     /// A runner says in its answers that it leaves, before the store says so.
     AnnounceLeaving(usize),
+    /// SIGKILL of a runner process, which is back at its address after a time.
+    RestartRunner {
+        place: usize,
+        down: Duration,
+        change: Change,
+    },
+    /// A new software version becomes the newest one.
+    Release,
+    /// A runner drains, and one of the newest version takes its place. The old one ends after
+    /// a time.
+    UpgradeRunner(usize, Duration),
     /// The API key is replaced by a new one.
     WithdrawKey,
     /// A prompt part begins to crash each runner that begins to answer it.
     SpoilPart,
 }
 
+/// What is new of a runner process that starts again.
+#[derive(Clone, Copy, Debug)]
+pub enum Change {
+    /// The start of its lifetime.
+    Life,
+    /// Its id. The entry of the old one is removed after a time.
+    Id(Duration),
+    /// Its software version. Its entry in the store follows after a time.
+    Version(Duration),
+}
+
 /// Fault and the time at which it begins.
 #[derive(Clone, Debug)]
 pub struct Step {
@@ -75,6 +116,8 @@
             steps.push(Step { at, fault });
             at += Duration::from_millis(random.random_range(STEP_MS));
         }
+        steps.extend(runner_steps(&mut random, length));
+        steps.sort_by_key(|step| step.at);
         Plan { steps }
     }
 }
@@ -82,7 +125,7 @@
 fn draw(random: &mut impl Rng, routers: usize) -> Fault {
     let router = random.random_range(0..routers);
     let runner = random.random_range(0..RUNNERS);
-    let time = Duration::from_millis(random.random_range(100..MAX_FAULT_MS));
+    let time = random_ms(random, 100..MAX_FAULT_MS);
     match random.random_range(0..30) {
         0..=2 => Fault::KillRouter(router),
         3 => Fault::KillAllRouters,
@@ -101,3 +144,79 @@
         _ => Fault::WithdrawKey,
     }
 }
+
+/// Returns the steps that concern runners only.
+fn runner_steps(random: &mut impl Rng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(1);
+    let mut next_release = Duration::ZERO;
+    while at < length {
+        match random.random_range(0..14) {
+            0..=2 if at >= next_release => {
+                next_release = at + RELEASE_TIME;
+                release(random, at, &mut steps);
+            }
+            0..=8 => {
+                let fault = restart(random);
+                steps.push(Step { at, fault });
+            }
+            9..=11 => {
+                let place = random.random_range(0..RUNNERS);
+                let fault = Fault::SilenceRunner(place, random_ms(random, 100..MAX_FAULT_MS));
+                steps.push(Step { at, fault });
+            }
+            _ => {
+                let fault = Fault::ResetRunner(random.random_range(0..RUNNERS));
+                steps.push(Step { at, fault });
+            }
+        }
+        at += random_ms(random, RUNNER_STEP_MS);
+    }
+    steps
+}
+
+/// Adds a release at all places or at half of them. During one in three, all routers are
+/// killed.
+fn release(random: &mut impl Rng, mut at: Duration, steps: &mut Vec<Step>) {
+    let begin = at;
+    let fault = Fault::Release;
+    steps.push(Step { at, fault });
+    let count = match random.random_range(0..2) {
+        0 => RUNNERS,
+        _ => RUNNERS / 2,
+    };
+    let first = random.random_range(0..RUNNERS);
+    for place in (first..first + count).map(|place| place % RUNNERS) {
+        let fault = Fault::UpgradeRunner(place, random_ms(random, DRAIN_MS));
+        steps.push(Step { at, fault });
+        at += random_ms(random, 0..MAX_UPGRADE_MS);
+    }
+    if random.random_range(0..3) == 0 {
+        let at = begin + random_ms(random, 100..2500);
+        let fault = Fault::KillAllRouters;
+        steps.push(Step { at, fault });
+    }
+}
+
+fn restart(random: &mut impl Rng) -> Fault {
+    let place = random.random_range(0..RUNNERS) | 1;
+    let change = match random.random_range(0..6) {
+        0..=2 => Change::Life,
+        3 => Change::Id(random_ms(random, 0..MAX_FAULT_MS)),
+        _ => Change::Version(random_ms(random, 0..MAX_LAG_MS)),
+    };
+    // Some are back at once.
+    let down = match random.random_range(0..4) {
+        0 => Duration::ZERO,
+        _ => random_ms(random, 0..MAX_DOWN_MS),
+    };
+    Fault::RestartRunner {
+        place,
+        down,
+        change,
+    }
+}
+
+fn random_ms(random: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(range))
+}
--- /dev/null
+++ b/tests/soak/server.rs
@@ -0,0 +1,260 @@
+//! Runners of a run, and their entries in the store.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use balsamchute_standin::link::Link;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+use crate::answer::{Life, Notices, Report, answer, bad_part};
+use crate::environment::{self, Runner, Store};
+use crate::judge::Judge;
+use crate::process::Process;
+
+/// Time after which a runner that crashed is back.
+pub const CRASH_TIME: Duration = Duration::from_millis(1500);
+
+/// Returns the time in milliseconds since the Unix epoch.
+pub fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.expect("the clock is set").as_millis() as u64
+}
+
+#[derive(Debug)]
+struct Entry {
+    born: u64,
+    version: usize,
+    state: &'static str,
+    // Whether the runner has ended for good, or has another id.
+    is_removed: bool,
+}
+
+/// Entry of a runner in the store. It may lag behind the runner.
+pub struct Listing {
+    store: Store,
+    name: String,
+    address: OnceLock<SocketAddr>,
+    entry: Mutex<Entry>,
+}
+
+impl std::fmt::Debug for Listing {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.name)
+    }
+}
+
+impl Listing {
+    fn new(store: &Store, number: usize, version: usize) -> Self {
+        Listing {
+            store: store.handle(),
+            name: format!("i-{number}"),
+            address: OnceLock::new(),
+            entry: Mutex::new(Entry {
+                born: 0,
+                version,
+                state: "ready",
+                is_removed: false,
+            }),
+        }
+    }
+
+    /// Changes the entry and writes it, or removes it.
+    fn change(&self, change: impl FnOnce(&mut Entry)) {
+        let mut entry = self.entry.lock().expect("no thread panicked");
+        change(&mut entry);
+        let value = (!entry.is_removed).then(|| {
+            let address = self.address.get().expect("the address is set");
+            let mut value: Value = environment::entry(*address, "s", 16);
+            value["born"] = json!(entry.born);
+            value["version"] = json!(format!("v{}", entry.version));
+            value["state"] = json!(entry.state);
+            value
+        });
+        self.store.put("servers", &self.name, value);
+    }
+
+    /// Writes the entry as it is.
+    pub fn put(&self) {
+        self.change(|_| {});
+    }
+
+    /// Writes the start and the version of a runner that started again.
+    pub fn update(&self, born: u64, version: usize) {
+        self.change(|entry| (entry.born, entry.version) = (born, version));
+    }
+
+    /// Writes that the runner drains.
+    pub fn drain(&self) {
+        self.change(|entry| entry.state = "draining");
+    }
+
+    /// Removes the entry for good.
+    pub fn remove(&self) {
+        self.change(|entry| entry.is_removed = true);
+    }
+
+    /// Returns the version that is listed.
+    pub fn version(&self) -> usize {
+        self.entry.lock().expect("no thread panicked").version
+    }
+}
+
+/// What runs a runner.
+pub enum Host {
+    /// A thread of the soak behind a link.
+    Thread { link: Arc<Link>, _runner: Runner },
+    /// A process.
+    Process(Arc<Process>),
+}
+
+/// Runner under one id.
+pub struct Server {
+    pub host: Host,
+    pub listing: Arc<Listing>,
+    pub notices: Arc<Notices>,
+}
+
+impl Server {
+    /// Starts a runner that is a thread.
+    pub fn start_thread(number: usize, version: usize, store: &Store, judge: &Judge) -> Self {
+        let notices: Arc<Notices> = Arc::default();
+        let listing = Arc::new(Listing::new(store, number, version));
+        let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
+        let born: Arc<AtomicU64> = Arc::default();
+        let runs = AtomicU64::new(0);
+        let (judge, own_notices) = (judge.clone(), notices.clone());
+        let (own_link, own_listing) = (link.clone(), listing.clone());
+        let runner = Runner::start(move |head, stream| {
+            if let Some(part) = bad_part(head) {
+                judge.record_report(Report::Crash { part });
+                let link = own_link.get().expect("the link is set").clone();
+                crash(link, born.clone(), own_listing.clone(), version);
+                return false;
+            }
+            let life = Life {
+                number,
+                born: born.load(Ordering::SeqCst),
+                version,
+                former: Vec::new(),
+                runs: AtomicU64::new(runs.fetch_add(1, Ordering::SeqCst)),
+            };
+            let report = |report| judge.record_report(report);
+            answer(&life, &own_notices, head, stream, &report)
+        });
+        let started = Link::start(([127, 0, 0, 1], 0).into(), runner.address);
+        let started = Arc::new(started.expect("the link starts"));
+        listing.address.set(started.address()).expect("set once");
+        link.set(started.clone()).ok().expect("set once");
+        let host = Host::Thread {
+            link: started,
+            _runner: runner,
+        };
+        Server {
+            host,
+            listing,
+            notices,
+        }
+    }
+
+    /// Starts a runner that is a process, and waits until it listens.
+    pub fn start_process(number: usize, version: usize, store: &Store, judge: &Judge) -> Self {
+        let notices: Arc<Notices> = Arc::default();
+        let listing = Arc::new(Listing::new(store, number, version));
+        let process = Process::new(number, notices.clone(), judge, &listing);
+        let process = Arc::new(process);
+        listing.address.set(process.address).expect("set once");
+        let born = now_ms();
+        process.start(0, born, version);
+        listing.entry.lock().expect("no thread panicked").born = born;
+        Server {
+            host: Host::Process(process),
+            listing,
+            notices,
+        }
+    }
+
+    /// Returns the runner under another id, which it has from its next start on.
+    pub fn rename(&self, process: &Arc<Process>, number: usize, store: &Store) -> Self {
+        let listing = Arc::new(Listing::new(store, number, self.listing.version()));
+        listing.address.set(process.address).expect("set once");
+        process.rename(number, &listing);
+        Server {
+            host: Host::Process(process.clone()),
+            listing,
+            notices: self.notices.clone(),
+        }
+    }
+
+    /// Lets the runner say in its answers that it leaves.
+    pub fn announce_leaving(&self) {
+        self.notices.is_leaving.store(true, Ordering::SeqCst);
+        self.send_notices();
+    }
+
+    /// Lets the runner name a limit in its answers; 0 for none.
+    pub fn limit(&self, limit: u64) {
+        self.notices.limit.store(limit, Ordering::SeqCst);
+        self.send_notices();
+    }
+
+    fn send_notices(&self) {
+        if let Host::Process(process) = &self.host {
+            process.send_notices();
+        }
+    }
+
+    /// Resets the connections on which requests are answered.
+    pub fn reset(&self) {
+        match &self.host {
+            Host::Thread { link, .. } => link.reset().expect("connections can be reset"),
+            Host::Process(process) => {
+                self.notices.resets.fetch_add(1, Ordering::SeqCst);
+                process.send_notices();
+            }
+        }
+    }
+
+    /// Lets the runner hold back all bytes, or continue.
+    pub fn set_silent(&self, is_silent: bool) {
+        match &self.host {
+            Host::Thread { link, .. } => link.set_stalled(is_silent),
+            Host::Process(process) if is_silent => process.signal(Signal::SIGSTOP),
+            Host::Process(process) => process.signal(Signal::SIGCONT),
+        }
+    }
+
+    /// Returns an action that ends the runner for good and removes its entry.
+    pub fn leave(&self) -> impl FnOnce() + Send + 'static {
+        let end: Box<dyn FnOnce() + Send> = match &self.host {
+            Host::Thread { link, .. } => {
+                let link = link.clone();
+                Box::new(move || link.close())
+            }
+            Host::Process(process) => {
+                let process = process.clone();
+                Box::new(move || process.leave())
+            }
+        };
+        let listing = self.listing.clone();
+        move || {
+            end();
+            listing.remove();
+        }
+    }
+}
+
+/// Ends a runner that is a thread; it is back after a time in a new life.
+fn crash(link: Arc<Link>, born: Arc<AtomicU64>, listing: Arc<Listing>, version: usize) {
+    link.close();
+    thread::spawn(move || {
+        thread::sleep(CRASH_TIME);
+        link.open().expect("the link opens again");
+        let start = now_ms();
+        born.store(start, Ordering::SeqCst);
+        listing.update(start, version);
+    });
+}
