--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -98,8 +98,10 @@
     pub take_ups: usize,
     /// Streams that were taken up and got to their end.
     pub taken_up_to_end: usize,
-    /// Requests that took up a stream and were refused as not run, by reason.
+    /// First requests for streams that were refused as not run, by reason.
     pub refused: BTreeMap<String, usize>,
+    /// Requests that took up a stream and were refused as not run, by reason.
+    pub refused_take_ups: BTreeMap<String, usize>,
 }
 
 #[derive(Debug, Default)]
@@ -389,13 +391,14 @@
             broken.filter(|text| text.starts_with(&promise)).count()
         };
         format!(
-            "streams begun={} resumed={} taken_up={} take_ups={} taken_up_to_end={} refused={:?} missing={} twice={} joined={} ended_early={}",
+            "streams begun={} resumed={} taken_up={} take_ups={} taken_up_to_end={} refused={:?} refused_take_ups={:?} missing={} twice={} joined={} ended_early={}",
             streams.begun,
             streams.resumed,
             streams.taken_up,
             streams.take_ups,
             streams.taken_up_to_end,
             streams.refused,
+            streams.refused_take_ups,
             count("missing"),
             count("twice"),
             count("joined"),
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -113,6 +113,10 @@
         let manner = Manner::draw(&mut random);
         let (outcome, connection) = caller.call(router, connection, &id, &manner);
         kept = connection.map(|connection| (router, connection));
+        if outcome == Outcome::NotRun {
+            let reason = caller.reason.clone();
+            judge.count_streams(|streams| *streams.refused.entry(reason).or_default() += 1);
+        }
         if caller.progress.last_event() == 0 {
             continue;
         }
@@ -157,7 +161,9 @@
         (outcome, _) = caller.call(router, connection, &id, &manner);
         if outcome == Outcome::NotRun {
             let reason = caller.reason.clone();
-            judge.count_streams(|streams| *streams.refused.entry(reason).or_default() += 1);
+            judge.count_streams(|streams| {
+                *streams.refused_take_ups.entry(reason).or_default() += 1;
+            });
         }
     }
     let is_complete = outcome == Outcome::Complete;
