Log on what evidence the end of an answer without a length is believed

An answer that ends with its connection is complete if a connection to its runner is accepted, gets no answer within 300 ms, fails otherwise than by a refusal, or is not made because the runner is no longer listed. No line of the log said which of these it was. event=end_confirmed names it, with the attempt and the runner.

The functions move to a file of their own, otherwise as they were.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod deliver;
 mod endpoints;
+mod ends;
 mod evacuations;
 mod fleet;
 mod responses;
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -8,7 +8,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
 
-use crate::edge::responses::Advance;
+use crate::edge::ends::Evidence;
 use crate::edge::{Edge, Slot};
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
@@ -135,7 +135,7 @@
         }
     }
 
-    fn connect(
+    pub(super) fn connect(
         &mut self,
         now: Time,
         phase: Phase,
@@ -181,23 +181,24 @@
             Phase::Confirming(id, ended) => Some((ended, id)),
             _ => None,
         };
-        let refused = match connection.socket.check_connected() {
+        let (refused, evidence) = match connection.socket.check_connected() {
             Ok(false) => return,
             Ok(true) => {
                 connection.phase = Phase::Idle(Connection::unused_deadline(now));
                 connection.since = now;
                 self.keep_idle(now, index, &runner);
-                false
+                (false, Evidence::Accepted)
             }
             Err(error) => {
                 self.close(index);
-                error.kind() == io::ErrorKind::ConnectionRefused
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                (refused, Evidence::Unreachable)
             }
         };
         if let Some((ended, id)) = ended {
             match refused && self.ended_connection(ended, id).is_some() {
                 true => self.fail_broken_response(ended, id, false),
-                false => self.finish_ended_response(ended, id),
+                false => self.finish_ended_response(ended, id, evidence),
             }
         }
         if refused {
@@ -443,7 +444,7 @@
             }
             Phase::Confirming(id, ended) => {
                 self.close(index);
-                self.finish_ended_response(ended, id);
+                self.finish_ended_response(ended, id, Evidence::Closed);
                 return;
             }
             // A reset while connecting counts as a refusal.
@@ -463,56 +464,6 @@
         }
     }
 
-    /// Connects to the runner to learn whether it lives: a process that crashes closes its
-    /// connections like one that has sent a whole answer without a length. The new
-    /// connection takes the place of the one that has ended.
-    fn confirm_end(&mut self, now: Time, index: usize, id: Id) {
-        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
-            return;
-        };
-        connection.has_ended = true;
-        let runner = connection.runner.clone();
-        let address = self.registry.get(&runner).map(|entry| entry.address);
-        let confirmation = address
-            .map(|address| self.connect(now, Phase::Confirming(id, index), &runner, address));
-        match confirmation {
-            Some(Ok(_)) => {}
-            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.fail_broken_response(index, id, false);
-            }
-            // Nothing speaks against the end, such as for a runner that has left.
-            Some(Err(_)) | None => self.finish_ended_response(index, id),
-        }
-    }
-
-    /// Returns the connection of a request that the runner has closed in good order, unless
-    /// the request has left it meanwhile.
-    fn ended_connection(&mut self, index: usize, id: Id) -> Option<&mut Connection> {
-        match self.slots.get_mut(index) {
-            Some(Slot::Upstream(connection))
-                if connection.has_ended && connection.request() == Some(id) =>
-            {
-                Some(connection)
-            }
-            _ => None,
-        }
-    }
-
-    /// Ends the response of a connection that the runner has closed in good order.
-    fn finish_ended_response(&mut self, index: usize, id: Id) {
-        let Some(connection) = self.ended_connection(index, id) else {
-            return;
-        };
-        let is_finished = connection
-            .response
-            .as_mut()
-            .is_some_and(|response| response.decoder.finish().is_ok());
-        // The answer may belong to another request; none can follow.
-        if !is_finished || matches!(self.advance_body(index, id), Advance::Next) {
-            self.fail_broken_response(index, id, false);
-        }
-    }
-
     /// Ends an attempt whose response broke off, by a reset or otherwise.
     pub(super) fn fail_broken_response(&mut self, index: usize, id: Id, is_reset: bool) {
         let now = self.now();
@@ -588,7 +539,7 @@
         // Silence shows a loss on the way, not a crash.
         for (index, ended, id) in unconfirmed {
             self.close(index);
-            self.finish_ended_response(ended, id);
+            self.finish_ended_response(ended, id, Evidence::Silent);
         }
     }
 }
