Believe the end of an answer without a length only if its runner lives on

Callers got streams as complete whose runner was killed between two events, and plain answers cut in the middle, when the answer had neither a length nor chunks: 200, a last chunk or a Content-Length of what had come.

Cause: a connection made after the end stood for the life of the process. It is accepted by a listener that outlives the process (a supervisor that hands its socket on, a forwarder, a backlog), by the next process at the address, and its silence, other errors and a runner that is not listed counted as life as well.

Now the evidence is a connection that was made before the end and outlives it. While an answer may end with its connection, the router keeps one more connection to its runner, shared by all such answers. 50 ms after the end it looks at the sockets themselves, not at events that may still wait:

- a connection from before the end is open and a new one is accepted (or reset, as runners at their limit do): complete;
- the answer lasted less than 50 ms from its head on, none was lost, and a new one is accepted: complete, as for most plain answers;
- anything else, so a refusal, 300 ms of silence, an error, a witness that closed at the same time: broken off.
A stream that may be resumed goes on after its last event, an answer that may be repeated is, within attempts and retry budget; others get 502 or are cut, so that the caller does not take them for complete.
A runner that is no longer listed is asked at the address of the connection that ended.

A second run is only started in the last case. Asking another runner after each end would cost a run and retry budget for every stream of a service that frames nothing.

The result also no longer depends on the order in which events are read: a router that was stopped while it waited took the passed time for silence, and silence for life. The endings name the time of the end, so the outcome for one attempt cannot reach the next one at the same slab index.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -1,97 +1,235 @@
 //! Ends of answers that have neither a length nor chunks and end with their connection.
 
-use std::io;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
 
 use crate::edge::responses::Advance;
+use crate::edge::runners::CONNECT_TIMEOUT;
 use crate::edge::{Edge, Slot};
+use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
 use crate::upstream::{Connection, Phase};
 
-/// What became of the connection that is made after an answer has ended with its own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Evidence {
-    /// The runner's machine accepted it.
-    Accepted,
-    /// It was accepted and has ended.
-    Closed,
-    /// It got no answer in time.
-    Silent,
-    /// It failed in another way than by a refusal.
-    Unreachable,
-    /// It was not made: the runner is no longer listed.
-    Unlisted,
-}
+impl Edge {
+    /// Keeps a connection to the runner of an answer that will end with its own: a witness
+    /// that the process lives.
+    pub(super) fn keep_witness(&mut self, index: usize) {
+        let now = self.now();
+        let connection = match self.slots.get_mut(index) {
+            Some(Slot::Upstream(connection)) if connection.ends_by_close() => connection,
+            _ => return,
+        };
+        connection.awaited_since.get_or_insert(now);
+        let (address, runner) = (connection.address, connection.runner.clone());
+        if !self.endings.witnesses.contains_key(&address) {
+            self.open_witness(&runner, address);
+        }
+    }
 
-impl Evidence {
-    fn as_str(self) -> &'static str {
-        match self {
-            Evidence::Accepted => "accepted",
-            Evidence::Closed => "closed",
-            Evidence::Silent => "silent",
-            Evidence::Unreachable => "unreachable",
-            Evidence::Unlisted => "unlisted",
+    fn open_witness(&mut self, runner: &Runner, address: SocketAddr) {
+        let now = self.now();
+        let witness = self.connect(now, Phase::Witness, runner, address).ok();
+        self.endings.witnesses.insert(address, witness);
+    }
+
+    /// Notes that a witness is established, or that it has ended.
+    pub(super) fn handle_witness_ready(&mut self, index: usize) {
+        let now = self.now();
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        let address = connection.address;
+        let is_lost = match connection.socket.check_connected() {
+            Ok(false) => return,
+            Ok(true) if connection.socket.is_open() => {
+                connection.established_at.get_or_insert(now);
+                return;
+            }
+            Ok(true) => true,
+            // A runner at its limit of connections resets new ones.
+            Err(_) => {
+                let established_at = connection.established_at;
+                established_at.is_some_and(|at| now.since(at) >= SETTLE_TIME)
+            }
+        };
+        if is_lost {
+            self.endings.record_loss(now, address);
         }
+        self.close(index);
     }
-}
 
-impl Edge {
-    /// Connects to the runner to learn whether it lives: a process that crashes closes its
-    /// connections like one that has sent a whole answer without a length. The new
-    /// connection takes the place of the one that has ended.
+    /// Replaces witnesses that runners have closed, and closes those that no answer needs.
+    pub(super) fn sweep_witnesses(&mut self, now: Time) {
+        self.endings.expire(now);
+        if self.endings.witnesses.is_empty() {
+            return;
+        }
+        let needed: HashMap<SocketAddr, Runner> = self
+            .slots
+            .iter()
+            .filter_map(|(_, slot)| match slot {
+                Slot::Upstream(connection) if connection.ends_by_close() => {
+                    Some((connection.address, connection.runner.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        for (address, witness) in self.endings.witnesses.clone() {
+            match (needed.get(&address), witness) {
+                (Some(runner), None) => self.open_witness(runner, address),
+                (Some(_), Some(_)) => {}
+                (None, witness) => {
+                    self.endings.witnesses.remove(&address);
+                    if let Some(index) = witness {
+                        self.close(index);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Connects to the runner of an answer that has ended with its connection, and leaves
+    /// the answer to [`settle_endings`](Self::settle_endings).
     pub(super) fn confirm_end(&mut self, now: Time, index: usize, id: Id) {
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return;
         };
-        connection.has_ended = true;
-        let runner = connection.runner.clone();
-        let address = self.registry.get(&runner).map(|entry| entry.address);
-        let confirmation = address
-            .map(|address| self.connect(now, Phase::Confirming(id, index), &runner, address));
-        match confirmation {
-            Some(Ok(_)) => {}
-            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+        connection.ended_at = Some(now);
+        let awaited_since = connection.awaited_since;
+        let is_brief = awaited_since.is_none_or(|since| now.since(since) < SETTLE_TIME);
+        let (runner, address) = (connection.runner.clone(), connection.address);
+        match self.connect(now, Phase::Confirming, &runner, address) {
+            Ok(contact) => self.endings.waiting.push(Ending {
+                id,
+                index,
+                ended_at: now,
+                is_brief,
+                runner,
+                address,
+                contact,
+            }),
+            Err(error) => {
+                let contact = Contact::of_error(&error);
+                log::info!(target: "request", "event=end_unconfirmed runner={runner} contact={}", contact.as_str());
                 self.fail_broken_response(index, id, false);
+                self.record_contact(now, &runner, contact);
             }
-            // Nothing speaks against the end, such as for a runner that has left.
-            Some(Err(_)) => self.finish_ended_response(index, id, Evidence::Unreachable),
-            None => self.finish_ended_response(index, id, Evidence::Unlisted),
         }
     }
 
-    /// Returns the connection of a request that the runner has closed in good order, unless
-    /// the request has left it meanwhile.
-    pub(super) fn ended_connection(&mut self, index: usize, id: Id) -> Option<&mut Connection> {
-        match self.slots.get_mut(index) {
-            Some(Slot::Upstream(connection))
-                if connection.has_ended && connection.request() == Some(id) =>
+    fn record_contact(&mut self, now: Time, runner: &Runner, contact: Contact) {
+        if contact == Contact::Refused {
+            self.record_refused_probe(now, runner);
+            self.run_actions();
+        }
+    }
+
+    /// Ends the answers whose evidence is complete.
+    pub(super) fn settle_endings(&mut self, now: Time) {
+        for ending in std::mem::take(&mut self.endings.waiting) {
+            let contact = self.contact(now, &ending);
+            let is_settled = now.since(ending.ended_at) >= SETTLE_TIME;
+            match contact {
+                Contact::Refused => self.settle(now, &ending, contact),
+                Contact::Pending => self.endings.waiting.push(ending),
+                _ if is_settled => self.settle(now, &ending, contact),
+                _ => self.endings.waiting.push(ending),
+            }
+        }
+    }
+
+    fn settle(&mut self, now: Time, ending: &Ending, contact: Contact) {
+        let evidence = self.evidence(ending, contact);
+        if let (Contact::Accepted, Some(Slot::Upstream(connection))) =
+            (contact, self.slots.get_mut(ending.contact))
+        {
+            connection.phase = Phase::Idle(Connection::unused_deadline(now));
+            connection.since = now;
+            connection.established_at = Some(now);
+            self.keep_idle(now, ending.contact, &ending.runner);
+        } else {
+            self.close(ending.contact);
+        }
+        self.finish_ended_response(ending, &evidence);
+        self.record_contact(now, &ending.runner, contact);
+    }
+
+    /// Returns what became of the connection made after the end of an answer.
+    fn contact(&self, now: Time, ending: &Ending) -> Contact {
+        let connection = match self.slots.get(ending.contact) {
+            Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Confirming) => {
+                connection
+            }
+            _ => return Contact::Failed,
+        };
+        match connection.socket.check_connected() {
+            Ok(true) if connection.socket.is_open() => Contact::Accepted,
+            Ok(true) => Contact::Closed,
+            Ok(false) if now.since(ending.ended_at) > CONNECT_TIMEOUT => Contact::Silent,
+            Ok(false) => Contact::Pending,
+            Err(error) => Contact::of_error(&error),
+        }
+    }
+
+    /// Returns what speaks for and against the end of an answer. Reads the state of the
+    /// sockets, whose events may still wait.
+    fn evidence(&self, ending: &Ending, contact: Contact) -> Evidence {
+        let mut evidence = Evidence {
+            contact,
+            has_witness: false,
+            lost_witness: self.endings.has_loss(ending),
+            is_brief: ending.is_brief,
+        };
+        for (_, slot) in &self.slots {
+            let Slot::Upstream(connection) = slot else {
+                continue;
+            };
+            let established_at = connection.established_at;
+            if connection.address != ending.address
+                || connection.ended_at.is_some()
+                || established_at.is_none_or(|at| at >= ending.ended_at)
             {
-                Some(connection)
+                continue;
+            }
+            match (connection.socket.is_open(), &connection.phase) {
+                (true, _) => evidence.has_witness = true,
+                (false, Phase::Witness) => evidence.lost_witness = true,
+                (false, _) => {}
             }
-            _ => None,
         }
+        evidence
     }
 
-    /// Ends the response of a connection that the runner has closed in good order.
-    pub(super) fn finish_ended_response(&mut self, index: usize, id: Id, evidence: Evidence) {
-        let Some(connection) = self.ended_connection(index, id) else {
+    /// Ends the response of a connection that the runner has closed in good order, unless
+    /// the request has left the connection meanwhile.
+    fn finish_ended_response(&mut self, ending: &Ending, evidence: &Evidence) {
+        let (index, id) = (ending.index, ending.id);
+        let (Some(Slot::Upstream(connection)), Some(transaction)) =
+            (self.slots.get_mut(index), self.transactions.get(&id))
+        else {
             return;
         };
-        let runner = connection.runner.clone();
+        if connection.request() != Some(id) || connection.ended_at != Some(ending.ended_at) {
+            return;
+        }
+        let shows_complete = evidence.shows_complete();
+        log::info!(
+            target: "request",
+            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} witness={} lost={} brief={}",
+            transaction.request_id,
+            transaction.attempts(),
+            ending.runner,
+            evidence.contact.as_str(),
+            evidence.has_witness,
+            evidence.lost_witness,
+            evidence.is_brief
+        );
         let is_finished = connection
             .response
             .as_mut()
-            .is_some_and(|response| response.decoder.finish().is_ok());
-        if let Some(transaction) = self.transactions.get(&id) {
-            log::info!(
-                target: "request",
-                "event=end_confirmed request={} attempt={} runner={runner} evidence={}",
-                transaction.request_id,
-                transaction.attempts(),
-                evidence.as_str()
-            );
-        }
+            .is_some_and(|response| shows_complete && response.decoder.finish().is_ok());
         // The answer may belong to another request; none can follow.
         if !is_finished || matches!(self.advance_body(index, id), Advance::Next) {
             self.fail_broken_response(index, id, false);
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -37,6 +37,7 @@
 use crate::caller;
 use crate::client;
 use crate::edge::evacuations::Domains;
+use crate::ending::Endings;
 use crate::error::Error;
 use crate::output::Output;
 use crate::peers::{Phase, Table};
@@ -111,6 +112,7 @@
     // Longest remaining time seen on a request, by route name.
     longest_times_left: HashMap<String, Span>,
     pool: Pool,
+    endings: Endings,
     caller_listener: usize,
     caller_count: usize,
     // Bytes of the request bodies of all transactions.
@@ -209,6 +211,7 @@
             next_id: 0,
             longest_times_left: HashMap::new(),
             pool: Pool::new(),
+            endings: Endings::default(),
             caller_listener: 0,
             caller_count: 0,
             body_bytes: 0,
@@ -347,6 +350,7 @@
     /// Runs the periodic work and schedules the next tick.
     pub fn tick(&mut self, cx: CX![]) {
         let now = self.now();
+        self.settle_endings(now);
         self.scheduler.tick(now);
         self.run_actions();
         self.poll_store(now);
@@ -530,7 +534,13 @@
         };
         match &slot {
             Slot::Caller(_) => self.caller_count -= 1,
-            Slot::Upstream(connection) => self.pool.remove(&connection.runner, index),
+            Slot::Upstream(connection) => {
+                self.pool.remove(&connection.runner, index);
+                let witness = self.endings.witnesses.get_mut(&connection.address);
+                if let Some(witness) = witness.filter(|witness| **witness == Some(index)) {
+                    *witness = None;
+                }
+            }
             _ => {}
         }
         if let Some(socket) = socket_of(&mut slot) {
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -4,11 +4,9 @@
 use std::net::SocketAddr;
 
 use balsamchute_adapter::request::{self, Forwarded};
-use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
 
-use crate::edge::ends::Evidence;
 use crate::edge::{Edge, Slot};
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
@@ -16,7 +14,7 @@
 
 /// Timeout for connecting to a runner: several hundred round trips of less than a
 /// millisecond. A runner that has not accepted by then counts as unreachable.
-const CONNECT_TIMEOUT: Span = Span(300);
+pub(super) const CONNECT_TIMEOUT: Span = Span(300);
 
 /// Unsent bytes to a caller above which reading from its runner pauses.
 const MAX_UNSENT_BYTES: usize = 128 * 1024;
@@ -145,7 +143,7 @@
         let socket = Socket::connect(address)?;
         let entry = self.registry.get(runner);
         let started_at = entry.map_or(0, |entry| entry.started_at);
-        let connection = Connection::new(now, socket, runner.clone(), started_at, phase);
+        let connection = Connection::new(now, socket, runner.clone(), address, started_at, phase);
         let index = self.slots.insert(Slot::Upstream(Box::new(connection)));
         if let Err(error) = self.register(index) {
             self.close(index);
@@ -164,7 +162,7 @@
         }
     }
 
-    fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
+    pub(super) fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
         log::info!(target: "runner", "event=probe_refused runner={runner}");
         self.scheduler.record_refused_probe(now, runner);
     }
@@ -177,38 +175,26 @@
             return;
         };
         let runner = connection.runner.clone();
-        let ended = match connection.phase {
-            Phase::Confirming(id, ended) => Some((ended, id)),
-            _ => None,
-        };
-        let (refused, evidence) = match connection.socket.check_connected() {
-            Ok(false) => return,
+        match connection.socket.check_connected() {
+            Ok(false) => {}
             Ok(true) => {
                 connection.phase = Phase::Idle(Connection::unused_deadline(now));
                 connection.since = now;
+                connection.established_at = Some(now);
                 self.keep_idle(now, index, &runner);
-                (false, Evidence::Accepted)
             }
             Err(error) => {
                 self.close(index);
-                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                (refused, Evidence::Unreachable)
-            }
-        };
-        if let Some((ended, id)) = ended {
-            match refused && self.ended_connection(ended, id).is_some() {
-                true => self.fail_broken_response(ended, id, false),
-                false => self.finish_ended_response(ended, id, evidence),
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.record_refused_probe(now, &runner);
+                    self.run_actions();
+                }
             }
         }
-        if refused {
-            self.record_refused_probe(now, &runner);
-            self.run_actions();
-        }
     }
 
     /// Adds an idle connection to the pool; closes the oldest one beyond the limit.
-    fn keep_idle(&mut self, now: Time, index: usize, runner: &Runner) {
+    pub(super) fn keep_idle(&mut self, now: Time, index: usize, runner: &Runner) {
         let limit = self.idle_limit(now, runner);
         if let Some(oldest) = self.pool.put(runner, index, limit) {
             self.close(oldest);
@@ -266,10 +252,12 @@
         };
         match connection.phase {
             Phase::Connecting(id) => return self.continue_connecting(index, id),
-            Phase::Probing | Phase::Confirming(..) => return self.continue_probe(index),
+            Phase::Probing => return self.continue_probe(index),
+            Phase::Witness => return self.handle_witness_ready(index),
+            Phase::Confirming => return,
             Phase::Busy(_) | Phase::Idle(_) => {}
         }
-        if connection.has_ended {
+        if connection.ended_at.is_some() {
             return;
         }
         connection.socket.flush();
@@ -286,7 +274,10 @@
             return;
         };
         match connection.socket.check_connected() {
-            Ok(true) => self.write_request(now, index, id),
+            Ok(true) => {
+                connection.established_at = Some(now);
+                self.write_request(now, index, id);
+            }
             Ok(false) => {}
             Err(error) => {
                 let refused = error.kind() == io::ErrorKind::ConnectionRefused;
@@ -329,7 +320,10 @@
             }
             match self.read(index) {
                 Input::Bytes(length) => self.receive_upstream_bytes(index, length),
-                Input::WouldBlock => return,
+                Input::WouldBlock => {
+                    self.keep_witness(index);
+                    return;
+                }
                 Input::Eof => {
                     self.handle_upstream_closed(index, false);
                     return;
@@ -438,13 +432,8 @@
             return;
         };
         let id = match connection.phase {
-            Phase::Idle(_) | Phase::Probing => {
-                self.close(index);
-                return;
-            }
-            Phase::Confirming(id, ended) => {
+            Phase::Idle(_) | Phase::Probing | Phase::Witness | Phase::Confirming => {
                 self.close(index);
-                self.finish_ended_response(ended, id, Evidence::Closed);
                 return;
             }
             // A reset while connecting counts as a refusal.
@@ -454,13 +443,13 @@
             }
             Phase::Busy(id) => id,
         };
-        let ends_by_close = connection
-            .response
-            .as_ref()
-            .is_some_and(|response| response.framing == Framing::UntilClose);
-        match ends_by_close && !is_reset {
+        match connection.ends_by_close() && !is_reset {
             true => self.confirm_end(now, index, id),
-            false => self.fail_broken_response(index, id, is_reset),
+            false => {
+                let address = connection.address;
+                self.endings.record_loss(now, address);
+                self.fail_broken_response(index, id, is_reset);
+            }
         }
     }
 
@@ -511,7 +500,6 @@
     pub(super) fn sweep_upstreams(&mut self, now: Time) {
         let mut expired = Vec::new();
         let mut timed_out = Vec::new();
-        let mut unconfirmed = Vec::new();
         for (index, slot) in &self.slots {
             let Slot::Upstream(connection) = slot else {
                 continue;
@@ -521,9 +509,6 @@
                 Phase::Probing if now.since(connection.since) > CONNECT_TIMEOUT => {
                     expired.push(index);
                 }
-                Phase::Confirming(id, ended) if now.since(connection.since) > CONNECT_TIMEOUT => {
-                    unconfirmed.push((index, ended, id));
-                }
                 Phase::Connecting(id) if now.since(connection.since) > CONNECT_TIMEOUT => {
                     timed_out.push((index, id));
                 }
@@ -536,10 +521,6 @@
         for (index, id) in timed_out {
             self.handle_connect_failure(now, index, id, false);
         }
-        // Silence shows a loss on the way, not a crash.
-        for (index, ended, id) in unconfirmed {
-            self.close(index);
-            self.finish_ended_response(ended, id, Evidence::Silent);
-        }
+        self.sweep_witnesses(now);
     }
 }
--- /dev/null
+++ b/crates/edge/src/ending.rs
@@ -0,0 +1,132 @@
+//! Decision whether an answer is complete that has neither a length nor chunks.
+//!
+//! Such an answer ends with its connection, and a process that dies closes its connections
+//! like one that has sent everything. A process that accepts connections afterwards may be
+//! another one, or none: a listener outlives the process in a supervisor or a forwarder.
+//! A connection that was made before the end and outlives it shows that the process lives.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::action::Id;
+
+/// Time from the end of an answer to the decision: a process that dies closes its
+/// connections one after another. Also the time within which an answer is brief, many times
+/// what a connection takes.
+pub(crate) const SETTLE_TIME: Span = Span(50);
+
+/// Time for which a lost connection is remembered.
+const MEMORY: Span = Span(1000);
+
+/// What became of the connection that is made after the end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Contact {
+    /// It waits for an answer.
+    Pending,
+    /// It was accepted and is open.
+    Accepted,
+    /// It was accepted and has ended.
+    Closed,
+    /// It was refused.
+    Refused,
+    /// It got no answer in time.
+    Silent,
+    /// It failed in another way.
+    Failed,
+}
+
+impl Contact {
+    /// Returns the outcome of a connection attempt that failed with `error`.
+    pub fn of_error(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Contact::Refused,
+            io::ErrorKind::ConnectionReset => Contact::Closed,
+            _ => Contact::Failed,
+        }
+    }
+
+    /// Returns the outcome as written to logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Contact::Pending => "pending",
+            Contact::Accepted => "accepted",
+            Contact::Closed => "closed",
+            Contact::Refused => "refused",
+            Contact::Silent => "silent",
+            Contact::Failed => "failed",
+        }
+    }
+}
+
+/// What speaks for and against the end of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Evidence {
+    pub contact: Contact,
+    /// Whether a connection to the runner that was made before the end is open.
+    pub has_witness: bool,
+    /// Whether such a connection was lost when the answer ended.
+    pub lost_witness: bool,
+    /// Whether the answer ended before a connection could be made beside it.
+    pub is_brief: bool,
+}
+
+impl Evidence {
+    /// Returns whether the answer counts as complete.
+    ///
+    /// A brief answer counts as complete if the runner accepts a connection and none was
+    /// lost: there was hardly time for its process to die. Any other one needs a witness.
+    pub fn shows_complete(&self) -> bool {
+        match self.contact {
+            Contact::Accepted => self.has_witness || (self.is_brief && !self.lost_witness),
+            // A runner also resets connections above its limit.
+            Contact::Closed => self.has_witness,
+            Contact::Pending | Contact::Refused | Contact::Silent | Contact::Failed => false,
+        }
+    }
+}
+
+/// Answer that has ended with its connection and is not judged yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Ending {
+    pub id: Id,
+    /// Slab index of the connection that has ended.
+    pub index: usize,
+    pub ended_at: Time,
+    /// Whether the answer ended before a connection could be made beside it.
+    pub is_brief: bool,
+    pub runner: Runner,
+    pub address: SocketAddr,
+    /// Slab index of the connection made after the end.
+    pub contact: usize,
+}
+
+/// Endings that wait for their evidence, and connections that are kept as witnesses.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Endings {
+    pub waiting: Vec<Ending>,
+    /// Slab index of the witness at each address at which an answer may end with its
+    /// connection; `None` if the runner has closed it.
+    pub witnesses: HashMap<SocketAddr, Option<usize>>,
+    losses: HashMap<SocketAddr, Time>,
+}
+
+impl Endings {
+    /// Records that a connection to this address broke, or that a witness was closed.
+    pub fn record_loss(&mut self, now: Time, address: SocketAddr) {
+        self.losses.insert(address, now);
+    }
+
+    /// Returns whether a connection to the address of the answer was lost when it ended.
+    pub fn has_loss(&self, ending: &Ending) -> bool {
+        let lost_at = self.losses.get(&ending.address);
+        lost_at.is_some_and(|&lost_at| lost_at + SETTLE_TIME >= ending.ended_at)
+    }
+
+    /// Forgets losses that no answer can be judged by.
+    pub fn expire(&mut self, now: Time) {
+        self.losses
+            .retain(|_, lost_at| now.since(*lost_at) < MEMORY);
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod caller;
 mod client;
 mod edge;
+mod ending;
 mod frame;
 mod output;
 mod server;
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -114,6 +114,13 @@
         }
     }
 
+    /// Returns whether an established connection is open and no bytes wait in it. If bytes
+    /// wait, an end may follow them.
+    pub fn is_open(&self) -> bool {
+        let peeked = self.stream.peek(&mut [0]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Reads available bytes into `buffer`.
     pub fn read(&mut self, buffer: &mut [u8]) -> Input {
         loop {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -1,5 +1,7 @@
 //! Connection to a runner: response parsing and reuse.
 
+use std::net::SocketAddr;
+
 use balsamchute_adapter::response::{self, Classification};
 use balsamchute_http::Error;
 use balsamchute_http::body::Decoder;
@@ -31,9 +33,11 @@
     Connecting(Id),
     /// The connection is being established to learn whether the runner accepts any.
     Probing,
-    /// The same, after this request's answer has ended with the connection at this slab
-    /// index.
-    Confirming(Id, usize),
+    /// The same, after an answer has ended with its connection.
+    Confirming,
+    /// The connection is open while answers may end with theirs, to show that the runner's
+    /// process lives.
+    Witness,
     /// The connection carries this request.
     Busy(Id),
     /// The connection may be reused until this time.
@@ -56,11 +60,14 @@
 pub(crate) struct Connection {
     pub socket: Socket,
     pub runner: Runner,
+    pub address: SocketAddr,
     /// Start time of the runner's process when the connection was made.
     pub started_at: u64,
     pub phase: Phase,
     /// Time at which the phase began.
     pub since: Time,
+    /// Time at which the connection was found to be established.
+    pub established_at: Option<Time>,
     pub input: Vec<u8>,
     pub response: Option<Partial>,
     /// Bytes received since the request was sent or a part was forwarded.
@@ -69,25 +76,37 @@
     pub is_read_paused: bool,
     /// Whether the connection carried another request before.
     pub is_reused: bool,
-    /// Whether the runner has closed the connection.
-    pub has_ended: bool,
+    /// Time since which the rest of an answer that ends with the connection is awaited.
+    pub awaited_since: Option<Time>,
+    /// Time at which the runner closed the connection.
+    pub ended_at: Option<Time>,
 }
 
 impl Connection {
     /// Creates a connection that is being established in this phase.
-    pub fn new(now: Time, socket: Socket, runner: Runner, started_at: u64, phase: Phase) -> Self {
+    pub fn new(
+        now: Time,
+        socket: Socket,
+        runner: Runner,
+        address: SocketAddr,
+        started_at: u64,
+        phase: Phase,
+    ) -> Self {
         Connection {
             socket,
             runner,
+            address,
             started_at,
             phase,
             since: now,
+            established_at: None,
             input: Vec::new(),
             response: None,
             withheld: 0,
             is_read_paused: false,
             is_reused: false,
-            has_ended: false,
+            awaited_since: None,
+            ended_at: None,
         }
     }
 
@@ -95,10 +114,16 @@
     pub fn request(&self) -> Option<Id> {
         match self.phase {
             Phase::Connecting(id) | Phase::Busy(id) => Some(id),
-            Phase::Idle(_) | Phase::Probing | Phase::Confirming(..) => None,
+            Phase::Idle(_) | Phase::Probing | Phase::Confirming | Phase::Witness => None,
         }
     }
 
+    /// Returns whether the connection carries an answer that ends with it.
+    pub fn ends_by_close(&self) -> bool {
+        let response = self.response.as_ref();
+        response.is_some_and(|response| response.framing == Framing::UntilClose)
+    }
+
     /// Parses the head of the response to `request_id`. Returns whether it is
     /// complete.
     ///
