Show that streams move although their runners are not silent (failing)

A router that was stopped (SIGSTOP, 4.7 s) withdraws a resumable stream when it wakes, although its events wait in the socket; one whose caller does not read for 4.7 s does so although it is the router that has stopped reading. Each costs a second run and retry budget; the pieces arrive once and in order.

--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -1,6 +1,7 @@
 //! `balsamchute edge` with a fake store, fake runners and callers on loopback.
 
 mod answers;
+mod connections;
 mod ends;
 pub mod environment;
 mod evacuation;
