Do not count a pause of the caller as silence of its runner

A stream that may be resumed moved to another runner when its caller did not read for three times the allowed pause: above 128 KiB of unsent bytes the router stops reading, no event arrives, and the scheduler took that for a stall. The pieces arrived once and in order; the cost was a second run, retry budget and the cache at the first runner.

The edge now tells the scheduler when it stops and resumes reading. An answer that is not read never counts as stalled, and the time counts from the moment when it is read again.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -342,8 +342,8 @@
         let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
             return true;
         };
-        let caller = connection
-            .request()
+        let (was_paused, id) = (connection.is_read_paused, connection.request());
+        let caller = id
             .and_then(|id| self.transactions.get(&id))
             .map(|transaction| transaction.caller);
         let unsent = match caller.and_then(|caller| self.slots.get(caller)) {
@@ -354,6 +354,10 @@
         if let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) {
             connection.is_read_paused = is_read_paused;
         }
+        if let (true, Some(id)) = (is_read_paused != was_paused, id) {
+            let now = self.now();
+            self.scheduler.set_read_paused(now, id, is_read_paused);
+        }
         is_read_paused
     }
 
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -32,6 +32,8 @@
     pub events: u64,
     /// Whether bytes of the request may have reached the runner.
     pub written: bool,
+    /// Whether the answer is not read because its caller does not read.
+    pub is_read_paused: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -404,10 +404,11 @@
 /// limit is the latency target or three estimates, whichever is longer, plus
 /// [`MIN_STALL`]. Before the head of a plain answer it is two latency targets, and
 /// after the first event three event gap targets, each with a lower bound. An
-/// attempt of a request that must not run twice never counts as stalled.
+/// attempt of a request that must not run twice never counts as stalled, nor does one
+/// whose answer is not read.
 fn is_stalled(now: Time, pending: &Pending, dispatch: &Dispatch) -> bool {
     let request = &pending.request;
-    if !request.retry_policy.allows_retry() {
+    if !request.retry_policy.allows_retry() || dispatch.is_read_paused {
         return false;
     }
     let silence = now.since(dispatch.last_event_at);
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -339,6 +339,7 @@
             last_event_at: now,
             events: 0,
             written: false,
+            is_read_paused: false,
         });
         self.charge(id, 1.0);
         self.actions.push(Action::Send {
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -352,6 +352,19 @@
         }
     }
 
+    /// Records that the answer of a request is not read, because its caller does not read,
+    /// or is read again. The silence until then is not the runner's.
+    pub fn set_read_paused(&mut self, now: Time, id: Id, is_read_paused: bool) {
+        if let Some(Pending {
+            stage: Stage::Dispatched(dispatch),
+            ..
+        }) = self.pending.get_mut(&id)
+        {
+            dispatch.is_read_paused = is_read_paused;
+            dispatch.last_event_at = now;
+        }
+    }
+
     /// Records events of a stream, or the head of a plain answer. The first one
     /// shows that prefill is done and how long it took.
     pub fn record_events(&mut self, now: Time, id: Id, events: u64) {
