Read what has arrived before timers judge silence

A router that was stopped (SIGSTOP, or not scheduled) moved streams when it woke: it withdrew each resumable stream that had been silent for three times the allowed pause, although the events waited in its sockets. Other timers judged the same way (deadlines, connections that take too long).

The signal that continues a process ends the wait for events with EINTR, and the turn ran its timers without any event. And a turn reads 256 events at most, then runs the timers, with more waiting. The loop now looks for events again after EINTR, and runs timers after a turn that was not full, or after eight full ones.

The test has 400 streams now instead of one, more than a turn reads.

--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -20,6 +20,9 @@
 /// Events that one turn of the loop handles.
 const MAX_EVENTS: usize = 256;
 
+/// Turns in a row with [`MAX_EVENTS`] events for which timers wait.
+const MAX_FULL_TURNS: usize = 8;
+
 /// Interval at which the settings file is read again. The file may change
 /// without a signal.
 const SETTINGS_READ_INTERVAL: Duration = Duration::from_secs(5);
@@ -76,7 +79,9 @@
     let mut stakker = Stakker::new(Instant::now());
     let edge = actor!(stakker, Edge::start(edge), ret_nop!());
     call!([edge], tick());
-    stakker.run(Instant::now(), false);
+    let mut timers_ran_at = Instant::now();
+    stakker.run(timers_ran_at, false);
+    let mut full_turns = 0;
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
     loop {
@@ -85,11 +90,7 @@
             Some(true) => Duration::ZERO,
             _ => stakker.next_wait_max(Instant::now(), MAX_SLEEP, false),
         };
-        match poll.poll(&mut events, Some(sleep)) {
-            Ok(()) => {}
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => return Err(Error::Poll(error)),
-        }
+        wait(&mut poll, &mut events, sleep).map_err(Error::Poll)?;
         let turn_began = Instant::now();
         if stop.load(Ordering::Relaxed) {
             call!([edge], begin_shutdown());
@@ -108,7 +109,18 @@
             call!([edge], handle_ready(index_of(event)));
         }
         call!([edge], accept_more());
-        stakker.run(Instant::now(), false);
+        // Timers judge silence, so they wait until what has arrived is read.
+        full_turns = match events.iter().count() {
+            MAX_EVENTS => full_turns + 1,
+            _ => 0,
+        };
+        match full_turns {
+            n if n > 0 && n <= MAX_FULL_TURNS => stakker.run(timers_ran_at, false),
+            _ => {
+                timers_ran_at = Instant::now();
+                stakker.run(timers_ran_at, false)
+            }
+        };
         let took = turn_began.elapsed();
         if took >= SLOW_TURN {
             log::warn!(target: "process", "event=turn_slow took_ms={} events={}", took.as_millis(), events.iter().count());
@@ -119,3 +131,15 @@
         }
     }
 }
+
+/// Waits for events for at most `sleep`. A signal ends the wait without the events that are
+/// there, also the one that continues a process that was stopped, so it looks again.
+fn wait(poll: &mut Poll, events: &mut Events, sleep: Duration) -> io::Result<()> {
+    let mut result = poll.poll(events, Some(sleep));
+    while let Err(error) = &result
+        && error.kind() == io::ErrorKind::Interrupted
+    {
+        result = poll.poll(events, Some(Duration::ZERO));
+    }
+    result
+}
--- a/tests/all/edge/connections.rs
+++ b/tests/all/edge/connections.rs
@@ -10,15 +10,18 @@
 use nix::sys::signal::Signal;
 
 use super::environment::{
-    Route, Router, Runner, Store, connect, header, respond, send_raw, wait_until,
+    self, Route, Router, Runner, Store, connect, header, respond, send_raw, wait_until,
 };
-use super::{EVENT_STREAM_FIELDS, decode_chunks, entry, events, request};
+use super::{EVENT_STREAM_FIELDS, decode_chunks, events, request};
 
 /// Timeout of the route in ms; a stream stalls after three quarters of it.
-const TIMEOUT_MS: u64 = 6000;
+const TIMEOUT_MS: u64 = 8000;
 
 /// Time after which a stream without an event has stalled.
-const STALL: Duration = Duration::from_millis(4700);
+const STALL: Duration = Duration::from_millis(6200);
+
+/// Streams under way; more than the router handles events in one turn.
+const STREAMS: usize = 400;
 
 /// Starts a router and two runners with the same script on a resumable route.
 fn start(
@@ -32,10 +35,11 @@
     });
     let store = Store::start();
     let route = Route::new("stream", "stream", timeout_ms).resumable();
-    let manifest = super::environment::manifest(1, &[route], &["k1"]);
+    let manifest = environment::manifest(1, &[route], &["k1"]);
     store.put("config", "main", Some(manifest));
     for (index, runner) in runners.iter().enumerate() {
-        store.put("servers", &format!("i-{index}"), entry(runner.address, "s"));
+        let entry = environment::entry(runner.address, "s", STREAMS as u32);
+        store.put("servers", &format!("i-{index}"), Some(entry));
     }
     let router = Router::start("r1", store.address);
     router.wait_ready();
@@ -49,7 +53,7 @@
 /// Events wait in the socket of a router that was stopped. It must read them before it
 /// judges how long the stream was silent.
 #[test]
-fn a_stream_is_not_moved_when_the_router_was_stopped() {
+fn streams_are_not_moved_when_the_router_was_stopped() {
     let is_stopped = Arc::new(AtomicBool::new(false));
     let may_go_on = is_stopped.clone();
     let script = move |head: &str, stream: &mut TcpStream| {
@@ -60,21 +64,30 @@
         stream.write_all(rest.as_bytes()).is_ok()
     };
     let (_store, router, runners) = start(script, TIMEOUT_MS);
-    let callers = router.callers;
-    let text = request("GET", "/stream/x", "", "");
-    let caller = thread::spawn(move || send_raw(callers, &text));
-    wait_until("the runner has the request", || runs(&runners) > 0);
+    let callers: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let address = router.callers;
+            let text = request("GET", "/stream/x", "", "");
+            let text = text.replace("X-Request-Id: q1", &format!("X-Request-Id: q{number}"));
+            thread::spawn(move || send_raw(address, &text))
+        })
+        .collect();
+    wait_until("the runners have the requests", || {
+        runs(&runners) == STREAMS
+    });
     // Time for the first events, and for the router to sleep.
     thread::sleep(Duration::from_millis(100));
     router.signal(Signal::SIGSTOP);
     is_stopped.store(true, Ordering::SeqCst);
     thread::sleep(STALL);
     router.signal(Signal::SIGCONT);
-    let response = caller.join().expect("the caller ends");
-    let (body, is_complete) = decode_chunks(&response);
-    assert!(is_complete, "{response}");
-    assert_eq!(body.matches("data: event").count(), 5, "{body}");
-    assert_eq!(runs(&runners), 1, "{}", router.log());
+    for caller in callers {
+        let response = caller.join().expect("the caller ends");
+        let (body, is_complete) = decode_chunks(&response);
+        assert!(is_complete, "{response}");
+        assert_eq!(body.matches("data: event").count(), 5, "{body}");
+    }
+    assert_eq!(runs(&runners), STREAMS, "{}", router.log());
 }
 
 /// Length of an event of [`long_events`], and their number: more than the buffers of the
