Show that a stream read slowly hides the death of its runner (failing)

While the caller does not read, the router does not read either, and the bytes and the end of a runner that was killed wait in the system. When the caller goes on, the end is judged by connections to the process that has replaced it.

The counterpart, a living runner whose stream is read slowly, passes.

--- a/tests/all/edge/connections.rs
+++ b/tests/all/edge/connections.rs
@@ -104,7 +104,7 @@
 }
 
 /// Sends a request from a caller with a small receive buffer.
-fn connect_slow_caller(router: &Router, text: &str) -> TcpStream {
+pub fn connect_slow_caller(router: &Router, text: &str) -> TcpStream {
     let socket =
         socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -13,6 +13,7 @@
 use nix::unistd::Pid;
 use serde_json::json;
 
+use super::connections::connect_slow_caller;
 use super::environment::{
     Route, Router, Runner, Store, connect, header, read_message, respond, respond_with_body,
     wait_until,
@@ -32,6 +33,17 @@
     events.collect()
 }
 
+/// Number of the events of [`long_events`].
+const LONG_EVENTS: u64 = 250;
+
+/// Returns events that fill the buffers towards a caller that does not read, and not those
+/// from the runner.
+fn long_events() -> String {
+    let fill = "x".repeat(20_000);
+    let events = (1..=LONG_EVENTS).map(|id| format!("id: {id}\ndata: {fill}\n\n"));
+    events.collect()
+}
+
 /// Serves on the listener at the standard input if [`Process::start`] runs it.
 #[test]
 fn runner_process() {
@@ -52,12 +64,14 @@
         return;
     };
     let is_plain = head.contains("/once/") || head.contains("/safe/");
-    let (fields, halves) = match is_plain {
-        true => ("", ["first half, ".to_owned(), "second half".to_owned()]),
-        false => (
-            "Content-Type: text/event-stream\r\n",
-            [plain_events(1, 2), plain_events(3, 5)],
-        ),
+    let fields = match is_plain {
+        true => "",
+        false => "Content-Type: text/event-stream\r\n",
+    };
+    let halves = match is_plain {
+        true => ["first half, ".to_owned(), "second half".to_owned()],
+        false if head.contains("/long") => [long_events(), String::new()],
+        false => [plain_events(1, 2), plain_events(3, 5)],
     };
     respond(&mut stream, &head, 200, fields, &halves[0]);
     thread::sleep(pause);
@@ -138,7 +152,7 @@
                 return respond_with_body(stream, head, "whole answer");
             }
             let from: u64 = header(head, "last-event-id").map_or(0, |id| id.parse().expect("one"));
-            let body = format!("{}0\r\n\r\n", events(from + 1, 5));
+            let body = format!("{}0\r\n\r\n", events(from + 1, from.max(2) + 3));
             respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
             true
         });
@@ -167,15 +181,20 @@
         if path.contains("/stream/") || path.contains("/fixed/") {
             caller.read_until("event 2\n\n");
         }
-        self.store
-            .put("servers", "i-1", entry(self.other.address, "s"));
-        self.wait_for_log("event=runner_listed runner=i-1 ");
-        self.wait_for_log("event=send ");
+        self.list_other();
         // The rest of the first half, and time between it and the end.
         thread::sleep(Duration::from_millis(200));
         caller
     }
 
+    /// Lists the other runner when the process has the request.
+    fn list_other(&self) {
+        self.wait_for_log("event=send ");
+        self.store
+            .put("servers", "i-1", entry(self.other.address, "s"));
+        self.wait_for_log("event=runner_listed runner=i-1 ");
+    }
+
     fn wait_for_log(&self, text: &str) {
         wait_until(text, || self.router.log().contains(text));
     }
@@ -280,6 +299,51 @@
     });
 }
 
+/// The router reads the end when the caller goes on, long after the process has died.
+#[test]
+fn a_stream_that_is_read_slowly_goes_on_if_its_runner_was_killed_and_is_back() {
+    let mut scene = Scene::start(FOREVER);
+    let text = request("POST", "/stream/long", "", "");
+    let stream = connect_slow_caller(&scene.router, &text);
+    scene.list_other();
+    // Time in which the process writes all events, and the buffers of the router fill.
+    thread::sleep(Duration::from_millis(1000));
+    scene.process.signal(Signal::SIGKILL);
+    let listener = scene.listener.as_ref().expect("it is open");
+    scene.process = Process::start(listener, FOREVER);
+    thread::sleep(Duration::from_millis(500));
+    let received = Vec::new();
+    let response = Caller { stream, received }.read_to_end();
+    let (body, is_complete) = decode_chunks(&response);
+    let log = scene.router.log();
+    let expected = (LONG_EVENTS as usize + 3, true);
+    assert_eq!(
+        (body.matches("id: ").count(), is_complete),
+        expected,
+        "{log}"
+    );
+}
+
+#[test]
+fn a_whole_stream_of_a_living_runner_that_is_read_slowly_is_delivered() {
+    let scene = Scene::start(Duration::from_millis(100));
+    let text = request("POST", "/stream/long", "", "");
+    let stream = connect_slow_caller(&scene.router, &text);
+    scene.list_other();
+    thread::sleep(Duration::from_millis(1500));
+    let received = Vec::new();
+    let response = Caller { stream, received }.read_to_end();
+    let (body, is_complete) = decode_chunks(&response);
+    let expected = (LONG_EVENTS as usize, true);
+    let log = scene.router.log();
+    assert_eq!(
+        (body.matches("id: ").count(), is_complete),
+        expected,
+        "{log}"
+    );
+    assert!(scene.other.requests().is_empty());
+}
+
 /// Checks that an answer whose runner is killed is cut off.
 fn check_cut(path: &str) {
     let scene = Scene::start(FOREVER);
