Judge an end by connections as old as the last sign of life

A stream whose caller paused was told complete although its runner had been killed during the pause, if a process was back at the address: the router reads the end only when the caller goes on, and any connection older than that moment counted as evidence, also one to the new process. If reading paused before the socket was ever empty, there was no witness, and the answer counted as brief.

An ending now carries the last time at which the runner was known to have the connection open: the socket was empty, or its bytes had just arrived, or it was empty when a witness was established. A connection is evidence if it was established at most 50 ms after that. A pause of reading opens a witness, too, and starts the time after which an answer is not brief.

edge::ends::a_stream_that_is_read_slowly_goes_on_if_its_runner_was_killed_and_is_back failed before (250 of 253 events and a last chunk) and passes; its counterpart, a living runner read as slowly, passes before and after. Three runs of edge::ends, 13 of 13.

What remains: a runner that closes the witness during such a pause, for example as idle, leaves its answer without evidence, so that it is resumed, repeated or cut although it may be complete.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -14,14 +14,18 @@
 
 impl Edge {
     /// Keeps a connection to the runner of an answer that will end with its own: a witness
-    /// that the process lives.
-    pub(super) fn keep_witness(&mut self, index: usize) {
+    /// that the process lives. `is_known_open` tells whether the runner is known to have the
+    /// answer's connection open now.
+    pub(super) fn keep_witness(&mut self, index: usize, is_known_open: bool) {
         let now = self.now();
         let connection = match self.slots.get_mut(index) {
             Some(Slot::Upstream(connection)) if connection.ends_by_close() => connection,
             _ => return,
         };
         connection.awaited_since.get_or_insert(now);
+        if is_known_open {
+            connection.open_at = now;
+        }
         let (address, runner) = (connection.address, connection.runner.clone());
         if !self.endings.witnesses.contains_key(&address) {
             self.open_witness(&runner, address);
@@ -44,7 +48,10 @@
         let is_lost = match connection.socket.check_connected() {
             Ok(false) => return,
             Ok(true) if connection.socket.is_open() => {
-                connection.established_at.get_or_insert(now);
+                if connection.established_at.is_none() {
+                    connection.established_at = Some(now);
+                    self.note_open_answers(now, address);
+                }
                 return;
             }
             Ok(true) => true,
@@ -60,6 +67,19 @@
         self.close(index);
     }
 
+    /// Notes which answers from this address were open when a witness was established.
+    fn note_open_answers(&mut self, now: Time, address: SocketAddr) {
+        for (_, slot) in &mut self.slots {
+            if let Slot::Upstream(connection) = slot
+                && connection.address == address
+                && connection.ends_by_close()
+                && connection.socket.is_open()
+            {
+                connection.open_at = now;
+            }
+        }
+    }
+
     /// Replaces witnesses that runners have closed, and closes those that no answer needs.
     pub(super) fn sweep_witnesses(&mut self, now: Time) {
         self.endings.expire(now);
@@ -100,11 +120,13 @@
         let awaited_since = connection.awaited_since;
         let is_brief = awaited_since.is_none_or(|since| now.since(since) < SETTLE_TIME);
         let (runner, address) = (connection.runner.clone(), connection.address);
+        let open_at = connection.open_at;
         match self.connect(now, Phase::Confirming, &runner, address) {
             Ok(contact) => self.endings.waiting.push(Ending {
                 id,
                 index,
                 ended_at: now,
+                open_at,
                 is_brief,
                 runner,
                 address,
@@ -189,7 +211,7 @@
             let established_at = connection.established_at;
             if connection.address != ending.address
                 || connection.ended_at.is_some()
-                || established_at.is_none_or(|at| at >= ending.ended_at)
+                || !established_at.is_some_and(|at| ending.is_witnessed_by(at))
             {
                 continue;
             }
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -223,6 +223,7 @@
         connection.is_reused = matches!(connection.phase, Phase::Idle(_));
         connection.phase = Phase::Busy(id);
         connection.since = now;
+        connection.open_at = now;
         connection.response = None;
         connection.withheld = 0;
         let forwarded = Forwarded {
@@ -265,7 +266,9 @@
             self.handle_upstream_closed(index, true);
             return;
         }
-        self.read_upstream(index);
+        // Bytes that waited during a pause arrived at an unknown time.
+        let has_just_arrived = !connection.is_read_paused;
+        self.read_upstream(index, has_just_arrived);
     }
 
     fn continue_connecting(&mut self, index: usize, id: Id) {
@@ -313,15 +316,16 @@
 
     /// Reads from a runner until no bytes are left, or until the caller's
     /// unsent bytes exceed the limit.
-    fn read_upstream(&mut self, index: usize) {
+    fn read_upstream(&mut self, index: usize, has_just_arrived: bool) {
         loop {
             if self.update_read_pause(index) {
+                self.keep_witness(index, has_just_arrived);
                 return;
             }
             match self.read(index) {
                 Input::Bytes(length) => self.receive_upstream_bytes(index, length),
                 Input::WouldBlock => {
-                    self.keep_witness(index);
+                    self.keep_witness(index, true);
                     return;
                 }
                 Input::Eof => {
@@ -373,7 +377,7 @@
             _ => false,
         };
         if let (true, Some(index)) = (is_read_paused, index) {
-            self.read_upstream(index);
+            self.read_upstream(index, false);
         }
     }
 
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -14,7 +14,7 @@
 
 /// Time from the end of an answer to the decision: a process that dies closes its
 /// connections one after another. Also the time within which an answer is brief, many times
-/// what a connection takes.
+/// what a connection takes and less than a process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
 /// Time for which a lost connection is remembered.
@@ -64,7 +64,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Evidence {
     pub contact: Contact,
-    /// Whether a connection to the runner that was made before the end is open.
+    /// Whether a connection to the runner that was made beside the answer is open.
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
     pub lost_witness: bool,
@@ -94,6 +94,9 @@
     /// Slab index of the connection that has ended.
     pub index: usize,
     pub ended_at: Time,
+    /// Last time at which the runner was known to have it open. The process may have died at
+    /// any time since, and another one may be at the address.
+    pub open_at: Time,
     /// Whether the answer ended before a connection could be made beside it.
     pub is_brief: bool,
     pub runner: Runner,
@@ -102,6 +105,14 @@
     pub contact: usize,
 }
 
+impl Ending {
+    /// Returns whether a connection that was made at this time and is open shows that the
+    /// process of the answer lives.
+    pub fn is_witnessed_by(&self, established_at: Time) -> bool {
+        established_at < self.ended_at && established_at <= self.open_at + SETTLE_TIME
+    }
+}
+
 /// Endings that wait for their evidence, and connections that are kept as witnesses.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Endings {
@@ -121,7 +132,7 @@
     /// Returns whether a connection to the address of the answer was lost when it ended.
     pub fn has_loss(&self, ending: &Ending) -> bool {
         let lost_at = self.losses.get(&ending.address);
-        lost_at.is_some_and(|&lost_at| lost_at + SETTLE_TIME >= ending.ended_at)
+        lost_at.is_some_and(|&lost_at| lost_at + SETTLE_TIME >= ending.open_at)
     }
 
     /// Forgets losses that no answer can be judged by.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -78,6 +78,9 @@
     pub is_reused: bool,
     /// Time since which the rest of an answer that ends with the connection is awaited.
     pub awaited_since: Option<Time>,
+    /// Last time at which the runner was known to have the connection open: no bytes
+    /// waited in it, or all had just arrived.
+    pub open_at: Time,
     /// Time at which the runner closed the connection.
     pub ended_at: Option<Time>,
 }
@@ -106,6 +109,7 @@
             is_read_paused: false,
             is_reused: false,
             awaited_since: None,
+            open_at: now,
             ended_at: None,
         }
     }
