--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -134,7 +134,13 @@
             }),
             Err(error) => {
                 let contact = Contact::of_error(&error);
-                log::info!(target: "request", "event=end_unconfirmed runner={runner} contact={}", contact.as_str());
+                let request = self.transactions.get(&id);
+                log::info!(
+                    target: "request",
+                    "event=end_judged request={} runner={runner} complete=false contact={}",
+                    request.map_or("-", |transaction| &transaction.request_id),
+                    contact.as_str()
+                );
                 self.fail_broken_response(index, id, false);
                 self.record_contact(now, &runner, contact);
             }
