Judge brief answers without a length after 10 ms

Each answer without a length waited 50 to 70 ms for its verdict, and its runner counted as busy until then: for a plain service whose answers take less than that and have no length, a large part of its slots.

Longer ones still wait 50 ms, which a process with many connections may take to close them.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -5,6 +5,7 @@
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
+use stakker::CX;
 
 use crate::edge::responses::Advance;
 use crate::edge::runners::CONNECT_TIMEOUT;
@@ -154,11 +155,18 @@
         }
     }
 
+    /// Returns the time after which [`settle_endings`](Self::settle_endings) should run again,
+    /// if that is earlier than the next tick.
+    pub fn next_settlement(&self) -> Option<Span> {
+        self.endings.next_due(self.now())
+    }
+
     /// Ends the answers whose evidence is complete.
-    pub(super) fn settle_endings(&mut self, now: Time) {
+    pub fn settle_endings(&mut self, _cx: CX![]) {
+        let now = self.now();
         for ending in std::mem::take(&mut self.endings.waiting) {
             let contact = self.contact(now, &ending);
-            let is_settled = now.since(ending.ended_at) >= SETTLE_TIME;
+            let is_settled = now >= ending.due_at();
             match contact {
                 Contact::Refused => self.settle(now, &ending, contact),
                 Contact::Pending => self.endings.waiting.push(ending),
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -350,7 +350,7 @@
     /// Runs the periodic work and schedules the next tick.
     pub fn tick(&mut self, cx: CX![]) {
         let now = self.now();
-        self.settle_endings(now);
+        self.settle_endings(cx);
         self.scheduler.tick(now);
         self.run_actions();
         self.poll_store(now);
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -17,6 +17,10 @@
 /// what a connection takes and less than a process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
+/// Same as [`SETTLE_TIME`] after a brief answer. Its runner counts as busy until then, so it
+/// is short against the time of a plain request.
+const BRIEF_SETTLE_TIME: Span = Span(10);
+
 /// Time for which a lost connection is remembered.
 const MEMORY: Span = Span(1000);
 
@@ -106,6 +110,14 @@
 }
 
 impl Ending {
+    /// Returns the time at which the answer is judged, if its contact is known by then.
+    pub fn due_at(&self) -> Time {
+        match self.is_brief {
+            true => self.ended_at + BRIEF_SETTLE_TIME,
+            false => self.ended_at + SETTLE_TIME,
+        }
+    }
+
     /// Returns whether a connection that was made at this time and is open shows that the
     /// process of the answer lives.
     pub fn is_witnessed_by(&self, established_at: Time) -> bool {
@@ -124,6 +136,12 @@
 }
 
 impl Endings {
+    /// Returns the time until the next answer is due.
+    pub fn next_due(&self, now: Time) -> Option<Span> {
+        let due = self.waiting.iter().map(Ending::due_at);
+        due.filter(|&due| due > now).map(|due| due.since(now)).min()
+    }
+
     /// Records that a connection to this address broke, or that a witness was closed.
     pub fn record_loss(&mut self, now: Time, address: SocketAddr) {
         self.losses.insert(address, now);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -85,11 +85,15 @@
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
     loop {
-        let has_pending_accepts = edge.query(&mut stakker, |edge, _| edge.has_pending_accepts());
-        let sleep = match has_pending_accepts {
-            Some(true) => Duration::ZERO,
-            _ => stakker.next_wait_max(Instant::now(), MAX_SLEEP, false),
+        let pending = edge.query(&mut stakker, |edge, _| {
+            (edge.has_pending_accepts(), edge.next_settlement())
+        });
+        let max_sleep = match pending {
+            Some((true, _)) => Duration::ZERO,
+            Some((_, Some(left))) => MAX_SLEEP.min(Duration::from_millis(left.0)),
+            _ => MAX_SLEEP,
         };
+        let sleep = stakker.next_wait_max(Instant::now(), max_sleep, false);
         wait(&mut poll, &mut events, sleep).map_err(Error::Poll)?;
         let turn_began = Instant::now();
         if stop.load(Ordering::Relaxed) {
@@ -109,6 +113,7 @@
             call!([edge], handle_ready(index_of(event)));
         }
         call!([edge], accept_more());
+        call!([edge], settle_endings());
         // Timers judge silence, so they wait until what has arrived is read.
         full_turns = match events.iter().count() {
             MAX_EVENTS => full_turns + 1,
