--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -230,7 +230,10 @@
                 continue;
             }
             match (connection.socket.is_open(), &connection.phase) {
-                (true, _) => evidence.has_witness = true,
+                (true, _) => {
+                    evidence.has_witness = true;
+                    break;
+                }
                 (false, Phase::Witness) => evidence.lost_witness = true,
                 (false, _) => {}
             }
