Run timers up to the time at which events were asked for

A router that was stopped could still move streams when it woke: in 3 of 12 runs of edge::connections::streams_are_not_moved_when_the_router_was_stopped, four copies at once beside other load, 88 of 400 streams were withdrawn with their events in the sockets. The stop had taken effect when the wait for events returned with the first of them, so the turn was neither interrupted nor full, and its timers saw the time of the wake-up.

Timers now run up to the time before the wait: whatever arrived by then is read in the turn, however long the process was stopped since. A timer that ends the wait runs after one more look for events. That covers EINTR as well, so the repeated wait goes.

Not covered: a stop between that wait and a tick that was due, within one turn. The cost of the additional system call per timer was not measured.

--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -79,8 +79,8 @@
     let mut stakker = Stakker::new(Instant::now());
     let edge = actor!(stakker, Edge::start(edge), ret_nop!());
     call!([edge], tick());
-    let mut timers_ran_at = Instant::now();
-    stakker.run(timers_ran_at, false);
+    let mut timers_run_to = Instant::now();
+    stakker.run(timers_run_to, false);
     let mut full_turns = 0;
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
@@ -94,7 +94,12 @@
             _ => MAX_SLEEP,
         };
         let sleep = stakker.next_wait_max(Instant::now(), max_sleep, false);
-        wait(&mut poll, &mut events, sleep).map_err(Error::Poll)?;
+        let asked_at = Instant::now();
+        match poll.poll(&mut events, Some(sleep)) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(Error::Poll(error)),
+        }
         let turn_began = Instant::now();
         if stop.load(Ordering::Relaxed) {
             call!([edge], begin_shutdown());
@@ -114,18 +119,16 @@
         }
         call!([edge], accept_more());
         call!([edge], settle_endings());
-        // Timers judge silence, so they wait until what has arrived is read.
+        // Timers judge silence, so they run up to a time at which all that had arrived was
+        // asked for and is read. The process may have been stopped since.
         full_turns = match events.iter().count() {
             MAX_EVENTS => full_turns + 1,
             _ => 0,
         };
-        match full_turns {
-            n if n > 0 && n <= MAX_FULL_TURNS => stakker.run(timers_ran_at, false),
-            _ => {
-                timers_ran_at = Instant::now();
-                stakker.run(timers_ran_at, false)
-            }
-        };
+        if !(1..=MAX_FULL_TURNS).contains(&full_turns) {
+            timers_run_to = asked_at;
+        }
+        stakker.run(timers_run_to, false);
         let took = turn_began.elapsed();
         if took >= SLOW_TURN {
             log::warn!(target: "process", "event=turn_slow took_ms={} events={}", took.as_millis(), events.iter().count());
@@ -136,15 +139,3 @@
         }
     }
 }
-
-/// Waits for events for at most `sleep`. A signal ends the wait without the events that are
-/// there, also the one that continues a process that was stopped, so it looks again.
-fn wait(poll: &mut Poll, events: &mut Events, sleep: Duration) -> io::Result<()> {
-    let mut result = poll.poll(events, Some(sleep));
-    while let Err(error) = &result
-        && error.kind() == io::ErrorKind::Interrupted
-    {
-        result = poll.poll(events, Some(Duration::ZERO));
-    }
-    result
-}
