--- /dev/null
+++ b/crates/edge/src/edge/ends.rs
@@ -0,0 +1,277 @@
+//! Ends of answers that have neither a length nor chunks and end with their connection.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::action::Id;
+use stakker::CX;
+
+use crate::edge::responses::Advance;
+use crate::edge::runners::CONNECT_TIMEOUT;
+use crate::edge::{Edge, Slot};
+use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
+use crate::upstream::{Connection, Phase};
+
+impl Edge {
+    /// Keeps a connection to the runner of an answer that will end with its own: a witness
+    /// that the process lives. `is_known_open` tells whether the runner is known to have the
+    /// answer's connection open now.
+    pub(super) fn keep_witness(&mut self, index: usize, is_known_open: bool) {
+        let now = self.now();
+        let connection = match self.slots.get_mut(index) {
+            Some(Slot::Upstream(connection)) if connection.ends_by_close() => connection,
+            _ => return,
+        };
+        connection.awaited_since.get_or_insert(now);
+        if is_known_open {
+            connection.open_at = now;
+        }
+        let (address, runner) = (connection.address, connection.runner.clone());
+        if !self.endings.witnesses.contains_key(&address) {
+            self.open_witness(&runner, address);
+        }
+    }
+
+    fn open_witness(&mut self, runner: &Runner, address: SocketAddr) {
+        let now = self.now();
+        let witness = self.connect(now, Phase::Witness, runner, address).ok();
+        self.endings.witnesses.insert(address, witness);
+    }
+
+    /// Notes that a witness is established, or that it has ended.
+    pub(super) fn handle_witness_ready(&mut self, index: usize) {
+        let now = self.now();
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        let address = connection.address;
+        let is_lost = match connection.socket.check_connected() {
+            Ok(false) => return,
+            Ok(true) if connection.socket.is_open() => {
+                if connection.established_at.is_none() {
+                    connection.established_at = Some(now);
+                    self.note_open_answers(now, address);
+                }
+                return;
+            }
+            Ok(true) => true,
+            // A runner at its limit of connections resets new ones.
+            Err(_) => {
+                let established_at = connection.established_at;
+                established_at.is_some_and(|at| now.since(at) >= SETTLE_TIME)
+            }
+        };
+        if is_lost {
+            self.endings.record_loss(now, address);
+        }
+        self.close(index);
+    }
+
+    /// Notes which answers from this address were open when a witness was established.
+    fn note_open_answers(&mut self, now: Time, address: SocketAddr) {
+        for (_, slot) in &mut self.slots {
+            if let Slot::Upstream(connection) = slot
+                && connection.address == address
+                && connection.ends_by_close()
+                && connection.socket.is_open()
+            {
+                connection.open_at = now;
+            }
+        }
+    }
+
+    /// Replaces witnesses that runners have closed, and closes those that no answer needs.
+    pub(super) fn sweep_witnesses(&mut self, now: Time) {
+        self.endings.expire(now);
+        if self.endings.witnesses.is_empty() {
+            return;
+        }
+        let needed: HashMap<SocketAddr, Runner> = self
+            .slots
+            .iter()
+            .filter_map(|(_, slot)| match slot {
+                Slot::Upstream(connection) if connection.ends_by_close() => {
+                    Some((connection.address, connection.runner.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        for (address, witness) in self.endings.witnesses.clone() {
+            match (needed.get(&address), witness) {
+                (Some(runner), None) => self.open_witness(runner, address),
+                (Some(_), Some(_)) => {}
+                (None, witness) => {
+                    self.endings.witnesses.remove(&address);
+                    if let Some(index) = witness {
+                        self.close(index);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Connects to the runner of an answer that has ended with its connection, and leaves
+    /// the answer to [`settle_endings`](Self::settle_endings).
+    pub(super) fn confirm_end(&mut self, now: Time, index: usize, id: Id) {
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        connection.ended_at = Some(now);
+        let awaited_since = connection.awaited_since;
+        let is_brief = awaited_since.is_none_or(|since| now.since(since) < SETTLE_TIME);
+        let (runner, address) = (connection.runner.clone(), connection.address);
+        let open_at = connection.open_at;
+        match self.connect(now, Phase::Confirming, &runner, address) {
+            Ok(contact) => self.endings.waiting.push(Ending {
+                id,
+                index,
+                ended_at: now,
+                open_at,
+                is_brief,
+                runner,
+                address,
+                contact,
+            }),
+            Err(error) => {
+                let contact = Contact::of_error(&error);
+                let request = self.transactions.get(&id);
+                log::info!(
+                    target: "request",
+                    "event=end_judged request={} runner={runner} complete=false contact={}",
+                    request.map_or("-", |transaction| &transaction.request_id),
+                    contact.as_str()
+                );
+                self.fail_broken_response(index, id, false);
+                self.record_contact(now, &runner, contact);
+            }
+        }
+    }
+
+    fn record_contact(&mut self, now: Time, runner: &Runner, contact: Contact) {
+        if contact == Contact::Refused {
+            self.record_refused_probe(now, runner);
+            self.run_actions();
+        }
+    }
+
+    /// Returns the time after which [`settle_endings`](Self::settle_endings) should run again,
+    /// if that is earlier than the next tick.
+    pub fn next_settlement(&self) -> Option<Span> {
+        self.endings.next_due(self.now())
+    }
+
+    /// Ends the answers whose evidence is complete.
+    pub fn settle_endings(&mut self, _cx: CX![]) {
+        let now = self.now();
+        for ending in std::mem::take(&mut self.endings.waiting) {
+            let contact = self.contact(now, &ending);
+            let is_settled = now >= ending.due_at();
+            match contact {
+                Contact::Refused => self.settle(now, &ending, contact),
+                Contact::Pending => self.endings.waiting.push(ending),
+                _ if is_settled => self.settle(now, &ending, contact),
+                _ => self.endings.waiting.push(ending),
+            }
+        }
+    }
+
+    fn settle(&mut self, now: Time, ending: &Ending, contact: Contact) {
+        let evidence = self.evidence(ending, contact);
+        if let (Contact::Accepted, Some(Slot::Upstream(connection))) =
+            (contact, self.slots.get_mut(ending.contact))
+        {
+            connection.phase = Phase::Idle(Connection::unused_deadline(now));
+            connection.since = now;
+            connection.established_at = Some(now);
+            self.keep_idle(now, ending.contact, &ending.runner);
+        } else {
+            self.close(ending.contact);
+        }
+        self.finish_ended_response(ending, &evidence);
+        self.record_contact(now, &ending.runner, contact);
+    }
+
+    /// Returns what became of the connection made after the end of an answer.
+    fn contact(&self, now: Time, ending: &Ending) -> Contact {
+        let connection = match self.slots.get(ending.contact) {
+            Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Confirming) => {
+                connection
+            }
+            _ => return Contact::Failed,
+        };
+        match connection.socket.check_connected() {
+            Ok(true) if connection.socket.is_open() => Contact::Accepted,
+            Ok(true) => Contact::Closed,
+            Ok(false) if now.since(ending.ended_at) > CONNECT_TIMEOUT => Contact::Silent,
+            Ok(false) => Contact::Pending,
+            Err(error) => Contact::of_error(&error),
+        }
+    }
+
+    /// Returns what speaks for and against the end of an answer. Reads the state of the
+    /// sockets, whose events may still wait.
+    fn evidence(&self, ending: &Ending, contact: Contact) -> Evidence {
+        let mut evidence = Evidence {
+            contact,
+            has_witness: false,
+            lost_witness: self.endings.has_loss(ending),
+            is_brief: ending.is_brief,
+        };
+        for (_, slot) in &self.slots {
+            let Slot::Upstream(connection) = slot else {
+                continue;
+            };
+            let established_at = connection.established_at;
+            if connection.address != ending.address
+                || connection.ended_at.is_some()
+                || !established_at.is_some_and(|at| ending.is_witnessed_by(at))
+            {
+                continue;
+            }
+            match (connection.socket.is_open(), &connection.phase) {
+                (true, _) => {
+                    evidence.has_witness = true;
+                    break;
+                }
+                (false, Phase::Witness) => evidence.lost_witness = true,
+                (false, _) => {}
+            }
+        }
+        evidence
+    }
+
+    /// Ends the response of a connection that the runner has closed in good order, unless
+    /// the request has left the connection meanwhile.
+    fn finish_ended_response(&mut self, ending: &Ending, evidence: &Evidence) {
+        let (index, id) = (ending.index, ending.id);
+        let (Some(Slot::Upstream(connection)), Some(transaction)) =
+            (self.slots.get_mut(index), self.transactions.get(&id))
+        else {
+            return;
+        };
+        if connection.request() != Some(id) || connection.ended_at != Some(ending.ended_at) {
+            return;
+        }
+        let shows_complete = evidence.shows_complete();
+        log::info!(
+            target: "request",
+            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} witness={} lost={} brief={}",
+            transaction.request_id,
+            transaction.attempts(),
+            ending.runner,
+            evidence.contact.as_str(),
+            evidence.has_witness,
+            evidence.lost_witness,
+            evidence.is_brief
+        );
+        let is_finished = connection
+            .response
+            .as_mut()
+            .is_some_and(|response| shows_complete && response.decoder.finish().is_ok());
+        // The answer may belong to another request; none can follow.
+        if !is_finished || matches!(self.advance_body(index, id), Advance::Next) {
+            self.fail_broken_response(index, id, false);
+        }
+    }
+}
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -4,12 +4,10 @@
 use std::net::SocketAddr;
 
 use balsamchute_adapter::request::{self, Forwarded};
-use balsamchute_http::framing::Framing;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
 use balsamchute_schedule::stream::Basis;
 
-use crate::edge::responses::Advance;
 use crate::edge::{Edge, Slot};
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
@@ -17,7 +15,7 @@
 
 /// Timeout for connecting to a runner: several hundred round trips of less than a
 /// millisecond. A runner that has not accepted by then counts as unreachable.
-const CONNECT_TIMEOUT: Span = Span(300);
+pub(super) const CONNECT_TIMEOUT: Span = Span(300);
 
 /// Unsent bytes to a caller above which reading from its runner pauses.
 const MAX_UNSENT_BYTES: usize = 128 * 1024;
@@ -141,7 +139,7 @@
         }
     }
 
-    fn connect(
+    pub(super) fn connect(
         &mut self,
         now: Time,
         phase: Phase,
@@ -151,7 +149,7 @@
         let socket = Socket::connect(address)?;
         let entry = self.registry.get(runner);
         let started_at = entry.map_or(0, |entry| entry.started_at);
-        let connection = Connection::new(now, socket, runner.clone(), started_at, phase);
+        let connection = Connection::new(now, socket, runner.clone(), address, started_at, phase);
         let index = self.slots.insert(Slot::Upstream(Box::new(connection)));
         if let Err(error) = self.register(index) {
             self.close(index);
@@ -170,7 +168,7 @@
         }
     }
 
-    fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
+    pub(super) fn record_refused_probe(&mut self, now: Time, runner: &Runner) {
         log::info!(target: "runner", "event=probe_refused runner={runner}");
         self.scheduler.record_refused_probe(now, runner);
     }
@@ -183,37 +181,26 @@
             return;
         };
         let runner = connection.runner.clone();
-        let ended = match connection.phase {
-            Phase::Confirming(id, ended) => Some((ended, id)),
-            _ => None,
-        };
-        let refused = match connection.socket.check_connected() {
-            Ok(false) => return,
+        match connection.socket.check_connected() {
+            Ok(false) => {}
             Ok(true) => {
                 connection.phase = Phase::Idle(Connection::unused_deadline(now));
                 connection.since = now;
+                connection.established_at = Some(now);
                 self.keep_idle(now, index, &runner);
-                false
             }
             Err(error) => {
                 self.close(index);
-                error.kind() == io::ErrorKind::ConnectionRefused
-            }
-        };
-        if let Some((ended, id)) = ended {
-            match refused && self.ended_connection(ended, id).is_some() {
-                true => self.fail_broken_response(ended, id, false),
-                false => self.finish_ended_response(ended, id),
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.record_refused_probe(now, &runner);
+                    self.run_actions();
+                }
             }
         }
-        if refused {
-            self.record_refused_probe(now, &runner);
-            self.run_actions();
-        }
     }
 
     /// Adds an idle connection to the pool; closes the oldest one beyond the limit.
-    fn keep_idle(&mut self, now: Time, index: usize, runner: &Runner) {
+    pub(super) fn keep_idle(&mut self, now: Time, index: usize, runner: &Runner) {
         let limit = self.idle_limit(now, runner);
         if let Some(oldest) = self.pool.put(runner, index, limit) {
             self.close(oldest);
@@ -242,6 +229,7 @@
         connection.is_reused = matches!(connection.phase, Phase::Idle(_));
         connection.phase = Phase::Busy(id);
         connection.since = now;
+        connection.open_at = now;
         connection.response = None;
         connection.withheld = 0;
         let forwarded = Forwarded {
@@ -271,10 +259,12 @@
         };
         match connection.phase {
             Phase::Connecting(id) => return self.continue_connecting(index, id),
-            Phase::Probing | Phase::Confirming(..) => return self.continue_probe(index),
+            Phase::Probing => return self.continue_probe(index),
+            Phase::Witness => return self.handle_witness_ready(index),
+            Phase::Confirming => return,
             Phase::Busy(_) | Phase::Idle(_) => {}
         }
-        if connection.has_ended {
+        if connection.ended_at.is_some() {
             return;
         }
         connection.socket.flush();
@@ -282,7 +272,9 @@
             self.handle_upstream_closed(index, true);
             return;
         }
-        self.read_upstream(index);
+        // Bytes that waited during a pause arrived at an unknown time.
+        let has_just_arrived = !connection.is_read_paused;
+        self.read_upstream(index, has_just_arrived);
     }
 
     fn continue_connecting(&mut self, index: usize, id: Id) {
@@ -291,7 +283,10 @@
             return;
         };
         match connection.socket.check_connected() {
-            Ok(true) => self.write_request(now, index, id),
+            Ok(true) => {
+                connection.established_at = Some(now);
+                self.write_request(now, index, id);
+            }
             Ok(false) => {}
             Err(error) => {
                 let refused = error.kind() == io::ErrorKind::ConnectionRefused;
@@ -327,14 +322,18 @@
 
     /// Reads from a runner until no bytes are left, or until the caller's
     /// unsent bytes exceed the limit.
-    fn read_upstream(&mut self, index: usize) {
+    fn read_upstream(&mut self, index: usize, has_just_arrived: bool) {
         loop {
             if self.update_read_pause(index) {
+                self.keep_witness(index, has_just_arrived);
                 return;
             }
             match self.read(index) {
                 Input::Bytes(length) => self.receive_upstream_bytes(index, length),
-                Input::WouldBlock => return,
+                Input::WouldBlock => {
+                    self.keep_witness(index, true);
+                    return;
+                }
                 Input::Eof => {
                     self.handle_upstream_closed(index, false);
                     return;
@@ -353,8 +352,8 @@
         let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
             return true;
         };
-        let caller = connection
-            .request()
+        let (was_paused, id) = (connection.is_read_paused, connection.request());
+        let caller = id
             .and_then(|id| self.transactions.get(&id))
             .map(|transaction| transaction.caller);
         let unsent = match caller.and_then(|caller| self.slots.get(caller)) {
@@ -365,6 +364,10 @@
         if let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) {
             connection.is_read_paused = is_read_paused;
         }
+        if let (true, Some(id)) = (is_read_paused != was_paused, id) {
+            let now = self.now();
+            self.scheduler.set_read_paused(now, id, is_read_paused);
+        }
         is_read_paused
     }
 
@@ -380,7 +383,7 @@
             _ => false,
         };
         if let (true, Some(index)) = (is_read_paused, index) {
-            self.read_upstream(index);
+            self.read_upstream(index, false);
         }
     }
 
@@ -443,13 +446,8 @@
             return;
         };
         let id = match connection.phase {
-            Phase::Idle(_) | Phase::Probing => {
-                self.close(index);
-                return;
-            }
-            Phase::Confirming(id, ended) => {
+            Phase::Idle(_) | Phase::Probing | Phase::Witness | Phase::Confirming => {
                 self.close(index);
-                self.finish_ended_response(ended, id);
                 return;
             }
             // A reset while connecting counts as a refusal.
@@ -459,63 +457,13 @@
             }
             Phase::Busy(id) => id,
         };
-        let ends_by_close = connection
-            .response
-            .as_ref()
-            .is_some_and(|response| response.framing == Framing::UntilClose);
-        match ends_by_close && !is_reset {
+        match connection.ends_by_close() && !is_reset {
             true => self.confirm_end(now, index, id),
-            false => self.fail_broken_response(index, id, is_reset),
-        }
-    }
-
-    /// Connects to the runner to learn whether it lives: a process that crashes closes its
-    /// connections like one that has sent a whole answer without a length. The new
-    /// connection takes the place of the one that has ended.
-    fn confirm_end(&mut self, now: Time, index: usize, id: Id) {
-        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
-            return;
-        };
-        connection.has_ended = true;
-        let runner = connection.runner.clone();
-        let address = self.registry.get(&runner).map(|entry| entry.address);
-        let confirmation = address
-            .map(|address| self.connect(now, Phase::Confirming(id, index), &runner, address));
-        match confirmation {
-            Some(Ok(_)) => {}
-            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.fail_broken_response(index, id, false);
-            }
-            // Nothing speaks against the end, such as for a runner that has left.
-            Some(Err(_)) | None => self.finish_ended_response(index, id),
-        }
-    }
-
-    /// Returns the connection of a request that the runner has closed in good order, unless
-    /// the request has left it meanwhile.
-    fn ended_connection(&mut self, index: usize, id: Id) -> Option<&mut Connection> {
-        match self.slots.get_mut(index) {
-            Some(Slot::Upstream(connection))
-                if connection.has_ended && connection.request() == Some(id) =>
-            {
-                Some(connection)
+            false => {
+                let address = connection.address;
+                self.endings.record_loss(now, address);
+                self.fail_broken_response(index, id, is_reset);
             }
-            _ => None,
-        }
-    }
-
-    /// Ends the response of a connection that the runner has closed in good order.
-    fn finish_ended_response(&mut self, index: usize, id: Id) {
-        let Some(connection) = self.ended_connection(index, id) else {
-            return;
-        };
-        let is_finished = connection
-            .response
-            .as_mut()
-            .is_some_and(|response| response.decoder.finish().is_ok());
-        // The answer may belong to another request; none can follow.
-        if !is_finished || matches!(self.advance_body(index, id), Advance::Next) {
-            self.fail_broken_response(index, id, false);
         }
     }
 
@@ -568,7 +516,6 @@
     pub(super) fn sweep_upstreams(&mut self, now: Time) {
         let mut expired = Vec::new();
         let mut timed_out = Vec::new();
-        let mut unconfirmed = Vec::new();
         for (index, slot) in &self.slots {
             let Slot::Upstream(connection) = slot else {
                 continue;
@@ -578,9 +525,6 @@
                 Phase::Probing if now.since(connection.since) > CONNECT_TIMEOUT => {
                     expired.push(index);
                 }
-                Phase::Confirming(id, ended) if now.since(connection.since) > CONNECT_TIMEOUT => {
-                    unconfirmed.push((index, ended, id));
-                }
                 Phase::Connecting(id) if now.since(connection.since) > CONNECT_TIMEOUT => {
                     timed_out.push((index, id));
                 }
@@ -593,10 +537,6 @@
         for (index, id) in timed_out {
             self.handle_connect_failure(now, index, id, false);
         }
-        // Silence shows a loss on the way, not a crash.
-        for (index, ended, id) in unconfirmed {
-            self.close(index);
-            self.finish_ended_response(ended, id);
-        }
+        self.sweep_witnesses(now);
     }
 }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -21,6 +21,9 @@
 /// Events that one turn of the loop handles.
 const MAX_EVENTS: usize = 256;
 
+/// Turns in a row with [`MAX_EVENTS`] events for which timers wait.
+const MAX_FULL_TURNS: usize = 8;
+
 /// Interval at which the settings file is read again. The file may change
 /// without a signal.
 const SETTINGS_READ_INTERVAL: Duration = Duration::from_secs(5);
@@ -77,16 +80,23 @@
     let mut stakker = Stakker::new(Instant::now());
     let edge = actor!(stakker, Edge::start(edge), ret_nop!());
     call!([edge], tick());
-    stakker.run(Instant::now(), false);
+    let mut timers_run_to = Instant::now();
+    stakker.run(timers_run_to, false);
+    let mut full_turns = 0;
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
     let mut suspension = Suspension::new();
     loop {
-        let has_pending_accepts = edge.query(&mut stakker, |edge, _| edge.has_pending_accepts());
-        let sleep = match has_pending_accepts {
-            Some(true) => Duration::ZERO,
-            _ => stakker.next_wait_max(Instant::now(), MAX_SLEEP, false),
+        let pending = edge.query(&mut stakker, |edge, _| {
+            (edge.has_pending_accepts(), edge.next_settlement())
+        });
+        let max_sleep = match pending {
+            Some((true, _)) => Duration::ZERO,
+            Some((_, Some(left))) => MAX_SLEEP.min(Duration::from_millis(left.0)),
+            _ => MAX_SLEEP,
         };
+        let sleep = stakker.next_wait_max(Instant::now(), max_sleep, false);
+        let asked_at = Instant::now();
         match poll.poll(&mut events, Some(sleep)) {
             Ok(()) => {}
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -114,7 +124,17 @@
             call!([edge], handle_ready(index_of(event)));
         }
         call!([edge], accept_more());
-        stakker.run(Instant::now(), false);
+        call!([edge], settle_endings());
+        // Timers judge silence, so they run up to a time at which all that had arrived was
+        // asked for and is read. The process may have been stopped since.
+        full_turns = match events.iter().count() {
+            MAX_EVENTS => full_turns + 1,
+            _ => 0,
+        };
+        if !(1..=MAX_FULL_TURNS).contains(&full_turns) {
+            timers_run_to = asked_at;
+        }
+        stakker.run(timers_run_to, false);
         let took = turn_began.elapsed();
         if took >= SLOW_TURN {
             log::warn!(target: "process", "event=turn_slow took_ms={} events={}", took.as_millis(), events.iter().count());
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -380,6 +380,19 @@
         }
     }
 
+    /// Records that the answer of a request is not read, because its caller does not read,
+    /// or is read again. The silence until then is not the runner's.
+    pub fn set_read_paused(&mut self, now: Time, id: Id, is_read_paused: bool) {
+        if let Some(Pending {
+            stage: Stage::Dispatched(dispatch),
+            ..
+        }) = self.pending.get_mut(&id)
+        {
+            dispatch.is_read_paused = is_read_paused;
+            dispatch.last_event_at = now;
+        }
+    }
+
     /// Records events of a stream, or the head of a plain answer. The first one
     /// shows that prefill is done and how long it took.
     pub fn record_events(&mut self, now: Time, id: Id, events: u64) {
@@ -436,18 +449,6 @@
         self.dispatch_service(now, &service);
     }
 
-    /// Restarts the time after which the attempt counts as stalled: its caller has not taken
-    /// what it was sent, which says nothing of the runner.
-    pub fn defer_stall(&mut self, now: Time, id: Id) {
-        if let Some(Pending {
-            stage: Stage::Dispatched(dispatch),
-            ..
-        }) = self.pending.get_mut(&id)
-        {
-            dispatch.last_event_at = now;
-        }
-    }
-
     /// Sets whether another attempt can go on after the part of the answer that the caller
     /// has received; initially `true`. Otherwise the request is not sent again.
     pub fn set_resumable(&mut self, id: Id, is_resumable: bool) {
