Keep what the connection after an end has shown until the end is judged

Callers lost whole answers without a length at runners that reset connections above their limit: 300 ms after the end the stream was cut, or the answer repeated.

Cause: the system reports the error of a socket once. The reset was read in the first turn after it, before the end was due, and forgotten; later turns saw a connection that is still being established, which counts as silence after 300 ms.

The outcome is kept with the ending once it can't change any more.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -123,7 +123,7 @@
         let (runner, address) = (connection.runner.clone(), connection.address);
         let open_at = connection.open_at;
         match self.connect(now, Phase::Confirming, &runner, address) {
-            Ok(contact) => self.endings.waiting.push(Ending {
+            Ok(contact_index) => self.endings.waiting.push(Ending {
                 id,
                 index,
                 ended_at: now,
@@ -131,7 +131,8 @@
                 is_brief,
                 runner,
                 address,
-                contact,
+                contact_index,
+                contact: Contact::Pending,
             }),
             Err(error) => {
                 let contact = Contact::of_error(&error);
@@ -164,37 +165,39 @@
     /// Ends the answers whose evidence is complete.
     pub fn settle_endings(&mut self, _cx: CX![]) {
         let now = self.now();
-        for ending in std::mem::take(&mut self.endings.waiting) {
-            let contact = self.contact(now, &ending);
+        for mut ending in std::mem::take(&mut self.endings.waiting) {
+            if ending.contact.is_open() {
+                ending.contact = self.contact(now, &ending);
+            }
             let is_settled = now >= ending.due_at();
-            match contact {
-                Contact::Refused => self.settle(now, &ending, contact),
+            match ending.contact {
+                Contact::Refused => self.settle(now, &ending),
                 Contact::Pending => self.endings.waiting.push(ending),
-                _ if is_settled => self.settle(now, &ending, contact),
+                _ if is_settled => self.settle(now, &ending),
                 _ => self.endings.waiting.push(ending),
             }
         }
     }
 
-    fn settle(&mut self, now: Time, ending: &Ending, contact: Contact) {
-        let evidence = self.evidence(ending, contact);
+    fn settle(&mut self, now: Time, ending: &Ending) {
+        let evidence = self.evidence(ending);
         if let (Contact::Accepted, Some(Slot::Upstream(connection))) =
-            (contact, self.slots.get_mut(ending.contact))
+            (ending.contact, self.slots.get_mut(ending.contact_index))
         {
             connection.phase = Phase::Idle(Connection::unused_deadline(now));
             connection.since = now;
             connection.established_at = Some(now);
-            self.keep_idle(now, ending.contact, &ending.runner);
+            self.keep_idle(now, ending.contact_index, &ending.runner);
         } else {
-            self.close(ending.contact);
+            self.close(ending.contact_index);
         }
         self.finish_ended_response(ending, &evidence);
-        self.record_contact(now, &ending.runner, contact);
+        self.record_contact(now, &ending.runner, ending.contact);
     }
 
     /// Returns what became of the connection made after the end of an answer.
     fn contact(&self, now: Time, ending: &Ending) -> Contact {
-        let connection = match self.slots.get(ending.contact) {
+        let connection = match self.slots.get(ending.contact_index) {
             Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Confirming) => {
                 connection
             }
@@ -211,9 +214,9 @@
 
     /// Returns what speaks for and against the end of an answer. Reads the state of the
     /// sockets, whose events may still wait.
-    fn evidence(&self, ending: &Ending, contact: Contact) -> Evidence {
+    fn evidence(&self, ending: &Ending) -> Evidence {
         let mut evidence = Evidence {
-            contact,
+            contact: ending.contact,
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
             is_brief: ending.is_brief,
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -42,6 +42,11 @@
 }
 
 impl Contact {
+    /// Returns whether it may still change.
+    pub fn is_open(self) -> bool {
+        matches!(self, Contact::Pending | Contact::Accepted)
+    }
+
     /// Returns the outcome of a connection attempt that failed with `error`.
     pub fn of_error(error: &io::Error) -> Self {
         match error.kind() {
@@ -106,7 +111,9 @@
     pub runner: Runner,
     pub address: SocketAddr,
     /// Slab index of the connection made after the end.
-    pub contact: usize,
+    pub contact_index: usize,
+    /// What is known of that connection. The system reports an error of a socket once only.
+    pub contact: Contact,
 }
 
 impl Ending {
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -16,9 +17,9 @@
 use super::connections::connect_slow_caller;
 use super::environment::{
     Route, Router, Runner, Store, connect, header, read_message, respond, respond_with_body,
-    wait_until,
+    send_raw, wait_until,
 };
-use super::{EVENT_STREAM_FIELDS, decode_chunks, entry, events, request};
+use super::{EVENT_STREAM_FIELDS, decode_chunks, entry, events, request, start_router};
 
 /// Environment variable that makes [`runner_process`] serve: the pause before the second
 /// half of an answer in ms.
@@ -400,3 +401,33 @@
     }
     assert!(scene.other.requests().is_empty());
 }
+
+#[test]
+fn a_whole_stream_is_delivered_if_its_runner_resets_connections_above_its_limit() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let runner = Runner {
+        address: listener.local_addr().expect("an address"),
+        received: Arc::default(),
+    };
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            match number {
+                0 => drop(thread::spawn(move || {
+                    serve(stream, Duration::from_millis(300))
+                })),
+                1 => kept.push(stream),
+                _ => {
+                    let socket = socket2::SockRef::from(&stream);
+                    socket
+                        .set_linger(Some(Duration::ZERO))
+                        .expect("an open socket");
+                }
+            }
+        }
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("POST", "/stream/x", "", ""));
+    let (body, is_whole) = decode_chunks(&response);
+    assert!(is_whole && body.contains("event 5"), "{response}");
+}
