--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -82,9 +82,14 @@
         self.change(|_| {});
     }
 
-    /// Writes the start and the version of a runner that started again.
+    /// Writes the start and the version of a runner that started again, unless a later start
+    /// was written before.
     pub fn update(&self, born: u64, version: usize) {
-        self.change(|entry| (entry.born, entry.version) = (born, version));
+        self.change(|entry| {
+            if born > entry.born {
+                (entry.born, entry.version) = (born, version);
+            }
+        });
     }
 
     /// Writes that the runner drains.
