Test that a stream is not continued where a connection broke before

A process that ends closes its connections; the next process of the runner answers before its entry is listed.

--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -45,6 +45,19 @@
     )
 }
 
+/// Begins a stream and returns its connection with the response up to the second event.
+fn begin(router: &Router, id: &str) -> (TcpStream, String) {
+    let mut caller = connect(router.callers);
+    std::io::Write::write_all(&mut caller, request(id, "").as_bytes()).expect("a request");
+    let mut response = String::new();
+    while !response.contains("id: 2\n") {
+        let mut bytes = [0; 512];
+        let length = caller.read(&mut bytes).expect("the stream goes on");
+        response.push_str(&String::from_utf8_lossy(&bytes[..length]));
+    }
+    (caller, response)
+}
+
 /// The stream begins before the entry of the process that sends it arrives.
 #[test]
 fn a_stream_of_a_restarted_runner_is_not_continued_at_the_version_before() {
@@ -54,14 +67,7 @@
     let (restarted, other) = (runner(&breaks), runner(&breaks));
     list(&store, "i-0", &restarted, "v1", 1);
     let routers = start_routers(&store, 2);
-    let mut caller = connect(routers[0].callers);
-    std::io::Write::write_all(&mut caller, request("q1", "").as_bytes()).expect("a request");
-    let mut response = String::new();
-    while !response.contains("id: 2\n") {
-        let mut bytes = [0; 512];
-        let length = caller.read(&mut bytes).expect("the stream goes on");
-        response.push_str(&String::from_utf8_lossy(&bytes[..length]));
-    }
+    let (mut caller, mut response) = begin(&routers[0], "q1");
     list(&store, "i-1", &other, "v1", 1);
     let now = std::time::SystemTime::now();
     let now = now.duration_since(std::time::UNIX_EPOCH).expect("a time");
@@ -83,3 +89,32 @@
     }
     assert_eq!(other.requests(), Vec::<String>::new());
 }
+
+/// The process of the other runner may have ended, and the next one is not listed yet.
+#[test]
+fn a_stream_is_not_continued_at_a_runner_whose_connection_broke_before() {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let (first_breaks, other_breaks) = <(Arc<AtomicBool>, Arc<AtomicBool>)>::default();
+    let (first, other) = (runner(&first_breaks), runner(&other_breaks));
+    list(&store, "i-0", &first, "v1", 1);
+    let routers = start_routers(&store, 1);
+    let (mut caller, mut response) = begin(&routers[0], "q1");
+    list(&store, "i-1", &other, "v1", 1);
+    wait_until("the entry is listed", || {
+        routers[0].log().contains("runner=i-1 ")
+    });
+    let (mut moved, mut continued) = begin(&routers[0], "q2");
+    assert_eq!(other.requests().len(), 1);
+    other_breaks.store(true, Ordering::SeqCst);
+    moved.read_to_string(&mut continued).expect("the rest");
+    assert!(continued.contains("id: 5\n"), "{continued}");
+    first_breaks.store(true, Ordering::SeqCst);
+    let _ = caller.read_to_string(&mut response);
+    assert!(!response.contains("id: 3\n"), "{response}");
+    // The connection on which q2 ended is still open, so the process of i-0 lives.
+    let taken_up = request("q3", "Last-Event-Id: 2\r\nResumes: q1\r\n");
+    let response = send_raw(routers[0].callers, &taken_up);
+    assert!(response.contains("id: 5\n"), "{response}");
+    assert_eq!(other.requests().len(), 1);
+}
