Learn the step between the ids of streams that begin at 0

A resumed part that skipped an event was forwarded if the stream's ids begin at 0: the first id counted as a step of 0, so the steps were never regular. Found by a review. a_resumed_part_that_skips_an_event_is_refused_if_ids_begin_at_0_or_1 failed for 0 before and passes. Ids that begin elsewhere (10, 11, 12) keep an unknown step.

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -259,8 +259,8 @@
         let Some(id) = id else {
             return;
         };
-        // The step from another runner's last event may be a gap.
-        let is_first_of_stream = self.last_id.is_none();
+        // The step from another runner's last event may be a gap, and none leads to an id of 0.
+        let is_first_of_stream = self.last_id.is_none() && id > 0;
         if self.part.ids.is_some() || is_first_of_stream {
             let step = id.saturating_sub(self.last_id.unwrap_or(0));
             self.step.record(step);
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -42,6 +42,18 @@
     }
 }
 
+#[test]
+fn a_resumed_part_that_skips_an_event_is_refused_if_ids_begin_at_0_or_1() {
+    for first in [0, 1] {
+        let mut splitter = Splitter::new();
+        let ids: Vec<u64> = (first..first + 4).collect();
+        assert_eq!(gap(&mut splitter, &events(&ids)), None);
+        splitter.start_part();
+        let found = gap(&mut splitter, &events(&[first + 5]));
+        assert!(found.is_some_and(|gap| gap.is_refused), "{first}");
+    }
+}
+
 /// The protocol only demands that ids increase.
 #[test]
 fn ids_without_a_regular_step_have_no_gap_within_a_part() {
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -413,9 +413,9 @@
         let mut kept = Vec::new();
         for (number, stream) in listener.incoming().flatten().enumerate() {
             match number {
-                0 => drop(thread::spawn(move || {
-                    serve(stream, Duration::from_millis(300))
-                })),
+                0 => {
+                    thread::spawn(move || serve(stream, Duration::from_millis(300)));
+                }
                 1 => kept.push(stream),
                 _ => {
                     let socket = socket2::SockRef::from(&stream);
