--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -24,20 +24,20 @@
 /// Time for which a lost connection is remembered.
 const MEMORY: Span = Span(1000);
 
-/// What became of the connection that is made after the end.
+/// Outcome of the connection that is made after the end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Contact {
-    /// It waits for an answer.
+    /// The connection is being established.
     Pending,
-    /// It was accepted and is open.
+    /// The connection was accepted and is open.
     Accepted,
-    /// It was accepted and has ended.
+    /// The connection was accepted and has ended.
     Closed,
-    /// It was refused.
+    /// The connection was refused.
     Refused,
-    /// It got no answer in time.
+    /// No response to the connection arrived in time.
     Silent,
-    /// It failed in another way.
+    /// The connection failed in another way.
     Failed,
 }
 
@@ -69,7 +69,7 @@
     }
 }
 
-/// What speaks for and against the end of an answer.
+/// Evidence for and against the end of an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Evidence {
     pub contact: Contact,
@@ -112,7 +112,7 @@
     pub address: SocketAddr,
     /// Slab index of the connection made after the end.
     pub contact_index: usize,
-    /// What is known of that connection. The system reports an error of a socket once only.
+    /// Outcome of that connection so far. The system reports an error of a socket only once.
     pub contact: Contact,
 }
 
--- a/crates/http/tests/order.rs
+++ b/crates/http/tests/order.rs
@@ -75,7 +75,7 @@
     }
 }
 
-/// What follows may belong to another run.
+/// The events after it may belong to another run.
 #[test]
 fn an_event_that_is_not_after_the_last_one_ends_its_part() {
     for id in [1, 3] {
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -102,7 +102,7 @@
     pub running: u32,
     /// Prompt tokens of all routers that wait for prefill at the runner.
     pub queued_prefill_tokens: u64,
-    /// How the software version is known at which the stream goes on; `None` if it begins.
+    /// Source of the software version at which the stream goes on; `None` if it begins.
     pub basis: Option<Basis>,
 }
 
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -81,7 +81,7 @@
     pub is_resumable: bool,
     /// Software version that began the stream, the only one at which it may go on.
     pub software: Option<Software>,
-    /// How that version is known.
+    /// Source of that version.
     pub basis: Option<Basis>,
     /// Whether the request takes up a stream that is known to have begun.
     pub takes_up: bool,
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -350,39 +350,6 @@
         self.dispatch_service(now, &service);
     }
 
-    /// Moves streams that were sent to a runner which is now listed at another version than the
-    /// one that began them, and fails those that no other runner may continue. An answer that
-    /// has begun goes on.
-    pub(super) fn withdraw_streams(&mut self, now: Time) {
-        let is_misplaced = |pending: &Pending| {
-            let runner = pending.unanswered().map(|dispatch| &dispatch.runner);
-            let target = runner.and_then(|runner| self.targets.get(runner));
-            target.is_some_and(|target| !pending.fits(&target.entry.software))
-        };
-        let pending = self.pending.iter();
-        let misplaced: Vec<Id> = pending
-            .filter(|(_, pending)| is_misplaced(pending))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in misplaced {
-            let Stage::Dispatched(dispatch) = self.pending[&id].stage.clone() else {
-                continue;
-            };
-            self.pending[&id].possible_runs += 1;
-            match self.try_requeue(now, id) {
-                true => {
-                    self.release_load(&dispatch);
-                    self.actions.push(Action::Abandon { id });
-                }
-                false => {
-                    let failure = Failure::RunnerBroke;
-                    self.actions.push(Action::Fail { id, failure });
-                    self.cancel(now, id);
-                }
-            }
-        }
-    }
-
     pub(super) fn refuse(&mut self, id: Id, refusal: Refusal) {
         let retry_after = match refusal {
             Refusal::NoRunner => RETRY_AFTER_NO_RUNNER,
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod evacuate;
 mod exchange;
+mod restart;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -222,27 +223,6 @@
         self.dispatch_all(now);
     }
 
-    /// Makes the origin of streams unknown that a new process of a runner may have begun before
-    /// its entry arrived. Returns whether the entry is of such a process.
-    fn replace_process(&mut self, now: Time, entry: &Entry) -> bool {
-        let known = self.targets.get(&entry.runner).map(|target| &target.entry);
-        let is_known = known.is_some_and(|known| {
-            known.started_at == entry.started_at && known.software == entry.software
-        });
-        if is_known {
-            return false;
-        }
-        let doubtful = self.streams.replace_process(now, entry);
-        for pending in self.pending.values_mut() {
-            if pending.basis == Some(Basis::Answer)
-                && doubtful.contains(&pending.request.stream_digest)
-            {
-                pending.software = Some(Software::unknown());
-            }
-        }
-        true
-    }
-
     /// Removes a runner, which receives no further requests; attempts in
     /// progress there continue.
     pub fn remove_runner(&mut self, runner: &Runner) {
--- a/tests/all/edge/connections.rs
+++ b/tests/all/edge/connections.rs
@@ -9,6 +9,7 @@
 
 use nix::sys::signal::Signal;
 
+use super::answers::send_slowly_read;
 use super::environment::{
     self, Route, Router, Runner, Store, connect, header, respond, send_raw, wait_until,
 };
@@ -103,23 +104,6 @@
         .collect()
 }
 
-/// Sends a request from a caller with a small receive buffer.
-pub fn connect_slow_caller(router: &Router, text: &str) -> TcpStream {
-    let socket =
-        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket
-        .set_recv_buffer_size(4096)
-        .expect("the size can be set");
-    socket
-        .connect(&router.callers.into())
-        .expect("the router accepts");
-    let mut stream: TcpStream = socket.into();
-    stream
-        .write_all(text.as_bytes())
-        .expect("the router reads the request");
-    stream
-}
-
 /// The router stops reading from the runner when the caller does not read. The silence is
 /// the caller's, not the runner's.
 #[test]
@@ -131,7 +115,7 @@
         true
     };
     let (_store, router, runners) = start(script, TIMEOUT_MS);
-    let mut stream = connect_slow_caller(&router, &request("GET", "/stream/x", "", ""));
+    let mut stream = send_slowly_read(&router, &request("GET", "/stream/x", "", ""));
     thread::sleep(STALL);
     let mut received = Vec::new();
     // A reset shows as a body that is not complete.
@@ -171,7 +155,7 @@
         let text = request("GET", &format!("/stream/{name}"), "", "");
         text.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: 30000")
     };
-    let slow = connect_slow_caller(&router, &text("slow"));
+    let slow = send_slowly_read(&router, &text("slow"));
     let chunked = connect(router.callers);
     let unframed = connect(router.callers);
     for (mut stream, name) in [(&chunked, "chunked"), (&unframed, "unframed")] {
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -14,7 +14,7 @@
 use nix::unistd::Pid;
 use serde_json::json;
 
-use super::connections::connect_slow_caller;
+use super::answers::send_slowly_read;
 use super::environment::{
     Route, Router, Runner, Store, connect, header, read_message, respond, respond_with_body,
     send_raw, wait_until,
@@ -305,7 +305,7 @@
 fn a_stream_that_is_read_slowly_goes_on_if_its_runner_was_killed_and_is_back() {
     let mut scene = Scene::start(FOREVER);
     let text = request("POST", "/stream/long", "", "");
-    let stream = connect_slow_caller(&scene.router, &text);
+    let stream = send_slowly_read(&scene.router, &text);
     scene.list_other();
     // Time in which the process writes all events, and the buffers of the router fill.
     thread::sleep(Duration::from_millis(1000));
@@ -329,7 +329,7 @@
 fn a_whole_stream_of_a_living_runner_that_is_read_slowly_is_delivered() {
     let scene = Scene::start(Duration::from_millis(100));
     let text = request("POST", "/stream/long", "", "");
-    let stream = connect_slow_caller(&scene.router, &text);
+    let stream = send_slowly_read(&scene.router, &text);
     scene.list_other();
     thread::sleep(Duration::from_millis(1500));
     let received = Vec::new();
--- a/tests/soak/answer.rs
+++ b/tests/soak/answer.rs
@@ -1,4 +1,4 @@
-//! How runners answer, as threads of the soak and as processes.
+//! Answers of runners, which are threads of the soak or processes.
 
 use std::io::Write;
 use std::net::TcpStream;
@@ -9,8 +9,8 @@
 use crate::environment::{header, respond};
 use crate::event::{self, Run, digest, event_of};
 
-/// What a runner says in its answers, and the number of times that its connections were
-/// reset.
+/// Notices that a runner puts into its answers, and the number of times that its connections
+/// were reset.
 #[derive(Debug, Default)]
 pub struct Notices {
     pub is_leaving: AtomicBool,
@@ -33,7 +33,7 @@
     }
 }
 
-/// What a runner reports to the judge.
+/// Report of a runner to the judge.
 #[derive(Clone, Debug)]
 pub enum Report {
     /// A request arrived, with `Last-Event-Id` or 0.
--- a/tests/soak/order.rs
+++ b/tests/soak/order.rs
@@ -3,7 +3,7 @@
 use crate::event::{self, Run};
 use crate::judge::Judge;
 
-/// What a caller has of a stream, over all its requests for it.
+/// Events that a caller has of a stream, over all its requests for it.
 pub struct Progress {
     stream: String,
     /// Request that brought the first event.
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -80,7 +80,7 @@
     SpoilPart,
 }
 
-/// What is new of a runner process that starts again.
+/// Change of a runner process that starts again.
 #[derive(Clone, Copy, Debug)]
 pub enum Change {
     /// The start of its lifetime.
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// What runs a runner.
+/// Thread or process that runs a runner.
 pub enum Host {
     /// A thread of the soak behind a link.
     Thread { link: Arc<Link>, _runner: Runner },
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -28,7 +28,7 @@
 /// Longest wait of a caller for the router that began its stream to be back.
 const RETURN_TIME: Duration = Duration::from_millis(1500);
 
-/// How a caller reads one answer.
+/// Manner in which a caller reads one answer.
 #[derive(Clone, Debug)]
 struct Manner {
     /// Time without a byte after which it abandons the stream.
