Send requests to a runner only over connections made since its entry was listed

Routers ignored what a runner said in its answers (that it leaves, pauses, or limits its rate) after it had restarted in place: callers were sent to a runner that had announced its end.

Cause: notices count for the process that was listed when the connection was made. A connection to the new process that was made before its entry arrived was kept and booked its notices on the process before, for as long as it was reused.

An idle connection is closed if the listed start differs from the one that it was made for. edge::notice::a_notice_of_a_restarted_runner_counts_although_an_older_connection_was_open failed before (the third request reached the runner) and passes.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -207,11 +207,18 @@
         }
     }
 
+    /// Returns an idle connection to the process of the runner that is listed. Notices on a
+    /// connection count for the process that was listed when it was made.
     fn take_idle_connection(&mut self, now: Time, runner: &Runner) -> Option<usize> {
+        let started_at = self.registry.get(runner).map(|entry| entry.started_at);
         while let Some(index) = self.pool.take(runner) {
             match self.slots.get(index) {
                 Some(Slot::Upstream(connection)) => match connection.phase {
-                    Phase::Idle(deadline) if now < deadline => return Some(index),
+                    Phase::Idle(deadline)
+                        if now < deadline && started_at == Some(connection.started_at) =>
+                    {
+                        return Some(index);
+                    }
                     _ => self.close(index),
                 },
                 _ => continue,
--- a/tests/all/edge/notice.rs
+++ b/tests/all/edge/notice.rs
@@ -45,6 +45,31 @@
     assert_eq!(leaving.requests().len(), received);
 }
 
+/// The connection was made to the process before, or before the entry arrived.
+#[test]
+fn a_notice_of_a_restarted_runner_counts_although_an_older_connection_was_open() {
+    let answers = AtomicUsize::new(0);
+    let runner = Runner::start(move |head, stream| {
+        let notice = match answers.fetch_add(1, Ordering::SeqCst) {
+            0 => "",
+            _ => "Server-Leaving: 1\r\n",
+        };
+        let fields = format!("Keep-Alive: timeout=10\r\nContent-Length: 1\r\n{notice}");
+        respond(stream, head, 200, &fields, "a");
+        true
+    });
+    let (store, router) = start_router(&[&runner]);
+    assert!(send(&router).ends_with("\r\n\r\na"));
+    let mut value = entry(runner.address, "s").expect("an entry");
+    value["born"] = json!(5);
+    store.put("servers", "i-0", Some(value));
+    wait_until("the entry is listed", || {
+        router.log().contains("started_at=5 ")
+    });
+    assert!(send(&router).ends_with("\r\n\r\na"));
+    assert!(send(&router).starts_with("HTTP/1.1 503 "));
+}
+
 /// Malformed notices are logged once a runner and change nothing.
 #[test]
 fn malformed_notices_are_ignored() {
