Confirm the list of runners by responses of the store as of the last look for events

A router that had been stopped read a response of the store that had waited, took its list for confirmed at that moment, and for 3.5 s inferred the old version of streams that other routers had begun at a new one.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -15,7 +15,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use balsamchute_adapter::store::Kind;
 use balsamchute_base::clock::Clock;
@@ -152,6 +152,9 @@
     leaving_since: Option<Time>,
     last_sweep: Time,
     last_exchange: Time,
+    // Time since which bytes that are read in this turn may have waited: the process may have
+    // been stopped meanwhile.
+    arrived_after: Time,
     // Time at which datagrams of other routers were last read.
     datagrams_read_at: Time,
     // Whether the last turn left callers' connections in the accept queue.
@@ -247,6 +250,7 @@
             last_sweep: now,
             // The first datagrams go out with the first tick.
             last_exchange: Time(0),
+            arrived_after: now,
             datagrams_read_at: now,
             has_pending_accepts: false,
             admission: Admission::new(),
@@ -339,6 +343,12 @@
         self.clock.now()
     }
 
+    /// Begins a turn of the event loop, in which bytes are read that arrived after this time.
+    pub fn begin_turn(&mut self, _cx: CX![], arrived_after: Instant) {
+        let waited = arrived_after.elapsed().as_millis();
+        self.arrived_after = self.now() - Span(waited as u64);
+    }
+
     /// Handles a readiness event for the socket at slab index `index`.
     pub fn handle_ready(&mut self, _cx: CX![], index: usize) {
         match self.slots.get(index) {
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -307,7 +307,11 @@
         }
         self.last_store_response = Some(now);
         if kind == Kind::Runners && !matches!(update, Update::Incomplete) {
-            self.scheduler.origins_mut().versions_mut().confirm(now);
+            let sent_after = self.arrived_after;
+            self.scheduler
+                .origins_mut()
+                .versions_mut()
+                .confirm(sent_after);
         }
         if let Some(era) = era {
             self.observe_era(now, era, Some(kind));
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -82,6 +82,7 @@
     call!([edge], tick());
     let mut timers_run_to = Instant::now();
     stakker.run(timers_run_to, false);
+    let mut asked_at = timers_run_to;
     let mut full_turns = 0;
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
@@ -96,7 +97,7 @@
             _ => MAX_SLEEP,
         };
         let sleep = stakker.next_wait_max(Instant::now(), max_sleep, false);
-        let asked_at = Instant::now();
+        let former_asked_at = std::mem::replace(&mut asked_at, Instant::now());
         match poll.poll(&mut events, Some(sleep)) {
             Ok(()) => {}
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -120,6 +121,8 @@
                 }
             }
         }
+        // What is read now was not there when events were asked for the time before.
+        call!([edge], begin_turn(former_asked_at));
         for event in &events {
             call!([edge], handle_ready(index_of(event)));
         }
