Log who reads the store, deferred removals and the pages of lists

Change: log lines store_reading, removal_deferred, list_read; the source of a change in runner_listed and runner_gone; the revision and the age of the list in every send. No change of logic.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -42,7 +42,7 @@
 use crate::output::Output;
 use crate::peers::{Phase, Table};
 use crate::pool::Pool;
-use crate::registry::Registry;
+use crate::registry::{Registry, Source};
 use crate::server;
 use crate::socket::{Input, Socket};
 use crate::stats::Stats;
@@ -120,6 +120,8 @@
     watchers: BTreeMap<Kind, Watcher>,
     // Evacuated failure domains; `None` where the platform has no evacuations.
     evacuations: Option<Domains>,
+    // Whether this router reads the list of runners from the store itself.
+    is_store_reader: bool,
     // Slab indices of the connections to the store, by kind of object.
     watch_connections: BTreeMap<Kind, usize>,
     // Whether this router's object was written to the store, or is being written.
@@ -228,6 +230,7 @@
                 .map(|watcher| (watcher.kind(), watcher))
                 .collect(),
             evacuations: bounds.evacuation.map(|_| Domains::default()),
+            is_store_reader: false,
             watch_connections: BTreeMap::new(),
             announced: false,
             announce_at: now,
@@ -372,7 +375,7 @@
         self.run_actions();
         self.poll_store(now);
         for change in self.registry.expire(now) {
-            self.apply_runner_change(now, change);
+            self.apply_runner_change(now, change, Source::Timer);
         }
         self.advance_evacuations(now);
         self.exchange(now);
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -84,9 +84,14 @@
         transaction.fallback = None;
         transaction.splitter.start_part();
         let software = self.registry.get(runner).map(|entry| &entry.software);
+        let versions = self.scheduler.origins().versions();
+        let list_age = rationale
+            .basis
+            .and_then(Basis::list_age)
+            .unwrap_or_else(|| versions.confirmation_age(now));
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} version_from={} list_age_ms={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} version_from={} list_age_ms={} revision={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             transaction.request_id,
             transaction.attempts(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
@@ -94,7 +99,8 @@
             transaction.resume_after().unwrap_or(0),
             transaction.resumes.as_deref().unwrap_or("-"),
             rationale.basis.map_or("-", Basis::as_str),
-            rationale.basis.and_then(Basis::list_age).map_or(0, Span::as_millis),
+            list_age.0,
+            self.registry.revision(),
             transaction.manifest,
             now.since(transaction.arrival).0,
             rationale.within_share,
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -11,7 +11,7 @@
 use crate::client::{Connection, Message, Purpose};
 use crate::edge::{Edge, Slot};
 use crate::frame::{VIEW_PATH, View};
-use crate::registry::Change;
+use crate::registry::{Change, Source};
 use crate::socket::{Input, Socket};
 use crate::watcher::{Response, Update};
 
@@ -43,6 +43,7 @@
 impl Edge {
     /// Makes the calls to the store and to peers that are due.
     pub(super) fn poll_store(&mut self, now: Time) {
+        self.update_reading(now);
         let kinds = [
             Kind::Routers,
             Kind::Manifest,
@@ -71,6 +72,34 @@
         self.request_view(now);
     }
 
+    /// Takes note whether this router reads the list of runners from the store itself.
+    fn update_reading(&mut self, now: Time) {
+        let reads = self.reads_store(now, Kind::Runners);
+        if std::mem::replace(&mut self.is_store_reader, reads) != reads {
+            log::info!(
+                target: "store",
+                "event=store_reading began={reads} tier={:?} has_store={} revision={}",
+                self.peers.tier(),
+                self.has_store(now),
+                self.registry.revision()
+            );
+        }
+    }
+
+    /// Logs and counts the removals of runners that were deferred.
+    pub(super) fn log_deferrals(&mut self, source: Source) {
+        for (runner, left) in self.registry.take_deferrals() {
+            self.stats.count_deferred_removal();
+            log::info!(
+                target: "runner",
+                "event=removal_deferred runner={runner} left_ms={} source={} revision={}",
+                left.0,
+                source.as_str(),
+                self.registry.revision()
+            );
+        }
+    }
+
     /// Returns whether this router reads a kind of object from the store itself, and not
     /// from other routers. While it starts, it first gives them the time to tell it, and
     /// does not watch before it knows whether it will follow a hub.
@@ -365,8 +394,9 @@
                 let changes = self.registry.replace(now, entries, revision);
                 self.is_runner_list_loaded = true;
                 for change in changes {
-                    self.apply_runner_change(now, change);
+                    self.apply_runner_change(now, change, Source::Store);
                 }
+                self.log_deferrals(Source::Store);
                 self.scheduler.end_first_list();
             }
         }
@@ -391,15 +421,16 @@
                 if let Some(entry) = decode_runner(&object)
                     && let Some(change) = self.registry.set(entry)
                 {
-                    self.apply_runner_change(now, change);
+                    self.apply_runner_change(now, change, Source::Store);
                 }
             }
             (Kind::Runners, StoreChange::Removed(name)) => {
                 let runner = Runner::new(&name).ok();
                 let change = runner.and_then(|runner| self.registry.remove(now, &runner));
                 if let Some(change) = change {
-                    self.apply_runner_change(now, change);
+                    self.apply_runner_change(now, change, Source::Store);
                 }
+                self.log_deferrals(Source::Store);
             }
             (Kind::Routers, StoreChange::Set(object)) => {
                 match store::decode_router(&object.content) {
@@ -459,12 +490,12 @@
         self.manifest_bytes = bytes.to_vec();
     }
 
-    pub(super) fn apply_runner_change(&mut self, now: Time, change: Change) {
+    pub(super) fn apply_runner_change(&mut self, now: Time, change: Change, source: Source) {
         match change {
             Change::Set(entry) => {
                 log::info!(
                     target: "runner",
-                    "event=runner_listed runner={} service={} software={:?} started_at={} state={:?} domain={} address={} revision={}",
+                    "event=runner_listed runner={} service={} software={:?} started_at={} state={:?} domain={} address={} revision={} source={}",
                     entry.runner,
                     entry.service,
                     entry.software.to_string(),
@@ -472,15 +503,17 @@
                     entry.state,
                     entry.domain,
                     entry.address,
-                    self.registry.revision()
+                    self.registry.revision(),
+                    source.as_str()
                 );
                 self.scheduler.set_runner(now, entry);
             }
             Change::Removed(runner) => {
                 log::info!(
                     target: "runner",
-                    "event=runner_gone runner={runner} revision={}",
-                    self.registry.revision()
+                    "event=runner_gone runner={runner} revision={} source={}",
+                    self.registry.revision(),
+                    source.as_str()
                 );
                 self.malformed_notices.remove(&runner);
                 self.scheduler.remove_runner(&runner);
@@ -535,20 +568,21 @@
         self.apply_evacuation_view(now, &view.evacuations);
         for entry in view.held {
             if let Some(change) = self.registry.hold(now, entry) {
-                self.apply_runner_change(now, change);
+                self.apply_runner_change(now, change, Source::Peer);
             }
         }
         let accepts_runners = self.peers.accepts_peer_runners(&self.descriptor(now));
         if view.revision > self.registry.revision() && accepts_runners {
-            log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={}", view.revision);
+            log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={} expiring={}", view.revision, view.expiring.len());
             let changes = self.registry.replace(now, view.runners, view.revision);
             self.is_runner_list_loaded = true;
             for (runner, left) in view.expiring {
                 self.registry.defer_removal(now, runner, left);
             }
             for change in changes {
-                self.apply_runner_change(now, change);
+                self.apply_runner_change(now, change, Source::Peer);
             }
+            self.log_deferrals(Source::Peer);
             self.scheduler.end_first_list();
         }
         // While the store changes all the time, the frames of a hub are always ahead of its
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -31,6 +31,29 @@
     Removed(Runner),
 }
 
+/// Source of a change to the runners in use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// A list or a watch of the store.
+    Store,
+    /// The view of another router.
+    Peer,
+    /// The end of the time for which a change was deferred.
+    Timer,
+}
+
+impl Source {
+    /// Returns the name of the source in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+            Source::Timer => "timer",
+        }
+    }
+}
+
 /// Entry that takes effect later.
 #[derive(Clone, Debug)]
 struct Held {
@@ -44,6 +67,8 @@
     entries: IndexMap<Runner, Entry>,
     // Times at which deferred removals take effect.
     deferred_removals: IndexMap<Runner, Time>,
+    // Removals that were deferred since they were last taken, with the time that was left.
+    new_deferrals: Vec<(Runner, Span)>,
     store_recovered: Option<Time>,
     // Time after which the store removes the entry of a runner that is gone.
     expiry: Span,
@@ -97,10 +122,17 @@
         deferred.map(move |(runner, due)| (runner.clone(), due.since(now)))
     }
 
+    /// Removes and returns the removals that were deferred since the last call, with the time
+    /// that was left when they were.
+    pub fn take_deferrals(&mut self) -> Vec<(Runner, Span)> {
+        std::mem::take(&mut self.new_deferrals)
+    }
+
     /// Removes a runner after `left`, as another router does that deferred its removal.
     /// The store's revision does not rise when it takes effect there.
     pub fn defer_removal(&mut self, now: Time, runner: Runner, left: Span) {
         if self.entries.contains_key(&runner) {
+            self.new_deferrals.push((runner.clone(), left));
             self.deferred_removals.insert(runner, now + left);
         }
     }
@@ -138,7 +170,10 @@
             .map(|recovered| recovered + REMOVAL_GRACE);
         match grace_end {
             Some(due) if now < due && entry.state == State::Ready => {
-                self.deferred_removals.entry(runner.clone()).or_insert(due);
+                if !self.deferred_removals.contains_key(runner) {
+                    self.deferred_removals.insert(runner.clone(), due);
+                    self.new_deferrals.push((runner.clone(), due.since(now)));
+                }
                 None
             }
             _ => {
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -133,6 +133,11 @@
         self.metrics.count_reason("cold", source);
     }
 
+    /// Counts a removal of a runner that takes effect later.
+    pub fn count_deferred_removal(&self) {
+        self.metrics.count_reason("removal", "deferred");
+    }
+
     /// Counts a call to the store by its result.
     pub fn count_store_call(&self, succeeded: bool) {
         let reason = if succeeded { "answered" } else { "failed" };
--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -84,8 +84,26 @@
 
 #[derive(Clone, Debug)]
 enum State {
-    Listing { after: Option<String> },
-    Watching { revision: u64 },
+    Listing {
+        after: Option<String>,
+        // Pages read so far, and the revision of the first one.
+        pages: u32,
+        first_revision: u64,
+    },
+    Watching {
+        revision: u64,
+    },
+}
+
+impl State {
+    /// Returns the state before the first page of a list.
+    fn start() -> Self {
+        State::Listing {
+            after: None,
+            pages: 0,
+            first_revision: 0,
+        }
+    }
 }
 
 /// State machine that lists one kind of object and then watches it.
@@ -112,7 +130,7 @@
     pub fn new(kind: Kind) -> Self {
         Watcher {
             kind,
-            state: State::Listing { after: None },
+            state: State::start(),
             watch_time: watch_time(DEFAULT_CHANGE_BOUND),
             needs_current: false,
             era: 0,
@@ -152,7 +170,7 @@
             false => self.watch_time,
         };
         Some(match &self.state {
-            State::Listing { after } => {
+            State::Listing { after, .. } => {
                 let list = match self.needs_current {
                     true => Request::list_current,
                     false => Request::list,
@@ -186,7 +204,7 @@
         let is_restored = std::mem::replace(&mut self.era, era) < era;
         match (&self.state, status) {
             // The revision or the pages read so far belong to the previous era.
-            (State::Watching { .. } | State::Listing { after: Some(_) }, _) if is_restored => {
+            (State::Watching { .. } | State::Listing { after: Some(_), .. }, _) if is_restored => {
                 self.restart();
                 Update::Incomplete
             }
@@ -224,13 +242,13 @@
     }
 
     fn restart(&mut self) {
-        self.state = State::Listing { after: None };
+        self.state = State::start();
         self.objects.clear();
     }
 
     /// Schedules a full list at `at` instead of a watch.
     pub fn list_again(&mut self, at: Time) {
-        self.state = State::Listing { after: None };
+        self.state = State::start();
         self.next_call_at = at;
     }
 
@@ -259,10 +277,29 @@
         self.retry_delay = Span(0);
         let last = page.objects.last().map(|object| object.name.clone());
         self.objects.extend(page.objects);
+        let (pages, first_revision) = match self.state {
+            State::Listing {
+                pages,
+                first_revision,
+                ..
+            } if pages > 0 => (pages + 1, first_revision),
+            _ => (1, page.revision),
+        };
         if let (true, Some(last)) = (page.has_more, last) {
-            self.state = State::Listing { after: Some(last) };
+            self.state = State::Listing {
+                after: Some(last),
+                pages,
+                first_revision,
+            };
             return Update::Incomplete;
         }
+        log::info!(
+            target: "store",
+            "event=list_read kind={:?} objects={} pages={pages} first_revision={first_revision} revision={}",
+            self.kind,
+            self.objects.len(),
+            page.revision
+        );
         self.state = State::Watching {
             revision: page.revision,
         };
