--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -402,6 +402,38 @@
     assert_eq!(store_readers(&fleet), 5);
 }
 
+/// Time for which a router that no longer reads the store may report a connection.
+const REPORTED_CONNECTION: Span = Span(3500);
+
+/// The routers that read the store in place of the hubs must not all stop for each other.
+#[test]
+fn the_store_is_read_all_the_time_while_it_rejects_the_hubs() {
+    let mut fleet = Fleet::new(90);
+    fleet.steps(40);
+    for router in &mut fleet.routers {
+        router.descriptor.has_store = false;
+    }
+    let mut answered_at: Vec<Option<Time>> = vec![None; fleet.routers.len()];
+    for step in 0..200 {
+        fleet.step();
+        let mut readers = [0; 5];
+        for (index, router) in fleet.routers.iter_mut().enumerate() {
+            let is_hub = index < 5;
+            if !is_hub && router.table.reads_store(fleet.now, &router.descriptor) {
+                readers[index % 5] += 1;
+                answered_at[index] = Some(fleet.now);
+            }
+            router.descriptor.has_store = answered_at[index]
+                .is_some_and(|answered| fleet.now.since(answered) < REPORTED_CONNECTION);
+        }
+        // The first second is the time in which the routers hear of the rejections and of
+        // each other's connections.
+        if step >= 10 {
+            assert_eq!(readers, [1; 5], "in step {step}");
+        }
+    }
+}
+
 /// The watch of a hub can stall while the store still counts as connected. Its
 /// domain would then keep an outdated runner list.
 #[test]
