Let routers that read the store make way only for those that rank before them

Cause: in place of hubs without a connection, the first four routers of each domain read the store, until any live router reported a connection. They began together, heard of each other's connections and stopped together. Each went on to report its connection until its last response was 3.5 s old, so that nobody read the store for 5.5 s, and again after 0.4 s of reading.

Change: in each domain the first router by election rank that has a connection reads, and only those before it go on trying. The order is total, so the first connected one never stops for another. A domain whose hub is rejected no longer waits for another domain to pass changes on.

The test more_routers_read_the_store_while_no_router_is_connected took the fault for the design: a connection of router 40, which does not read, ended the reading of all others. Its successor asks for four readers in each domain then, for two with a connected second router, for one with a connected hub.

--- a/crates/edge/src/peers/source.rs
+++ b/crates/edge/src/peers/source.rs
@@ -7,10 +7,10 @@
 
 use crate::peers::{Descriptor, HUB_ENTER_ROUTERS, Phase, Table, Tier, election_rank};
 
-/// Routers of a failure domain that read from the store while no other live
-/// router has a store connection. If the store rejects a third of the machines,
-/// one in 80 domains is left without a router that gets through.
-const FALLBACK_READERS: usize = 4;
+/// Routers of a failure domain, its hub included, of which one reads from the store. If the
+/// store rejects a third of the machines, one in 80 domains is left without a router that
+/// gets through.
+const MAX_READERS: usize = 4;
 
 /// Time for which a member waits for its hub to have the newer state that other routers
 /// have. A hub that follows the store has it within a few intervals of the exchange; one
@@ -18,23 +18,33 @@
 const HUB_PATIENCE: Span = Span(500);
 
 impl Table {
-    /// Returns whether this router reads from the store itself. In a large
-    /// fleet only hubs do. While no other live router has a store connection, the
-    /// first `FALLBACK_READERS` routers of each domain by election rank read as
-    /// well, because the store may reject single machines.
+    /// Returns whether this router reads from the store itself. In a large fleet only hubs
+    /// do, and in place of a hub that has no store connection the next of the first
+    /// `MAX_READERS` routers of its domain by election rank, because the store may reject
+    /// single machines.
+    ///
+    /// A router makes way only for one that ranks before it. If any connected router ended
+    /// the reading of all others, they would stop for each other, and none would read until
+    /// their connections no longer count as recent.
     #[must_use]
     pub fn reads_store(&self, now: Time, local: &Descriptor) -> bool {
         if !matches!(self.tier, Tier::Member(_)) {
             return true;
         }
-        let in_domain = self
-            .alive(now)
-            .filter(|peer| peer.descriptor.domain == local.domain);
-        let ranked_before = in_domain
-            .filter(|peer| election_rank(&peer.descriptor) < election_rank(local))
-            .count();
-        let any_connected = self.alive(now).any(|peer| peer.descriptor.has_store);
-        !any_connected && ranked_before < FALLBACK_READERS
+        let mut rank = 0;
+        for peer in self.alive(now) {
+            let descriptor = &peer.descriptor;
+            if descriptor.domain != local.domain
+                || election_rank(descriptor) >= election_rank(local)
+            {
+                continue;
+            }
+            rank += 1;
+            if descriptor.has_store {
+                return false;
+            }
+        }
+        rank < MAX_READERS
     }
 
     /// Returns whether this router accepts runner lists from other routers. In
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -380,26 +380,38 @@
     fleet.assert_converged();
 }
 
-/// The store may reject single machines. If only hubs read from it, a fleet whose
-/// hubs are all rejected would miss every change. One connected router suffices,
-/// even if it is not a hub.
+/// The store may reject single machines. If only hubs read from it, a domain whose hub is
+/// rejected would miss changes until another domain passes them on.
 #[test]
-fn more_routers_read_the_store_while_no_router_is_connected() {
+fn more_routers_read_the_store_while_the_hub_of_their_domain_is_not_connected() {
     let mut fleet = Fleet::new(90);
     fleet.steps(40);
     let store_readers = |fleet: &Fleet| {
-        let is_reader = |router: &&Router| router.table.reads_store(fleet.now, &router.descriptor);
-        fleet.running_routers().filter(is_reader).count()
+        let mut readers = [0; 5];
+        for (index, router) in fleet.routers.iter().enumerate() {
+            let reads = router.table.reads_store(fleet.now, &router.descriptor);
+            readers[index % 5] += usize::from(reads);
+        }
+        readers
     };
-    assert_eq!(store_readers(&fleet), 5);
+    assert_eq!(store_readers(&fleet), [1; 5]);
     for router in &mut fleet.routers {
         router.descriptor.has_store = false;
     }
     fleet.steps(10);
-    assert_eq!(store_readers(&fleet), 5 * 4);
+    assert_eq!(store_readers(&fleet), [4; 5]);
+    // A router that does not read the store cannot stand in for those that do.
     fleet.routers[40].descriptor.has_store = true;
     fleet.steps(10);
-    assert_eq!(store_readers(&fleet), 5);
+    assert_eq!(store_readers(&fleet), [4; 5]);
+    // The first router after the hub of domain a.
+    fleet.routers[5].descriptor.has_store = true;
+    fleet.steps(10);
+    assert_eq!(store_readers(&fleet), [2, 4, 4, 4, 4]);
+    // The hub of domain b.
+    fleet.routers[1].descriptor.has_store = true;
+    fleet.steps(10);
+    assert_eq!(store_readers(&fleet), [2, 1, 4, 4, 4]);
 }
 
 /// Time for which a router that no longer reads the store may report a connection.
