Apply the changes of a watch for runners in one call of the registry

Change: Registry::apply takes all changes of a response; the scheduler gets the outcome afterwards. The rounds between two changes now see a registry that has all of them; otherwise no change of logic.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -374,9 +374,8 @@
         self.scheduler.tick(now);
         self.run_actions();
         self.poll_store(now);
-        for change in self.registry.expire(now) {
-            self.apply_runner_change(now, change, Source::Timer);
-        }
+        let changes = self.registry.expire(now);
+        self.apply_runner_changes(now, changes, Source::Timer);
         self.advance_evacuations(now);
         self.exchange(now);
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -87,7 +87,7 @@
     }
 
     /// Logs and counts the removals of runners that were deferred.
-    pub(super) fn log_deferrals(&mut self, source: Source) {
+    fn log_deferrals(&mut self, source: Source) {
         for (runner, left) in self.registry.take_deferrals() {
             self.stats.count_deferred_removal();
             log::info!(
@@ -361,14 +361,12 @@
             Update::Changes(changes, revision) if kind == Kind::Evacuations => {
                 self.apply_evacuation_changes(now, changes, revision);
             }
-            Update::Changes(changes, revision) => {
-                if kind == Kind::Runners {
-                    if revision <= self.registry.revision() {
-                        // A peer's view already included these changes.
-                        return;
-                    }
-                    self.registry.advance_to(revision);
-                }
+            Update::Changes(changes, revision) if kind == Kind::Runners => {
+                let changes = changes.iter().filter_map(decode_change).collect();
+                let applied = self.registry.apply(now, changes, revision);
+                self.apply_runner_changes(now, applied, Source::Store);
+            }
+            Update::Changes(changes, _) => {
                 for change in changes {
                     self.apply_store_change(now, kind, change);
                 }
@@ -393,10 +391,7 @@
                 let entries = objects.iter().filter_map(decode_runner).collect();
                 let changes = self.registry.replace(now, entries, revision);
                 self.is_runner_list_loaded = true;
-                for change in changes {
-                    self.apply_runner_change(now, change, Source::Store);
-                }
-                self.log_deferrals(Source::Store);
+                self.apply_runner_changes(now, changes, Source::Store);
                 self.scheduler.end_first_list();
             }
         }
@@ -411,27 +406,12 @@
         }
     }
 
-    /// Applies a change of one object, from a list or a watch.
+    /// Applies a change of the manifest or of a router's object, from a list or a watch.
     fn apply_store_change(&mut self, now: Time, kind: Kind, change: StoreChange) {
         match (kind, change) {
             (Kind::Manifest, StoreChange::Set(object)) if object.name == store::MANIFEST_OBJECT => {
                 self.apply_manifest(&object.content, None);
             }
-            (Kind::Runners, StoreChange::Set(object)) => {
-                if let Some(entry) = decode_runner(&object)
-                    && let Some(change) = self.registry.set(entry)
-                {
-                    self.apply_runner_change(now, change, Source::Store);
-                }
-            }
-            (Kind::Runners, StoreChange::Removed(name)) => {
-                let runner = Runner::new(&name).ok();
-                let change = runner.and_then(|runner| self.registry.remove(now, &runner));
-                if let Some(change) = change {
-                    self.apply_runner_change(now, change, Source::Store);
-                }
-                self.log_deferrals(Source::Store);
-            }
             (Kind::Routers, StoreChange::Set(object)) => {
                 match store::decode_router(&object.content) {
                     Ok(router) => {
@@ -490,7 +470,15 @@
         self.manifest_bytes = bytes.to_vec();
     }
 
-    pub(super) fn apply_runner_change(&mut self, now: Time, change: Change, source: Source) {
+    /// Applies changes of the runners in use, and logs the removals that were deferred.
+    pub(super) fn apply_runner_changes(&mut self, now: Time, changes: Vec<Change>, source: Source) {
+        for change in changes {
+            self.apply_runner_change(now, change, source);
+        }
+        self.log_deferrals(source);
+    }
+
+    fn apply_runner_change(&mut self, now: Time, change: Change, source: Source) {
         match change {
             Change::Set(entry) => {
                 log::info!(
@@ -566,11 +554,11 @@
         }
         self.scheduler.apply_streams(now, &view.streams);
         self.apply_evacuation_view(now, &view.evacuations);
-        for entry in view.held {
-            if let Some(change) = self.registry.hold(now, entry) {
-                self.apply_runner_change(now, change, Source::Peer);
-            }
-        }
+        let held = view.held.into_iter();
+        let changes = held
+            .filter_map(|entry| self.registry.hold(now, entry))
+            .collect();
+        self.apply_runner_changes(now, changes, Source::Peer);
         let accepts_runners = self.peers.accepts_peer_runners(&self.descriptor(now));
         if view.revision > self.registry.revision() && accepts_runners {
             log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={} expiring={}", view.revision, view.expiring.len());
@@ -579,10 +567,7 @@
             for (runner, left) in view.expiring {
                 self.registry.defer_removal(now, runner, left);
             }
-            for change in changes {
-                self.apply_runner_change(now, change, Source::Peer);
-            }
-            self.log_deferrals(Source::Peer);
+            self.apply_runner_changes(now, changes, Source::Peer);
             self.scheduler.end_first_list();
         }
         // While the store changes all the time, the frames of a hub are always ahead of its
@@ -615,6 +600,13 @@
     }
 }
 
+fn decode_change(change: &StoreChange) -> Option<Change> {
+    match change {
+        StoreChange::Set(object) => decode_runner(object).map(Change::Set),
+        StoreChange::Removed(name) => Runner::new(name).ok().map(Change::Removed),
+    }
+}
+
 fn decode_runner(object: &Object) -> Option<Entry> {
     match runner::decode(&object.name, &object.content) {
         Ok(entry) => Some(entry),
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -241,6 +241,20 @@
             .is_some_and(|started_at| listed.started_at <= started_at)
     }
 
+    /// Applies the changes that a watch returned, up to `revision`, unless a view of another
+    /// router already included them.
+    pub fn apply(&mut self, now: Time, changes: Vec<Change>, revision: Revision) -> Vec<Change> {
+        if revision <= self.revision {
+            return Vec::new();
+        }
+        self.advance_to(revision);
+        let applied = changes.into_iter().filter_map(|change| match change {
+            Change::Set(entry) => self.set(entry),
+            Change::Removed(runner) => self.remove(now, &runner),
+        });
+        applied.collect()
+    }
+
     /// Records that changes up to `revision` are applied.
     pub fn advance_to(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
