Apply only the last change of each runner that a watch returns

Change: of the changes of one response only the last one of each runner counts.

Test: changes_that_are_read_late_do_not_bring_a_runner_back failed before: two runners that had left were set to ready, then removed or draining again.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -31,6 +31,17 @@
     Removed(Runner),
 }
 
+impl Change {
+    /// Returns the runner that the change concerns.
+    #[must_use]
+    pub fn runner(&self) -> &Runner {
+        match self {
+            Change::Set(entry) => &entry.runner,
+            Change::Removed(runner) => runner,
+        }
+    }
+}
+
 /// Source of a change to the runners in use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
@@ -242,13 +253,18 @@
     }
 
     /// Applies the changes that a watch returned, up to `revision`, unless a view of another
-    /// router already included them.
+    /// router already included them. Only the last change of each runner counts: a watch
+    /// from an old revision repeats what is known already.
     pub fn apply(&mut self, now: Time, changes: Vec<Change>, revision: Revision) -> Vec<Change> {
         if revision <= self.revision {
             return Vec::new();
         }
         self.advance_to(revision);
-        let applied = changes.into_iter().filter_map(|change| match change {
+        let mut last_changes = IndexMap::new();
+        for change in changes {
+            last_changes.insert(change.runner().clone(), change);
+        }
+        let applied = last_changes.into_values().filter_map(|change| match change {
             Change::Set(entry) => self.set(entry),
             Change::Removed(runner) => self.remove(now, &runner),
         });
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -192,6 +192,27 @@
     assert_eq!(hub.expiring(due).count(), 0);
 }
 
+/// A router that reads the store again after a while gets changes that it knows from peers.
+#[test]
+fn changes_that_are_read_late_do_not_bring_a_runner_back() {
+    let mut registry = Registry::new(HEARTBEAT);
+    let warming = Entry {
+        warmup: Span(900),
+        ..entry("a", State::Ready)
+    };
+    let draining = entry("b", State::Draining);
+    let ready = |name| entry(name, State::Ready);
+    registry.replace(NOW, vec![ready("a"), ready("b")], revision(5));
+    registry.replace(NOW, vec![draining.clone()], revision(40));
+    let late = vec![
+        Change::Set(warming),
+        Change::Set(ready("b")),
+        Change::Removed(runner("a")),
+        Change::Set(draining),
+    ];
+    assert_eq!(registry.apply(NOW, late, revision(41)), []);
+}
+
 /// Starts a watcher that has read a list and watches from revision 5 of era 1.
 fn watching(kind: Kind) -> Watcher {
     let mut watcher = Watcher::new(kind);
