Withdraw runners that leave before the same response adds others

Cause: the scheduler sends waiting requests with each change, and the changes came in the order of the store, so that an added runner ended a wait that a runner further down the list, already known to leave, then served.

Change: changes after which a runner gets no requests come first, in changes of a watch and in lists and views.

Test: runners_that_leave_are_withdrawn_before_others_are_added failed before: the added runner came first.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -40,6 +40,12 @@
             Change::Removed(runner) => runner,
         }
     }
+
+    /// Returns whether the runner may get requests after the change. Of several changes those
+    /// that do not come first, as waiting requests are sent with each.
+    fn adds_capacity(&self) -> bool {
+        matches!(self, Change::Set(entry) if entry.state == State::Ready)
+    }
 }
 
 /// Source of a change to the runners in use.
@@ -229,6 +235,7 @@
                 changes.extend(self.set(entry));
             }
         }
+        changes.sort_by_key(Change::adds_capacity);
         changes
     }
 
@@ -264,11 +271,15 @@
         for change in changes {
             last_changes.insert(change.runner().clone(), change);
         }
-        let applied = last_changes.into_values().filter_map(|change| match change {
-            Change::Set(entry) => self.set(entry),
-            Change::Removed(runner) => self.remove(now, &runner),
-        });
-        applied.collect()
+        let mut applied: Vec<Change> = last_changes
+            .into_values()
+            .filter_map(|change| match change {
+                Change::Set(entry) => self.set(entry),
+                Change::Removed(runner) => self.remove(now, &runner),
+            })
+            .collect();
+        applied.sort_by_key(Change::adds_capacity);
+        applied
     }
 
     /// Records that changes up to `revision` are applied.
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -213,6 +213,27 @@
     assert_eq!(registry.apply(NOW, late, revision(41)), []);
 }
 
+/// The scheduler sends waiting requests with each change.
+#[test]
+fn runners_that_leave_are_withdrawn_before_others_are_added() {
+    let mut registry = Registry::new(HEARTBEAT);
+    let ready = |name| entry(name, State::Ready);
+    let draining = Change::Set(entry("b", State::Draining));
+    registry.replace(NOW, vec![ready("a"), ready("b")], revision(5));
+    let changes = vec![
+        Change::Set(ready("c")),
+        draining.clone(),
+        Change::Removed(runner("a")),
+    ];
+    let applied = registry.apply(NOW, changes, revision(6));
+    let gone = Change::Removed(runner("a"));
+    assert_eq!(applied, [draining, gone, Change::Set(ready("c"))]);
+    let list = vec![ready("d"), entry("c", State::Draining)];
+    let applied = registry.replace(NOW, list, revision(7));
+    let last = applied.last();
+    assert_eq!(last, Some(&Change::Set(ready("d"))), "{applied:?}");
+}
+
 /// Starts a watcher that has read a list and watches from revision 5 of era 1.
 fn watching(kind: Kind) -> Watcher {
     let mut watcher = Watcher::new(kind);
