Keep a runner removed whose removal another router only defers

Cause: the view of a router that has just regained the store lists the runners whose removal it defers. A router that had removed such a runner, because it never lost the store, took it back from the next view with a later revision, for the rest of the 2 s; it also took over a later end than its own.

Change: views are applied by Registry::replace_by_view; a process of a runner that was removed here stays removed while the view only defers its removal, and the earlier of two ends counts.

Test: a_removal_that_a_peer_defers_does_not_bring_the_runner_back failed on the same call without the condition: the runner was set to ready.

--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -562,11 +562,16 @@
         let accepts_runners = self.peers.accepts_peer_runners(&self.descriptor(now));
         if view.revision > self.registry.revision() && accepts_runners {
             log::info!(target: "peer", "event=runners_from_peer peer={peer} revision={} expiring={}", view.revision, view.expiring.len());
-            let changes = self.registry.replace(now, view.runners, view.revision);
+            let View {
+                runners,
+                expiring,
+                revision,
+                ..
+            } = view;
+            let changes = self
+                .registry
+                .replace_by_view(now, runners, expiring, revision);
             self.is_runner_list_loaded = true;
-            for (runner, left) in view.expiring {
-                self.registry.defer_removal(now, runner, left);
-            }
             self.apply_runner_changes(now, changes, Source::Peer);
             self.scheduler.end_first_list();
         }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -145,15 +145,6 @@
         std::mem::take(&mut self.new_deferrals)
     }
 
-    /// Removes a runner after `left`, as another router does that deferred its removal.
-    /// The store's revision does not rise when it takes effect there.
-    pub fn defer_removal(&mut self, now: Time, runner: Runner, left: Span) {
-        if self.entries.contains_key(&runner) {
-            self.new_deferrals.push((runner.clone(), left));
-            self.deferred_removals.insert(runner, now + left);
-        }
-    }
-
     /// Holds an entry back that another router holds back, unless the runner has
     /// restarted since. Returns the removal if the runner was in use.
     pub fn hold(&mut self, now: Time, entry: Entry) -> Option<Change> {
@@ -239,6 +230,36 @@
         changes
     }
 
+    /// Replaces all entries by those of another router as of `revision`. Each removal that is
+    /// deferred there, with the time that is left, takes effect here at the same time, since
+    /// the store's revision does not rise with it, or earlier if it took or takes effect here
+    /// earlier.
+    pub fn replace_by_view(
+        &mut self,
+        now: Time,
+        mut entries: Vec<Entry>,
+        expiring: Vec<(Runner, Span)>,
+        revision: Revision,
+    ) -> Vec<Change> {
+        entries.retain(|entry| {
+            let is_expiring = expiring.iter().any(|(runner, _)| *runner == entry.runner);
+            !(is_expiring && self.has_departed(entry))
+        });
+        let known_dues = self.deferred_removals.clone();
+        let changes = self.replace(now, entries, revision);
+        for (runner, left) in expiring {
+            if self.entries.contains_key(&runner) {
+                let known_due = known_dues.get(&runner).copied();
+                let due = known_due.map_or(now + left, |known_due| known_due.min(now + left));
+                if known_due.is_none() {
+                    self.new_deferrals.push((runner.clone(), left));
+                }
+                self.deferred_removals.insert(runner, due);
+            }
+        }
+        changes
+    }
+
     /// Returns whether a listed entry is older than what is known of the runner. A
     /// process that drains never accepts requests again.
     fn is_outdated(&self, listed: &Entry) -> bool {
@@ -250,6 +271,12 @@
         })
     }
 
+    /// Returns whether the process of the runner that is listed was removed.
+    fn has_departed(&self, listed: &Entry) -> bool {
+        let departed = self.departed.get(&listed.runner);
+        departed.is_some_and(|&started_at| listed.started_at <= started_at)
+    }
+
     fn is_held_back(&self, listed: &Entry, is_restored: bool) -> bool {
         let held = self.held.get(&listed.runner);
         let held_start = held.map(|held| held.entry.started_at);
--- a/crates/edge/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -180,10 +180,9 @@
     hub.advance_to(revision(9));
     let asked = NOW + Span(500);
     let entries = hub.entries().cloned().collect();
-    assert_eq!(member.replace(asked, entries, hub.revision()), []);
-    for (runner, left) in hub.expiring(asked) {
-        member.defer_removal(asked, runner, left);
-    }
+    let expiring = hub.expiring(asked).collect();
+    let changes = member.replace_by_view(asked, entries, expiring, hub.revision());
+    assert_eq!(changes, []);
     let due = NOW + REMOVAL_GRACE;
     assert_eq!(member.expire(Time(due.0 - 1)), []);
     assert_eq!(member.expire(due), [Change::Removed(runner("b"))]);
@@ -234,6 +233,34 @@
     assert_eq!(last, Some(&Change::Set(ready("d"))), "{applied:?}");
 }
 
+/// A router that has removed a runner would send it requests again for the rest of the time
+/// for which another router defers the removal.
+#[test]
+fn a_removal_that_a_peer_defers_does_not_bring_the_runner_back() {
+    let both = vec![entry("a", State::Ready), entry("b", State::Ready)];
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.replace(NOW, both.clone(), revision(8));
+    let gone = Change::Removed(runner("b"));
+    assert_eq!(registry.apply(NOW, vec![gone], revision(9)).len(), 1);
+    let deferred = vec![(runner("b"), Span(1800))];
+    let changes = registry.replace_by_view(NOW, both.clone(), deferred.clone(), revision(10));
+    assert_eq!(changes, []);
+    assert_eq!(registry.get(&runner("b")), None);
+    // A router that has not heard of the removal defers it as well, and one that starts may
+    // need the runner.
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.replace_by_view(NOW, both.clone(), deferred.clone(), revision(10));
+    assert_eq!(registry.get(&runner("b")), Some(&both[1]));
+    let later = vec![(runner("b"), Span(1900))];
+    registry.replace_by_view(NOW, both.clone(), later, revision(11));
+    let due = NOW + Span(1800);
+    assert_eq!(registry.expire(due), [Change::Removed(runner("b"))]);
+    // A later process of the runner is another matter.
+    let restarted = vec![both[0].clone(), started("b", State::Ready, 2)];
+    let changes = registry.replace_by_view(due, restarted.clone(), deferred, revision(12));
+    assert_eq!(changes, [Change::Set(restarted[1].clone())]);
+}
+
 /// Starts a watcher that has read a list and watches from revision 5 of era 1.
 fn watching(kind: Kind) -> Watcher {
     let mut watcher = Watcher::new(kind);
