Defer removals only after an outage of the store that all routers saw

Cause: any failed call counted as an outage of the store, also a watch that was cut for 0.1 s or the rejection of one router while all others were served. The next 2 s of removals were deferred as if entries of live runners had expired.

Change: Contact knows the connections of this router and those that others report. A response for runners begins the grace time only if no router had a connection for 0.5 s before. Entries expire 2.4 s after the beginning of an outage at the earliest, and routers notice one within 2.2 s.

--- /dev/null
+++ b/crates/edge/src/contact.rs
@@ -0,0 +1,82 @@
+//! Contact with the store: that of this router, and that of other routers as they report it.
+
+use balsamchute_model::prelude::*;
+
+/// Age of the last response above which the store counts as unavailable. Longer
+/// than a watch without changes takes: at most 2.5 s, and 3.2 s until it times out.
+const MAX_RESPONSE_AGE: Span = Span(3500);
+
+/// Time without a connection of any router after which entries may have expired. Runners write
+/// each 1.2 s and entries expire after 3.6 s, so the store is away for 2.4 s at least before
+/// one does, of which up to 2.2 s pass until a router notices. Shorter times are connections
+/// that were cut.
+const MIN_OUTAGE: Span = Span(500);
+
+/// What this router knows about the availability of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Contact {
+    is_reader: bool,
+    last_response: Option<Time>,
+    // Time of the first failed call since the last response.
+    failed_since: Option<Time>,
+    // Time of the first failed call for runners since the last response to one.
+    runners_failed_since: Option<Time>,
+    // Latest time at which another router had a connection.
+    peer_connected_at: Option<Time>,
+}
+
+impl Contact {
+    /// Creates the state of a router that has not called the store.
+    #[must_use]
+    pub fn new() -> Self {
+        Contact::default()
+    }
+
+    /// Records whether this router reads the list of runners from the store itself. Returns
+    /// whether that changed.
+    pub fn set_reader(&mut self, is_reader: bool) -> bool {
+        std::mem::replace(&mut self.is_reader, is_reader) != is_reader
+    }
+
+    /// Returns whether the store responded recently and no call has failed since.
+    #[must_use]
+    pub fn is_connected(&self, now: Time) -> bool {
+        let is_recent = self
+            .last_response
+            .is_some_and(|last_response| now.since(last_response) < MAX_RESPONSE_AGE);
+        is_recent && self.failed_since.is_none()
+    }
+
+    /// Records that another router had a connection at `connected_at`.
+    pub fn record_peer(&mut self, connected_at: Time) {
+        self.peer_connected_at = self.peer_connected_at.max(Some(connected_at));
+    }
+
+    /// Records a failed call; `is_for_runners` if it was for the list of runners. Returns
+    /// whether it is the first one since the last response.
+    pub fn record_failure(&mut self, now: Time, is_for_runners: bool) -> bool {
+        if is_for_runners {
+            self.runners_failed_since.get_or_insert(now);
+        }
+        let is_first = self.failed_since.is_none();
+        self.failed_since.get_or_insert(now);
+        is_first
+    }
+
+    /// Records a response. Returns the time since the first failed call, if one failed since
+    /// the last response.
+    pub fn record_response(&mut self, now: Time) -> Option<Span> {
+        self.last_response = Some(now);
+        let failed_since = self.failed_since.take();
+        failed_since.map(|since| now.since(since))
+    }
+
+    /// Records that the list of runners can be read. Returns the time for which no router had
+    /// a connection, if entries of live runners may have expired in it.
+    pub fn record_runners(&mut self, now: Time) -> Option<Span> {
+        let failed_since = self.runners_failed_since.take()?;
+        let lost_at = self.peer_connected_at.max(Some(failed_since))?;
+        let outage = now.since(lost_at);
+        (outage >= MIN_OUTAGE).then_some(outage)
+    }
+}
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -47,6 +47,9 @@
             .peers
             .count_seen_within(now, self.settings.bounds.retry_window);
         self.scheduler.set_router_count(recent_peers + 1);
+        if let Some(connected_at) = self.peers.connected_at() {
+            self.contact.record_peer(connected_at);
+        }
         let alive_peers = self.peers.alive(now).count() as u32;
         self.scheduler.set_alive_count(now, alive_peers + 1);
     }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -36,6 +36,7 @@
 
 use crate::caller;
 use crate::client;
+use crate::contact::Contact;
 use crate::edge::evacuations::Domains;
 use crate::ending::Endings;
 use crate::error::Error;
@@ -120,8 +121,7 @@
     watchers: BTreeMap<Kind, Watcher>,
     // Evacuated failure domains; `None` where the platform has no evacuations.
     evacuations: Option<Domains>,
-    // Whether this router reads the list of runners from the store itself.
-    is_store_reader: bool,
+    contact: Contact,
     // Slab indices of the connections to the store, by kind of object.
     watch_connections: BTreeMap<Kind, usize>,
     // Whether this router's object was written to the store, or is being written.
@@ -140,9 +140,6 @@
     written_routes: Option<route::Record>,
     // Era of the store; `None` before the first response that names one.
     store_era: Option<u64>,
-    last_store_response: Option<Time>,
-    // Time of the first failed call since the last response of the store.
-    store_failed_since: Option<Time>,
     last_view_request: Option<Time>,
     // Whether a peer's view was applied since the start.
     has_peer_view: bool,
@@ -230,7 +227,7 @@
                 .map(|watcher| (watcher.kind(), watcher))
                 .collect(),
             evacuations: bounds.evacuation.map(|_| Domains::default()),
-            is_store_reader: false,
+            contact: Contact::new(),
             watch_connections: BTreeMap::new(),
             announced: false,
             announce_at: now,
@@ -241,8 +238,6 @@
             route_changes: route::Changes::default(),
             written_routes: None,
             store_era: None,
-            last_store_response: None,
-            store_failed_since: None,
             last_view_request: None,
             has_peer_view: false,
             started: now,
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -21,10 +21,6 @@
 /// Interval of view requests to other routers.
 const VIEW_INTERVAL: Span = Span(300);
 
-/// Age of the last response above which the store counts as unavailable. Longer
-/// than a watch without changes takes: at most 2.5 s, and 3.2 s until it times out.
-const MAX_RESPONSE_AGE: Span = Span(3500);
-
 /// Time for which a router that starts waits for a peer to tell it the manifest and the
 /// runners before it reads them from the store.
 const PEER_VIEW_WAIT: Span = Span(150);
@@ -75,7 +71,7 @@
     /// Takes note whether this router reads the list of runners from the store itself.
     fn update_reading(&mut self, now: Time) {
         let reads = self.reads_store(now, Kind::Runners);
-        if std::mem::replace(&mut self.is_store_reader, reads) != reads {
+        if self.contact.set_reader(reads) {
             log::info!(
                 target: "store",
                 "event=store_reading began={reads} tier={:?} has_store={} revision={}",
@@ -121,10 +117,7 @@
     /// Returns whether the store responded recently and no call has failed
     /// since.
     pub(super) fn has_store(&self, now: Time) -> bool {
-        let is_recent = self
-            .last_store_response
-            .is_some_and(|last_response| now.since(last_response) < MAX_RESPONSE_AGE);
-        is_recent && self.store_failed_since.is_none()
+        self.contact.is_connected(now)
     }
 
     fn call_store(&mut self, now: Time, kind: Kind, call: &Request, timeout: Span) {
@@ -320,21 +313,19 @@
         let Some(watcher) = self.watchers.get_mut(&kind) else {
             return;
         };
-        let was_failing = watcher.is_failing();
         let era = response.and_then(|response| response.era);
         let update = watcher.handle_response(now, response);
         self.stats
             .count_store_call(!matches!(update, Update::Failed(_)));
         if let Update::Failed(failure) = update {
-            if self.store_failed_since.is_none() {
+            if self.contact.record_failure(now, kind == Kind::Runners) {
                 log::warn!(target: "store", "event=store_lost kind={kind:?} {failure}");
-                self.store_failed_since = Some(now);
             } else {
                 log::info!(target: "store", "event=store_call_failed kind={kind:?} {failure}");
             }
             return;
         }
-        self.last_store_response = Some(now);
+        let outage = self.contact.record_response(now);
         if kind == Kind::Runners && !matches!(update, Update::Incomplete) {
             let sent_after = self.arrived_after;
             self.scheduler
@@ -345,14 +336,15 @@
         if let Some(era) = era {
             self.observe_era(now, era, Some(kind));
         }
-        let failed_since = self.store_failed_since.take();
-        if let Some(since) = failed_since {
-            let outage = now.since(since);
+        if let Some(outage) = outage {
             log::info!(target: "store", "event=store_regained kind={kind:?} away_ms={}", outage.0);
         }
         // The grace period starts before the response is applied, because the
         // response may lack the expired entries.
-        if failed_since.is_some() || (was_failing && kind == Kind::Runners) {
+        if kind == Kind::Runners
+            && let Some(outage) = self.contact.record_runners(now)
+        {
+            log::info!(target: "store", "event=entries_expired_possibly away_ms={}", outage.0);
             self.registry.record_store_recovery(now);
         }
         match update {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! `balsamchute-schedule`; the names and formats of the platform are in
 //! `balsamchute-adapter`.
 
+pub mod contact;
 pub mod error;
 pub mod limiter;
 pub mod line;
--- a/crates/edge/src/peers/source.rs
+++ b/crates/edge/src/peers/source.rs
@@ -47,6 +47,14 @@
         rank < MAX_READERS
     }
 
+    /// Returns the latest time at which another router reported a store connection.
+    #[must_use]
+    pub fn connected_at(&self) -> Option<Time> {
+        let peers = self.peers.values().flatten();
+        let connected = peers.filter(|peer| peer.descriptor.has_store);
+        connected.map(|peer| peer.last_seen).max()
+    }
+
     /// Returns whether this router accepts runner lists from other routers. In
     /// a small fleet only routers that start or have no store connection do. In a large
     /// fleet all do: members get them from their hub, and hubs from each other,
--- a/tests/all/edge/store.rs
+++ b/tests/all/edge/store.rs
@@ -1,6 +1,7 @@
 //! Edge routers follow the store, and keep working during its outages.
 
-use std::time::SystemTime;
+use std::thread;
+use std::time::{Duration, SystemTime};
 
 use serde_json::json;
 
@@ -75,6 +76,9 @@
     wait_until("the new runner serves", || send().ends_with("second"));
 }
 
+/// Three check-in intervals of the runners, after which the store removes an entry.
+const EXPIRY_TIME: Duration = Duration::from_millis(3 * 1200);
+
 /// During an outage of the store runners cannot renew their entries, which expire although
 /// the runners are healthy. Removing them at once when the store returns would leave the
 /// router without runners, so they stay for a grace period.
@@ -86,6 +90,7 @@
     wait_until("the router notices the outage", || {
         router.log().contains("event=store_lost kind=Runners")
     });
+    thread::sleep(EXPIRY_TIME);
     store.put("servers", "i-0", None);
     let restored_at = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
