Report a connection to the store only while this router reads from it

Cause: a router reported a connection while its last response was less than 3.5 s old, also where it followed a hub again. Others use the report to confirm their own lists: versions of streams were inferred from it.

Change: the descriptor reports a connection only while the router reads.

Test: a_router_that_ceased_to_read_reports_no_connection failed without the condition.

--- a/crates/edge/src/contact.rs
+++ b/crates/edge/src/contact.rs
@@ -47,6 +47,13 @@
         is_recent && self.failed_since.is_none()
     }
 
+    /// Returns whether this router may tell others that it follows the store: a connection of
+    /// a router that has ceased to read says nothing about later changes.
+    #[must_use]
+    pub fn follows_store(&self, now: Time) -> bool {
+        self.is_reader && self.is_connected(now)
+    }
+
     /// Records that another router had a connection at `connected_at`.
     pub fn record_peer(&mut self, connected_at: Time) {
         self.peer_connected_at = self.peer_connected_at.max(Some(connected_at));
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -66,7 +66,7 @@
             phase: self.phase,
             manifest: self.manifest_version(),
             revision: self.registry.revision(),
-            has_store: self.has_store(now),
+            has_store: self.contact.follows_store(now),
         }
     }
 
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -46,7 +46,7 @@
     pub manifest: u64,
     /// Store revision up to which the router's runner list is current.
     pub revision: Revision,
-    /// Whether the store responded recently to the router.
+    /// Whether the router reads from the store, which responded recently to it.
     pub has_store: bool,
 }
 
--- a/crates/edge/tests/contact.rs
+++ b/crates/edge/tests/contact.rs
@@ -54,3 +54,19 @@
     assert_eq!(contact.record_runners(NOW + Span(4800)), None);
     assert_eq!(lost().record_runners(NOW + Span(2500)), Some(Span(2500)));
 }
+
+/// Others take a reported connection as a sign that nothing changed since.
+#[test]
+fn a_router_that_ceased_to_read_reports_no_connection() {
+    let mut contact = Contact::new();
+    contact.record_response(NOW);
+    assert!(contact.is_connected(NOW) && !contact.follows_store(NOW));
+    contact.set_reader(true);
+    assert!(contact.follows_store(NOW));
+    contact.record_failure(NOW, false);
+    assert!(!contact.follows_store(NOW));
+    contact.record_response(NOW);
+    assert!(contact.set_reader(false));
+    assert!(contact.is_connected(NOW) && !contact.follows_store(NOW));
+    assert!(!contact.is_connected(NOW + Span(3500)));
+}
