Watch from the revision of the first page of a list

Cause: a list of several pages took the revision of its last page. A change of an object on an earlier page, made before the last page was read, was neither in the list nor returned by the watch that followed.

Change: a list has the revision of its first page; the watch repeats what was on later pages already, which changes nothing.

--- a/crates/edge/src/watcher.rs
+++ b/crates/edge/src/watcher.rs
@@ -74,7 +74,8 @@
 pub enum Update {
     /// The list is incomplete, or must be read again.
     Incomplete,
-    /// The full list and its revision.
+    /// The full list, and the revision of its first page: objects on later pages may be
+    /// later, and the watch that follows repeats their changes.
     Snapshot(Vec<Object>, Revision),
     /// Changes since the previous revision, and the new revision.
     Changes(Vec<Change>, Revision),
@@ -300,11 +301,12 @@
             self.objects.len(),
             page.revision
         );
+        // Objects on the first page may have changed since it was read.
         self.state = State::Watching {
-            revision: page.revision,
+            revision: first_revision,
         };
         self.needs_current = false;
-        let revision = Revision::new(self.era, page.revision);
+        let revision = Revision::new(self.era, first_revision);
         Update::Snapshot(std::mem::take(&mut self.objects), revision)
     }
 
