Remember an outage of the store that another router saw the end of first

Cause: members that stand in for the hubs regained the store some 0.1 s before the hubs. A hub took their connections for a sign that the store had been there all the time, began no grace time, and passed the removals on at once.

Change: Contact remembers the last time in which no other router had a connection, and the grace time counts from its end.

--- a/crates/edge/src/contact.rs
+++ b/crates/edge/src/contact.rs
@@ -23,6 +23,33 @@
     runners_failed_since: Option<Time>,
     // Latest time at which another router had a connection.
     peer_connected_at: Option<Time>,
+    // Last outage that all other routers saw, whether or not this router saw it.
+    peer_outage: Option<Outage>,
+}
+
+/// Time in which no router had a connection to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Outage {
+    /// Time of the last connection before.
+    pub began_at: Time,
+    /// Time of the first connection afterwards.
+    pub ended_at: Time,
+}
+
+impl Outage {
+    /// Returns the length of the outage.
+    #[must_use]
+    pub fn length(&self) -> Span {
+        self.ended_at.since(self.began_at)
+    }
+
+    /// Returns the part of the outage after `time`.
+    fn after(&self, time: Time) -> Outage {
+        Outage {
+            began_at: self.began_at.max(time),
+            ..*self
+        }
+    }
 }
 
 impl Contact {
@@ -56,6 +83,13 @@
 
     /// Records that another router had a connection at `connected_at`.
     pub fn record_peer(&mut self, connected_at: Time) {
+        if let Some(began_at) = self.peer_connected_at {
+            let ended_at = connected_at;
+            let outage = Outage { began_at, ended_at };
+            if outage.length() >= MIN_OUTAGE {
+                self.peer_outage = Some(outage);
+            }
+        }
         self.peer_connected_at = self.peer_connected_at.max(Some(connected_at));
     }
 
@@ -78,12 +112,20 @@
         failed_since.map(|since| now.since(since))
     }
 
-    /// Records that the list of runners can be read. Returns the time for which no router had
-    /// a connection, if entries of live runners may have expired in it.
-    pub fn record_runners(&mut self, now: Time) -> Option<Span> {
+    /// Records that the list of runners can be read. Returns the last outage that this router
+    /// and all others saw, if entries of live runners may have expired in it. Another router
+    /// may have regained the store before.
+    pub fn record_runners(&mut self, now: Time) -> Option<Outage> {
         let failed_since = self.runners_failed_since.take()?;
-        let lost_at = self.peer_connected_at.max(Some(failed_since))?;
-        let outage = now.since(lost_at);
-        (outage >= MIN_OUTAGE).then_some(outage)
+        let since_peers = Outage {
+            began_at: self.peer_connected_at.unwrap_or(failed_since),
+            ended_at: now,
+        };
+        let outages = [Some(since_peers), self.peer_outage];
+        let mut seen = outages
+            .into_iter()
+            .flatten()
+            .map(|outage| outage.after(failed_since));
+        seen.find(|outage| outage.length() >= MIN_OUTAGE)
     }
 }
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -344,8 +344,13 @@
         if kind == Kind::Runners
             && let Some(outage) = self.contact.record_runners(now)
         {
-            log::info!(target: "store", "event=entries_expired_possibly away_ms={}", outage.0);
-            self.registry.record_store_recovery(now);
+            log::info!(
+                target: "store",
+                "event=entries_expired_possibly away_ms={} ended_ms={}",
+                outage.length().0,
+                now.since(outage.ended_at).0
+            );
+            self.registry.record_store_recovery(outage.ended_at);
         }
         match update {
             Update::Failed(_) | Update::Incomplete => {}
--- a/crates/edge/tests/contact.rs
+++ b/crates/edge/tests/contact.rs
@@ -1,6 +1,6 @@
 //! Contact with the store, of one router and of the others.
 
-use balsamchute_edge::contact::Contact;
+use balsamchute_edge::contact::{Contact, Outage};
 use balsamchute_model::prelude::*;
 
 const NOW: Time = Time(1_000_000);
@@ -49,10 +49,35 @@
     let other = contact.record_response(NOW + Span(4500));
     assert_eq!(other, Some(Span(4500)));
     let outage = contact.record_runners(NOW + Span(4600));
-    assert_eq!(outage, Some(Span(3900)));
+    assert_eq!(outage, Some(outage_of(700, 4600)));
     // The outage counts once.
     assert_eq!(contact.record_runners(NOW + Span(4800)), None);
-    assert_eq!(lost().record_runners(NOW + Span(2500)), Some(Span(2500)));
+    let outage = lost().record_runners(NOW + Span(2500));
+    assert_eq!(outage, Some(outage_of(0, 2500)));
+}
+
+/// A router that regains the store after another one would pass the removals on at once.
+#[test]
+fn removals_are_deferred_also_where_another_router_regained_the_store_first() {
+    let mut contact = lost();
+    contact.record_peer(NOW + Span(300));
+    for ms in [4000, 4100, 4300, 4600] {
+        contact.record_peer(NOW + Span(ms));
+    }
+    let outage = contact.record_runners(NOW + Span(4700));
+    assert_eq!(outage, Some(outage_of(300, 4000)));
+    // An outage that ended before this router lost the store is another one.
+    contact.record_response(NOW + Span(4700));
+    assert!(contact.record_failure(NOW + Span(5000), true));
+    contact.record_peer(NOW + Span(5000));
+    assert_eq!(contact.record_runners(NOW + Span(5200)), None);
+}
+
+fn outage_of(began: u64, ended: u64) -> Outage {
+    Outage {
+        began_at: NOW + Span(began),
+        ended_at: NOW + Span(ended),
+    }
 }
 
 /// Others take a reported connection as a sign that nothing changed since.
