Let the soak replace runners while the store is silent for the hub

Change: with 20 routers or more, the store is silent for the hub at the end of a run while all runners are replaced one after the other; all routers must follow within the bound for drains, as the store serves the others.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -14,7 +14,7 @@
 use crate::Options;
 use crate::environment::{self, Copy, Route, Router, Store};
 use crate::event::digest;
-use crate::judge::Judge;
+use crate::judge::{CHANGE_BOUND, Judge};
 use crate::plan::{Change, Fault, RUNNERS, VERSIONS};
 use crate::server::{Host, Server, now_ms};
 
@@ -63,6 +63,13 @@
     }
 }
 
+/// Time in which other routers read the store in place of one that lost it: time until it
+/// notices, and a second to pass that on.
+const TAKEOVER_TIME: Duration = Duration::from_millis(2700);
+
+/// Time between two runners that are replaced without the hub.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Everything that a run starts.
 pub struct Fleet {
     store: Store,
@@ -356,6 +363,23 @@
         }
     }
 
+    /// Holds back the store from the hub, the router that has run longest, and replaces the
+    /// runners one after the other. All routers must follow: the store serves the others.
+    pub fn replace_runners_without_hub(&mut self, judge: &Judge) {
+        let age = |index: &usize| self.routers[*index].lock().expect("no panic").age();
+        let hub = (0..self.routers.len()).max_by_key(age).unwrap_or(0);
+        judge.note(&format!("the store is silent for soak-{hub}"));
+        let link = self.store_links[hub].clone();
+        link.set_stalled(true);
+        thread::sleep(TAKEOVER_TIME);
+        for place in 0..self.places.len() {
+            self.replace_runner(place, judge);
+            thread::sleep(REPLACEMENT_INTERVAL);
+        }
+        thread::sleep(CHANGE_BOUND);
+        link.set_stalled(false);
+    }
+
     fn after(&mut self, time: Duration, action: impl FnOnce() + Send + 'static) {
         self.pending.push(thread::spawn(move || {
             thread::sleep(time);
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -10,7 +10,7 @@
 
 /// Time within which a router in touch must use a change: `drain_ms` and `apply_ms` of
 /// the settings.
-const CHANGE_BOUND: Duration = Duration::from_millis(2000);
+pub const CHANGE_BOUND: Duration = Duration::from_millis(2000);
 
 /// Time without a fault after which the checks of changes apply to all routers:
 /// `contact_ms` of the settings, and the bound.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -50,6 +50,9 @@
 /// Time for which they do: until limits count, and two windows.
 const LIMIT_TIME: Duration = Duration::from_secs(9);
 
+/// Routers from which on one of them reads the store for all.
+const HUB_ROUTERS: usize = 20;
+
 /// Exit code of a test binary whose tests failed.
 const FAILURE_CODE: u8 = 101;
 
@@ -160,6 +163,9 @@
     fleet.limit_runners(0, &judge);
     fleet.replace_all_runners(&judge);
     std::thread::sleep(judge::CALM_TIME);
+    if options.routers >= HUB_ROUTERS {
+        fleet.replace_runners_without_hub(&judge);
+    }
     callers.stop();
     let deadline = Instant::now() + RECOVERY_TIME;
     for address in fleet.router_addresses() {
