--- a/crates/edge/src/contact.rs
+++ b/crates/edge/src/contact.rs
@@ -6,10 +6,9 @@
 /// than a watch without changes takes: at most 2.5 s, and 3.2 s until it times out.
 const MAX_RESPONSE_AGE: Span = Span(3500);
 
-/// Time without a connection of any router after which entries may have expired. Runners write
-/// each 1.2 s and entries expire after 3.6 s, so the store is away for 2.4 s at least before
-/// one does, of which up to 2.2 s pass until a router notices. Shorter times are connections
-/// that were cut.
+/// Time without a connection of any router after which entries may have expired. With check-ins
+/// each 1.2 s, of which three must be missing, the store is away for 2.4 s before the first entry
+/// expires, and routers notice up to 2.2 s late. Shorter times are connections that were cut.
 const MIN_OUTAGE: Span = Span(500);
 
 /// What this router knows about the availability of the store.
