Let the store of case 3 answer 503, within the site's longest outage

Cause: the site's outages of the whole store that last 8 s are of the kind that answers 503; the script had a silent one.

--- a/review/standin/cases/in_place.rs
+++ b/review/standin/cases/in_place.rs
@@ -32,8 +32,8 @@
     let router = Router::start(3, &store, 260);
     sleep(ms(6000));
     if has_trouble {
-        record.line("the store is down from now on: it answers nothing");
-        store.set_silent(true);
+        record.line("the store is down from now on: it answers 503 to every call");
+        store.set_busy(true);
         sleep(ms(500));
         let idle = &mut runners[0];
         record.line(format!("{} ends", idle.id));
@@ -59,7 +59,7 @@
         record.line(format!("{} ends in the middle of the stream", busy.id));
         Process::crash(&mut busy.process);
         sleep(ms(1500));
-        store.set_silent(false);
+        store.set_busy(false);
         record.line("the store is back");
         sleep(ms(500));
         // The check-in of i-0 if it lives; its entry expires otherwise.
