Read TROUBLE in each script, and keep all cases within one site

Cause: the scripts left TROUBLE to the stand-in, the claims named two sites, and cases 3 and 4 crashed half of a service or all of it, where the site's largest share is a quarter.

Change: each run.sh reads TROUBLE and passes it on. Cases 3 and 4 have four runners, of which one crashes at a time.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Plays a case: run-case.sh CASE FOLDER. Ends with status 1 if the rule was broken, 0 if it
-# held, and 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+# Plays a case: run-case.sh CASE FOLDER TROUBLE. Ends with status 1 if the rule was broken, 0 if
+# it held, and 2 if the case could not run. With TROUBLE 0 the disruption is left out.
 root="$(cd "$(dirname "$0")/.." && pwd)" || exit 2
 folder="$(cd "$2" && pwd)" || exit 2
 cd "$root" || exit 2
@@ -19,7 +19,7 @@
 }
 trap clean_up EXIT
 trap 'exit 2' HUP INT TERM
-timeout 110 target/review/standin "$1" "$folder/record.txt"
+timeout 110 target/review/standin "$1" "$folder/record.txt" "$3"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -10,8 +10,11 @@
 use std::time::Duration;
 
 use crate::http::{Connection, Message};
-use crate::record::{Record, cannot_run};
-use crate::runner::{Event, events};
+use crate::platform::{MODEL, entry, free_address, ip};
+use crate::record::{Record, cannot_run, wall_ms};
+use crate::router::Process;
+use crate::runner::{Event, Framing, events, start_model};
+use crate::store::Store;
 
 /// Case that a script plays.
 #[derive(Clone, Copy)]
@@ -58,6 +61,40 @@
     }
 }
 
+/// Model runner of a small service.
+struct Runner {
+    id: &'static str,
+    address: SocketAddr,
+    process: Option<Process>,
+}
+
+impl Runner {
+    /// Starts four runners, of which one is the largest share that crashes at once.
+    fn start_all(framing: Framing, store: &Store, record: &Record) -> [Runner; 4] {
+        [("i-0", 10), ("i-1", 11), ("i-2", 12), ("i-3", 13)].map(|(id, machine)| {
+            let address = free_address(&ip(machine));
+            let process = start_model(address, id, "v1", framing, record);
+            store.put("servers", id, Some(entry(MODEL, address, "v1", wall_ms())));
+            Runner {
+                id,
+                address,
+                process: Some(process),
+            }
+        })
+    }
+
+    /// Returns the runner that runs a request, by the record.
+    fn of_request<'a>(runners: &'a mut [Runner], request: &str, record: &Record) -> &'a mut Runner {
+        let text = std::fs::read_to_string(&record.path).unwrap_or_default();
+        let line =
+            |runner: &&mut Runner| text.contains(&format!("runner {} runs {request}:", runner.id));
+        match runners.iter_mut().find(line) {
+            Some(runner) => runner,
+            None => cannot_run(&format!("no runner runs {request}")),
+        }
+    }
+}
+
 /// Stream as a consumer received it.
 struct Received {
     status: u16,
--- a/review/standin/cases/unframed.rs
+++ b/review/standin/cases/unframed.rs
@@ -2,8 +2,8 @@
 
 use std::thread::{self, sleep};
 
-use super::{connect, ms, read_stream};
-use crate::platform::{MODEL, REPORT, Route, entry, free_address, ip, manifest, stream_request};
+use super::{Runner, connect, ms, read_stream};
+use crate::platform::{MODEL, REPORT, Route, entry, ip, manifest, stream_request};
 use crate::record::{Record, cannot_run, wall_ms};
 use crate::router::{Process, Router};
 use crate::runner::{EVENTS, Framing, start_model};
@@ -16,13 +16,7 @@
         ..REPORT
     };
     store.put("config", "main", Some(manifest(7, &[route])));
-    let address = free_address(&ip(10));
-    let mut first = Some(start_model(address, "i-1", "v1", Framing::Close, record));
-    store.put(
-        "servers",
-        "i-1",
-        Some(entry(MODEL, address, "v1", wall_ms())),
-    );
+    let mut runners = Runner::start_all(Framing::Close, &store, record);
     let router = Router::start(3, &store, 260);
     sleep(ms(1500));
     let mut connection = connect(router.front);
@@ -43,17 +37,16 @@
         record.line("the router's machine freezes");
         router.process.signal("STOP");
         sleep(ms(650));
-        record.line("the runner crashes");
-        Process::crash(&mut first);
+        let busy = Runner::of_request(&mut runners, "q1", record);
+        record.line(format!("{} crashes", busy.id));
+        Process::crash(&mut busy.process);
         sleep(ms(2000));
         // Each start is a new lifetime with a new id.
-        second = Some(start_model(address, "i-2", "v1", Framing::Close, record));
-        store.put("servers", "i-1", None);
-        store.put(
-            "servers",
-            "i-2",
-            Some(entry(MODEL, address, "v1", wall_ms())),
-        );
+        let (id, address) = (busy.id, busy.address);
+        second = Some(start_model(address, "i-9", "v1", Framing::Close, record));
+        store.put("servers", id, None);
+        let written = entry(MODEL, address, "v1", wall_ms());
+        store.put("servers", "i-9", Some(written));
         sleep(ms(150));
         record.line("the router's machine wakes");
         router.process.signal("CONT");
@@ -62,7 +55,7 @@
         cannot_run("the consumer panicked");
     };
     router.record_log(record, "request=q1");
-    drop((first, second));
+    drop(second);
     // The answer looks complete although its last events are missing.
     received.status == 200 && received.is_whole && received.last_id() != Some(EVENTS)
 }
--- a/review/standin/cases/uploads.rs
+++ b/review/standin/cases/uploads.rs
@@ -8,27 +8,29 @@
 use std::time::Duration;
 
 use super::{connect, ms};
-use crate::platform::{MODEL, PAYOUT, PLAIN, REPORT, entry, ip, manifest, request, stream_request};
+use crate::platform::{
+    BOOKING, MODEL, PLAIN, REPORT, entry, ip, manifest, request, stream_request,
+};
 use crate::record::{Record, wall_ms};
 use crate::router::Router;
 use crate::runner::{answer_head, start_plain};
 use crate::store::Store;
 
-/// Memory of a machine of cmsa-poa.
-const MEMORY_MB: u64 = 110;
+/// Memory of a machine of mfaea-dispatch.
+const MEMORY_MB: u64 = 260;
 
 /// `max_body_bytes` of the manifest, which the bodies do not exceed.
 const BODY_BYTES: usize = 4_194_304;
 
-/// Consumers that send payout orders one after the other on a kept connection, and consumers
-/// that send a large dossier; together fewer than the 74 consumers of the deployment.
-const ORDERING: usize = 16;
-const UPLOADING: usize = 32;
+/// Consumers that send bookings one after the other on a kept connection, and consumers that send
+/// a large panel log; together fewer than the 90 consumers of the deployment.
+const BOOKING_CONSUMERS: usize = 8;
+const UPLOADING: usize = 80;
 
-/// Consumers that send a large dossier without the disruption.
+/// Consumers that send a large panel log without the disruption.
 const UPLOADING_USUALLY: usize = 6;
 
-/// Time that a runner works on a request; `payout-order` has 30 ms on average, 220 at most.
+/// Time that a runner works on a request; `dispatch-book` has 60 ms on average.
 const WORK: Duration = Duration::from_millis(60);
 
 /// Requests that were sent on a kept connection and whose connection ended without an answer.
@@ -36,7 +38,7 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> bool {
     let store = Store::start(&ip(1));
-    store.put("config", "main", Some(manifest(7, &[REPORT, PAYOUT])));
+    store.put("config", "main", Some(manifest(7, &[REPORT, BOOKING])));
     let runs: Arc<Mutex<Vec<String>>> = Arc::default();
     for (machine, id, service) in [
         (10, "i-0", PLAIN),
@@ -51,7 +53,7 @@
             sleep(WORK);
             let head = answer_head(request);
             connection
-                .send(&format!("{head}Content-Length: 4\r\n\r\npaid"))
+                .send(&format!("{head}Content-Length: 6\r\n\r\nbooked"))
                 .is_ok()
         });
         store.put(
@@ -63,11 +65,11 @@
     let router = Router::start(3, &store, MEMORY_MB);
     let unanswered = Unanswered::default();
     let is_over = Arc::new(AtomicBool::new(false));
-    let mut consumers: Vec<JoinHandle<()>> = (0..ORDERING)
+    let mut consumers: Vec<JoinHandle<()>> = (0..BOOKING_CONSUMERS)
         .map(|number| {
             let (unanswered, is_over) = (unanswered.clone(), is_over.clone());
             let (record, front) = (record.clone(), router.front);
-            thread::spawn(move || order(front, number, &record, &unanswered, &is_over))
+            thread::spawn(move || book(front, number, &record, &unanswered, &is_over))
         })
         .collect();
     sleep(ms(1000));
@@ -108,8 +110,8 @@
     lost.len() > 3
 }
 
-/// Sends payout orders on one connection.
-fn order(
+/// Sends bookings on one connection.
+fn book(
     front: SocketAddr,
     number: usize,
     record: &Record,
@@ -121,14 +123,14 @@
         if is_over.load(Ordering::SeqCst) {
             return;
         }
-        let id = format!("order-{number}-{count}");
+        let id = format!("booking-{number}-{count}");
         if connection
-            .send(&request("POST", "/puxa403/2f", &id, 1000))
+            .send(&request("POST", "/puxa403/2f", &id, 3000))
             .is_err()
         {
             return;
         }
-        match connection.read(ms(2000), false) {
+        match connection.read(ms(4000), false) {
             Ok(Some(message)) if message.is_whole => {}
             other => {
                 record.line(format!("no answer to {id}: {other:?}"));
@@ -142,10 +144,10 @@
     }
 }
 
-/// Sends a large dossier at 1.6 MB a second.
+/// Sends a large panel log at 1.6 MB a second.
 fn upload(front: SocketAddr, number: usize, record: &Record) {
     let mut connection = connect(front);
-    let id = format!("dossier-{number}");
+    let id = format!("panel-log-{number}");
     if connection
         .send(&stream_request(&id, 15_000, None, BODY_BYTES))
         .is_err()
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins of the platform, runners and consumers, and the scripts of the cases.
 //!
-//! `standin CASE RECORD` plays a case and writes what was sent, run and answered to the file
+//! `standin CASE RECORD TROUBLE` plays a case and writes what was sent, run and answered to the file
 //! RECORD. It ends with status 1 if the rule was broken, 0 if it held, and 2 if the case could
-//! not run. With `TROUBLE=0` in the environment the disruption is left out.
+//! not run. If TROUBLE is 0, the disruption is left out.
 
 mod cases;
 mod http;
@@ -18,7 +18,7 @@
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let [name, path, rest @ ..] = args.as_slice() else {
-        cannot_run("usage: standin CASE RECORD");
+        cannot_run("usage: standin CASE RECORD TROUBLE");
     };
     if name == "model-runner" {
         runner::run_model(path, rest);
@@ -26,7 +26,10 @@
     let Some(case) = Case::named(name) else {
         cannot_run(&format!("there is no case {name:?}"));
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let [trouble] = rest else {
+        cannot_run("TROUBLE is 0 or 1");
+    };
+    let has_trouble = trouble != "0";
     let record = Record::create(path);
     record.line(format!("case {name}, with the disruption: {has_trouble}"));
     let is_broken = case.play(&record, has_trouble);
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -38,8 +38,7 @@
     pub can_resume: bool,
 }
 
-/// Streams that may be resumed: `panel-log-report` of mfaea-dispatch and `claim-dossier` of
-/// cmsa-poa have the same terms.
+/// `panel-log-report` of mfaea-dispatch, streams that may be resumed.
 pub const REPORT: Route = Route {
     prefix: "/lohu930/",
     kind: "stream",
@@ -59,12 +58,10 @@
     can_resume: false,
 };
 
-/// `payout-order` of cmsa-poa.
-pub const PAYOUT: Route = Route {
+/// `dispatch-book` of mfaea-dispatch.
+pub const BOOKING: Route = Route {
     prefix: "/puxa403/",
     kind: "non_idempotent",
-    timeout_ms: 1000,
-    slo_ms: 150,
     ..STATUS
 };
 
