Log which peer confirmed the list of runners, and for how long a version was listed

One hypothesis is that routers learn of a new version at different times. The logs could not tell by whom the list of a router was confirmed, nor whether a stream began at a version that others may not know yet.

event=send and event=refused now name confirmed_by= (store, or the frame or view of a peer); event=refused also names list_age_ms=, and event=send listed_ms=, the time since this router first listed the version of the runner. No behaviour changes.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -158,9 +158,10 @@
         let Some(transaction) = self.take_transaction(id) else {
             return;
         };
+        let versions = self.scheduler.origins().versions();
         log::info!(
             target: "request",
-            "event=refused request={} reason={} workspace={} cost={:.0} served={:.0} share={:.0} attempts={} waited_ms={} retry_ms={}",
+            "event=refused request={} reason={} workspace={} cost={:.0} served={:.0} share={:.0} attempts={} waited_ms={} retry_ms={} list_age_ms={} confirmed_by={}",
             transaction.request_id,
             refusal.as_str(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
@@ -169,7 +170,9 @@
             rationale.fair_share,
             transaction.attempts(),
             now.since(transaction.arrival).0,
-            retry.0
+            retry.0,
+            versions.confirmation_age(now).0,
+            self.confirmer
         );
         let total = now.since(transaction.arrival);
         self.stats
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -1,6 +1,7 @@
 //! Datagram exchange with other routers, and the shutdown of this one.
 
-use std::io;
+use std::net::SocketAddr;
+use std::{fmt, io};
 
 use balsamchute_model::prelude::*;
 use stakker::CX;
@@ -26,6 +27,28 @@
 /// in which it notices that the store is silent.
 const PEER_CONFIRMATION_AGE: Span = Span(1500);
 
+/// Source of the latest confirmation of the list of runners.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Confirmer {
+    None,
+    Store,
+    /// Datagram of the router at this address.
+    Frame(SocketAddr),
+    /// View of the router at this address.
+    View(SocketAddr),
+}
+
+impl fmt::Display for Confirmer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Confirmer::None => f.write_str("-"),
+            Confirmer::Store => f.write_str("store"),
+            Confirmer::Frame(peer) => write!(f, "frame:{peer}"),
+            Confirmer::View(peer) => write!(f, "view:{peer}"),
+        }
+    }
+}
+
 impl Edge {
     pub(super) fn add_seeds(&mut self) {
         let port = self.settings.listen.peers.port();
@@ -141,7 +164,8 @@
         let sender = frame.sender.peers;
         self.observe_era(now, frame.sender.revision.era, None);
         if frame.sender.has_store {
-            self.confirm_by_peer(sent_after, frame.sender.revision);
+            let confirmer = Confirmer::Frame(sender);
+            self.confirm_by_peer(sent_after, frame.sender.revision, confirmer);
         }
         if let Some(source) = self.peers.receive(now, frame)
             && let Some(report) = self.peers.report(sender)
@@ -152,11 +176,22 @@
 
     /// Confirms the list of runners if a peer that reads the store, up to `revision`, knew
     /// nothing later than this router does, at `told_at` or afterwards.
-    pub(super) fn confirm_by_peer(&mut self, told_at: Time, revision: Revision) {
+    pub(super) fn confirm_by_peer(
+        &mut self,
+        told_at: Time,
+        revision: Revision,
+        confirmer: Confirmer,
+    ) {
         if self.is_runner_list_loaded && revision <= self.registry.revision() {
-            let confirmed_at = told_at - PEER_CONFIRMATION_AGE;
-            let origins = self.scheduler.origins_mut();
-            origins.versions_mut().confirm(confirmed_at);
+            self.confirm(told_at - PEER_CONFIRMATION_AGE, confirmer);
+        }
+    }
+
+    /// Records that the list of runners was as the store had it at `confirmed_at`.
+    pub(super) fn confirm(&mut self, confirmed_at: Time, confirmer: Confirmer) {
+        let versions = self.scheduler.origins_mut().versions_mut();
+        if versions.confirm(confirmed_at) {
+            self.confirmer = confirmer;
         }
     }
 
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -38,6 +38,7 @@
 use crate::client;
 use crate::contact::Contact;
 use crate::edge::evacuations::Domains;
+use crate::edge::fleet::Confirmer;
 use crate::ending::Endings;
 use crate::error::Error;
 use crate::output::Output;
@@ -141,6 +142,8 @@
     // Era of the store; `None` before the first response that names one.
     store_era: Option<u64>,
     last_view_request: Option<Time>,
+    // Source of the latest confirmation of the list of runners.
+    confirmer: Confirmer,
     // Whether a peer's view was applied since the start.
     has_peer_view: bool,
     started: Time,
@@ -239,6 +242,7 @@
             written_routes: None,
             store_era: None,
             last_view_request: None,
+            confirmer: Confirmer::None,
             has_peer_view: false,
             started: now,
             peers: Table::new(settings.listen.peers),
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -83,15 +83,19 @@
         transaction.runners.push(runner.clone());
         transaction.fallback = None;
         transaction.splitter.start_part();
-        let software = self.registry.get(runner).map(|entry| &entry.software);
+        let entry = self.registry.get(runner);
+        let software = entry.map(|entry| &entry.software);
         let versions = self.scheduler.origins().versions();
+        let listed_for = entry
+            .and_then(|entry| versions.listed_for(now, &entry.service, &entry.software))
+            .unwrap_or_default();
         let list_age = rationale
             .basis
             .and_then(Basis::list_age)
             .unwrap_or_else(|| versions.confirmation_age(now));
         log::info!(
             target: "request",
-            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} version_from={} list_age_ms={} revision={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
+            "event=send request={} attempt={} runner={runner} workspace={} software={:?} after={} resumes={:?} version_from={} listed_ms={} list_age_ms={} confirmed_by={} revision={} manifest={} waited_ms={} owed={} cost={:.0} served={:.0} share={:.0} unread={} shared={} chain={:x} estimate_ms={} running={} waiting={}",
             transaction.request_id,
             transaction.attempts(),
             transaction.workspace.as_ref().map_or("-", Workspace::as_str),
@@ -99,7 +103,9 @@
             transaction.resume_after().unwrap_or(0),
             transaction.resumes.as_deref().unwrap_or("-"),
             rationale.basis.map_or("-", Basis::as_str),
+            listed_for.0,
             list_age.0,
+            self.confirmer,
             self.registry.revision(),
             transaction.manifest,
             now.since(transaction.arrival).0,
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -9,6 +9,7 @@
 use balsamchute_model::prelude::*;
 
 use crate::client::{Connection, Message, Purpose};
+use crate::edge::fleet::Confirmer;
 use crate::edge::{Edge, Slot};
 use crate::frame::{VIEW_PATH, View};
 use crate::registry::{Change, Source};
@@ -328,10 +329,7 @@
         let outage = self.contact.record_response(now);
         if kind == Kind::Runners && !matches!(update, Update::Incomplete) {
             let sent_after = self.arrived_after;
-            self.scheduler
-                .origins_mut()
-                .versions_mut()
-                .confirm(sent_after);
+            self.confirm(sent_after, Confirmer::Store);
         }
         if let Some(era) = era {
             self.observe_era(now, era, Some(kind));
@@ -580,7 +578,7 @@
             .any(|alive| alive.descriptor.peers == peer && alive.descriptor.has_store);
         if has_store {
             let told_at = self.last_view_request.unwrap_or(now);
-            self.confirm_by_peer(told_at, view.revision);
+            self.confirm_by_peer(told_at, view.revision, Confirmer::View(peer));
         }
     }
 
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -90,15 +90,18 @@
         }
     }
 
-    /// Records that the list of runners was as the store has it.
-    pub fn confirm(&mut self, now: Time) {
+    /// Records that the list of runners was as the store has it. Returns whether that was not
+    /// known of so late a time.
+    pub fn confirm(&mut self, now: Time) -> bool {
         if self.covered_since.is_none() {
             self.covered_since = Some(now);
         } else if !self.is_confirmed(now) {
             self.covered_since = Some(now);
             self.has_gap = true;
         }
+        let is_later = now > self.confirmed_at;
         self.confirmed_at = now.max(self.confirmed_at);
+        is_later
     }
 
     /// Records that the machine was suspended, for a time that the clock does not count.
@@ -140,6 +143,13 @@
         }
     }
 
+    /// Returns the time since a version was first listed, if it was.
+    #[must_use]
+    pub fn listed_for(&self, now: Time, service: &Service, software: &Software) -> Option<Span> {
+        let listing = self.served.get(service)?.get(software)?;
+        Some(now.since(listing.since))
+    }
+
     /// Returns the versions of a service that some routers may not have heard of, or none if
     /// all versions are that new.
     #[must_use]
