Log how late the end of an answer without a length was read

event=end_judged told on what evidence the end was believed, not within which bounds it arrived. It now names the time since the request was written (sent_ms), since the runner was last known to have the connection open (open_ms), since events were last asked for (arrival_ms, the time by which the event loop may have been late), and the time that was left until the deadline that the runner was given (left_ms). No change of logic.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -122,11 +122,13 @@
         let is_brief = awaited_since.is_none_or(|since| now.since(since) < SETTLE_TIME);
         let (runner, address) = (connection.runner.clone(), connection.address);
         let open_at = connection.open_at;
+        let arrived_after = self.arrived_after;
         match self.connect(now, Phase::Confirming, &runner, address) {
             Ok(contact_index) => self.endings.waiting.push(Ending {
                 id,
                 index,
                 ended_at: now,
+                arrived_after,
                 open_at,
                 is_brief,
                 runner,
@@ -257,16 +259,21 @@
             return;
         }
         let shows_complete = evidence.shows_complete();
+        let ended_at = ending.ended_at;
         log::info!(
             target: "request",
-            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} witness={} lost={} brief={}",
+            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} witness={} lost={} brief={} sent_ms={} open_ms={} arrival_ms={} left_ms={}",
             transaction.request_id,
             transaction.attempts(),
             ending.runner,
             evidence.contact.as_str(),
             evidence.has_witness,
             evidence.lost_witness,
-            evidence.is_brief
+            evidence.is_brief,
+            ended_at.since(connection.since).0,
+            ended_at.since(ending.open_at).0,
+            ended_at.since(ending.arrived_after).0,
+            transaction.deadline.since(ended_at).0
         );
         let is_finished = connection
             .response
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -103,6 +103,8 @@
     /// Slab index of the connection that has ended.
     pub index: usize,
     pub ended_at: Time,
+    /// Time after which the end arrived, unless reading was paused.
+    pub arrived_after: Time,
     /// Last time at which the runner was known to have it open. The process may have died at
     /// any time since, and another one may be at the address.
     pub open_at: Time,
