Log the age that a resumed stream may have, and how long its request was unread

`event=send` and the refusal `unknown_version` did not tell what the caller named as remaining time, the age that was taken, and how late the request was read. `event=taken_up` does, once for each request that takes a stream up.

A request has waited since the first byte of its head may have arrived: after the last time at which all events were asked for and returned, or since the accept queue was last empty. A poll that returns as many events as it may is none such, as others may be left. Bytes behind another request count since they were read. The time of a suspension is added, which the clock does not count.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -30,6 +30,8 @@
     pub body: Vec<u8>,
     /// Whether the head announces a body, possibly an empty one.
     pub has_body: bool,
+    /// Time after which its first byte arrived.
+    pub arrived_after: Time,
 }
 
 /// A request whose body is being read.
@@ -61,6 +63,11 @@
 pub(crate) struct Connection {
     pub socket: Socket,
     pub input: Vec<u8>,
+    /// Time after which the first byte of `input` arrived.
+    input_after: Time,
+    /// Time after which the first byte of the last request arrived.
+    request_after: Time,
+    accepted_at: Time,
     pub phase: Phase,
     /// Time at which the phase began.
     pub since: Time,
@@ -77,11 +84,14 @@
 }
 
 impl Connection {
-    /// Creates the state of an accepted connection.
-    pub fn new(now: Time, socket: Socket) -> Self {
+    /// Creates the state of a connection that is accepted, and was made after `arrived_after`.
+    pub fn new(now: Time, arrived_after: Time, socket: Socket) -> Self {
         Connection {
             socket,
             input: Vec::new(),
+            input_after: arrived_after,
+            request_after: arrived_after,
+            accepted_at: now,
             phase: Phase::Idle,
             since: now,
             last_received: now,
@@ -92,6 +102,22 @@
         }
     }
 
+    /// Adds bytes that were read in a turn in which all arrived after `arrived_after`.
+    pub fn receive(&mut self, now: Time, arrived_after: Time, bytes: &[u8]) {
+        // Bytes that were there when the connection was accepted are read in a later turn.
+        if self.input.is_empty() && arrived_after > self.accepted_at {
+            self.input_after = arrived_after;
+        }
+        self.last_received = now;
+        self.input.extend_from_slice(bytes);
+    }
+
+    /// Records that the machine was suspended, for a time that the clock does not count.
+    pub fn record_suspension(&mut self, suspended: Span) {
+        self.input_after = self.input_after - suspended;
+        self.request_after = self.request_after - suspended;
+    }
+
     pub fn enter(&mut self, now: Time, phase: Phase) {
         self.phase = phase;
         self.since = now;
@@ -119,7 +145,10 @@
         loop {
             match &mut self.phase {
                 Phase::Idle if self.input.is_empty() => return Ok(None),
-                Phase::Idle => self.enter(now, Phase::Head),
+                Phase::Idle => {
+                    self.request_after = self.input_after;
+                    self.enter(now, Phase::Head);
+                }
                 Phase::Head => match self.parse_head(limits)? {
                     Some(partial) => self.enter(now, Phase::Body(Box::new(partial))),
                     None => return Ok(None),
@@ -180,6 +209,7 @@
                 head: partial.head,
                 body: partial.body,
                 has_body: partial.has_body,
+                arrived_after: self.request_after,
             }),
             _ => None,
         }
--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -107,14 +107,12 @@
 
     fn receive_caller_bytes(&mut self, index: usize, length: usize) {
         let now = self.now();
+        let arrived_after = self.arrived_after;
         if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
             if matches!(connection.phase, CallerPhase::Closing) {
                 return;
             }
-            connection.last_received = now;
-            connection
-                .input
-                .extend_from_slice(&self.read_buffer[..length]);
+            connection.receive(now, arrived_after, &self.read_buffer[..length]);
         }
         self.advance_caller(index);
     }
@@ -181,6 +179,7 @@
             head,
             body,
             has_body,
+            arrived_after,
         } = incoming;
         let caller = request::decode(&head)
             .map_err(|error| (None, Rejection::new(400, error.to_string())))?;
@@ -202,11 +201,27 @@
         }
         let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
         let is_resumed = caller.last_event_id.is_some() || caller.resumes.is_some();
+        let unread = now.since(arrived_after);
         let resumed = is_resumed.then(|| Resumed {
             stream: caller.resumes.map(stream_digest),
             max_age: max_stream_age(&route, caller.time_left),
             is_sole_service: self.route_changes.is_sole(now, &route),
         });
+        if let Some(resumed) = resumed {
+            log::info!(
+                target: "request",
+                "event=taken_up request={request_id} resumes={:?} after={} time_left_ms={} timeout_ms={} max_age_ms={} unread_ms={} sole_service={}",
+                caller.resumes.unwrap_or("-"),
+                caller.last_event_id.unwrap_or(0),
+                caller
+                    .time_left
+                    .map_or_else(|| "-".to_owned(), |time_left| time_left.0.to_string()),
+                route.timeout.0,
+                resumed.max_age.0,
+                unread.0,
+                resumed.is_sole_service
+            );
+        }
         let origin = resumed.and_then(|resumed| self.scheduler.origin(resumed.stream?));
         // A stream goes on at the service that began it, if the route still leads there.
         let origin = origin.filter(|origin| route.leads_to(&origin.service));
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -195,11 +195,19 @@
         }
     }
 
-    /// Records that the machine was suspended: the list of runners is older than the clock
-    /// shows.
+    /// Records that the machine was suspended: the list of runners, and requests that are being
+    /// read, are older than the clock shows.
     pub fn record_suspension(&mut self, _cx: CX![], suspended: Span) {
         let origins = self.scheduler.origins_mut();
         origins.versions_mut().record_suspension(suspended);
+        if let Some(since) = &mut self.accepts_wait_since {
+            *since = *since - suspended;
+        }
+        for (_, slot) in &mut self.slots {
+            if let Slot::Caller(connection) = slot {
+                connection.record_suspension(suspended);
+            }
+        }
     }
 
     pub(super) fn sweep(&mut self, now: Time) {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -161,6 +161,9 @@
     datagrams_read_at: Time,
     // Whether the last turn left callers' connections in the accept queue.
     has_pending_accepts: bool,
+    // Time since which callers' connections may have waited in the accept queue; `None` if the
+    // last turn left none.
+    accepts_wait_since: Option<Time>,
     admission: Admission,
     done: bool,
 }
@@ -255,6 +258,7 @@
             arrived_after: now,
             datagrams_read_at: now,
             has_pending_accepts: false,
+            accepts_wait_since: None,
             admission: Admission::new(),
             done: false,
             settings,
@@ -346,9 +350,11 @@
     }
 
     /// Begins a turn of the event loop, in which bytes are read that arrived after this time.
-    pub fn begin_turn(&mut self, _cx: CX![], arrived_after: Instant) {
-        let waited = arrived_after.elapsed().as_millis();
-        self.arrived_after = self.now() - Span(waited as u64);
+    /// The machine was suspended meanwhile for a time that the clock does not count.
+    pub fn begin_turn(&mut self, _cx: CX![], arrived_after: Instant, suspended: Span) {
+        // Rounded up, so that the result is not later.
+        let waited = arrived_after.elapsed().as_millis() + 1;
+        self.arrived_after = self.now() - Span(waited as u64) - suspended;
     }
 
     /// Handles a readiness event for the socket at slab index `index`.
@@ -473,6 +479,9 @@
     fn accept(&mut self, index: usize) {
         let began = self.now();
         let is_for_callers = index == self.caller_listener;
+        if is_for_callers {
+            self.accepts_wait_since.get_or_insert(self.arrived_after);
+        }
         for count in 0.. {
             if is_for_callers && !self.admission.may_accept(began, self.now(), count) {
                 self.record_accepts(true);
@@ -488,6 +497,7 @@
                 Ok((stream, _)) => self.add_connection(index, Socket::new(stream)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     if is_for_callers {
+                        self.accepts_wait_since = None;
                         self.record_accepts(false);
                     }
                     return;
@@ -527,7 +537,12 @@
                 }
                 self.caller_count += 1;
                 let socket = socket.with_user_timeout(CALLER_USER_TIMEOUT);
-                Slot::Caller(Box::new(caller::Connection::new(now, socket)))
+                let arrived_after = self.accepts_wait_since.unwrap_or(self.arrived_after);
+                Slot::Caller(Box::new(caller::Connection::new(
+                    now,
+                    arrived_after,
+                    socket,
+                )))
             }
         };
         let index = self.slots.insert(slot);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -82,7 +82,8 @@
     call!([edge], tick());
     let mut timers_run_to = Instant::now();
     stakker.run(timers_run_to, false);
-    let mut asked_at = timers_run_to;
+    // Time at which events were last asked for, and all that were there returned.
+    let mut all_asked_at = timers_run_to;
     let mut full_turns = 0;
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
@@ -97,14 +98,15 @@
             _ => MAX_SLEEP,
         };
         let sleep = stakker.next_wait_max(Instant::now(), max_sleep, false);
-        let former_asked_at = std::mem::replace(&mut asked_at, Instant::now());
+        let asked_at = Instant::now();
         match poll.poll(&mut events, Some(sleep)) {
             Ok(()) => {}
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => return Err(Error::Poll(error)),
         }
         let turn_began = Instant::now();
-        if let Some(suspended) = suspension.growth() {
+        let suspended = suspension.growth();
+        if let Some(suspended) = suspended {
             log::warn!(target: "process", "event=suspended for_ms={}", suspended.0);
             call!([edge], record_suspension(suspended));
         }
@@ -121,8 +123,9 @@
                 }
             }
         }
-        // What is read now was not there when events were asked for the time before.
-        call!([edge], begin_turn(former_asked_at));
+        // What is read now was not there when all events were asked for the time before.
+        let suspended = suspended.unwrap_or_default();
+        call!([edge], begin_turn(all_asked_at, suspended));
         for event in &events {
             call!([edge], handle_ready(index_of(event)));
         }
@@ -132,7 +135,10 @@
         // asked for and is read. The process may have been stopped since.
         full_turns = match events.iter().count() {
             MAX_EVENTS => full_turns + 1,
-            _ => 0,
+            _ => {
+                all_asked_at = asked_at;
+                0
+            }
         };
         if !(1..=MAX_FULL_TURNS).contains(&full_turns) {
             timers_run_to = asked_at;
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -312,3 +312,25 @@
     assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
     assert_eq!(fleet.received(), 0);
 }
+
+/// Returns for how long a router may have left the only request that takes a stream up unread.
+fn unread_ms(log: &str) -> u64 {
+    let (_, after) = log.split_once("unread_ms=").expect("a resumption");
+    let digits = after.split(' ').next().expect("a number");
+    digits.parse().expect("a number")
+}
+
+/// The remaining time is as of when the request was sent, and its body may follow later.
+#[test]
+fn the_log_of_a_resumption_counts_the_time_in_which_its_body_arrived_as_unread() {
+    let fleet = Fleet::start(&["v1"], true, 1);
+    let mut stream = connect(fleet.routers[0].callers);
+    let request = stream_request("t1", "Last-Event-Id: 2\r\n");
+    let request = request.replace("Content-Length: 0", "Content-Length: 2");
+    for part in [request.as_str(), "a", "b"] {
+        std::io::Write::write_all(&mut stream, part.as_bytes()).expect("the router reads");
+        thread::sleep(Duration::from_millis(600));
+    }
+    let log = fleet.routers[0].log();
+    assert!((1200..1800).contains(&unread_ms(&log)), "{log}");
+}
