Pass the age of the list of runners on with it, instead of a constant

Cause: a router that said that it reads the store was taken for one whose list is 1.5 s old. It says so until the last response to any of its watches is 3.5 s old, and until a call fails; a response for the manifest ends a failure of the watch for runners. So frames confirmed lists that no router had read for long, and with two routers each confirmed the other's without end.

Frames and views now name the time since the sender's list was confirmed, and the receiver adds the time since it last read, or asked. The sum is the age of the response behind it, over any number of routers. So any router with a confirmed list may pass it on, whether or not it reads the store.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -23,10 +23,6 @@
 /// flight.
 const EXIT_MARGIN: Span = Span(300);
 
-/// Assumed age of the list of runners that a peer which reads the store has: about the time
-/// in which it notices that the store is silent.
-const PEER_CONFIRMATION_AGE: Span = Span(1500);
-
 /// Source of the latest confirmation of the list of runners.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Confirmer {
@@ -103,8 +99,10 @@
         }
         let report = self.scheduler.report(now);
         let evacuations = self.shared_evacuations(now);
+        let list_age = self.list_age(now);
         for mut outgoing in self.peers.outgoing(now, &descriptor, &report) {
             outgoing.frame.evacuations = evacuations.clone();
+            outgoing.frame.list_age = list_age;
             self.send_frame(&outgoing);
         }
     }
@@ -163,9 +161,10 @@
         self.merge_evacuations(now, &evacuations);
         let sender = frame.sender.peers;
         self.observe_era(now, frame.sender.revision.era, None);
-        if frame.sender.has_store {
+        if let Some(list_age) = frame.list_age {
+            let confirmed_at = sent_after - list_age;
             let confirmer = Confirmer::Frame(sender);
-            self.confirm_by_peer(sent_after, frame.sender.revision, confirmer);
+            self.confirm_by_peer(confirmed_at, frame.sender.revision, confirmer);
         }
         if let Some(source) = self.peers.receive(now, frame)
             && let Some(report) = self.peers.report(sender)
@@ -174,19 +173,27 @@
         }
     }
 
-    /// Confirms the list of runners if a peer that reads the store, up to `revision`, knew
-    /// nothing later than this router does, at `told_at` or afterwards.
+    /// Confirms the list of runners by that of a peer, which was as the store had it at
+    /// `confirmed_at`, up to `revision`, unless this router knows less.
     pub(super) fn confirm_by_peer(
         &mut self,
-        told_at: Time,
+        confirmed_at: Time,
         revision: Revision,
         confirmer: Confirmer,
     ) {
         if self.is_runner_list_loaded && revision <= self.registry.revision() {
-            self.confirm(told_at - PEER_CONFIRMATION_AGE, confirmer);
+            self.confirm(confirmed_at, confirmer);
         }
     }
 
+    /// Returns the time since the list of runners was confirmed, if it was.
+    pub(super) fn list_age(&self, now: Time) -> Option<Span> {
+        let versions = self.scheduler.origins().versions();
+        versions
+            .was_confirmed()
+            .then(|| versions.confirmation_age(now))
+    }
+
     /// Records that the list of runners was as the store had it at `confirmed_at`.
     pub(super) fn confirm(&mut self, confirmed_at: Time, confirmer: Confirmer) {
         let versions = self.scheduler.origins_mut().versions_mut();
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -572,13 +572,9 @@
         }
         // While the store changes all the time, the frames of a hub are always ahead of its
         // members, and only its views confirm their list.
-        let has_store = self
-            .peers
-            .alive(now)
-            .any(|alive| alive.descriptor.peers == peer && alive.descriptor.has_store);
-        if has_store {
-            let told_at = self.last_view_request.unwrap_or(now);
-            self.confirm_by_peer(told_at, view.revision, Confirmer::View(peer));
+        if let (Some(requested_at), Some(list_age)) = (self.last_view_request, view.list_age) {
+            let confirmed_at = requested_at - list_age;
+            self.confirm_by_peer(confirmed_at, view.revision, Confirmer::View(peer));
         }
     }
 
@@ -596,6 +592,7 @@
             revision: self.registry.revision(),
             streams: self.scheduler.streams(),
             evacuations: self.shared_evacuations(now),
+            list_age: self.list_age(now),
         }
     }
 }
--- a/crates/edge/src/frame.rs
+++ b/crates/edge/src/frame.rs
@@ -97,6 +97,9 @@
     /// Evacuated failure domains.
     #[serde(default)]
     pub evacuations: evacuation::Shared,
+    /// Time since the sender's list of runners was confirmed; `None` if it never was.
+    #[serde(default)]
+    pub list_age: Option<Span>,
 }
 
 /// Configuration that a router reads from a peer: one that has just started, has no
@@ -120,4 +123,7 @@
     /// Evacuated failure domains.
     #[serde(default)]
     pub evacuations: evacuation::Shared,
+    /// Time since the runners were confirmed; `None` if they never were.
+    #[serde(default)]
+    pub list_age: Option<Span>,
 }
--- a/crates/edge/src/peers/outgoing.rs
+++ b/crates/edge/src/peers/outgoing.rs
@@ -39,7 +39,7 @@
 
 impl Table {
     /// Returns the frames that are due. `own_report` is the report of this
-    /// router. The caller adds the evacuations.
+    /// router. The caller adds the evacuations and the age of the list of runners.
     pub fn outgoing(
         &mut self,
         now: Time,
@@ -61,6 +61,7 @@
             sequence: self.sequence,
             included: Vec::new(),
             evacuations: evacuation::Shared::default(),
+            list_age: None,
         };
         match self.tier {
             Tier::Direct => vec![Outgoing {
@@ -173,6 +174,7 @@
                 sequence: self.sequence,
                 included,
                 evacuations: evacuation::Shared::default(),
+                list_age: None,
             },
         })
     }
@@ -242,6 +244,7 @@
                 sequence: self.sequence,
                 included: Vec::new(),
                 evacuations: evacuation::Shared::default(),
+                list_age: None,
             },
         }
     }
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -47,6 +47,7 @@
         sequence: 1,
         included: Vec::new(),
         evacuations: Shared::default(),
+        list_age: None,
     }
 }
 
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -26,8 +26,8 @@
 const MAX_CONFIRMATION_AGE: Span = Span(3500);
 
 /// Time for which a version must have been listed until every router that still infers another
-/// one as the sole version has heard of it: [`MAX_CONFIRMATION_AGE`], 0.2 s more if the list
-/// is learned from peers, and the time until the streams that begin are reported.
+/// one as the sole version has heard of it: [`MAX_CONFIRMATION_AGE`], and the time until the
+/// streams that begin are reported.
 const SETTLE_TIME: Span = Span(5000);
 
 /// Added to the greatest age of a stream, for the time that the request travels and waits to
@@ -115,6 +115,12 @@
         self.covered_since.is_some() && now.since(self.confirmed_at) <= MAX_CONFIRMATION_AGE
     }
 
+    /// Returns whether the list of runners was ever confirmed.
+    #[must_use]
+    pub fn was_confirmed(&self) -> bool {
+        self.covered_since.is_some()
+    }
+
     /// Returns the time at which the list of runners was last confirmed.
     #[must_use]
     pub fn confirmed_at(&self) -> Time {
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -334,3 +334,17 @@
     let log = fleet.routers[0].log();
     assert!((1200..1800).contains(&unread_ms(&log)), "{log}");
 }
+
+/// The store answers for the manifest, and for runners it does not.
+#[test]
+fn a_list_of_runners_that_no_router_read_for_long_does_not_count_as_confirmed() {
+    let fleet = Fleet::start(&["v1"], true, 2);
+    thread::sleep(SPREAD_TIME);
+    fleet.store.set_unavailable_for(Some("servers"));
+    thread::sleep(Duration::from_millis(6000));
+    for router in &fleet.routers {
+        let response = resume(router, 1, "unknown");
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    }
+    assert_eq!(fleet.received(), 0);
+}
