Report the versions that a router lists while they change

Cause: a router inferred the sole version of a stream from its own list, while other routers listed another version. The reverse as well: a router that lags sends streams to a version that left the list of others, whose runners serve on, and these counted it as gone.

Evidence, each failed at with the tests alone: a_stream_of_a_new_version_is_refused_at_a_router_whose_store_went_silent_before: two processes; the connection of one to the store goes silent, v1 leaves and v2 is listed, a stream begins at v2 at the other one and is taken up at the first: 200 instead of 503, sent to the runner of v1. a_stream_is_refused_at_a_router_that_lists_only_the_old_version_while_another_lists_a_new_one and a_stream_is_refused_while_another_router_lists_a_version_that_left_the_own_list, of the scheduler: the take-up was sent to a runner.

Reports now name the versions of the list while one is new or several were listed shortly before, and go out at once when a version appears, also at a hub that hears of one. Receivers count a reported version as served, and that of streams that are reported to begin. Frames are encoded as before: a version without streams is an empty group of streams, which earlier routers ignore.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Sends datagrams at once if a version has appeared, so that other routers know it before
+    /// a caller can take up a stream that began there.
+    pub(super) fn tell_versions(&mut self, now: Time) {
+        let versions = self.scheduler.origins().versions();
+        if versions.appearances() != self.told_appearances {
+            self.send_frames(now);
+        }
+    }
+
     /// Sends the periodic datagrams if the interval has elapsed.
     pub(super) fn exchange(&mut self, now: Time) {
         if now.since(self.last_exchange) < EXCHANGE_INTERVAL {
@@ -92,6 +101,7 @@
     /// Updates the tier and sends the datagrams that are due.
     pub(super) fn send_frames(&mut self, now: Time) {
         self.last_exchange = now;
+        self.told_appearances = self.scheduler.origins().versions().appearances();
         let descriptor = self.descriptor(now);
         if self.peers.update(now, &descriptor) {
             log::info!(target: "peer", "event=exchange_changed tier={:?} routers={}", self.peers.tier(), self.peers.alive(now).count() + 1);
@@ -129,6 +139,13 @@
     }
 
     pub(super) fn receive_datagrams(&mut self, index: usize) {
+        self.read_datagrams(index);
+        // A hub passes versions on that members or other hubs tell.
+        let now = self.now();
+        self.tell_versions(now);
+    }
+
+    fn read_datagrams(&mut self, index: usize) {
         // A datagram may have waited since the last one was read: the process may have been
         // stopped meanwhile.
         let now = self.now();
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -110,7 +110,7 @@
     pub requests: f32,
 }
 
-/// Streams that began at one software version of a service.
+/// Streams that began at one software version of a service, which serves.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Begun {
     /// Service whose runners sent the first events.
@@ -141,7 +141,7 @@
     /// Requests that arrived, by service.
     #[serde(default)]
     pub demand: Vec<Demand>,
-    /// Streams that began a short time ago.
+    /// Streams that began a short time ago, and versions that other routers may not list.
     #[serde(default)]
     pub streams: Vec<Begun>,
     /// Runners that are cold, or were until a short time ago.
--- a/crates/schedule/src/scheduler/exchange.rs
+++ b/crates/schedule/src/scheduler/exchange.rs
@@ -45,7 +45,9 @@
             part_suspects: self.parts.suspects(MAX_REPORT_SUSPECTS),
             limits: self.rates.limits(now).collect(),
             demand: self.rates.demand().collect(),
-            streams: self.streams.recent(now),
+            streams: self
+                .streams
+                .recent(now, self.targets.values().map(|target| &target.entry)),
             cold: self.cold_report(now),
         }
     }
@@ -90,7 +92,7 @@
             self.notices
                 .record_leaving(&leaving.runner, leaving.started_at);
         }
-        self.streams.merge(now, &report.streams);
+        self.streams.merge_report(now, &report.streams);
         self.apply_cold_report(now, peer, &report.cold);
         for (runner, per_second) in
             self.rates
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -181,6 +181,15 @@
         }
     }
 
+    /// Adds the streams that began at other routers, and the versions that these list, as they
+    /// report them now.
+    pub fn merge_report(&mut self, now: Time, begun: &[Begun]) {
+        for group in begun.iter().filter(|group| !group.software.is_unknown()) {
+            self.versions.record(now, &group.service, &group.software);
+        }
+        self.merge(now, begun);
+    }
+
     /// Adds the streams that another router knows.
     pub fn merge(&mut self, now: Time, begun: &[Begun]) {
         self.merge_from(now, begun, Source::Peer);
@@ -338,13 +347,29 @@
         }
     }
 
-    /// Returns the streams that began at this router a short time ago.
+    /// Returns the streams that began at this router a short time ago. Also names, perhaps
+    /// without streams, those of the `listed` versions that other routers may not list.
     #[must_use]
-    pub fn recent(&self, now: Time) -> Vec<Begun> {
+    pub fn recent<'a, I>(&self, now: Time, listed: I) -> Vec<Begun>
+    where
+        I: Iterator<Item = &'a Entry>,
+    {
         let newest_first = self.order.iter().rev();
         let recent = newest_first.take_while(|(at, ..)| now.since(*at) < REPORT_TIME);
         let local = recent.filter(|(.., source)| *source == Source::Local);
-        self.group(local.map(|&(_, stream, _)| stream))
+        let mut begun = self.group(local.map(|&(_, stream, _)| stream));
+        for entry in listed.filter(|entry| self.versions.is_changing(now, &entry.service)) {
+            let is_same =
+                |group: &Begun| group.service == entry.service && group.software == entry.software;
+            if !begun.iter().any(is_same) {
+                begun.push(Begun {
+                    service: entry.service.clone(),
+                    software: entry.software.clone(),
+                    streams: Vec::new(),
+                });
+            }
+        }
+        begun
     }
 
     /// Returns all streams that this router knows.
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -63,13 +63,15 @@
     covered_since: Option<Time>,
     confirmed_at: Time,
     has_gap: bool,
+    /// Number of times that a version appeared.
+    appearances: u64,
     earlier: Earlier,
     /// Services named by the records merged so far.
     recorded: BTreeSet<Service>,
 }
 
 impl Versions {
-    /// Records that a listed runner has a version.
+    /// Records that a runner that this or another router lists has a version.
     pub fn record(&mut self, now: Time, service: &Service, software: &Software) {
         let listing = Listing {
             since: now,
@@ -77,7 +79,10 @@
         };
         match self.served.get_mut(service) {
             Some(versions) => match versions.get_mut(software) {
-                Some(known) if now.since(known.until) <= SETTLE_TIME => known.until = now,
+                Some(known) if now.since(known.until) <= SETTLE_TIME => {
+                    known.until = now;
+                    return;
+                }
                 Some(known) => *known = listing,
                 None => {
                     versions.insert(software.clone(), listing);
@@ -88,6 +93,22 @@
                 self.served.insert(service.clone(), versions);
             }
         }
+        self.appearances += 1;
+    }
+
+    /// Returns the number of times that a version appeared which had not served shortly before.
+    #[must_use]
+    pub fn appearances(&self) -> u64 {
+        self.appearances
+    }
+
+    /// Returns whether other routers may list another version of the service than this one: a
+    /// version is new, or several were listed a short time ago.
+    #[must_use]
+    pub fn is_changing(&self, now: Time, service: &Service) -> bool {
+        let mut listed = self.served.get(service).into_iter().flatten();
+        listed.any(|(_, listing)| now.since(listing.since) < SETTLE_TIME)
+            || self.within(now, service, RELEASE_TIME).nth(1).is_some()
     }
 
     /// Records that the list of runners was as the store has it. Returns whether that was not
--- a/crates/schedule/tests/stream.rs
+++ b/crates/schedule/tests/stream.rs
@@ -198,3 +198,59 @@
         1
     );
 }
+
+/// Returns a router that has listed runners of this version, and no other, for 20 s.
+fn uniform(name: &str, version: &str) -> Scheduler {
+    let mut scheduler = named_scheduler(name, 100);
+    scheduler.origins_mut().versions_mut().set_first();
+    for number in 1..=2 {
+        let runner = format!("{version}{number}");
+        scheduler.set_runner(NOW, versioned(&runner, version));
+    }
+    confirm_until(&mut scheduler, NOW, NOW + Span(20_000));
+    scheduler.take_actions();
+    scheduler
+}
+
+/// Passes a report on through a hub.
+fn relay(from: &Scheduler, to: &mut Scheduler, now: Time) {
+    let mut sum = Sum::new();
+    sum.add(&from.report(now));
+    let hub = Instance::new("fleet").unwrap();
+    to.apply_report(now, &hub, &sum.into_report());
+}
+
+#[test]
+fn a_stream_is_refused_at_a_router_that_lists_only_the_old_version_while_another_lists_a_new_one() {
+    let now = NOW + Span(20_000);
+    let (mut ahead, mut behind) = (uniform("r1.1", "a"), uniform("r2.1", "a"));
+    ahead.set_runner(now, versioned("b1", "b"));
+    relay(&ahead, &mut behind, now);
+    let actions = submit(&mut behind, now, 1, take_up(None));
+    assert_eq!(refusal(&actions), Some(Refusal::UnknownVersion));
+}
+
+#[test]
+fn a_stream_is_refused_while_another_router_lists_a_version_that_left_the_own_list() {
+    let begun = NOW + Span(20_000);
+    let (mut ahead, mut behind) = (uniform("r1.1", "a"), uniform("r2.1", "a"));
+    ahead.set_runner(begun, versioned("b1", "b"));
+    for name in ["a1", "a2"] {
+        ahead.remove_runner(&common::runner(name));
+    }
+    let mut now = begun;
+    while now < begun + Span(3_000) {
+        now = now + Span(100);
+        confirm_until(&mut ahead, now, now);
+        behind.tick(now);
+        relay(&ahead, &mut behind, now);
+        relay(&behind, &mut ahead, now);
+    }
+    let mut request = take_up(None);
+    request.resumed = request.resumed.map(|resumed| Resumed {
+        max_age: Span(100),
+        ..resumed
+    });
+    let actions = submit(&mut ahead, now, 1, request);
+    assert_eq!(refusal(&actions), Some(Refusal::UnknownVersion));
+}
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -1,14 +1,16 @@
 //! Streams while runners of two software versions serve side by side.
 
-use std::io::Read;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-use super::environment::{Runner, Store, connect, header, respond, send_raw};
+use super::environment::{Runner, Store, connect, header, respond, send_raw, wait_until};
 use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest, start_routers};
 
 /// Time in which routers tell each other of a stream that began.
@@ -106,7 +108,8 @@
     let begin = |number| {
         let id = format!("q{number}");
         let mut stream = connect(router.callers);
-        std::io::Write::write_all(&mut stream, stream_request(&id, "").as_bytes())
+        stream
+            .write_all(stream_request(&id, "").as_bytes())
             .expect("the router reads");
         let mut text = String::new();
         while !text.contains("id: 2\n") {
@@ -335,6 +338,84 @@
     assert!((1200..1800).contains(&unread_ms(&log)), "{log}");
 }
 
+/// Connection of one router to the store, which may go silent.
+struct Link {
+    address: SocketAddr,
+    is_silent: Arc<AtomicBool>,
+}
+
+impl Link {
+    fn start(store: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let is_silent: Arc<AtomicBool> = Arc::default();
+        let shared = is_silent.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let far = connect(store);
+                let clone = |stream: &TcpStream| stream.try_clone().expect("a descriptor is left");
+                for (from, to) in [(clone(&near), clone(&far)), (far, near)] {
+                    let is_silent = shared.clone();
+                    thread::spawn(move || copy(from, to, &is_silent));
+                }
+            }
+        });
+        Link { address, is_silent }
+    }
+
+    fn set_silent(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Copies bytes until the connection ends; drops those that arrive in a silence.
+fn copy(mut from: TcpStream, mut to: TcpStream, is_silent: &AtomicBool) {
+    let mut bytes = [0; 4096];
+    while let Ok(length @ 1..) = from.read(&mut bytes) {
+        if !is_silent.load(Ordering::SeqCst) && to.write_all(&bytes[..length]).is_err() {
+            break;
+        }
+    }
+    // The other side may have closed it.
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Takes a stream up shortly after it began, as a caller that names only its last event.
+fn take_up(router: &Router) -> String {
+    let request = stream_request("t0", "Last-Event-Id: 2\r\n");
+    send_raw(
+        router.callers,
+        &request.replace("Deadline-Ms: 8000", "Deadline-Ms: 7000"),
+    )
+}
+
+#[test]
+fn a_stream_of_a_new_version_is_refused_at_a_router_whose_store_went_silent_before() {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let old = runner("v1", true);
+    let mut value = entry(old.address, "s").expect("an entry");
+    value["version"] = json!("v1");
+    store.put("servers", "i-0", Some(value));
+    let link = Link::start(store.address);
+    let ahead = Router::start("r0", store.address);
+    let behind = Router::start_with_seeds("r1", link.address, &[ahead.peers]);
+    for router in [&ahead, &behind] {
+        router.wait_ready();
+    }
+    thread::sleep(SPREAD_TIME);
+    link.set_silent();
+    let new = runner("v2", true);
+    replace_runners(&store, &new);
+    wait_until("a router lists the new runner", || {
+        ahead.log().contains("event=runner_listed runner=i-2")
+    });
+    let begun = begin_streams(&ahead, 1);
+    assert_eq!(begun[0].1, "v2");
+    let response = take_up(&behind);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
+
 /// The store answers for the manifest, and for runners it does not.
 #[test]
 fn a_list_of_runners_that_no_router_read_for_long_does_not_count_as_confirmed() {
