Infer no sole version at a router that hears no others

Cause: a router that is cut off from all others, or was stopped, still inferred the version of a stream from a list of up to 3.5 s, though other routers may list another version, which it hears of by their reports only.

Evidence: a_router_that_no_longer_hears_others_infers_nothing_until_its_list_is_confirmed fails without the condition in Versions::sole (Some("old"), 2 s after the last report). Not shown with router processes.

A report that counts at the router's tier must have come in the last 1.5 s, the time in which a failure domain gets its next hub. A router that has not heard any for longer may be the only one left: it infers again once its list was confirmed after these 1.5 s. One that never heard another infers as before.

--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -187,6 +187,7 @@
             && let Some(report) = self.peers.report(sender)
         {
             self.scheduler.apply_report(now, &source, report);
+            self.scheduler.origins_mut().versions_mut().hear(sent_after);
         }
     }
 
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -25,6 +25,11 @@
 /// and gone unseen.
 const MAX_CONFIRMATION_AGE: Span = Span(3500);
 
+/// Time without a report of other routers, which name the versions that they list, after which
+/// these may have listed others unheard. A failure domain that loses its hub hears nothing until
+/// the next one takes over.
+const MAX_SILENCE: Span = Span(1500);
+
 /// Time for which a version must have been listed until every router that still infers another
 /// one as the sole version has heard of it: [`MAX_CONFIRMATION_AGE`], and the time until the
 /// streams that begin are reported.
@@ -63,6 +68,8 @@
     covered_since: Option<Time>,
     confirmed_at: Time,
     has_gap: bool,
+    /// Time as of which other routers reported the versions that they list.
+    heard_at: Option<Time>,
     /// Number of times that a version appeared.
     appearances: u64,
     earlier: Earlier,
@@ -125,9 +132,23 @@
         is_later
     }
 
+    /// Records a report of other routers, which names the versions that they listed at `at`.
+    pub fn hear(&mut self, at: Time) {
+        self.heard_at = self.heard_at.max(Some(at));
+    }
+
+    /// Returns whether a version that other routers listed would be known from their reports, or
+    /// from the list if no router has reported for long.
+    fn hears_others(&self, now: Time) -> bool {
+        self.heard_at.is_none_or(|heard_at| {
+            now.since(heard_at) <= MAX_SILENCE || self.confirmed_at > heard_at + MAX_SILENCE
+        })
+    }
+
     /// Records that the machine was suspended, for a time that the clock does not count.
     pub fn record_suspension(&mut self, suspended: Span) {
         self.confirmed_at = self.confirmed_at - suspended;
+        self.heard_at = self.heard_at.map(|heard_at| heard_at - suspended);
     }
 
     /// Returns whether the list of runners was confirmed a short time ago.
@@ -210,7 +231,7 @@
     #[must_use]
     pub fn sole(&self, now: Time, service: &Service, max_age: Span) -> Option<&Software> {
         let max_age = max_age + AGE_MARGIN;
-        if max_age > MEMORY || !self.is_confirmed(now) {
+        if max_age > MEMORY || !self.is_confirmed(now) || !self.hears_others(now) {
             return None;
         }
         let begun = now - max_age;
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -98,6 +98,21 @@
     assert!(sole(&versions, 29).is_some());
 }
 
+/// Other routers may list a new version long before the store tells this one.
+#[test]
+fn a_router_that_no_longer_hears_others_infers_nothing_until_its_list_is_confirmed() {
+    let mut versions = Versions::default();
+    versions.set_first();
+    list(&mut versions, 0, 20, &["old"]);
+    versions.hear(NOW + Span::from_secs(20));
+    assert!(sole(&versions, 21).is_some());
+    assert_eq!(sole(&versions, 22), None);
+    list(&mut versions, 21, 21, &["old"]);
+    assert_eq!(sole(&versions, 22), None);
+    list(&mut versions, 22, 22, &["old"]);
+    assert!(sole(&versions, 24).is_some());
+}
+
 #[test]
 fn records_show_which_versions_served_before_the_start_and_their_absence_shows_nothing() {
     for (records, expected) in [
