--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -1,11 +1,12 @@
 //! Peer exchange in small and large fleets.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use balsamchute_edge::peers::{Descriptor, Frame, Listing, Phase, Scope, Table, Tier};
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::evacuation::Shared;
-use balsamchute_schedule::report::{Load, Report, Sum, Usage};
+use balsamchute_schedule::report::{Begun, Load, Report, Sum, Usage};
 
 const NOW: Time = Time(1_000_000);
 
@@ -321,6 +322,35 @@
     }
 }
 
+/// A router that misses one may infer a wrong origin, or none.
+#[test]
+fn versions_and_streams_of_each_router_reach_all_others_of_a_large_fleet() {
+    let mut fleet = Fleet::new(195);
+    fleet.steps(40);
+    let streams = 0..5;
+    for (number, router) in (0..).zip(&mut fleet.routers) {
+        router.own_report.streams = vec![Begun {
+            service: Service::new("s").unwrap(),
+            software: Software::from(format!("v{number}")),
+            streams: streams.clone().map(|stream| number << 8 | stream).collect(),
+        }];
+    }
+    fleet.steps(3);
+    for router in &fleet.routers {
+        let reports = router.peer_reports.iter().map(|(.., report)| report);
+        let begun: Vec<&Begun> = reports.flat_map(|report| &report.streams).collect();
+        let versions: BTreeSet<&Software> = begun.iter().map(|begun| &begun.software).collect();
+        let digests: BTreeSet<u64> = begun
+            .iter()
+            .flat_map(|begun| begun.streams.clone())
+            .collect();
+        let own = 1 - versions.len() / 195;
+        let instance = &router.descriptor.instance;
+        assert_eq!(versions.len() + own, 195, "at {instance}");
+        assert_eq!(digests.len() + 5 * own, 975, "at {instance}");
+    }
+}
+
 /// Members keep reporting to a dead hub until it times out. Each domain must then
 /// elect one new hub, and keep it when the old one restarts.
 #[test]
