--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -88,7 +88,9 @@
         let versions = self.scheduler.origins().versions();
         let listed_for = entry
             .and_then(|entry| versions.listed_for(now, &entry.service, &entry.software))
-            .unwrap_or_default();
+            .unwrap_or_default()
+            // Versions in records count as listed at all times.
+            .min(now.since(self.started));
         let list_age = rationale
             .basis
             .and_then(Basis::list_age)
