Take an answer without a length for brief only by when it arrived

Cause: an answer without a length counted as brief if less than 50 ms passed since the router first awaited its rest. Brief answers need no witness that the runner lives. A router that reads late reads the answer and its end at once, however long the runner took, and never awaits the rest.

Change: an answer is brief if all of it arrived within 50 ms. Its first bytes arrived after the last time at which all that had arrived was asked for and read, so that is where the time begins, also if reading was paused then. The bound no longer moves past a poll that returned as many events as it may, or that a signal interrupted: events could be left then. The loop polls once without blocking before it sleeps; without that, the bound of an idle router lay one sleep further back (20 ms each). The clock is read after it was found that a connection is established, and before it is read whether one is open, as the process may be stopped in between.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -15,18 +15,14 @@
 
 impl Edge {
     /// Keeps a connection to the runner of an answer that will end with its own: a witness
-    /// that the process lives. `is_known_open` tells whether the runner is known to have the
-    /// answer's connection open now.
-    pub(super) fn keep_witness(&mut self, index: usize, is_known_open: bool) {
-        let now = self.now();
+    /// that the process lives. `open_at` is a time at which the runner is known to have had
+    /// the answer's connection open, if it is later than the last one.
+    pub(super) fn keep_witness(&mut self, index: usize, open_at: Option<Time>) {
         let connection = match self.slots.get_mut(index) {
             Some(Slot::Upstream(connection)) if connection.ends_by_close() => connection,
             _ => return,
         };
-        connection.awaited_since.get_or_insert(now);
-        if is_known_open {
-            connection.open_at = now;
-        }
+        connection.open_at = open_at.unwrap_or(connection.open_at);
         let (address, runner) = (connection.address, connection.runner.clone());
         if !self.endings.witnesses.contains_key(&address) {
             self.open_witness(&runner, address);
@@ -41,12 +37,15 @@
 
     /// Notes that a witness is established, or that it has ended.
     pub(super) fn handle_witness_ready(&mut self, index: usize) {
-        let now = self.now();
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return;
         };
         let address = connection.address;
-        let is_lost = match connection.socket.check_connected() {
+        let connected = connection.socket.check_connected();
+        // The process may be stopped between a reading and the clock: a connection was
+        // established before this time, and one that is found open afterwards was open at it.
+        let now = self.clock.now();
+        let is_lost = match connected {
             Ok(false) => return,
             Ok(true) if connection.socket.is_open() => {
                 if connection.established_at.is_none() {
@@ -118,8 +117,8 @@
             return;
         };
         connection.ended_at = Some(now);
-        let awaited_since = connection.awaited_since;
-        let is_brief = awaited_since.is_none_or(|since| now.since(since) < SETTLE_TIME);
+        let answered_after = connection.answered_after;
+        let is_brief = answered_after.is_some_and(|after| now.since(after) < SETTLE_TIME);
         let (runner, address) = (connection.runner.clone(), connection.address);
         let open_at = connection.open_at;
         let arrived_after = self.arrived_after;
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -31,6 +31,7 @@
             self.close(index);
             return;
         };
+        connection.answered_after.get_or_insert(self.arrived_after);
         connection.withheld += length;
         if connection.withheld > MAX_WITHHELD_BYTES {
             self.fail_invalid_response(index, id, "the answer is too long");
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -200,7 +200,7 @@
             Ok(true) => {
                 connection.phase = Phase::Idle(Connection::unused_deadline(now));
                 connection.since = now;
-                connection.established_at = Some(now);
+                connection.established_at = Some(self.clock.now());
                 self.keep_idle(now, index, &runner);
             }
             Err(error) => {
@@ -252,6 +252,7 @@
         connection.since = now;
         connection.open_at = now;
         connection.response = None;
+        connection.answered_after = None;
         connection.withheld = 0;
         let forwarded = Forwarded {
             runner: &connection.runner,
@@ -305,7 +306,7 @@
         };
         match connection.socket.check_connected() {
             Ok(true) => {
-                connection.established_at = Some(now);
+                connection.established_at = Some(self.clock.now());
                 self.write_request(now, index, id);
             }
             Ok(false) => {}
@@ -346,13 +347,19 @@
     fn read_upstream(&mut self, index: usize, has_just_arrived: bool) {
         loop {
             if self.update_read_pause(index) {
-                self.keep_witness(index, has_just_arrived);
+                // The answer may begin to arrive during the pause.
+                if let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) {
+                    connection.answered_after.get_or_insert(self.arrived_after);
+                }
+                self.keep_witness(index, has_just_arrived.then(|| self.now()));
                 return;
             }
+            // The process may be stopped between a reading and the clock.
+            let read_at = self.now();
             match self.read(index) {
                 Input::Bytes(length) => self.receive_upstream_bytes(index, length),
                 Input::WouldBlock => {
-                    self.keep_witness(index, true);
+                    self.keep_witness(index, Some(read_at));
                     return;
                 }
                 Input::Eof => {
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -13,8 +13,8 @@
 use balsamchute_schedule::action::Id;
 
 /// Time from the end of an answer to the decision: a process that dies closes its
-/// connections one after another. Also the time within which an answer is brief, many times
-/// what a connection takes and less than a process takes to die and be replaced.
+/// connections one after another. Also the time within which a brief answer arrives, many
+/// times what a connection takes and less than a process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
 /// Same as [`SETTLE_TIME`] after a brief answer. Its runner counts as busy until then, so it
@@ -77,7 +77,7 @@
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
     pub lost_witness: bool,
-    /// Whether the answer ended before a connection could be made beside it.
+    /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
 }
 
@@ -108,7 +108,7 @@
     /// Last time at which the runner was known to have it open. The process may have died at
     /// any time since, and another one may be at the address.
     pub open_at: Time,
-    /// Whether the answer ended before a connection could be made beside it.
+    /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
     pub runner: Runner,
     pub address: SocketAddr,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -70,6 +70,19 @@
     settings::parse(&text).map_err(|e| error(e.to_string()))
 }
 
+/// Waits for events for this time at most. Returns whether these are all events that were
+/// ready when the wait began.
+fn wait(poll: &mut Poll, events: &mut Events, timeout: Duration) -> Result<bool, Error> {
+    match poll.poll(events, Some(timeout)) {
+        Ok(()) => Ok(events.iter().count() < MAX_EVENTS),
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+            events.clear();
+            Ok(false)
+        }
+        Err(error) => Err(Error::Poll(error)),
+    }
+}
+
 fn run_loop(
     mut poll: Poll,
     edge: Edge,
@@ -82,8 +95,8 @@
     call!([edge], tick());
     let mut timers_run_to = Instant::now();
     stakker.run(timers_run_to, false);
-    // Time at which events were last asked for, and all that were there returned.
-    let mut all_asked_at = timers_run_to;
+    // Last time at which all that had arrived was asked for and is read.
+    let mut read_to = timers_run_to;
     let mut full_turns = 0;
     let mut next_settings_read = Instant::now() + SETTINGS_READ_INTERVAL;
     let mut events = Events::with_capacity(MAX_EVENTS);
@@ -98,11 +111,16 @@
             _ => MAX_SLEEP,
         };
         let sleep = stakker.next_wait_max(Instant::now(), max_sleep, false);
-        let asked_at = Instant::now();
-        match poll.poll(&mut events, Some(sleep)) {
-            Ok(()) => {}
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => return Err(Error::Poll(error)),
+        // Without a first poll that does not block, all that is read after the sleep could have
+        // arrived during the sleep before.
+        let mut asked_at = Instant::now();
+        let mut is_complete = wait(&mut poll, &mut events, Duration::ZERO)?;
+        if events.is_empty() && !sleep.is_zero() {
+            if is_complete {
+                read_to = asked_at;
+            }
+            asked_at = Instant::now();
+            is_complete = wait(&mut poll, &mut events, sleep)?;
         }
         let turn_began = Instant::now();
         let suspended = suspension.growth();
@@ -125,7 +143,7 @@
         }
         // What is read now was not there when all events were asked for the time before.
         let suspended = suspended.unwrap_or_default();
-        call!([edge], begin_turn(all_asked_at, suspended));
+        call!([edge], begin_turn(read_to, suspended));
         for event in &events {
             call!([edge], handle_ready(index_of(event)));
         }
@@ -135,15 +153,15 @@
         // asked for and is read. The process may have been stopped since.
         full_turns = match events.iter().count() {
             MAX_EVENTS => full_turns + 1,
-            _ => {
-                all_asked_at = asked_at;
-                0
-            }
+            _ => 0,
         };
         if !(1..=MAX_FULL_TURNS).contains(&full_turns) {
             timers_run_to = asked_at;
         }
         stakker.run(timers_run_to, false);
+        if is_complete {
+            read_to = asked_at;
+        }
         let took = turn_began.elapsed();
         if took >= SLOW_TURN {
             log::warn!(target: "process", "event=turn_slow took_ms={} events={}", took.as_millis(), events.iter().count());
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -76,8 +76,8 @@
     pub is_read_paused: bool,
     /// Whether the connection carried another request before.
     pub is_reused: bool,
-    /// Time since which the rest of an answer that ends with the connection is awaited.
-    pub awaited_since: Option<Time>,
+    /// Time after which the answer began to arrive; `None` before its first bytes.
+    pub answered_after: Option<Time>,
     /// Last time at which the runner was known to have the connection open: no bytes
     /// waited in it, or all had just arrived.
     pub open_at: Time,
@@ -108,7 +108,7 @@
             withheld: 0,
             is_read_paused: false,
             is_reused: false,
-            awaited_since: None,
+            answered_after: None,
             open_at: now,
             ended_at: None,
         }
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -2,10 +2,11 @@
 //! killed: it closes its connections like one that has sent all of its answer.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SendError, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -431,3 +432,89 @@
     let (body, is_whole) = decode_chunks(&response);
     assert!(is_whole && body.contains("event 5"), "{response}");
 }
+
+/// Runner that begins an answer when the test says so and breaks it off, while its port
+/// accepts connections.
+struct Breaking {
+    runner: Runner,
+    begun: Receiver<()>,
+    go_on: Sender<()>,
+}
+
+impl Breaking {
+    fn start() -> Self {
+        let (begin, begun) = channel();
+        let (go_on, wait) = channel();
+        let steps = Mutex::new((begin, wait));
+        let runner = Runner::start(move |head, stream| {
+            let steps = steps.lock().expect("no thread panicked");
+            let step = || {
+                steps
+                    .0
+                    .send(())
+                    .and(steps.1.recv().map_err(|_| SendError(())))
+            };
+            step().expect("the test goes on");
+            let body = match head.contains("/once/") {
+                true => "first half, ".to_owned(),
+                false => plain_events(1, 2),
+            };
+            respond(stream, head, 200, "", &body);
+            let _ = stream.shutdown(Shutdown::Both);
+            step().expect("the test goes on");
+            false
+        });
+        Breaking {
+            runner,
+            begun,
+            go_on,
+        }
+    }
+
+    /// Sends a request, and stops the router until the runner has broken off its answer.
+    fn call(&self, store: &Store, router: &Router, path: &str, other: &Runner) -> Caller {
+        let mut stream = connect(router.callers);
+        let text = request("POST", path, "", "");
+        stream.write_all(text.as_bytes()).expect("the router reads");
+        self.begun.recv().expect("the runner has the request");
+        store.put("servers", "i-1", entry(other.address, "s"));
+        wait_until("the other runner is listed", || {
+            router.log().contains("event=runner_listed runner=i-1 ")
+        });
+        router.signal(Signal::SIGSTOP);
+        self.go_on.send(()).expect("the runner waits");
+        self.begun.recv().expect("the runner broke off its answer");
+        thread::sleep(Duration::from_millis(300));
+        router.signal(Signal::SIGCONT);
+        self.go_on.send(()).expect("the runner waits");
+        let received = Vec::new();
+        Caller { stream, received }
+    }
+}
+
+#[test]
+fn a_stream_that_begins_and_breaks_off_while_the_router_is_stopped_goes_on_at_another_runner() {
+    let breaking = Breaking::start();
+    let other = Runner::start(|head, stream| {
+        let from: u64 = header(head, "last-event-id").map_or(0, |id| id.parse().expect("one"));
+        let body = format!("{}0\r\n\r\n", events(from + 1, 5));
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+        true
+    });
+    let (store, router) = start_router(&[&breaking.runner]);
+    let caller = breaking.call(&store, &router, "/stream/x", &other);
+    let response = caller.read_to_end();
+    let expected = (plain_events(1, 5), true);
+    assert_eq!(decode_chunks(&response), expected, "{}", router.log());
+}
+
+#[test]
+fn an_answer_that_begins_and_breaks_off_while_the_router_is_stopped_fails() {
+    let breaking = Breaking::start();
+    let other = Runner::start(|head, stream| respond_with_body(stream, head, "whole answer"));
+    let (store, router) = start_router(&[&breaking.runner]);
+    let caller = breaking.call(&store, &router, "/once/x", &other);
+    let response = caller.read_to_end();
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    assert!(other.requests().is_empty());
+}
