Believe no end without a length from the runner's deadline on

Callers saw the part of an answer that its runner had made by the deadline as a whole answer with status 200.

Cause: a runner stops work at the X-Deadline-Ms that it was sent. If the answer has neither a length nor chunks, it ends with its connection then, and the runner lives, so no witness shows a fault. The router's own timer fires up to 20 ms after the deadline, and a brief answer was judged after 10 ms.

Change: an end that was read at or after the deadline does not show that the answer is complete. One that was read before it came before it: the runner counts from when it receives the request. Answers with a length or in chunks are not affected.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -216,11 +216,13 @@
     /// Returns what speaks for and against the end of an answer. Reads the state of the
     /// sockets, whose events may still wait.
     fn evidence(&self, ending: &Ending) -> Evidence {
+        let request = self.transactions.get(&ending.id);
         let mut evidence = Evidence {
             contact: ending.contact,
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
             is_brief: ending.is_brief,
+            is_past_deadline: request.is_none_or(|request| ending.ended_at >= request.deadline),
         };
         for (_, slot) in &self.slots {
             let Slot::Upstream(connection) = slot else {
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -79,6 +79,9 @@
     pub lost_witness: bool,
     /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
+    /// Whether the end was read at or after the deadline that the runner was given, at which
+    /// it stops and closes the connection.
+    pub is_past_deadline: bool,
 }
 
 impl Evidence {
@@ -87,6 +90,9 @@
     /// A brief answer counts as complete if the runner accepts a connection and none was
     /// lost: there was hardly time for its process to die. Any other one needs a witness.
     pub fn shows_complete(&self) -> bool {
+        if self.is_past_deadline {
+            return false;
+        }
         match self.contact {
             Contact::Accepted => self.has_witness || (self.is_brief && !self.lost_witness),
             // A runner also resets connections above its limit.
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::{Receiver, SendError, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use balsamchute_standin::link::Link;
 use nix::sys::signal::{Signal, kill};
@@ -518,3 +518,33 @@
     assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
     assert!(other.requests().is_empty());
 }
+
+/// The router's timer fires some time after the deadline.
+#[test]
+fn an_answer_that_its_runner_ends_at_the_deadline_is_not_complete() {
+    let runner = Runner::start(|head, stream| {
+        let received_at = Instant::now();
+        let left = header(head, "x-deadline-ms").map(|left| left.parse().expect("a number"));
+        let deadline = received_at + Duration::from_millis(left.expect("a deadline"));
+        let before = deadline - Duration::from_millis(20);
+        thread::sleep(before.saturating_duration_since(Instant::now()));
+        respond(stream, head, 200, "", "first half, ");
+        thread::sleep(deadline.saturating_duration_since(Instant::now()));
+        false
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let callers: Vec<Caller> = (0..20)
+        .map(|_| {
+            let mut stream = connect(router.callers);
+            let text = request("POST", "/once/x", "", "").replace("8000", "400");
+            stream.write_all(text.as_bytes()).expect("the router reads");
+            thread::sleep(Duration::from_millis(3));
+            let received = Vec::new();
+            Caller { stream, received }
+        })
+        .collect();
+    for caller in callers {
+        let response = caller.read_to_end();
+        assert!(!response.contains("HTTP/1.1 200 "), "{response}");
+    }
+}
