Ask a runner for its report before its answer without a length counts

Cause: 50 ms after the end, a connection that was made before the end and is still open counted as a sign that the runner lives. A process that is killed closes its connections one after another, and waits for the processor like any other; a forwarder closes them later still.

Change: the router asks for /-/report over a connection that was made before the end, a witness or an idle one; after a brief answer without such a connection, over the one that is made after the end. Any answer shows that the process lives, and the end is judged at once. If the connection is lost, the next one is asked, or the answer doesn't count. A runner that answers nothing within 1 s is judged as before by its open connections; runners above their limit of connections keep some that they don't read.

Evidence: the test closes the stream of a runner 300 ms before its other connection.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use balsamchute_adapter::request;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
 use stakker::CX;
@@ -11,6 +12,7 @@
 use crate::edge::runners::CONNECT_TIMEOUT;
 use crate::edge::{Edge, Slot};
 use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
+use crate::socket::Input;
 use crate::upstream::{Connection, Phase};
 
 impl Edge {
@@ -133,6 +135,8 @@
                 runner,
                 address,
                 contact_index,
+                asked_index: None,
+                is_answered: false,
                 contact: Contact::Pending,
             }),
             Err(error) => {
@@ -167,11 +171,13 @@
     pub fn settle_endings(&mut self, _cx: CX![]) {
         let now = self.now();
         for mut ending in std::mem::take(&mut self.endings.waiting) {
-            if ending.contact.is_open() {
+            if ending.contact.is_open() && ending.asked_index != Some(ending.contact_index) {
                 ending.contact = self.contact(now, &ending);
             }
+            self.ask(&mut ending);
             let is_settled = now >= ending.due_at();
             match ending.contact {
+                _ if ending.has_report() => self.settle(now, &ending),
                 Contact::Refused => self.settle(now, &ending),
                 Contact::Pending => self.endings.waiting.push(ending),
                 _ if is_settled => self.settle(now, &ending),
@@ -182,20 +188,146 @@
 
     fn settle(&mut self, now: Time, ending: &Ending) {
         let evidence = self.evidence(ending);
-        if let (Contact::Accepted, Some(Slot::Upstream(connection))) =
-            (ending.contact, self.slots.get_mut(ending.contact_index))
+        if let Some(Slot::Upstream(connection)) = self.slots.get_mut(ending.contact_index)
+            && matches!(connection.phase, Phase::Confirming)
         {
-            connection.phase = Phase::Idle(Connection::unused_deadline(now));
-            connection.since = now;
-            connection.established_at = Some(now);
-            self.keep_idle(now, ending.contact_index, &ending.runner);
-        } else {
-            self.close(ending.contact_index);
+            if ending.contact == Contact::Accepted {
+                connection.phase = Phase::Idle(Connection::unused_deadline(now));
+                connection.since = now;
+                connection.established_at = Some(self.clock.now());
+                self.keep_idle(now, ending.contact_index, &ending.runner);
+            } else {
+                self.close(ending.contact_index);
+            }
+        }
+        if let Some(index) = ending.asked_index
+            && !ending.is_answered
+            && self.is_asked(index, ending.id)
+        {
+            self.close(index);
         }
         self.finish_ended_response(ending, &evidence);
         self.record_contact(now, &ending.runner, ending.contact);
     }
 
+    /// Asks the runner for its report over a connection that was made before the end of the
+    /// answer, or over the one made after a brief one.
+    fn ask(&mut self, ending: &mut Ending) {
+        if ending.is_answered {
+            return;
+        }
+        if let Some(index) = ending.asked_index {
+            if self.is_asked(index, ending.id) {
+                return;
+            }
+            ending.asked_index = None;
+            if index == ending.contact_index {
+                ending.contact = Contact::Closed;
+            }
+        }
+        let is_contact_usable = ending.is_brief && ending.contact == Contact::Accepted;
+        let contact_index = is_contact_usable.then_some(ending.contact_index);
+        let Some(index) = self.find_witness(ending).or(contact_index) else {
+            return;
+        };
+        let witness = self.endings.witnesses.get_mut(&ending.address);
+        if let Some(witness) = witness.filter(|witness| **witness == Some(index)) {
+            *witness = None;
+        }
+        self.pool.remove(&ending.runner, index);
+        let now = self.now();
+        if let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) {
+            connection.phase = Phase::Asking(ending.id);
+            connection.since = now;
+            connection.established_at.get_or_insert(now);
+            connection.response = None;
+            request::encode_report(connection.socket.write_buffer(), connection.address);
+            connection.socket.flush();
+            ending.asked_index = Some(index);
+        }
+    }
+
+    /// Returns whether a connection carries the request for a report after this answer.
+    fn is_asked(&self, index: usize, id: Id) -> bool {
+        matches!(
+            self.slots.get(index),
+            Some(Slot::Upstream(connection))
+                if matches!(connection.phase, Phase::Asking(asked) if asked == id)
+        )
+    }
+
+    /// Returns an open connection without a request that was made before the end.
+    fn find_witness(&self, ending: &Ending) -> Option<usize> {
+        let mut slots = self.slots.iter();
+        let found = slots.find(|(_, slot)| match slot {
+            Slot::Upstream(connection) => {
+                let established_at = connection.established_at;
+                matches!(connection.phase, Phase::Witness | Phase::Idle(_))
+                    && connection.address == ending.address
+                    && established_at.is_some_and(|at| ending.is_witnessed_by(at))
+                    && connection.socket.is_open()
+            }
+            _ => false,
+        });
+        found.map(|(index, _)| index)
+    }
+
+    /// Reads a report. Any answer to the request for one shows that the process lives.
+    pub(super) fn read_report(&mut self, index: usize, id: Id) {
+        loop {
+            let input = self.read(index);
+            let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+                return;
+            };
+            match input {
+                Input::Bytes(length) => {
+                    let bytes = &self.read_buffer[..length];
+                    connection.input.extend_from_slice(bytes);
+                }
+                Input::WouldBlock => {
+                    connection.socket.flush();
+                    return;
+                }
+                Input::Eof | Input::Broken => {
+                    self.handle_upstream_closed(index, input == Input::Broken);
+                    return;
+                }
+            }
+            if connection.response.is_none() {
+                match connection.parse_head("", "GET") {
+                    Ok(true) => {}
+                    Ok(false) => continue,
+                    Err(_) => {
+                        self.close(index);
+                        return;
+                    }
+                }
+                let mut endings = self.endings.waiting.iter_mut();
+                let asked = endings.find(|ending| ending.asked_index == Some(index));
+                if let Some(ending) = asked.filter(|ending| ending.id == id) {
+                    ending.is_answered = true;
+                }
+            }
+            let Some(response) = &mut connection.response else {
+                return;
+            };
+            response.body.clear();
+            let decoded = response
+                .decoder
+                .decode(&connection.input, &mut response.body);
+            let Ok(consumed) = decoded else {
+                self.close(index);
+                return;
+            };
+            connection.input.drain(..consumed);
+            if response.decoder.is_done() {
+                let now = self.now();
+                self.release_connection(now, index);
+                return;
+            }
+        }
+    }
+
     /// Returns what became of the connection made after the end of an answer.
     fn contact(&self, now: Time, ending: &Ending) -> Contact {
         let connection = match self.slots.get(ending.contact_index) {
@@ -219,6 +351,7 @@
         let request = self.transactions.get(&ending.id);
         let mut evidence = Evidence {
             contact: ending.contact,
+            has_report: ending.has_report(),
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
             is_brief: ending.is_brief,
@@ -263,11 +396,12 @@
         let ended_at = ending.ended_at;
         log::info!(
             target: "request",
-            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} witness={} lost={} brief={} sent_ms={} open_ms={} arrival_ms={} left_ms={}",
+            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} report={} witness={} lost={} brief={} sent_ms={} open_ms={} arrival_ms={} left_ms={}",
             transaction.request_id,
             transaction.attempts(),
             ending.runner,
             evidence.contact.as_str(),
+            ending.is_answered,
             evidence.has_witness,
             evidence.lost_witness,
             evidence.is_brief,
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -284,6 +284,7 @@
             Phase::Probing => return self.continue_probe(index),
             Phase::Witness => return self.handle_witness_ready(index),
             Phase::Confirming => return,
+            Phase::Asking(id) => return self.read_report(index, id),
             Phase::Busy(_) | Phase::Idle(_) => {}
         }
         if connection.ended_at.is_some() {
@@ -468,7 +469,7 @@
 
     /// Handles the end of a connection to a runner: a close by the runner, or a
     /// failure if `is_reset`.
-    fn handle_upstream_closed(&mut self, index: usize, is_reset: bool) {
+    pub(super) fn handle_upstream_closed(&mut self, index: usize, is_reset: bool) {
         let now = self.now();
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return;
@@ -478,6 +479,12 @@
                 self.close(index);
                 return;
             }
+            Phase::Asking(_) => {
+                let address = connection.address;
+                self.endings.record_loss(now, address);
+                self.close(index);
+                return;
+            }
             // A reset while connecting counts as a refusal.
             Phase::Connecting(id) => {
                 self.handle_connect_failure(now, index, id, is_reset);
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -3,7 +3,9 @@
 //! Such an answer ends with its connection, and a process that dies closes its connections
 //! like one that has sent everything. A process that accepts connections afterwards may be
 //! another one, or none: a listener outlives the process in a supervisor or a forwarder.
-//! A connection that was made before the end and outlives it shows that the process lives.
+//! A connection that was made before the end shows that the process lives if an answer comes
+//! over it that was asked for after the end. That it is still open shows less: a process that
+//! exits closes its connections one after another, and may wait for the processor meanwhile.
 
 use std::collections::HashMap;
 use std::io;
@@ -12,8 +14,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
 
-/// Time from the end of an answer to the decision: a process that dies closes its
-/// connections one after another. Also the time within which a brief answer arrives, many
+/// Time from the end of an answer to the decision if no report was asked for. Also the time within which a brief answer arrives, many
 /// times what a connection takes and less than a process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
@@ -21,6 +22,10 @@
 /// is short against the time of a plain request.
 const BRIEF_SETTLE_TIME: Span = Span(10);
 
+/// Time for which a report is awaited. A runner that has not answered by then is judged by
+/// whether its connections are open.
+const REPORT_TIMEOUT: Span = Span(1000);
+
 /// Time for which a lost connection is remembered.
 const MEMORY: Span = Span(1000);
 
@@ -73,6 +78,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Evidence {
     pub contact: Contact,
+    /// Whether an answer came over a connection that was made before the end.
+    pub has_report: bool,
     /// Whether a connection to the runner that was made beside the answer is open.
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
@@ -93,6 +100,9 @@
         if self.is_past_deadline {
             return false;
         }
+        if self.has_report {
+            return true;
+        }
         match self.contact {
             Contact::Accepted => self.has_witness || (self.is_brief && !self.lost_witness),
             // A runner also resets connections above its limit.
@@ -120,19 +130,30 @@
     pub address: SocketAddr,
     /// Slab index of the connection made after the end.
     pub contact_index: usize,
-    /// Outcome of that connection so far. The system reports an error of a socket only once.
+    /// Slab index of the connection over which the runner's report is asked for.
+    pub asked_index: Option<usize>,
+    /// Whether the runner has answered.
+    pub is_answered: bool,
+    /// Outcome of the connection made after the end so far. The system reports an error of a socket only once.
     pub contact: Contact,
 }
 
 impl Ending {
     /// Returns the time at which the answer is judged, if its contact is known by then.
     pub fn due_at(&self) -> Time {
-        match self.is_brief {
-            true => self.ended_at + BRIEF_SETTLE_TIME,
-            false => self.ended_at + SETTLE_TIME,
+        match (self.is_answered, self.asked_index) {
+            (true, _) => self.ended_at,
+            (false, Some(_)) => self.ended_at + REPORT_TIMEOUT,
+            (false, None) if self.is_brief => self.ended_at + BRIEF_SETTLE_TIME,
+            (false, None) => self.ended_at + SETTLE_TIME,
         }
     }
 
+    /// Returns whether the runner has answered over a connection that was made before the end.
+    pub fn has_report(&self) -> bool {
+        self.is_answered && self.asked_index != Some(self.contact_index)
+    }
+
     /// Returns whether a connection that was made at this time and is open shows that the
     /// process of the answer lives.
     pub fn is_witnessed_by(&self, established_at: Time) -> bool {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -38,6 +38,9 @@
     /// The connection is open while answers may end with theirs, to show that the runner's
     /// process lives.
     Witness,
+    /// The connection carries a request for the runner's report, to learn whether its process
+    /// lives after the answer to this request has ended.
+    Asking(Id),
     /// The connection carries this request.
     Busy(Id),
     /// The connection may be reused until this time.
@@ -118,7 +121,11 @@
     pub fn request(&self) -> Option<Id> {
         match self.phase {
             Phase::Connecting(id) | Phase::Busy(id) => Some(id),
-            Phase::Idle(_) | Phase::Probing | Phase::Confirming | Phase::Witness => None,
+            Phase::Idle(_)
+            | Phase::Probing
+            | Phase::Confirming
+            | Phase::Witness
+            | Phase::Asking(_) => None,
         }
     }
 
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -519,6 +519,54 @@
     assert!(other.requests().is_empty());
 }
 
+/// A process that exits closes its connections one after another.
+#[test]
+fn a_stream_goes_on_at_another_runner_if_its_runner_closes_other_connections_much_later() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let runner = Runner {
+        address: listener.local_addr().expect("an address"),
+        received: Arc::default(),
+    };
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for (number, mut stream) in listener.incoming().flatten().enumerate() {
+            match number {
+                0 => {
+                    thread::spawn(move || {
+                        let (head, _) = read_message(&mut stream).expect("a request");
+                        respond(&mut stream, &head, 200, "", &plain_events(1, 2));
+                        thread::sleep(Duration::from_millis(300));
+                    });
+                }
+                1 => {
+                    thread::spawn(move || {
+                        thread::sleep(Duration::from_millis(600));
+                        drop(stream);
+                    });
+                }
+                _ => kept.push(stream),
+            }
+        }
+    });
+    let (store, router) = start_router(&[&runner]);
+    let mut stream = connect(router.callers);
+    let text = request("POST", "/stream/x", "", "");
+    stream.write_all(text.as_bytes()).expect("the router reads");
+    let received = Vec::new();
+    let mut caller = Caller { stream, received };
+    caller.read_until("event 2\n\n");
+    let other = Runner::start(|head, stream| {
+        let from: u64 = header(head, "last-event-id").map_or(0, |id| id.parse().expect("one"));
+        let body = format!("{}0\r\n\r\n", events(from + 1, 5));
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+        true
+    });
+    store.put("servers", "i-1", entry(other.address, "s"));
+    let response = caller.read_to_end();
+    let expected = (plain_events(1, 5), true);
+    assert_eq!(decode_chunks(&response), expected, "{}", router.log());
+}
+
 /// The router's timer fires some time after the deadline.
 #[test]
 fn an_answer_that_its_runner_ends_at_the_deadline_is_not_complete() {
