Count the time for which a resumption was unread towards the age of its stream

Cause: the remaining time that a request names is as of when it was sent. The age of the stream was the timeout less that time, as if the request had been read at once; 1 s was allowed for that, while a list of runners counts as confirmed for 3.5 s. The same for a body that arrives later than its head, a request in the accept queue, and one behind another request of its connection.

Evidence: `a_stream_whose_resumption_was_read_late_is_not_continued_at_a_new_version` stops the router for 1.7 s with the request unread, 1.3 s after a release.

The age, and the time for which a route must not have changed, now begin at the time after which the request arrived, which is never later than it did.

Not changed: the deadline of a request still begins when it is read, so a runner is given as much more time as the request waited. The time after which a request arrived can be 100 ms too early in a router without work, which would cut that much off each deadline.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -204,8 +204,8 @@
         let unread = now.since(arrived_after);
         let resumed = is_resumed.then(|| Resumed {
             stream: caller.resumes.map(stream_digest),
-            max_age: max_stream_age(&route, caller.time_left),
-            is_sole_service: self.route_changes.is_sole(now, &route),
+            max_age: max_stream_age(&route, caller.time_left) + unread,
+            is_sole_service: self.route_changes.is_sole(arrived_after, &route),
         });
         if let Some(resumed) = resumed {
             log::info!(
--- a/crates/schedule/src/request.rs
+++ b/crates/schedule/src/request.rs
@@ -10,7 +10,8 @@
     /// Digest of the id of the request that brought the first event, if the caller names
     /// it.
     pub stream: Option<Digest>,
-    /// Longest time since the stream began: the route's timeout minus the remaining time.
+    /// Longest time since the stream began, that for which the request waited to be read
+    /// included.
     pub max_age: Span,
     /// Whether no other service can have begun the stream.
     pub is_sole_service: bool,
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -316,6 +316,48 @@
     assert_eq!(fleet.received(), 0);
 }
 
+/// Begins a stream at `v1`, which leaves the list, and takes it up `after_ms` later at a router
+/// that is stopped for `stopped_ms`. Returns the response, the requests at `v2` and the log.
+fn resume_after_release(
+    after_ms: u64,
+    stopped_ms: u64,
+    time_left_ms: u64,
+) -> (String, usize, String) {
+    let fleet = Fleet::start(&["v1", "v1"], true, 1);
+    let router = &fleet.routers[0];
+    let _begun = begin_streams(router, 1);
+    let new = runner("v2", true);
+    replace_runners(&fleet.store, &new);
+    thread::sleep(Duration::from_millis(after_ms));
+    if stopped_ms > 0 {
+        router.signal(Signal::SIGSTOP);
+    }
+    let mut stream = connect(router.callers);
+    let request = stream_request("t1", "Last-Event-Id: 2\r\n");
+    let request = request.replace("Deadline-Ms: 8000", &format!("Deadline-Ms: {time_left_ms}"));
+    std::io::Write::write_all(&mut stream, request.as_bytes()).expect("the kernel buffers");
+    if stopped_ms > 0 {
+        thread::sleep(Duration::from_millis(stopped_ms));
+        router.signal(Signal::SIGCONT);
+    }
+    let mut response = Vec::new();
+    stream
+        .read_to_end(&mut response)
+        .expect("the router answers");
+    let response = String::from_utf8_lossy(&response).into_owned();
+    // The log is written by a thread of its own.
+    thread::sleep(SPREAD_TIME);
+    (response, new.requests().len(), router.log())
+}
+
+#[test]
+fn a_stream_whose_resumption_was_read_late_is_not_continued_at_a_new_version() {
+    let (response, received, log) = resume_after_release(1300, 1700, 6600);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(received, 0);
+    assert!(unread_ms(&log) >= 1700, "{log}");
+}
+
 /// Returns for how long a router may have left the only request that takes a stream up unread.
 fn unread_ms(log: &str) -> u64 {
     let (_, after) = log.split_once("unread_ms=").expect("a resumption");
