Do not infer the age of a resumed stream from the timeout of its route

Cause: the greatest age of a stream was the timeout of the route less the time that the caller has left. The age is the caller's limit when the stream began less that time. This limit may be longer than the timeout, and the operator may lower a timeout while streams run. `route::Changes` assumed the same of streams that began before a route changed.

A router that does not know where a stream began does not know the limit that its caller named there. A part of a stream is bounded by a deadline, but callers take streams up more than once. The longest limit that a router has seen does not bound that of callers of other routers. So neither the timeout nor the remaining time is used any more: a stream may be 60 s old, as long as origins are kept, or as old as the longest timeout or limit of which the router, or a record in the store, knows. Both the inference of a sole version and the time for which a route must not have changed use this bound. Streams that may be older are refused as `unknown_version`.

Records name versions for 70 s, so that they cover the bound, its margin and 9 s of waiting; what may be older is not inferred from them. Changes keeps the times of changes, as the bound may grow later. Since timeouts do not bound the age, a change of one is no change of the route any more.

`a_route_with_two_backends_or_a_new_one_has_no_sole_service` expected the route to be settled after its timeout of 8 s, which is the fault; it now expects, at the same two instants around the bound, 60 s.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -201,10 +201,13 @@
         }
         let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
         let is_resumed = caller.last_event_id.is_some() || caller.resumes.is_some();
+        if let (RetryPolicy::Resumable, Some(limit)) = (route.retry_policy, caller.time_left) {
+            self.route_changes.record_limit(limit);
+        }
         let unread = now.since(arrived_after);
         let resumed = is_resumed.then(|| Resumed {
             stream: caller.resumes.map(stream_digest),
-            max_age: max_stream_age(&route, caller.time_left) + unread,
+            max_age: self.route_changes.max_stream_age() + unread,
             is_sole_service: self.route_changes.is_sole(arrived_after, &route),
         });
         if let Some(resumed) = resumed {
@@ -522,12 +525,3 @@
         Fault::BodyTooLong => (413, "the body is larger than the limit".to_owned()),
     }
 }
-
-/// Returns the longest time since a resumed stream began. A caller that names no remaining
-/// time, or more than the timeout of the route, shows nothing.
-fn max_stream_age(route: &Route, time_left: Option<Span>) -> Span {
-    match time_left {
-        Some(time_left) if time_left <= route.timeout => route.timeout.saturating_sub(time_left),
-        _ => route.timeout,
-    }
-}
--- a/crates/schedule/src/route.rs
+++ b/crates/schedule/src/route.rs
@@ -1,7 +1,7 @@
 //! Services that may have begun the streams of a route.
 //!
 //! Responds to manifests that change the backends of a route: a stream that began at one
-//! service must not be resumed at another one.
+//! service must not be resumed at another one. Also bounds the age of a stream.
 
 use std::collections::BTreeMap;
 
@@ -9,12 +9,23 @@
 use balsamchute_model::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::version::MEMORY;
+
+/// Time after its begin in which a stream is taken up, unless a caller or a timeout allows
+/// more. Neither the timeout nor the time that a caller has left shows the age: the limit of
+/// the caller may be longer than the timeout, and each part of a stream has a timeout of its
+/// own.
+const STREAM_LIFETIME: Span = Span::from_secs(60);
+
+/// Unit to which limits of callers are rounded up, so that the record changes rarely.
+const LIMIT_UNIT: u64 = 60_000;
+
 /// Routes of resumable streams under which a router serves, for its record in the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Record {
-    /// Digest of hosts, prefixes, backends and timeouts.
+    /// Digest of hosts, prefixes and backends.
     pub digest: u64,
-    /// Longest timeout of the routes since the router started.
+    /// Longest timeout of the routes, or time that a caller named, since the router started.
     pub longest: Span,
     /// Whether all streams that may be under way began under these routes.
     pub is_settled: bool,
@@ -23,12 +34,10 @@
 /// Routes whose backends changed a short time ago.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
-    /// Time from which on all streams of a route, by its name, began under its present
-    /// backends.
-    settled_at: BTreeMap<String, Time>,
-    /// Time from which on all streams of resumable routes began under the present routes,
-    /// if they began since the start.
-    all_settled_at: Time,
+    /// Time of the last change of a route, by its name.
+    changed_at: BTreeMap<String, Time>,
+    /// Time of the last change of a resumable route.
+    any_changed_at: Option<Time>,
     /// Time and digest of the first manifest since the start.
     first: Option<(Time, u64)>,
     /// Digest of the present manifest.
@@ -68,34 +77,45 @@
             .collect();
         self.digest = digest(after);
         self.longest = self.longest.max(longest(after));
-        let longest = longest(before);
-        self.settled_at.retain(|_, settled_at| *settled_at > now);
+        self.changed_at
+            .retain(|_, changed_at| now.since(*changed_at) <= MEMORY);
         let paths: Vec<_> = routes(after).map(path).collect();
         // Any other route may have taken over the path of one that is gone.
         let is_any_gone = routes(before).any(|route| !paths.contains(&path(route)));
         for route in routes(after) {
             let is_same = known.get(route.name.as_str()).is_some_and(|known| {
-                known.backends == route.backends
-                    && known.timeout == route.timeout
-                    && path(known) == path(route)
+                known.backends == route.backends && path(known) == path(route)
             });
             if !is_same || is_any_gone {
-                let settled_at = now + longest.max(route.timeout);
-                self.settled_at.insert(route.name.clone(), settled_at);
+                self.changed_at.insert(route.name.clone(), now);
                 if is_resumable(route) {
-                    self.all_settled_at = settled_at.max(self.all_settled_at);
+                    self.any_changed_at = Some(now);
                 }
             }
         }
     }
 
+    /// Records the time for which a caller waits for a stream.
+    pub fn record_limit(&mut self, time_left: Span) {
+        let limit = time_left.min(MEMORY).0.next_multiple_of(LIMIT_UNIT);
+        if limit > STREAM_LIFETIME.0 {
+            self.longest = self.longest.max(Span(limit));
+        }
+    }
+
+    /// Returns the longest time since the begin of a stream that a caller takes up now.
+    #[must_use]
+    pub fn max_stream_age(&self) -> Span {
+        let recorded = self.records.iter().map(|record| record.longest).max();
+        let longest = self.longest.max(recorded.unwrap_or_default());
+        longest.max(STREAM_LIFETIME)
+    }
+
     /// Returns whether only the present backend of the route can have begun its streams.
     #[must_use]
     pub fn is_sole(&self, now: Time, route: &Route) -> bool {
-        let settled_at = self.settled_at.get(&route.name);
-        route.backends.len() == 1
-            && settled_at.is_none_or(|&settled_at| now > settled_at)
-            && self.has_same_past(now)
+        let changed_at = self.changed_at.get(&route.name).copied();
+        route.backends.len() == 1 && self.is_settled(now, changed_at) && self.has_same_past(now)
     }
 
     /// Returns the record of the routes of the manifest in force, or `None` before the first
@@ -106,18 +126,22 @@
         Some(Record {
             digest: self.digest,
             longest: self.longest,
-            is_settled: now > self.all_settled_at && self.has_same_past(now),
+            is_settled: self.is_settled(now, self.any_changed_at) && self.has_same_past(now),
         })
     }
 
+    /// Returns whether all streams that may be under way began after a change.
+    fn is_settled(&self, now: Time, changed_at: Option<Time>) -> bool {
+        changed_at.is_none_or(|changed_at| now > changed_at + self.max_stream_age())
+    }
+
     /// Returns whether no stream that may be under way began under other routes before the
     /// router started.
     fn has_same_past(&self, now: Time) -> bool {
         let Some((started_at, digest)) = self.first else {
             return true;
         };
-        let longest = self.records.iter().map(|record| record.longest).max();
-        if now > started_at + longest.unwrap_or_default().max(self.longest) {
+        if now > started_at + self.max_stream_age() {
             return true;
         }
         let mut records = self.records.iter();
@@ -153,7 +177,6 @@
     for route in resumable {
         add(&route.host);
         add(&route.prefix);
-        add(&route.timeout.0.to_string());
         for backend in &route.backends {
             add(backend.service.as_str());
         }
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -13,8 +13,7 @@
 use crate::request::Resumed;
 use crate::version::{Set, Versions};
 
-/// Time for which the origin of a stream is kept. No caller takes a stream up later than
-/// the longest timeout of a route.
+/// Time for which the origin of a stream is kept.
 const MAX_AGE: Span = Span::from_secs(60);
 
 /// Origins that are kept at most; the oldest ones are dropped. About 100 bytes each in memory
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -11,12 +11,14 @@
 /// Versions of each service.
 pub type Set = BTreeMap<Service, BTreeSet<Software>>;
 
-/// Time for which a version that left is remembered in memory: longer than the timeout of
-/// the routes in use. Streams that may be older are refused.
-const MEMORY: Span = Span::from_secs(600);
+/// Time for which a version that left is remembered in memory. Streams that may be older are
+/// refused.
+pub(crate) const MEMORY: Span = Span::from_secs(600);
 
-/// Time for which a version that left is in the record of the store.
-const RECORD_TIME: Span = Span::from_secs(60);
+/// Time for which a version that left is in the record of the store. Streams that may be older
+/// when all routers restarted are refused: longer than the usual lifetime of a stream, with
+/// [`AGE_MARGIN`] and the time for which a request may wait to be read.
+const RECORD_TIME: Span = Span::from_secs(70);
 
 /// Time since the last listing of a second version in which a release counts as under way.
 const RELEASE_TIME: Span = Span::from_secs(20);
@@ -35,8 +37,8 @@
 /// streams that begin are reported.
 const SETTLE_TIME: Span = Span(5000);
 
-/// Added to the greatest age of a stream, for the time that the request travels and waits to
-/// be read, and for the interval at which listed versions are recorded.
+/// Added to the greatest age of a stream, for the time that the request travels, and for the
+/// interval at which listed versions are recorded.
 const AGE_MARGIN: Span = Span(1000);
 
 /// What is known of the versions that served before the router's own observation began.
@@ -238,7 +240,7 @@
         let is_recorded = match &self.earlier {
             Earlier::Unknown => false,
             Earlier::NoStreams => true,
-            Earlier::Recorded(services) => services.contains(service),
+            Earlier::Recorded(services) => max_age <= RECORD_TIME && services.contains(service),
         };
         let is_covered = self.covered_since.is_some_and(|since| begun >= since);
         if !is_covered && (self.has_gap || !is_recorded) {
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -13,6 +13,9 @@
 const NOW: Time = Time(1_000_000);
 const MAX_AGE: Span = Span(8000);
 
+/// Time in which callers take streams up, whatever the timeout of the route.
+const LIFETIME: Span = Span::from_secs(60);
+
 fn service() -> Service {
     Service::new("s").unwrap()
 }
@@ -235,9 +238,8 @@
     }
 }
 
-#[test]
-fn a_route_with_two_backends_or_a_new_one_has_no_sole_service() {
-    let route = |services: &[&str]| Route {
+fn route(services: &[&str]) -> Route {
+    Route {
         name: "r".to_owned(),
         backends: services
             .iter()
@@ -255,23 +257,30 @@
         event_gap_target: Span(200),
         max_attempts: 2,
         public: false,
-    };
-    let manifest = |services: &[&str]| Manifest::new(1, vec![route(services)]);
+    }
+}
+
+fn manifest(services: &[&str]) -> Manifest {
+    Manifest::new(1, vec![route(services)])
+}
+
+#[test]
+fn a_route_with_two_backends_or_a_new_one_has_no_sole_service() {
     let mut changes = Changes::default();
     assert!(changes.is_sole(NOW, &route(&["s"])));
     assert!(!changes.is_sole(NOW, &route(&["s", "t"])));
     changes.record(NOW, &manifest(&["s"]), &manifest(&["s"]));
     assert!(changes.is_sole(NOW, &route(&["s"])));
     changes.record(NOW, &manifest(&["t"]), &manifest(&["s"]));
-    assert!(!changes.is_sole(NOW + MAX_AGE, &route(&["s"])));
-    assert!(changes.is_sole(NOW + MAX_AGE + Span(1), &route(&["s"])));
+    assert!(!changes.is_sole(NOW + LIFETIME, &route(&["s"])));
+    assert!(changes.is_sole(NOW + LIFETIME + Span(1), &route(&["s"])));
     // Another route takes over the path of one that is gone.
     let mut longer = route(&["t"]);
     (longer.name, longer.prefix) = ("longer".to_owned(), "/r/x/".to_owned());
     let both = Manifest::new(1, vec![route(&["s"]), longer]);
     let mut changes = Changes::default();
     changes.record(NOW, &both, &manifest(&["s"]));
-    assert!(!changes.is_sole(NOW + MAX_AGE, &route(&["s"])));
+    assert!(!changes.is_sole(NOW + LIFETIME, &route(&["s"])));
     // Before the start, other routes may have been in force.
     let record = |services: &[&str]| {
         let mut changes = Changes::default();
@@ -299,6 +308,55 @@
         changes.set_complete();
         assert_eq!(changes.is_sole(NOW, &route(&["s"])), is_sole, "{records:?}");
         assert_eq!(changes.to_record(NOW).unwrap().is_settled, is_sole);
-        assert!(changes.is_sole(NOW + MAX_AGE + Span(1), &route(&["s"])));
+        assert!(changes.is_sole(NOW + LIFETIME + Span(1), &route(&["s"])));
     }
 }
+
+/// The caller may wait longer than the timeout, and a lower timeout ends no stream.
+#[test]
+fn a_stream_may_be_older_than_the_timeout_of_its_route() {
+    let long = Manifest::new(
+        2,
+        vec![Route {
+            timeout: Span::from_secs(90),
+            ..route(&["s"])
+        }],
+    );
+    let mut changes = Changes::default();
+    changes.start(NOW, &manifest(&["s"]));
+    assert_eq!(changes.max_stream_age(), LIFETIME);
+    changes.record_limit(LIFETIME);
+    assert_eq!(changes.max_stream_age(), LIFETIME);
+    changes.record(NOW, &manifest(&["s"]), &long);
+    changes.record(NOW, &long, &manifest(&["s"]));
+    assert_eq!(changes.max_stream_age(), Span::from_secs(90));
+    changes.record(NOW, &manifest(&["t"]), &manifest(&["s"]));
+    changes.record_limit(LIFETIME + Span(1));
+    let limit = Span::from_secs(120);
+    assert_eq!(changes.max_stream_age(), limit);
+    changes.set_complete();
+    assert!(!changes.is_sole(NOW + limit, &route(&["s"])));
+    assert!(changes.is_sole(NOW + limit + Span(1), &route(&["s"])));
+    // A router that starts later learns of it.
+    let mut later = Changes::default();
+    later.merge(changes.to_record(NOW).unwrap());
+    assert_eq!(later.max_stream_age(), limit);
+    changes.record_limit(Span(u64::MAX));
+    assert!(changes.max_stream_age() >= Span::from_secs(600));
+}
+
+/// The records lack versions that left more than 70 s before they were written.
+#[test]
+fn records_show_nothing_of_streams_that_are_older_than_what_they_keep() {
+    let mut versions = Versions::default();
+    versions.merge(NOW, &set(&["new"]));
+    versions.set_recorded();
+    list(&mut versions, 0, 1, &["new"]);
+    let now = NOW + Span::from_secs(1);
+    assert!(versions.sole(now, &service(), LIFETIME).is_some());
+    let older = Span::from_secs(70);
+    assert_eq!(versions.sole(now, &service(), older), None);
+    let mut versions = Versions::default();
+    versions.record(NOW, &service(), &software("old"));
+    assert_eq!(versions.record_set(NOW + older), set(&["old"]));
+}
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -350,6 +350,14 @@
     (response, new.requests().len(), router.log())
 }
 
+/// The remaining time is that of a caller that waits for 15 s; the timeout of the route is 8 s.
+#[test]
+fn a_stream_of_a_caller_that_waits_longer_than_the_timeout_is_not_continued_at_a_new_version() {
+    let (response, received, _) = resume_after_release(2500, 0, 8000);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(received, 0);
+}
+
 #[test]
 fn a_stream_whose_resumption_was_read_late_is_not_continued_at_a_new_version() {
     let (response, received, log) = resume_after_release(1300, 1700, 6600);
