Count an answer that arrived within 500 ms as brief if its runner reports

A report over the connection after the end shows that a process serves there, and a runner that crashed is back after some seconds (PROTOCOL.md), so 500 ms are brief with a report; without one the bound stays at 50 ms.

A report that ended with its connection also counted as a connection that was lost with the answer, which made the answer incomplete.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -119,8 +119,7 @@
             return;
         };
         connection.ended_at = Some(now);
-        let answered_after = connection.answered_after;
-        let is_brief = answered_after.is_some_and(|after| now.since(after) < SETTLE_TIME);
+        let answered_after = connection.answered_after.unwrap_or(connection.since);
         let (runner, address) = (connection.runner.clone(), connection.address);
         let open_at = connection.open_at;
         let arrived_after = self.arrived_after;
@@ -131,7 +130,7 @@
                 ended_at: now,
                 arrived_after,
                 open_at,
-                is_brief,
+                arrival_time: now.since(answered_after),
                 runner,
                 address,
                 contact_index,
@@ -225,7 +224,7 @@
                 ending.contact = Contact::Closed;
             }
         }
-        let is_contact_usable = ending.is_brief && ending.contact == Contact::Accepted;
+        let is_contact_usable = ending.may_be_reported() && ending.contact == Contact::Accepted;
         let contact_index = is_contact_usable.then_some(ending.contact_index);
         let Some(index) = self.find_witness(ending).or(contact_index) else {
             return;
@@ -288,6 +287,11 @@
                     connection.socket.flush();
                     return;
                 }
+                // The report may end with its connection.
+                Input::Eof if connection.response.is_some() => {
+                    self.close(index);
+                    return;
+                }
                 Input::Eof | Input::Broken => {
                     self.handle_upstream_closed(index, input == Input::Broken);
                     return;
@@ -354,7 +358,7 @@
             has_report: ending.has_report(),
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
-            is_brief: ending.is_brief,
+            is_brief: ending.is_brief(),
             is_past_deadline: request.is_none_or(|request| ending.ended_at >= request.deadline),
         };
         for (_, slot) in &self.slots {
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -18,6 +18,11 @@
 /// times what a connection takes and less than a process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
+/// Time within which an answer arrives that counts as brief if the runner reports afterwards. A
+/// router that reads late knows no shorter bound, and a runner that crashed is back after some
+/// seconds.
+pub(crate) const REPORTED_TIME: Span = Span(500);
+
 /// Same as [`SETTLE_TIME`] after a brief answer. Its runner counts as busy until then, so it
 /// is short against the time of a plain request.
 const BRIEF_SETTLE_TIME: Span = Span(10);
@@ -84,7 +89,8 @@
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
     pub lost_witness: bool,
-    /// Whether all of the answer arrived within [`SETTLE_TIME`].
+    /// Whether all of the answer arrived within [`SETTLE_TIME`], or [`REPORTED_TIME`] if the
+    /// runner has answered.
     pub is_brief: bool,
     /// Whether the end was read at or after the deadline that the runner was given, at which
     /// it stops and closes the connection.
@@ -124,8 +130,8 @@
     /// Last time at which the runner was known to have it open. The process may have died at
     /// any time since, and another one may be at the address.
     pub open_at: Time,
-    /// Whether all of the answer arrived within [`SETTLE_TIME`].
-    pub is_brief: bool,
+    /// Time within which all of the answer arrived.
+    pub arrival_time: Span,
     pub runner: Runner,
     pub address: SocketAddr,
     /// Slab index of the connection made after the end.
@@ -144,11 +150,21 @@
         match (self.is_answered, self.asked_index) {
             (true, _) => self.ended_at,
             (false, Some(_)) => self.ended_at + REPORT_TIMEOUT,
-            (false, None) if self.is_brief => self.ended_at + BRIEF_SETTLE_TIME,
+            (false, None) if self.is_brief() => self.ended_at + BRIEF_SETTLE_TIME,
             (false, None) => self.ended_at + SETTLE_TIME,
         }
     }
 
+    /// Returns whether the answer counts as complete if the runner accepts a connection.
+    pub fn is_brief(&self) -> bool {
+        self.arrival_time < SETTLE_TIME || (self.is_answered && self.may_be_reported())
+    }
+
+    /// Returns whether a report over the connection made after the end counts.
+    pub fn may_be_reported(&self) -> bool {
+        self.arrival_time < REPORTED_TIME
+    }
+
     /// Returns whether the runner has answered over a connection that was made before the end.
     pub fn has_report(&self) -> bool {
         self.is_answered && self.asked_index != Some(self.contact_index)
