Let the runners of the tests and of the soak answer GET /-/report

The stand-ins took a request for the report for one of a caller. Scripted runners answer it without their start, or with one that the test sets, or late; runner processes of the soak name the start of their life, those that are threads do not. Such requests are not recorded as requests. No product code changed.

--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -17,8 +17,8 @@
 
 use super::answers::send_slowly_read;
 use super::environment::{
-    Route, Router, Runner, Store, connect, header, read_message, respond, respond_with_body,
-    send_raw, wait_until,
+    Route, Router, Runner, Store, asks_for_report, connect, header, read_message, report, respond,
+    respond_with_body, send_raw, wait_until,
 };
 use super::{EVENT_STREAM_FIELDS, decode_chunks, entry, events, request, start_router};
 
@@ -62,9 +62,16 @@
 
 /// Answers a request in two halves, without a length, and closes the connection.
 fn serve(mut stream: TcpStream, pause: Duration) {
-    let Some((head, _)) = read_message(&mut stream) else {
+    let Some((mut head, _)) = read_message(&mut stream) else {
         return;
     };
+    while asks_for_report(&head) {
+        report(&mut stream, 0);
+        match read_message(&mut stream) {
+            Some((next, _)) => head = next,
+            None => return,
+        }
+    }
     let is_plain = head.contains("/once/") || head.contains("/safe/");
     let fields = match is_plain {
         true => "",
@@ -409,6 +416,7 @@
     let runner = Runner {
         address: listener.local_addr().expect("an address"),
         received: Arc::default(),
+        born: Arc::default(),
     };
     thread::spawn(move || {
         let mut kept = Vec::new();
--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -3,6 +3,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Child;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -364,11 +365,14 @@
 pub struct Runner {
     pub address: SocketAddr,
     pub received: Arc<Mutex<Vec<String>>>,
+    /// Start that the runner names in its report; 0 for none.
+    pub born: Arc<AtomicU64>,
 }
 
 impl Runner {
     /// Starts a runner. `script` writes the response to a request and returns
-    /// whether the connection stays open.
+    /// whether the connection stays open. Requests for the runner's report are answered without
+    /// it, and not recorded.
     pub fn start<F>(script: F) -> Self
     where
         F: Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static,
@@ -377,11 +381,18 @@
         let address = listener.local_addr().expect("an address");
         let received: Arc<Mutex<Vec<String>>> = Arc::default();
         let (script, requests) = (Arc::new(script), received.clone());
+        let born: Arc<AtomicU64> = Arc::default();
+        let named = born.clone();
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let (script, requests) = (script.clone(), requests.clone());
+                let named = named.clone();
                 thread::spawn(move || {
                     while let Some((head, body)) = read_message(&mut stream) {
+                        if asks_for_report(&head) {
+                            report(&mut stream, named.load(Ordering::SeqCst));
+                            continue;
+                        }
                         let text = format!("{head}{}", String::from_utf8_lossy(&body));
                         requests.lock().expect("no thread panicked").push(text);
                         if !script(&head, &mut stream) {
@@ -391,7 +402,17 @@
                 });
             }
         });
-        Runner { address, received }
+        Runner {
+            address,
+            received,
+            born,
+        }
+    }
+
+    /// Lets the runner name this start in its report.
+    #[allow(dead_code, reason = "not used by the soak")]
+    pub fn set_born(&self, born: u64) {
+        self.born.store(born, Ordering::SeqCst);
     }
 
     /// Returns the requests received so far, as text.
@@ -400,6 +421,31 @@
     }
 }
 
+/// Returns whether a request asks a runner for its report.
+pub fn asks_for_report(head: &str) -> bool {
+    head.starts_with("GET /-/report ")
+}
+
+/// Start of a runner whose reports come late, and do not name it.
+#[allow(dead_code, reason = "not used by the soak")]
+pub const LATE: u64 = u64::MAX;
+
+/// Writes a runner's report, with the start that it names; 0 for none.
+pub fn report(stream: &mut TcpStream, mut born: u64) {
+    if born == LATE {
+        thread::sleep(Duration::from_millis(600));
+        born = 0;
+    }
+    let mut value = json!({"stage": "both", "busy": false, "sequence": 1, "queued": 0});
+    if born > 0 {
+        value["born"] = json!(born);
+    }
+    let text = value.to_string();
+    let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n", text.len());
+    // The router may have closed the connection.
+    let _ = write!(stream, "{head}Content-Type: application/json\r\n\r\n{text}");
+}
+
 /// Writes a runner's response: a head with `fields`, then the bytes of `body`.
 pub fn respond(stream: &mut TcpStream, request_head: &str, status: u16, fields: &str, body: &str) {
     let id = header(request_head, "x-request-id").unwrap_or("-");
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -13,7 +13,7 @@
 
 use crate::answer::{Life, Notices, Report, answer, bad_part};
 use crate::command::unused_loopback_ip;
-use crate::environment::read_message;
+use crate::environment::{self, asks_for_report, read_message};
 use crate::judge::Judge;
 use crate::server::{CRASH_TIME, Listing, now_ms};
 
@@ -250,6 +250,10 @@
 fn serve(mut stream: TcpStream, life: &Life, notices: &Notices) {
     let report = |report: Report| println!("{}", report.encode());
     while let Some((head, _)) = read_message(&mut stream) {
+        if asks_for_report(&head) {
+            environment::report(&mut stream, life.born);
+            continue;
+        }
         if let Some(part) = bad_part(&head) {
             report(Report::Crash { part });
             std::process::exit(CRASH_CODE);
