Ask a runner which process answers before streams begin or go on there

Cause: the version in the entry of a runner was believed for whatever process answers at its id. A runner may start again under its id with another version, and its entry follows later, or not at all while the store is down.

Change: on a new connection for a request of a resumable route the router asks `GET /-/report` first, and compares `born` with the entry. The result holds for the life of the connection, as that leads to one process. If another process answers, a stream that goes on is not sent there, and one that begins is of unknown origin. Nothing was sent, so no retry is spent. A runner that does not name its start is judged by connections that were open at the same time and broke together, by idle ones that it had announced to keep, and by the list of runners: while that is older than 3.5 s, no stream goes on there within its answer either.

`event=process_listed`, `process_other` and `process_unnamed` say which process a connection leads to; the metric counts them.

--- /dev/null
+++ b/crates/edge/src/edge/identify.rs
@@ -0,0 +1,182 @@
+//! Which process of a runner a connection leads to, before streams begin or go on there.
+
+use balsamchute_adapter::request;
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::action::{End, Id};
+use balsamchute_schedule::process::Process;
+
+use crate::edge::{Edge, Slot};
+use crate::identity::Identity;
+use crate::upstream::Phase;
+
+impl Edge {
+    /// Sends a request over a connection that is new, or asks first which process it leads to.
+    pub(super) fn use_new_connection(&mut self, now: Time, index: usize, id: Id) {
+        if !self.scheduler.needs_process(id) {
+            self.use_connection(now, index, id);
+            return;
+        }
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        connection.phase = Phase::Identifying(id);
+        connection.since = now;
+        request::encode_report(connection.socket.write_buffer(), connection.address);
+        connection.socket.flush();
+        if connection.socket.is_broken() {
+            self.handle_connect_failure(now, index, id, false);
+        }
+    }
+
+    /// Sends a request over a connection, unless it is a stream that may not go on there.
+    pub(super) fn use_connection(&mut self, now: Time, index: usize, id: Id) {
+        let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
+            return;
+        };
+        if connection.is_verified {
+            self.scheduler.set_verified(id);
+        }
+        match self.scheduler.may_send(now, id) {
+            true => self.write_request(now, index, id),
+            false => self.leave_unsent(now, index, id),
+        }
+    }
+
+    /// Reads the response to the question which process answers.
+    pub(super) fn advance_report(&mut self, index: usize, id: Id) {
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        if let Some(identity) = Identity::parse(&connection.input) {
+            connection.input.clear();
+            let now = self.now();
+            self.settle_identity(now, index, id, identity);
+        }
+    }
+
+    /// Decides what becomes of a request whose connection has not answered in time. A response
+    /// may have arrived that is not read yet.
+    pub(super) fn end_identification(&mut self, now: Time, index: usize, id: Id) {
+        self.read_upstream(index, false);
+        let runner = match self.slots.get(index) {
+            Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Identifying(waiting) if waiting == id) => {
+                connection.runner.clone()
+            }
+            _ => return,
+        };
+        if self.scheduler.names_start(&runner) {
+            self.handle_connect_failure(now, index, id, false);
+            return;
+        }
+        let identity = Identity {
+            started_at: None,
+            is_reusable: false,
+        };
+        self.settle_identity(now, index, id, identity);
+    }
+
+    fn settle_identity(&mut self, now: Time, index: usize, id: Id, identity: Identity) {
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        let (runner, address) = (connection.runner.clone(), connection.address);
+        let listed = self
+            .registry
+            .get(&runner)
+            .map_or(0, |entry| entry.started_at);
+        let process = match identity.is_reusable {
+            true => Process::new(listed, identity.started_at),
+            false => Process::Unnamed,
+        };
+        connection.started_at = listed;
+        connection.is_verified = process == Process::Listed;
+        // The runner may send its response twice.
+        connection.is_reused = process == Process::Unnamed;
+        let transaction = self.transactions.get(&id);
+        log::info!(
+            target: "runner",
+            "event=process_{} runner={runner} request={} listed={listed} started_at={} reusable={} after_ms={}",
+            process.as_str(),
+            transaction.map_or("-", |transaction| &transaction.request_id),
+            identity.started_at.unwrap_or(0),
+            identity.is_reusable,
+            now.since(connection.since).0
+        );
+        self.stats.count_process(process);
+        self.scheduler.record_process(now, id, process);
+        match (self.scheduler.may_send(now, id), identity.is_reusable) {
+            (true, true) => self.write_request(now, index, id),
+            (true, false) if !self.scheduler.names_start(&runner) => {
+                self.detach(index, id);
+                self.connect_for(now, id, &runner, address);
+            }
+            _ => self.leave_unsent(now, index, id),
+        }
+    }
+
+    /// Closes a connection whose request was not sent.
+    fn leave_unsent(&mut self, now: Time, index: usize, id: Id) {
+        self.detach(index, id);
+        self.scheduler.finish_attempt(now, id, End::NotSent);
+        self.run_actions();
+    }
+
+    /// Notes which connections to a runner are open when another one is established: that one
+    /// leads to the same process. Answers that end with their connection have their own witness.
+    pub(super) fn note_open_connections(&mut self, now: Time, index: usize) {
+        let runner = match self.slots.get(index) {
+            Some(Slot::Upstream(connection)) => connection.runner.clone(),
+            _ => return,
+        };
+        for (other, slot) in &mut self.slots {
+            if let Slot::Upstream(connection) = slot
+                && other != index
+                && connection.runner == runner
+                && connection.established_at.is_some()
+                && !connection.ends_by_close()
+                && connection.socket.is_open()
+            {
+                connection.open_at = now;
+            }
+        }
+    }
+
+    /// Returns whether a connection is open that leads to the same process as this one, which
+    /// has ended.
+    pub(super) fn outlives(&self, index: usize) -> bool {
+        let Some(Slot::Upstream(ended)) = self.slots.get(index) else {
+            return false;
+        };
+        self.slots.iter().any(|(other, slot)| match slot {
+            Slot::Upstream(connection) => {
+                other != index
+                    && connection.runner == ended.runner
+                    && connection
+                        .established_at
+                        .is_some_and(|at| at <= ended.open_at)
+                    && connection.socket.is_open()
+            }
+            _ => false,
+        })
+    }
+
+    /// Handles the end of an idle connection. A runner that has announced how long it keeps it
+    /// may have ended.
+    pub(super) fn handle_idle_end(&mut self, now: Time, index: usize) {
+        let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
+            return;
+        };
+        let runner = connection.runner.clone();
+        let is_early = connection.is_idle_time_known;
+        let opened_at = connection.established_at.unwrap_or(now);
+        let is_alive = self.outlives(index);
+        self.close(index);
+        if is_early {
+            log::info!(target: "runner", "event=idle_connection_ended runner={runner} alive={is_alive}");
+            self.scheduler.record_early_end(now, &runner, opened_at);
+            if is_alive {
+                self.scheduler.record_alive(&runner);
+            }
+        }
+    }
+}
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod evacuations;
 mod fleet;
+mod identify;
 mod responses;
 mod runners;
 mod store;
--- a/crates/edge/src/edge/responses.rs
+++ b/crates/edge/src/edge/responses.rs
@@ -26,6 +26,13 @@
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return;
         };
+        if let Phase::Identifying(id) = connection.phase {
+            connection
+                .input
+                .extend_from_slice(&self.read_buffer[..length]);
+            self.advance_report(index, id);
+            return;
+        }
         let Phase::Busy(id) = connection.phase else {
             log::info!(target: "runner", "event=surplus_bytes runner={} bytes={length}", connection.runner);
             self.close(index);
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -9,6 +9,7 @@
 use balsamchute_schedule::stream::Basis;
 
 use crate::edge::{Edge, Slot};
+use crate::identity::REPORT_TIMEOUT;
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
 use crate::upstream::{Connection, Partial, Phase};
@@ -128,16 +129,21 @@
             self.stats.count_resumption(basis);
         }
         let idle = match may_reuse {
-            true => self.take_idle_connection(now, runner),
+            true => self.take_idle_connection(now, id, runner),
             false => None,
         };
         if let Some(index) = idle {
             if let Some(transaction) = self.transactions.get_mut(&id) {
                 transaction.upstream = Some(index);
             }
-            self.write_request(now, index, id);
+            self.use_connection(now, index, id);
             return;
         }
+        self.connect_for(now, id, runner, address);
+    }
+
+    /// Connects to a runner for a request.
+    pub(super) fn connect_for(&mut self, now: Time, id: Id, runner: &Runner, address: SocketAddr) {
         match self.connect(now, Phase::Connecting(id), runner, address) {
             Ok(index) => {
                 if let Some(transaction) = self.transactions.get_mut(&id) {
@@ -222,32 +228,43 @@
     }
 
     /// Returns an idle connection to the process of the runner that is listed. Notices on a
-    /// connection count for the process that was listed when it was made.
-    fn take_idle_connection(&mut self, now: Time, runner: &Runner) -> Option<usize> {
+    /// connection count for the process that was listed when it was made. Leaves connections of
+    /// unknown processes in the pool if the request needs to know it.
+    fn take_idle_connection(&mut self, now: Time, id: Id, runner: &Runner) -> Option<usize> {
         let started_at = self.registry.get(runner).map(|entry| entry.started_at);
+        let needs_process = self.scheduler.needs_process(id);
+        let mut unverified = Vec::new();
+        let mut found = None;
         while let Some(index) = self.pool.take(runner) {
             match self.slots.get(index) {
                 Some(Slot::Upstream(connection)) => match connection.phase {
                     Phase::Idle(deadline)
                         if now < deadline && started_at == Some(connection.started_at) =>
                     {
-                        return Some(index);
+                        if !needs_process || connection.is_verified {
+                            found = Some(index);
+                            break;
+                        }
+                        unverified.push(index);
                     }
                     _ => self.close(index),
                 },
                 _ => continue,
             }
         }
-        None
+        for index in unverified.into_iter().rev() {
+            self.keep_idle(now, index, runner);
+        }
+        found
     }
 
-    fn write_request(&mut self, now: Time, index: usize, id: Id) {
+    pub(super) fn write_request(&mut self, now: Time, index: usize, id: Id) {
         let (Some(Slot::Upstream(connection)), Some(transaction)) =
             (self.slots.get_mut(index), self.transactions.get(&id))
         else {
             return;
         };
-        connection.is_reused = matches!(connection.phase, Phase::Idle(_));
+        connection.is_reused |= matches!(connection.phase, Phase::Idle(_));
         connection.phase = Phase::Busy(id);
         connection.since = now;
         connection.open_at = now;
@@ -285,7 +302,7 @@
             Phase::Witness => return self.handle_witness_ready(index),
             Phase::Confirming => return,
             Phase::Asking(id) => return self.read_report(index, id),
-            Phase::Busy(_) | Phase::Idle(_) => {}
+            Phase::Identifying(_) | Phase::Busy(_) | Phase::Idle(_) => {}
         }
         if connection.ended_at.is_some() {
             return;
@@ -308,7 +325,8 @@
         match connection.socket.check_connected() {
             Ok(true) => {
                 connection.established_at = Some(self.clock.now());
-                self.write_request(now, index, id);
+                self.note_open_connections(now, index);
+                self.use_new_connection(now, index, id);
             }
             Ok(false) => {}
             Err(error) => {
@@ -321,7 +339,13 @@
     /// Ends an attempt for which no connection was established. `refused` means
     /// that the runner's machine refused it, as opposed to a timeout or another
     /// error.
-    fn handle_connect_failure(&mut self, now: Time, index: usize, id: Id, refused: bool) {
+    pub(super) fn handle_connect_failure(
+        &mut self,
+        now: Time,
+        index: usize,
+        id: Id,
+        refused: bool,
+    ) {
         if let Some(Slot::Upstream(connection)) = self.slots.get(index) {
             log::info!(
                 target: "runner",
@@ -336,7 +360,7 @@
     }
 
     /// Closes a connection to a runner and removes it from its transaction.
-    fn detach(&mut self, index: usize, id: Id) {
+    pub(super) fn detach(&mut self, index: usize, id: Id) {
         self.close(index);
         if let Some(transaction) = self.transactions.get_mut(&id) {
             transaction.upstream = None;
@@ -345,7 +369,7 @@
 
     /// Reads from a runner until no bytes are left, or until the caller's
     /// unsent bytes exceed the limit.
-    fn read_upstream(&mut self, index: usize, has_just_arrived: bool) {
+    pub(super) fn read_upstream(&mut self, index: usize, has_just_arrived: bool) {
         loop {
             if self.update_read_pause(index) {
                 // The answer may begin to arrive during the pause.
@@ -475,7 +499,11 @@
             return;
         };
         let id = match connection.phase {
-            Phase::Idle(_) | Phase::Probing | Phase::Witness | Phase::Confirming => {
+            Phase::Idle(_) => {
+                self.handle_idle_end(now, index);
+                return;
+            }
+            Phase::Probing | Phase::Witness | Phase::Confirming => {
                 self.close(index);
                 return;
             }
@@ -490,6 +518,10 @@
                 self.handle_connect_failure(now, index, id, is_reset);
                 return;
             }
+            Phase::Identifying(id) => {
+                self.handle_connect_failure(now, index, id, false);
+                return;
+            }
             Phase::Busy(id) => id,
         };
         match connection.ends_by_close() && !is_reset {
@@ -523,8 +555,13 @@
             transaction.splitter.partial_len(),
             transaction.progress()
         );
+        let runner = connection.runner.clone();
+        let is_alive = self.outlives(index);
         self.detach(index, id);
         self.scheduler.finish_attempt(now, id, End::Broke);
+        if is_alive {
+            self.scheduler.record_alive(&runner);
+        }
         self.run_actions();
     }
 
@@ -551,6 +588,7 @@
     pub(super) fn sweep_upstreams(&mut self, now: Time) {
         let mut expired = Vec::new();
         let mut timed_out = Vec::new();
+        let mut unidentified = Vec::new();
         for (index, slot) in &self.slots {
             let Slot::Upstream(connection) = slot else {
                 continue;
@@ -563,6 +601,9 @@
                 Phase::Connecting(id) if now.since(connection.since) > CONNECT_TIMEOUT => {
                     timed_out.push((index, id));
                 }
+                Phase::Identifying(id) if now.since(connection.since) > REPORT_TIMEOUT => {
+                    unidentified.push((index, id));
+                }
                 _ => {}
             }
         }
@@ -572,6 +613,9 @@
         for (index, id) in timed_out {
             self.handle_connect_failure(now, index, id, false);
         }
+        for (index, id) in unidentified {
+            self.end_identification(now, index, id);
+        }
         self.sweep_witnesses(now);
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod edge;
 mod ending;
 mod frame;
+mod identity;
 mod output;
 mod server;
 mod socket;
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -6,6 +6,7 @@
 use balsamchute_metrics::Error;
 use balsamchute_metrics::metrics::{Labels, Metrics};
 use balsamchute_model::prelude::*;
+use balsamchute_schedule::process::Process;
 use balsamchute_schedule::stream::Basis;
 use balsamchute_wire::record::Outcome;
 use nix::sys::resource::{UsageWho, getrusage};
@@ -123,6 +124,11 @@
         self.metrics.count_reason("resumed", basis.as_str());
     }
 
+    /// Counts a runner that was asked which of its processes answers.
+    pub fn count_process(&self, process: Process) {
+        self.metrics.count_reason("process", process.as_str());
+    }
+
     /// Counts a stream whose origin became unknown.
     pub fn count_correction(&self) {
         self.metrics.count_reason("resumed", "origin_corrected");
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -13,7 +13,7 @@
 use crate::socket::Socket;
 
 /// Upper bound of a response head in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Idle time for which a connection may be reused if the runner does not
 /// announce its keep-alive timeout.
@@ -41,6 +41,8 @@
     /// The connection carries a request for the runner's report, to learn whether its process
     /// lives after the answer to this request has ended.
     Asking(Id),
+    /// The runner was asked which process it is, and this request waits for the response.
+    Identifying(Id),
     /// The connection carries this request.
     Busy(Id),
     /// The connection may be reused until this time.
@@ -66,6 +68,10 @@
     pub address: SocketAddr,
     /// Start time of the runner's process when the connection was made.
     pub started_at: u64,
+    /// Whether the connection is known to lead to that process.
+    pub is_verified: bool,
+    /// Whether the runner announced how long it keeps the connection idle.
+    pub is_idle_time_known: bool,
     pub phase: Phase,
     /// Time at which the phase began.
     pub since: Time,
@@ -103,6 +109,8 @@
             runner,
             address,
             started_at,
+            is_verified: false,
+            is_idle_time_known: false,
             phase,
             since: now,
             established_at: None,
@@ -120,7 +128,7 @@
     /// Returns the request that uses or waits for the connection.
     pub fn request(&self) -> Option<Id> {
         match self.phase {
-            Phase::Connecting(id) | Phase::Busy(id) => Some(id),
+            Phase::Connecting(id) | Phase::Identifying(id) | Phase::Busy(id) => Some(id),
             Phase::Idle(_)
             | Phase::Probing
             | Phase::Confirming
@@ -171,7 +179,7 @@
 
     /// Returns the time until which the connection may be reused after this
     /// response, or `None` if it must be closed.
-    pub fn reuse_deadline(&self, now: Time) -> Option<Time> {
+    pub fn reuse_deadline(&mut self, now: Time) -> Option<Time> {
         let response = self.response.as_ref()?;
         let is_reusable = response.decoder.is_done()
             && response.framing != Framing::UntilClose
@@ -181,7 +189,9 @@
         if !is_reusable {
             return None;
         }
-        let idle = match response::keep_alive_timeout(&response.head) {
+        let announced = response::keep_alive_timeout(&response.head);
+        self.is_idle_time_known = announced.is_some();
+        let idle = match announced {
             Some(idle) => idle.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIME),
             None => DEFAULT_IDLE_TIME,
         };
--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -219,6 +219,9 @@
         /// Whether the connection was refused, as opposed to timing out.
         refused: bool,
     },
+    /// The connection was established, but nothing was sent: it may lead to another process of
+    /// the runner than the listed one.
+    NotSent,
     /// The connection ended before the answer was complete.
     Broke,
     /// The answer was malformed or belonged to another request.
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -36,16 +36,19 @@
     pub written: bool,
     /// Whether the answer is not read because its caller does not read.
     pub is_read_paused: bool,
+    /// Whether the connection is known to lead to the process of that version.
+    pub is_verified: bool,
 }
 
 impl Dispatch {
     /// Returns the version of the process that answers, `listed` being the present state of the
-    /// runner. It is unknown if another process may have taken the place of the one that the
-    /// request was sent to.
-    pub fn software_that_answers(&self, listed: Option<&Target>) -> Software {
-        let is_certain = listed
-            .is_none_or(|target| target.entry.software == self.software && !target.is_in_doubt());
-        match is_certain {
+    /// runner, by a list that is current or not. It is unknown if another process may have taken
+    /// the place of the one that the request was sent to.
+    pub fn software_that_answers(&self, listed: Option<&Target>, is_current: bool) -> Software {
+        let is_likely = listed.is_none_or(|target| {
+            target.entry.software == self.software && !target.is_in_doubt() && is_current
+        });
+        match self.is_verified || is_likely {
             true => self.software.clone(),
             false => Software::unknown(),
         }
@@ -130,10 +133,14 @@
         began.is_none_or(|began| began == software && !began.is_unknown())
     }
 
-    /// Returns whether the request may go to a runner by its software version. A stream is not
-    /// continued at a runner whose process may be another one than is listed.
-    pub fn may_continue_at(&self, target: &Target) -> bool {
-        self.software.is_none() || (self.fits(&target.entry.software) && !target.is_in_doubt())
+    /// Returns whether the request may go to a runner by its software version, by a list that
+    /// is current or not. A stream is not continued at a runner whose process may be another one
+    /// than is listed, unless that shows on the connection.
+    pub fn may_continue_at(&self, target: &Target, is_current: bool) -> bool {
+        self.software.is_none()
+            || (self.fits(&target.entry.software)
+                && !target.is_gone()
+                && (target.names_start() != Some(false) || (!target.is_in_doubt() && is_current)))
     }
 
     /// Returns whether any runner of the service may take the request: it was sent to none
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -156,6 +156,8 @@
     pub targets: &'a IndexMap<Runner, Target>,
     pub notices: &'a Notices,
     pub evacuated: &'a BTreeSet<String>,
+    /// Whether the list of runners is current.
+    pub is_current: bool,
     pub rates: &'a Rates,
     pub engine: Option<&'a balsamchute_model::manifest::Engine>,
 }
@@ -244,7 +246,7 @@
     {
         let is_ready = |target: &Target| {
             target.entry.service == pending.request.service
-                && pending.may_continue_at(target)
+                && pending.may_continue_at(target, self.is_current)
                 && self.is_open(target)
                 && is_usable(target)
         };
@@ -263,10 +265,25 @@
         if candidates.iter().any(is_untried) || pending.possible_runs > 0 {
             candidates.retain(is_untried);
         }
+        if pending.software.is_some() {
+            self.leave_out_doubtful(&mut candidates);
+        }
         self.leave_out_ejected(&mut candidates);
         candidates
     }
 
+    /// Leaves out runners of which a connection broke, so that their process may be another one
+    /// than is listed, and which perhaps do not name its start, unless there are no others.
+    fn leave_out_doubtful(&self, candidates: &mut Vec<Candidate>) {
+        let is_certain = |candidate: &Candidate| {
+            let target = &self.targets[candidate.index];
+            target.names_start() == Some(true) || !(target.is_suspected() || target.is_in_doubt())
+        };
+        if candidates.iter().any(is_certain) {
+            candidates.retain(is_certain);
+        }
+    }
+
     /// Leaves out ejected runners, except if most of them are: the cause is then probably
     /// not the runners alone.
     fn leave_out_ejected(&self, candidates: &mut Vec<Candidate>) {
--- /dev/null
+++ b/crates/schedule/src/process.rs
@@ -0,0 +1,38 @@
+//! Processes of runners that connections lead to.
+//!
+//! A runner may start again under its id and address, at another software version, and answer
+//! before its entry is listed. A connection leads to one process for its whole life.
+
+/// Process that a connection leads to, by what it says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Process {
+    /// The process whose entry is listed.
+    Listed,
+    /// Another one: the listed process is gone, or is not the one that answers.
+    Other,
+    /// It does not name its start.
+    Unnamed,
+}
+
+impl Process {
+    /// Compares the start that a process names with that of the listed one, in milliseconds
+    /// since the Unix epoch; 0 if the entry names none.
+    #[must_use]
+    pub fn new(listed: u64, named: Option<u64>) -> Self {
+        match named {
+            Some(named) if listed != 0 && named == listed => Process::Listed,
+            Some(_) if listed != 0 => Process::Other,
+            Some(_) | None => Process::Unnamed,
+        }
+    }
+
+    /// Returns the name of the process in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Process::Listed => "listed",
+            Process::Other => "other",
+            Process::Unnamed => "unnamed",
+        }
+    }
+}
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -7,6 +7,7 @@
 
 use crate::cache::Cache;
 use crate::parts::Keys;
+use crate::process::Process;
 
 /// Age above which load reported by a peer is ignored. Peers report several
 /// times a second.
@@ -39,7 +40,7 @@
 /// crashed: a process that ends may close its connections before its listener.
 const PROBE_DELAY: Span = Span(50);
 
-/// Time after a refused connection in which the next process of the runner may serve before
+/// Time after a refused or broken connection in which the next process of the runner may serve before
 /// its entry is listed: the store drops the entry of a process that is gone after three
 /// check-in intervals, and lists a new one within one.
 const REFUSAL_TIME: Span = Span(6000);
@@ -139,6 +140,15 @@
     /// Time of the last connection that the runner refused, while the process that is listed
     /// may be gone.
     refused_at: Option<Time>,
+    /// Time at which a connection last broke.
+    broken_at: Option<Time>,
+    /// Whether no connection that was open beside that one shows that its process lives.
+    is_suspected: bool,
+    /// Time at which connections last broke that were open at the same time, unless another one
+    /// shows that their process lives.
+    lost_at: Option<Time>,
+    /// Whether the process names its start, if that is known.
+    names_start: Option<bool>,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     peer_sum: PeerSum,
     health: Health,
@@ -156,6 +166,10 @@
             disconnects: SmallVec::new(),
             is_probed: true,
             refused_at: None,
+            broken_at: None,
+            is_suspected: false,
+            lost_at: None,
+            names_start: None,
             peer_loads: BTreeMap::new(),
             peer_sum: PeerSum::default(),
             health: Health::default(),
@@ -175,6 +189,8 @@
         };
         if !is_same(&self.entry) {
             self.refused_at = None;
+            self.record_alive();
+            self.names_start = None;
         }
         self.entry = entry;
     }
@@ -184,21 +200,77 @@
         self.refused_at = Some(now);
     }
 
+    /// Records that a connection, in use since `opened_at`, ended as it does when the process
+    /// ends. Two that were open at the same time break together if it does.
+    pub fn record_break(&mut self, now: Time, opened_at: Time) {
+        let was_open =
+            |broken_at: Time| opened_at <= broken_at && now.since(broken_at) < CRASH_WINDOW;
+        if self.broken_at.is_some_and(was_open) {
+            self.lost_at = Some(now);
+        }
+        self.broken_at = Some(now);
+        self.is_suspected = true;
+    }
+
+    /// Records that the process of the last connection that broke lives.
+    pub fn record_alive(&mut self) {
+        self.is_suspected = false;
+        self.lost_at = None;
+    }
+
+    /// Records which process a new connection leads to.
+    pub fn record_process(&mut self, now: Time, process: Process) {
+        match process {
+            Process::Listed => {
+                self.names_start = Some(true);
+                self.refused_at = None;
+                self.record_alive();
+            }
+            Process::Other => {
+                self.names_start = Some(true);
+                self.refused_at = Some(now);
+            }
+            Process::Unnamed => {
+                self.names_start.get_or_insert(false);
+            }
+        }
+    }
+
     /// Ends the doubt about the listed process if it is still listed long after the last
-    /// refusal, by a list that was confirmed at `confirmed_at`.
+    /// refusal or break, by a list that was confirmed at `confirmed_at`.
     pub fn confirm_process(&mut self, confirmed_at: Time) {
-        let is_outdated = |refused_at| confirmed_at >= refused_at + REFUSAL_TIME;
-        if self.refused_at.is_some_and(is_outdated) {
-            self.refused_at = None;
+        let is_outdated = |at: &mut Time| confirmed_at >= *at + REFUSAL_TIME;
+        self.refused_at.take_if(is_outdated);
+        self.lost_at.take_if(is_outdated);
+        if self.broken_at.take_if(is_outdated).is_some() {
+            self.is_suspected = false;
         }
     }
 
     /// Returns whether requests may reach another process than the listed one.
     #[must_use]
     pub fn is_in_doubt(&self) -> bool {
+        self.is_gone() || self.lost_at.is_some()
+    }
+
+    /// Returns whether a connection broke and nothing shows that its process lives.
+    #[must_use]
+    pub fn is_suspected(&self) -> bool {
+        self.is_suspected
+    }
+
+    /// Returns whether the listed process is known to be gone.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
         self.refused_at.is_some()
     }
 
+    /// Returns whether the process names its start on a new connection, if that is known.
+    #[must_use]
+    pub fn names_start(&self) -> Option<bool> {
+        self.names_start
+    }
+
     /// Returns whether the platform lists the runner as accepting requests.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -66,6 +66,7 @@
             // runner is chosen less often.
             End::Rejected => target.observe_slowdown(target.slowdown() * 1.5),
             End::Misdirected => target.eject(now),
+            End::NotSent => {}
             End::NoConnection { refused } => {
                 target.eject(now);
                 if refused {
@@ -76,6 +77,7 @@
             }
             End::Broke => {
                 target.record_failure(now);
+                target.record_break(now, dispatch.sent_at);
                 let entry = &target.entry;
                 let prefix = &self.settings.attempt_prefix;
                 let attempt = Attempt::new(&format!("{prefix}.{id}.{attempt_number}"));
@@ -192,27 +194,54 @@
         self.remove_request(id);
     }
 
+    /// Queues a request again that was not sent; refuses or fails it if it may go to no other
+    /// runner.
+    pub(super) fn requeue_unsent(&mut self, now: Time, id: Id) {
+        if self.may_requeue(now, id) {
+            self.requeue(now, id);
+            return;
+        }
+        match self.pending[&id].possible_runs {
+            0 => self.refuse(id, Refusal::NoRunnerOfVersion),
+            _ => self.actions.push(Action::Fail {
+                id,
+                failure: Failure::RunnerBroke,
+            }),
+        }
+        self.remove_request(id);
+    }
+
     /// Queues the request again, in front of its flow, if its limits and the
     /// retry budget permit; returns whether it did.
     pub(super) fn try_requeue(&mut self, now: Time, id: Id) -> bool {
-        let pending = &self.pending[&id];
-        let (uses_retry_budget, service) =
-            (pending.uses_retry_budget(), pending.request.service.clone());
-        if self.is_refused(now, pending)
-            || !pending.may_retry(now)
-            || !self.has_runner_of_version(pending)
-        {
+        if !self.may_requeue(now, id) {
             return false;
         }
-        if uses_retry_budget && !self.budget.try_retry(now, &service, self.router_count) {
+        let pending = &self.pending[&id];
+        let service = &pending.request.service;
+        if pending.uses_retry_budget() && !self.budget.try_retry(now, service, self.router_count) {
             return false;
         }
+        self.requeue(now, id);
+        true
+    }
+
+    fn may_requeue(&self, now: Time, id: Id) -> bool {
+        let pending = &self.pending[&id];
+        !self.is_refused(now, pending)
+            && pending.may_retry(now)
+            && self.has_runner_of_version(now, pending)
+    }
+
+    fn requeue(&mut self, now: Time, id: Id) {
         let pending = &mut self.pending[&id];
         pending.stage = Stage::Waiting;
         pending.waiting_since = now;
-        let queue = self.queues.entry(service).or_default();
+        let queue = self
+            .queues
+            .entry(pending.request.service.clone())
+            .or_default();
         queue.push_front(&pending.request, id);
-        true
     }
 
     /// Ends a wait or an attempt that has timed out, or moves a stalled
@@ -247,7 +276,7 @@
         // An answer that has begun can only be continued or cut off, so such a
         // request waits until its deadline.
         let is_wait_over = now >= wait_end && !pending.answer_begun;
-        if !self.has_runner_of_version(pending) {
+        if !self.has_runner_of_version(now, pending) {
             self.end_wait(id, Refusal::NoRunnerOfVersion);
             self.cancel(now, id);
             return;
@@ -291,11 +320,12 @@
     /// Returns whether a runner may take the request: one that accepts requests and has the
     /// software version that began the stream. Always `true` for a request that is not
     /// bound to a version.
-    pub(super) fn has_runner_of_version(&self, pending: &Pending) -> bool {
+    pub(super) fn has_runner_of_version(&self, now: Time, pending: &Pending) -> bool {
+        let is_current = self.has_current_list(now);
         pending.software.is_none()
             || self.targets.values().any(|target| {
                 target.entry.service == pending.request.service
-                    && pending.may_continue_at(target)
+                    && pending.may_continue_at(target, is_current)
                     && self.is_available(target)
                     && (pending.possible_runs == 0 || !pending.tried.contains(&target.entry.runner))
             })
--- a/crates/schedule/src/scheduler/cold.rs
+++ b/crates/schedule/src/scheduler/cold.rs
@@ -72,7 +72,7 @@
             }
             End::NoConnection { refused: true } => self.colds.record_refusal(now, runner),
             End::Broke => self.colds.record_break(now, runner, &cold_start),
-            End::NoConnection { refused: false } | End::Misdirected => {}
+            End::NoConnection { refused: false } | End::Misdirected | End::NotSent => {}
         }
         self.update_cold(now, runner);
     }
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -261,6 +261,7 @@
             targets: &self.targets,
             notices: &self.notices,
             evacuated: &self.evacuated,
+            is_current: self.has_current_list(now),
             rates: &self.rates,
             engine: self.engines.get(service),
         }
@@ -385,6 +386,7 @@
             events: 0,
             written: false,
             is_read_paused: false,
+            is_verified: false,
         });
         self.charge(id, 1.0);
         self.actions.push(Action::Send {
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -302,7 +302,7 @@
                 Some(_) => Refusal::NoRunnerOfVersion,
                 None => Refusal::UnknownVersion,
             };
-            if pending.software.is_none() || !self.has_runner_of_version(&pending) {
+            if pending.software.is_none() || !self.has_runner_of_version(now, &pending) {
                 self.refuse(id, refusal);
                 return;
             }
@@ -380,6 +380,7 @@
             return;
         };
         let service = pending.request.service.clone();
+        let is_current = !self.streams.versions().is_outdated(now);
         let Stage::Dispatched(dispatch) = &mut pending.stage else {
             return;
         };
@@ -393,15 +394,20 @@
             // A caller may name any request of a stream that it takes up again.
             let software = pending.software.get_or_insert_with(|| {
                 pending.basis = Some(Basis::Answer);
-                dispatch.software_that_answers(listed)
+                dispatch.software_that_answers(listed, is_current)
             });
             let origin = Origin {
                 service: service.clone(),
                 software: software.clone(),
             };
             let stream = pending.request.stream_digest;
-            self.streams
-                .record_at(now, stream, origin, &dispatch.runner);
+            match dispatch.is_verified {
+                true => self.streams.record(now, stream, origin),
+                false => {
+                    self.streams
+                        .record_at(now, stream, origin, &dispatch.runner);
+                }
+            }
         }
         if !is_first {
             return;
@@ -460,6 +466,11 @@
                 }
                 self.retry_or_fail(now, id, Failure::RunnerBroke);
             }
+            End::NotSent => {
+                self.charge(id, -1.0);
+                self.pending[&id].failed_connects += 1;
+                self.requeue_unsent(now, id);
+            }
             End::RunnerFailed => {
                 self.pending[&id].possible_runs += 1;
                 if !self.try_requeue(now, id) {
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -5,10 +5,107 @@
 
 use crate::action::{Action, Failure, Id};
 use crate::pending::{Pending, Stage};
+use crate::process::Process;
 use crate::scheduler::Scheduler;
 use crate::stream::Basis;
 
 impl Scheduler {
+    /// Returns whether the list of runners is confirmed as far as this router has one.
+    pub(super) fn has_current_list(&self, now: Time) -> bool {
+        !self.streams.versions().is_outdated(now)
+    }
+
+    /// Returns whether the process should name its start on a new connection before the request
+    /// is sent: the request is for a stream that another runner may continue.
+    #[must_use]
+    pub fn needs_process(&self, id: Id) -> bool {
+        let Some(pending) = self.pending.get(&id) else {
+            return false;
+        };
+        let Stage::Dispatched(dispatch) = &pending.stage else {
+            return false;
+        };
+        let target = self.targets.get(&dispatch.runner);
+        pending.request.is_resumable()
+            && target.is_some_and(|target| target.names_start() != Some(false))
+    }
+
+    /// Returns whether a process of this runner has named its start since it is listed.
+    #[must_use]
+    pub fn names_start(&self, runner: &Runner) -> bool {
+        let target = self.targets.get(runner);
+        target.is_some_and(|target| target.names_start() == Some(true))
+    }
+
+    /// Records that the connection for a request is known to lead to the listed process.
+    pub fn set_verified(&mut self, id: Id) {
+        if let Some(Pending {
+            stage: Stage::Dispatched(dispatch),
+            ..
+        }) = self.pending.get_mut(&id)
+        {
+            dispatch.is_verified = true;
+        }
+    }
+
+    /// Records which process a new connection for a request leads to.
+    pub fn record_process(&mut self, now: Time, id: Id, process: Process) {
+        let Some(Pending {
+            stage: Stage::Dispatched(dispatch),
+            ..
+        }) = self.pending.get_mut(&id)
+        else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(&dispatch.runner) else {
+            return;
+        };
+        self.settled.clear();
+        target.record_process(now, process);
+        match process {
+            Process::Listed => {
+                dispatch.software = target.entry.software.clone();
+                dispatch.is_verified = true;
+            }
+            Process::Other => dispatch.software = Software::unknown(),
+            Process::Unnamed => {}
+        }
+    }
+
+    /// Returns whether a request may be sent over its connection: a stream goes on only at the
+    /// version that began it.
+    #[must_use]
+    pub fn may_send(&self, now: Time, id: Id) -> bool {
+        let Some(pending) = self.pending.get(&id) else {
+            return false;
+        };
+        let Stage::Dispatched(dispatch) = &pending.stage else {
+            return false;
+        };
+        let listed = self.targets.get(&dispatch.runner);
+        let is_current = self.has_current_list(now);
+        pending.software.is_none()
+            || pending.fits(&dispatch.software_that_answers(listed, is_current))
+    }
+
+    /// Records that a connection to a runner without a request, established at `opened_at`,
+    /// ended although the runner had announced to keep it longer.
+    pub fn record_early_end(&mut self, now: Time, runner: &Runner, opened_at: Time) {
+        self.settled.clear();
+        if let Some(target) = self.targets.get_mut(runner) {
+            target.record_break(now, opened_at);
+        }
+    }
+
+    /// Records that a connection that was made before the last one broke is open: the process
+    /// lives.
+    pub fn record_alive(&mut self, runner: &Runner) {
+        self.settled.clear();
+        if let Some(target) = self.targets.get_mut(runner) {
+            target.record_alive();
+        }
+    }
+
     /// Makes the origin of streams unknown that a new process of a runner may have begun before
     /// its entry arrived. Returns whether the entry is of such a process.
     pub(super) fn replace_process(&mut self, now: Time, entry: &Entry) -> bool {
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -165,6 +165,12 @@
         self.covered_since.is_some()
     }
 
+    /// Returns whether the list of runners was confirmed, but not a short time ago.
+    #[must_use]
+    pub fn is_outdated(&self, now: Time) -> bool {
+        self.covered_since.is_some() && !self.is_confirmed(now)
+    }
+
     /// Returns the time at which the list of runners was last confirmed.
     #[must_use]
     pub fn confirmed_at(&self) -> Time {
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -5,6 +5,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::Scheduler;
 use balsamchute_schedule::action::{Action, End, Failure, Id};
+use balsamchute_schedule::process::Process;
 use balsamchute_schedule::report::{Begun, Sum};
 use balsamchute_schedule::request::{Request, Resumed};
 use common::{NOW, entry, model_request, named_scheduler, runner, scheduler, sends, service};
@@ -245,3 +246,49 @@
     let sent = submit(&mut scheduler, NOW, 2, take_up(2, 1));
     assert_eq!(sent, [(2, "v".to_owned())]);
 }
+
+/// Nothing was sent to the other process, so the retry budget is left to failures.
+#[test]
+fn a_stream_that_finds_another_process_than_is_listed_goes_elsewhere_without_retry_budget() {
+    let mut scheduler = scheduler(2);
+    begun_at_x(&mut scheduler, NOW, 1);
+    assert_eq!(breaks(&mut scheduler, NOW, 1), [(1, "y".to_owned())]);
+    scheduler.set_runner(NOW, versioned("v", "old", 1));
+    assert!(scheduler.needs_process(1));
+    scheduler.record_process(NOW, 1, Process::new(1, Some(2)));
+    assert!(!scheduler.may_send(NOW, 1));
+    scheduler.finish_attempt(NOW, 1, End::NotSent);
+    assert_eq!(sends(&scheduler.take_actions()), [(1, "v".to_owned())]);
+    scheduler.record_process(NOW, 1, Process::new(1, Some(1)));
+    assert!(scheduler.may_send(NOW, 1));
+}
+
+#[test]
+fn a_stream_that_another_process_than_is_listed_begins_is_of_unknown_version() {
+    for (named, taken_up) in [(None, true), (Some(1), true), (Some(2), false)] {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+        submit(&mut scheduler, NOW, 1, begin(1));
+        scheduler.record_process(NOW, 1, Process::new(1, named));
+        assert!(scheduler.may_send(NOW, 1));
+        scheduler.record_write(1);
+        scheduler.record_events(NOW, 1, 1);
+        scheduler.set_runner(NOW, versioned("y", "old", 1));
+        let sent = submit(&mut scheduler, NOW, 2, take_up(2, 1));
+        assert_eq!(!sent.is_empty(), taken_up, "{named:?}");
+    }
+}
+
+/// Its start does not rule out that the new process began the stream; the connection does.
+#[test]
+fn a_stream_of_a_process_that_named_its_start_keeps_its_version_after_a_restart() {
+    let mut scheduler = scheduler(100);
+    scheduler.set_runner(NOW, versioned("x", "old", 1));
+    submit(&mut scheduler, NOW, 1, begin(1));
+    scheduler.record_process(NOW, 1, Process::new(1, Some(1)));
+    scheduler.record_events(NOW, 1, 1);
+    scheduler.set_runner(NOW, versioned("y", "old", 1));
+    scheduler.set_runner(NOW + Span(500), versioned("x", "new", NOW.0));
+    let later = NOW + Span(500);
+    assert_eq!(breaks(&mut scheduler, later, 1), [(1, "y".to_owned())]);
+}
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -534,6 +534,7 @@
     let runner = Runner {
         address: listener.local_addr().expect("an address"),
         received: Arc::default(),
+        born: Arc::default(),
     };
     thread::spawn(move || {
         let mut kept = Vec::new();
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -9,7 +9,7 @@
 
 use serde_json::json;
 
-use super::environment::{Runner, Store, connect, header, respond, send_raw, wait_until};
+use super::environment::{LATE, Runner, Store, connect, header, respond, send_raw, wait_until};
 use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest, start_routers};
 
 /// Time in which routers tell each other of a stream.
@@ -123,3 +123,74 @@
     assert!(response.contains("id: 5\n"), "{response}");
     assert_eq!(other.requests().len(), 2);
 }
+
+/// Begins a stream at `i-0`, whose process names the start 1, or 2 if it is not listed, and lists
+/// `i-1` as started at 1. Breaks the stream off and returns the response.
+fn break_off(store: &Store, starts: [u64; 2], fails_store: bool) -> (String, Vec<Router>) {
+    let breaks = Arc::new(AtomicBool::new(false));
+    let runners = starts.map(|start| {
+        let runner = runner(&breaks);
+        runner.set_born(start);
+        runner
+    });
+    store.put("config", "main", manifest(1, &["k1"]));
+    list(store, "i-0", &runners[0], "v1", 1);
+    let routers = start_routers(store, 1);
+    let (mut caller, mut response) = begin(&routers[0], "q1");
+    list(store, "i-1", &runners[1], "v1", 1);
+    wait_until("the entry is listed", || {
+        routers[0].log().contains("runner=i-1 ")
+    });
+    if fails_store {
+        store.set_unavailable(true);
+        thread::sleep(LIST_TIME);
+    }
+    breaks.store(true, Ordering::SeqCst);
+    let _ = caller.read_to_string(&mut response);
+    (response, routers)
+}
+
+/// Time after which a list of runners is too old to tell which process answers.
+const LIST_TIME: Duration = Duration::from_millis(4200);
+
+#[test]
+fn a_stream_is_not_continued_at_a_process_that_is_not_listed() {
+    let store = Store::start();
+    let (response, _routers) = break_off(&store, [1, 2], false);
+    assert!(!response.contains("id: 3\n"), "{response}");
+}
+
+#[test]
+fn a_stream_that_a_process_began_which_is_not_listed_is_not_continued_at_the_version_listed() {
+    let store = Store::start();
+    let (response, routers) = break_off(&store, [2, 1], false);
+    assert!(!response.contains("id: 3\n"), "{response}");
+    let taken_up = request("q2", "Last-Event-Id: 2\r\nResumes: q1\r\n");
+    let response = send_raw(routers[0].callers, &taken_up);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
+
+#[test]
+fn a_stream_is_continued_at_a_process_that_is_listed_also_while_the_store_is_down() {
+    for fails_store in [false, true] {
+        let store = Store::start();
+        let (response, _routers) = break_off(&store, [1, 1], fails_store);
+        assert!(response.contains("id: 5\n"), "{response}");
+    }
+}
+
+/// The process of a runner that does not name its start may have been replaced meanwhile.
+#[test]
+fn a_stream_is_not_continued_by_an_old_list_at_a_runner_that_does_not_name_its_start() {
+    let store = Store::start();
+    let (response, _routers) = break_off(&store, [1, 0], true);
+    assert!(!response.contains("id: 3\n"), "{response}");
+}
+
+#[test]
+fn a_report_that_comes_late_is_not_taken_for_the_answer_of_a_stream() {
+    let store = Store::start();
+    let (response, _routers) = break_off(&store, [LATE, LATE], false);
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(response.contains("id: 5\n"), "{response}");
+}
--- a/tests/soak/answer.rs
+++ b/tests/soak/answer.rs
@@ -122,8 +122,8 @@
         .filter(|part| *part > 1000)
 }
 
-/// Answers a request at a runner, or one for its report, which is no run; returns whether the
-/// connection stays open. Some requests, by their id, are turned away, broken off, spoilt or answered twice.
+/// Answers a request at a runner; returns whether the connection stays open. Some requests,
+/// by their id, are turned away, broken off, spoilt or answered twice.
 pub fn answer(
     life: &Life,
     notices: &Notices,
@@ -131,12 +131,6 @@
     stream: &mut TcpStream,
     report: &dyn Fn(Report),
 ) -> bool {
-    if head.starts_with("GET /-/report ") && header(head, "x-request-id").is_none() {
-        let body = format!("{{\"born\":{}}}", life.born);
-        let fields = format!("Content-Length: {}\r\n", body.len());
-        respond(stream, head, 200, &fields, &body);
-        return true;
-    }
     let id = header(head, "x-request-id").unwrap_or("-").to_owned();
     let after = header(head, "last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
     let arrival = |runs| Report::Arrival {
