Ask a runner again that sent no report in time

A runner that did not send its report within 250 ms counted as one that does not name its start until its next entry. On a machine where all processes wait for the processor that would leave the start of live runners unread for as long as they are listed, and their streams to the older evidence.

Change: silence counts for 5 s. In that time streams begin there without the question, and a stream does not go on at a runner that has named its start before. A runner that never did is judged as one that does not name it.

Tests: a_stream_is_not_continued_at_a_runner_that_named_its_start_and_is_silent_now. Found by reading; no run has shown the fault.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -50,7 +50,7 @@
         if let Some(identity) = Identity::parse(&connection.input) {
             connection.input.clear();
             let now = self.now();
-            self.settle_identity(now, index, id, identity);
+            self.settle_identity(now, index, id, Some(identity));
         }
     }
 
@@ -58,34 +58,26 @@
     /// may have arrived that is not read yet.
     pub(super) fn end_identification(&mut self, now: Time, index: usize, id: Id) {
         self.read_upstream(index, false);
-        let runner = match self.slots.get(index) {
-            Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Identifying(waiting) if waiting == id) => {
-                connection.runner.clone()
-            }
-            _ => return,
-        };
-        if self.scheduler.names_start(&runner) {
-            self.handle_connect_failure(now, index, id, false);
-            return;
+        if let Some(Slot::Upstream(connection)) = self.slots.get(index)
+            && matches!(connection.phase, Phase::Identifying(waiting) if waiting == id)
+        {
+            self.settle_identity(now, index, id, None);
         }
-        let identity = Identity {
-            started_at: None,
-            is_reusable: false,
-        };
-        self.settle_identity(now, index, id, identity);
     }
 
-    fn settle_identity(&mut self, now: Time, index: usize, id: Id, identity: Identity) {
+    /// Records which process a connection leads to, and sends its request or not. `identity` is
+    /// `None` if the runner did not answer in time.
+    fn settle_identity(&mut self, now: Time, index: usize, id: Id, identity: Option<Identity>) {
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
             return;
         };
         let (runner, address) = (connection.runner.clone(), connection.address);
-        let listed = self
-            .registry
-            .get(&runner)
-            .map_or(0, |entry| entry.started_at);
-        let process = match identity.is_reusable {
-            true => Process::new(listed, identity.started_at),
+        let listed = self.registry.get(&runner);
+        let listed = listed.map_or(0, |entry| entry.started_at);
+        let is_reusable = identity.is_some_and(|identity| identity.is_reusable);
+        let started_at = identity.and_then(|identity| identity.started_at);
+        let process = match is_reusable {
+            true => Process::new(listed, started_at),
             false => Process::Unnamed,
         };
         connection.started_at = listed;
@@ -95,22 +87,26 @@
         let transaction = self.transactions.get(&id);
         log::info!(
             target: "runner",
-            "event=process_{} runner={runner} request={} listed={listed} started_at={} reusable={} after_ms={}",
+            "event=process_{} runner={runner} request={} listed={listed} started_at={} answered={} reusable={is_reusable} after_ms={}",
             process.as_str(),
             transaction.map_or("-", |transaction| &transaction.request_id),
-            identity.started_at.unwrap_or(0),
-            identity.is_reusable,
+            started_at.unwrap_or(0),
+            identity.is_some(),
             now.since(connection.since).0
         );
         self.stats.count_process(process);
-        self.scheduler.record_process(now, id, process);
-        match (self.scheduler.may_send(now, id), identity.is_reusable) {
-            (true, true) => self.write_request(now, index, id),
-            (true, false) if !self.scheduler.names_start(&runner) => {
-                self.detach(index, id);
-                self.connect_for(now, id, &runner, address);
-            }
-            _ => self.leave_unsent(now, index, id),
+        match identity {
+            Some(_) => self.scheduler.record_process(now, id, process),
+            None => self.scheduler.record_silence(now, &runner),
+        }
+        let may_send = self.scheduler.may_send(now, id);
+        if may_send && is_reusable {
+            self.write_request(now, index, id);
+        } else if may_send && !self.scheduler.needs_process(id) {
+            self.detach(index, id);
+            self.connect_for(now, id, &runner, address);
+        } else {
+            self.leave_unsent(now, index, id);
         }
     }
 
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -4,6 +4,7 @@
 use smallvec::SmallVec;
 
 use crate::parts::{self, Keys};
+use crate::process::Naming;
 use crate::request::Request;
 use crate::runner::Target;
 use crate::stream::Basis;
@@ -137,10 +138,12 @@
     /// is current or not. A stream is not continued at a runner whose process may be another one
     /// than is listed, unless that shows on the connection.
     pub fn may_continue_at(&self, target: &Target, is_current: bool) -> bool {
-        self.software.is_none()
-            || (self.fits(&target.entry.software)
-                && !target.is_gone()
-                && (target.names_start() != Some(false) || (!target.is_in_doubt() && is_current)))
+        let may_be_listed = match target.naming() {
+            Naming::Unknown | Naming::Named => !target.is_gone(),
+            Naming::Unnamed => !target.is_in_doubt() && is_current,
+            Naming::Silent => false,
+        };
+        self.software.is_none() || (self.fits(&target.entry.software) && may_be_listed)
     }
 
     /// Returns whether any runner of the service may take the request: it was sent to none
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -9,6 +9,7 @@
 use crate::home::{self, Homes};
 use crate::notice::Notices;
 use crate::pending::Pending;
+use crate::process::Naming;
 use crate::rate::Rates;
 use crate::round::{Candidate, Round};
 use crate::runner::{Load, Target};
@@ -277,7 +278,7 @@
     fn leave_out_doubtful(&self, candidates: &mut Vec<Candidate>) {
         let is_certain = |candidate: &Candidate| {
             let target = &self.targets[candidate.index];
-            target.names_start() == Some(true) || !(target.is_suspected() || target.is_in_doubt())
+            target.naming() == Naming::Named || !(target.is_suspected() || target.is_in_doubt())
         };
         if candidates.iter().any(is_certain) {
             candidates.retain(is_certain);
--- a/crates/schedule/src/process.rs
+++ b/crates/schedule/src/process.rs
@@ -3,6 +3,19 @@
 //! A runner may start again under its id and address, at another software version, and answer
 //! before its entry is listed. A connection leads to one process for its whole life.
 
+/// What is known of a runner's reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Naming {
+    /// Nothing yet.
+    Unknown,
+    /// They name the start of the process.
+    Named,
+    /// They do not name it, or none came a short time ago.
+    Unnamed,
+    /// They name it, but none came a short time ago.
+    Silent,
+}
+
 /// Process that a connection leads to, by what it says of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Process {
@@ -26,7 +39,7 @@
         }
     }
 
-    /// Returns the name of the process in logs and metrics.
+    /// Returns the outcome in logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -7,7 +7,7 @@
 
 use crate::cache::Cache;
 use crate::parts::Keys;
-use crate::process::Process;
+use crate::process::{Naming, Process};
 
 /// Age above which load reported by a peer is ignored. Peers report several
 /// times a second.
@@ -45,6 +45,10 @@
 /// check-in intervals, and lists a new one within one.
 const REFUSAL_TIME: Span = Span(6000);
 
+/// Time for which a runner that sent no report is not asked again: each question delays a
+/// request.
+const SILENCE_TIME: Span = Span::from_secs(5);
+
 /// Load that requests in flight place on a runner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -149,6 +153,8 @@
     lost_at: Option<Time>,
     /// Whether the process names its start, if that is known.
     names_start: Option<bool>,
+    /// Time until which the process is not asked for its start, since it did not answer.
+    silent_until: Option<Time>,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     peer_sum: PeerSum,
     health: Health,
@@ -170,6 +176,7 @@
             is_suspected: false,
             lost_at: None,
             names_start: None,
+            silent_until: None,
             peer_loads: BTreeMap::new(),
             peer_sum: PeerSum::default(),
             health: Health::default(),
@@ -191,6 +198,7 @@
             self.refused_at = None;
             self.record_alive();
             self.names_start = None;
+            self.silent_until = None;
         }
         self.entry = entry;
     }
@@ -265,10 +273,25 @@
         self.refused_at.is_some()
     }
 
-    /// Returns whether the process names its start on a new connection, if that is known.
+    /// Records that no report came in time over a new connection.
+    pub fn record_silence(&mut self, now: Time) {
+        self.silent_until = Some(now + SILENCE_TIME);
+    }
+
+    /// Lets the process be asked again for its start.
+    pub fn expire_silence(&mut self, now: Time) {
+        self.silent_until.take_if(|until| now >= *until);
+    }
+
+    /// Returns what is known of the reports of the process.
     #[must_use]
-    pub fn names_start(&self) -> Option<bool> {
-        self.names_start
+    pub fn naming(&self) -> Naming {
+        match (self.names_start, self.silent_until) {
+            (Some(true), Some(_)) => Naming::Silent,
+            (Some(true), None) => Naming::Named,
+            (Some(false), _) | (None, Some(_)) => Naming::Unnamed,
+            (None, None) => Naming::Unknown,
+        }
     }
 
     /// Returns whether the platform lists the runner as accepting requests.
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -506,6 +506,7 @@
         let confirmed_at = self.streams.versions().confirmed_at();
         for target in self.targets.values_mut() {
             target.confirm_process(confirmed_at);
+            target.expire_silence(now);
             self.rates.refill(now, &target.entry);
             self.streams.record_version(now, &target.entry);
         }
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -5,7 +5,8 @@
 
 use crate::action::{Action, Failure, Id};
 use crate::pending::{Pending, Stage};
-use crate::process::Process;
+use crate::process::{Naming, Process};
+use crate::runner::Target;
 use crate::scheduler::Scheduler;
 use crate::stream::Basis;
 
@@ -25,16 +26,8 @@
         let Stage::Dispatched(dispatch) = &pending.stage else {
             return false;
         };
-        let target = self.targets.get(&dispatch.runner);
-        pending.request.is_resumable()
-            && target.is_some_and(|target| target.names_start() != Some(false))
-    }
-
-    /// Returns whether a process of this runner has named its start since it is listed.
-    #[must_use]
-    pub fn names_start(&self, runner: &Runner) -> bool {
-        let target = self.targets.get(runner);
-        target.is_some_and(|target| target.names_start() == Some(true))
+        let naming = self.targets.get(&dispatch.runner).map(Target::naming);
+        pending.request.is_resumable() && matches!(naming, Some(Naming::Unknown | Naming::Named))
     }
 
     /// Records that the connection for a request is known to lead to the listed process.
@@ -72,6 +65,14 @@
         }
     }
 
+    /// Records that a runner sent no report in time over a new connection.
+    pub fn record_silence(&mut self, now: Time, runner: &Runner) {
+        self.settled.clear();
+        if let Some(target) = self.targets.get_mut(runner) {
+            target.record_silence(now);
+        }
+    }
+
     /// Returns whether a request may be sent over its connection: a stream goes on only at the
     /// version that began it.
     #[must_use]
@@ -83,7 +84,8 @@
             return false;
         };
         let listed = self.targets.get(&dispatch.runner);
-        let is_current = self.has_current_list(now);
+        let is_silent = listed.is_some_and(|target| target.naming() == Naming::Silent);
+        let is_current = self.has_current_list(now) && !is_silent;
         pending.software.is_none()
             || pending.fits(&dispatch.software_that_answers(listed, is_current))
     }
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -292,3 +292,23 @@
     let later = NOW + Span(500);
     assert_eq!(breaks(&mut scheduler, later, 1), [(1, "y".to_owned())]);
 }
+
+/// A runner that waits for its processor may answer late; what it named before does not count.
+#[test]
+fn a_stream_is_not_continued_at_a_runner_that_named_its_start_and_is_silent_now() {
+    let mut scheduler = scheduler(100);
+    begun_at_x(&mut scheduler, NOW, 1);
+    let sent = submit(&mut scheduler, NOW, 5, begin(5));
+    assert_eq!(sent, [(5, "y".to_owned())]);
+    scheduler.record_process(NOW, 5, Process::new(1, Some(1)));
+    scheduler.record_silence(NOW, &runner("y"));
+    scheduler.cancel(NOW, 5);
+    assert_eq!(
+        submit(&mut scheduler, NOW, 2, take_up(2, 1)),
+        [(2, "x".to_owned())]
+    );
+    assert_eq!(breaks(&mut scheduler, NOW, 1), []);
+    let later = NOW + Span(5000);
+    scheduler.tick(later);
+    assert_eq!(breaks(&mut scheduler, later, 2), [(2, "y".to_owned())]);
+}
