Let the soak play up to 200 routers, like the largest site

Routers are now stopped, and checked for recovery, all at once; each router must exit cleanly and serve again by the same deadline as before. A kill no longer waits for a planned stop of the same router, which delayed all later steps. The window of the retry budget is counted by binary search, with the same result.

Four in five of them do not name the request that brought the first event, and their limits are below, at and above the timeout of the route.

Runners of all fleets stop work at the limit that they receive.

Fleets of up to 40 routers play the plans that they played before.

--- a/tests/all/command.rs
+++ b/tests/all/command.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use balsamchute_standin::platform::Platform;
 
@@ -78,10 +78,17 @@
 /// All of 127.0.0.0/8 is loopback. An address of its own keeps a fixed port free,
 /// regardless of the ports that connections of other tests occupy.
 pub fn unused_loopback_ip() -> IpAddr {
-    static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+    static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
-    let host = NEXT_HOST.fetch_add(1, Ordering::SeqCst);
-    IpAddr::from([127, 64 + high % 128, low, host])
+    let [block, host] = NEXT_HOST.fetch_add(1, Ordering::SeqCst).to_be_bytes();
+    // Only a soak with a large fleet needs more than the first block.
+    let network = match block {
+        0 => 64 + high % 128,
+        1 => 192 + high % 63,
+        2 => 1 + high % 63,
+        _ => panic!("no more than 767 addresses in one process"),
+    };
+    IpAddr::from([127, network, low, host])
 }
 
 /// Temporary directory that is removed when dropped.
--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -491,28 +491,35 @@
     /// Starts a router on a loopback address of its own, with the descriptor limit of
     /// the example settings in `platform/tests/decode.rs`.
     pub fn start(name: &str, store: SocketAddr) -> Self {
-        Router::start_with(name, store, &[], 4100, "")
+        Router::start_with(name, "a", store, &[], 4100, "")
     }
 
     /// Starts a router with a limit on file descriptors.
     pub fn start_with_descriptors(name: &str, store: SocketAddr, descriptors: usize) -> Self {
-        Router::start_with(name, store, &[], descriptors, "")
+        Router::start_with(name, "a", store, &[], descriptors, "")
     }
 
     /// Starts a router with the addresses of other routers as seeds.
     pub fn start_with_seeds(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Router::start_with(name, store, seeds, 4100, "")
+        Router::start_with(name, "a", store, seeds, 4100, "")
+    }
+
+    /// Starts a router in a failure domain, with the addresses of other routers as seeds.
+    #[allow(dead_code, reason = "used by the soak")]
+    pub fn start_in(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Router::start_with(name, domain, store, seeds, 4100, "")
     }
 
     /// Starts a router of a deployment whose operator evacuates failure domains, with the
     /// addresses of other routers as seeds.
     #[allow(dead_code, reason = "not used by the soak")]
     pub fn start_with_evacuations(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Router::start_with(name, store, seeds, 4100, "evac_ms = 5000\n")
+        Router::start_with(name, "a", store, seeds, 4100, "evac_ms = 5000\n")
     }
 
     fn start_with(
         name: &str,
+        domain: &str,
         store: SocketAddr,
         seeds: &[SocketAddr],
         descriptors: usize,
@@ -529,7 +536,7 @@
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         // The bounds are those of the example settings in `platform/tests/decode.rs`.
         let text = format!(
-            "bootstrap = true\nnode_name = \"{name}\"\nzone = \"a\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
+            "bootstrap = true\nnode_name = \"{name}\"\nzone = \"{domain}\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
              heartbeat_ms = 1200\n[listen]\nfront = \"{callers}\"\nready = \"{ready}\"\ndirectory = \"{directory}\"\n\
              [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = {descriptors}\n[bounds]\ndrain_ms = 2000\n\
              grace_s = 8\napply_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 54\n\
--- a/tests/soak/answer.rs
+++ b/tests/soak/answer.rs
@@ -3,12 +3,115 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::environment::{header, respond};
 use crate::event::{self, Run, digest, event_of};
 
+/// Requests that wait at a runner without a free slot; further ones are turned away.
+const QUEUE: usize = 4;
+
+/// Time after which a runner with limited room closes a connection without a request, and
+/// the seconds that it names for that.
+pub const IDLE_TIME: Duration = Duration::from_millis(5500);
+const KEEP_ALIVE_S: u64 = 5;
+
+#[derive(Debug, Default)]
+struct Load {
+    present: usize,
+    running: usize,
+}
+
+/// Slots of a runner, and the requests that use them or wait for one.
+#[derive(Debug)]
+pub struct Room {
+    /// Requests that run at once; `None` for any number.
+    slots: Option<usize>,
+    load: Mutex<Load>,
+    freed: Condvar,
+}
+
+impl Room {
+    pub fn new(slots: Option<usize>) -> Self {
+        Room {
+            slots,
+            load: Mutex::default(),
+            freed: Condvar::new(),
+        }
+    }
+
+    /// Returns whether the room is limited.
+    pub fn is_limited(&self) -> bool {
+        self.slots.is_some()
+    }
+
+    fn load(&self) -> MutexGuard<'_, Load> {
+        self.load.lock().expect("no thread panicked")
+    }
+
+    /// Adds a request; `None` if the runner is full.
+    fn enter(&self) -> Option<Guest<'_>> {
+        let mut load = self.load();
+        if self
+            .slots
+            .is_some_and(|slots| load.present >= slots + QUEUE)
+        {
+            return None;
+        }
+        load.present += 1;
+        Some(Guest {
+            room: self,
+            runs: false,
+        })
+    }
+
+    /// Returns the fields that answers name the load in.
+    fn fields(&self) -> String {
+        let Some(slots) = self.slots else {
+            return String::new();
+        };
+        let load = self.load();
+        let waiting = load.present - load.running;
+        format!(
+            "X-Runner-Load: {},{waiting},{slots}\r\nKeep-Alive: timeout={KEEP_ALIVE_S}\r\n",
+            load.running
+        )
+    }
+}
+
+/// Request at a runner.
+struct Guest<'a> {
+    room: &'a Room,
+    runs: bool,
+}
+
+impl Guest<'_> {
+    /// Waits for a free slot until `deadline`; returns whether the request has one.
+    fn wait(&mut self, deadline: Instant) -> bool {
+        let is_full = |load: &mut Load| self.room.slots.is_some_and(|slots| load.running >= slots);
+        let time = deadline.saturating_duration_since(Instant::now());
+        let waited = self
+            .room
+            .freed
+            .wait_timeout_while(self.room.load(), time, is_full);
+        let (mut load, result) = waited.expect("no thread panicked");
+        self.runs = !result.timed_out();
+        load.running += usize::from(self.runs);
+        self.runs
+    }
+}
+
+impl Drop for Guest<'_> {
+    fn drop(&mut self) {
+        let mut load = self.room.load();
+        load.present -= 1;
+        load.running -= usize::from(self.runs);
+        self.room.freed.notify_one();
+    }
+}
+
 /// Notices that a runner puts into its answers, and the number of times that its connections
 /// were reset.
 #[derive(Debug, Default)]
@@ -49,6 +152,12 @@
         runner: usize,
         expected: String,
     },
+    /// The time limit of a request has passed, and the runner stops before this event.
+    Stop {
+        id: String,
+        runner: usize,
+        event: u64,
+    },
     /// A request whose prompt part ends the runner arrived.
     Crash { part: u64 },
 }
@@ -68,6 +177,7 @@
                 runner,
                 expected,
             } => format!("astray {id} {runner} {expected}"),
+            Report::Stop { id, runner, event } => format!("stop {id} {runner} {event}"),
             Report::Crash { part } => format!("crash {part}"),
         }
     }
@@ -87,6 +197,11 @@
                 runner: runner.parse().ok()?,
                 expected: expected.to_owned(),
             }),
+            ["stop", id, runner, event] => Some(Report::Stop {
+                id: id.to_owned(),
+                runner: runner.parse().ok()?,
+                event: event.parse().ok()?,
+            }),
             ["crash", part] => Some(Report::Crash {
                 part: part.parse().ok()?,
             }),
@@ -105,6 +220,7 @@
     pub former: Vec<usize>,
     /// Number of runs so far.
     pub runs: AtomicU64,
+    pub room: Arc<Room>,
 }
 
 /// Returns the whole answer to a plain request; its length varies with the id.
@@ -122,6 +238,12 @@
         .filter(|part| *part > 1000)
 }
 
+/// Returns the time at which a runner stops work on a request that arrives now.
+fn deadline_of(head: &str) -> Instant {
+    let ms = header(head, "x-deadline-ms").and_then(|text| text.parse().ok());
+    Instant::now() + Duration::from_millis(ms.unwrap_or(60_000))
+}
+
 /// Answers a request at a runner; returns whether the connection stays open. Some requests,
 /// by their id, are turned away, broken off, spoilt or answered twice.
 pub fn answer(
@@ -131,6 +253,11 @@
     stream: &mut TcpStream,
     report: &dyn Fn(Report),
 ) -> bool {
+    let deadline = deadline_of(head);
+    if life.room.is_limited() {
+        // The connection may have ended.
+        let _ = stream.set_read_timeout(Some(IDLE_TIME));
+    }
     let id = header(head, "x-request-id").unwrap_or("-").to_owned();
     let after = header(head, "last-event-id").map_or(0, |text| text.parse().unwrap_or(0));
     let arrival = |runs| Report::Arrival {
@@ -141,7 +268,7 @@
     };
     let expected = header(head, "x-expect-instance").unwrap_or("-");
     let is_former = |number: &usize| expected == format!("i-{number}");
-    let fields = notices.fields();
+    let fields = notices.fields() + &life.room.fields();
     if life.former.iter().any(is_former) {
         report(arrival(false));
         let fields = format!("X-Not-Executed: 1\r\n{fields}Content-Length: 0\r\n");
@@ -167,7 +294,18 @@
         respond(stream, head, 503, &fields, "");
         return true;
     }
+    let Some(mut guest) = life.room.enter() else {
+        report(arrival(false));
+        let fields = format!("X-Not-Executed: 1\r\n{fields}Content-Length: 0\r\n");
+        respond(stream, head, 503, &fields, "");
+        return true;
+    };
     report(arrival(true));
+    if !guest.wait(deadline) {
+        let fields = format!("{fields}Content-Length: 0\r\n");
+        respond(stream, head, 504, &fields, "");
+        return true;
+    }
     thread::sleep(Duration::from_millis(digest(&id) % 40));
     if let Some(name) = header(head, "x-stream") {
         let run = Run {
@@ -178,7 +316,14 @@
             version: life.version,
             after,
         };
-        return send_stream(name, &run, notices, head, stream);
+        let stopped = |event| {
+            report(Report::Stop {
+                id: id.clone(),
+                runner: life.number,
+                event,
+            });
+        };
+        return send_stream(name, &run, notices, (deadline, &stopped), head, stream);
     }
     let body = body_of(&id);
     let fields_without_length = fields.clone();
@@ -221,6 +366,7 @@
     name: &str,
     run: &Run,
     notices: &Notices,
+    (deadline, stopped): (Instant, &dyn Fn(u64)),
     head: &str,
     stream: &mut TcpStream,
 ) -> bool {
@@ -242,6 +388,10 @@
     let cut = cut_of(name, run, is_chunked);
     let gap = Duration::from_millis(event::gap_of(name));
     for event in run.after + 1..=event::total_of(name) {
+        if Instant::now() >= deadline {
+            stopped(event);
+            return false;
+        }
         let text = event_of(name, event, run);
         let is_cut = cut.is_some_and(|(at, _)| at == event);
         let part = match cut {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -14,12 +14,9 @@
 use crate::environment::header;
 use crate::fleet::{current_key, some_key};
 use crate::judge::{Judge, Kind, Outcome};
+use crate::shape::Shape;
 use crate::streams::stream_until_stopped;
 
-/// Threads that send plain requests, and threads that send requests for streams.
-const THREADS: u64 = 12;
-const STREAM_THREADS: u64 = 36;
-
 /// Time after which a caller gives up, in the deadline header too.
 const DEADLINE: Duration = Duration::from_secs(4);
 
@@ -31,14 +28,16 @@
 
 impl Callers {
     /// Starts callers that use all routers at random.
-    pub fn start(seed: u64, routers: Vec<SocketAddr>, judge: &Judge) -> Self {
+    pub fn start(seed: u64, shape: &Shape, routers: Vec<SocketAddr>, judge: &Judge) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
-        let threads = (0..THREADS + STREAM_THREADS).map(|number| {
+        let count = shape.callers + shape.stream_callers;
+        let shape = *shape;
+        let threads = (0..count).map(|number| {
             let (stop, judge, routers) = (stop.clone(), judge.clone(), routers.clone());
-            let random = ChaCha8Rng::seed_from_u64(seed * (THREADS + STREAM_THREADS) + number);
-            thread::spawn(move || match number {
-                0..THREADS => call_until_stopped(number, random, &routers, &judge, &stop),
-                _ => stream_until_stopped(number, random, &routers, &judge, &stop),
+            let random = ChaCha8Rng::seed_from_u64(seed * count + number);
+            thread::spawn(move || match number < shape.callers {
+                true => call_until_stopped(number, random, &routers, &judge, &stop),
+                false => stream_until_stopped(number, random, &shape, &routers, &judge, &stop),
             })
         });
         Callers {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -11,12 +11,12 @@
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt};
 
-use crate::Options;
 use crate::environment::{self, Copy, Route, Router, Store};
 use crate::event::digest;
 use crate::judge::{CHANGE_BOUND, Judge};
-use crate::plan::{Change, Fault, RUNNERS, VERSIONS};
-use crate::server::{Host, Server, now_ms};
+use crate::plan::{Change, Cycle, Fault};
+use crate::server::{Host, Server, Spec, now_ms};
+use crate::shape::Shape;
 
 /// Copies of the store that are kept, one for each change.
 const MAX_COPIES: usize = 6;
@@ -34,6 +34,9 @@
 /// Timeout of the routes of streams in milliseconds, and the time that their callers wait.
 pub const STREAM_TIMEOUT_MS: u64 = 8000;
 
+/// Timeout of these routes after a change.
+const CHANGED_STREAM_TIMEOUT_MS: u64 = 3000;
+
 /// Sound prompt parts besides the one that crashes runners.
 const SOUND_PARTS: u64 = 10;
 
@@ -67,11 +70,16 @@
 /// notices, and a second to pass that on.
 const TAKEOVER_TIME: Duration = Duration::from_millis(2700);
 
-/// Time between two runners that are replaced without the hub.
+/// Steps in which runners are replaced without the hub, and the time between two.
+const REPLACEMENT_STEPS: usize = 6;
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time after which a runner of a large fleet that was replaced ends.
+const LEAVE_TIME: Duration = Duration::from_secs(6);
+
 /// Everything that a run starts.
 pub struct Fleet {
+    shape: Shape,
     store: Store,
     store_links: Vec<Arc<Link>>,
     routers: Vec<Arc<Mutex<Router>>>,
@@ -82,15 +90,17 @@
     places: Vec<usize>,
     newest_version: usize,
     manifest_version: u64,
+    stream_timeout_ms: u64,
     copies: Vec<Copy>,
     pending: Vec<JoinHandle<()>>,
 }
 
 impl Fleet {
     /// Starts the store, the runners and the routers, and waits until they serve.
-    pub fn start(options: &Options, judge: &Judge) -> Self {
+    pub fn start(shape: Shape, judge: &Judge) -> Self {
         let store = Store::start();
         let mut fleet = Fleet {
+            shape,
             store,
             store_links: Vec::new(),
             routers: Vec::new(),
@@ -98,21 +108,23 @@
             servers: BTreeMap::new(),
             next_runner: 0,
             places: Vec::new(),
-            newest_version: VERSIONS - 1,
+            newest_version: shape.versions - 1,
             manifest_version: 0,
+            stream_timeout_ms: STREAM_TIMEOUT_MS,
             copies: Vec::new(),
             pending: Vec::new(),
         };
         fleet.put_manifest();
-        for place in 0..RUNNERS {
-            let number = fleet.start_runner(place, place / 2 % VERSIONS, judge);
+        for place in 0..shape.places {
+            let number = fleet.start_runner(place, place / 2 % shape.versions, judge);
             fleet.places.push(number);
         }
-        for index in 0..options.routers {
+        for index in 0..shape.routers {
             let link = Link::start(([127, 0, 0, 1], 0).into(), fleet.store.address);
             let link = Arc::new(link.expect("the link starts"));
             let seeds: Vec<SocketAddr> = fleet.addresses.iter().take(2).copied().collect();
-            let router = Router::start_with_seeds(&format!("soak-{index}"), link.address(), &seeds);
+            let (name, domain) = (format!("soak-{index}"), shape.domain_of(index));
+            let router = Router::start_in(&name, domain, link.address(), &seeds);
             fleet.addresses.push(router.callers);
             fleet.store_links.push(link);
             fleet.routers.push(Arc::new(Mutex::new(router)));
@@ -131,8 +143,8 @@
     fn put_manifest(&mut self) {
         self.manifest_version += 1;
         let routes = [
-            Route::new("stream", "stream", STREAM_TIMEOUT_MS).resumable(),
-            Route::new("single", "stream", STREAM_TIMEOUT_MS),
+            Route::new("stream", "stream", self.stream_timeout_ms).resumable(),
+            Route::new("single", "stream", self.stream_timeout_ms),
             Route::new("once", "non_idempotent", 4000),
             Route::new("safe", "idempotent", 4000),
         ];
@@ -149,13 +161,23 @@
         }
     }
 
-    fn start_runner(&mut self, place: usize, version: usize, judge: &Judge) -> usize {
+    /// Returns what a new runner at a place starts with.
+    fn new_spec(&mut self, place: usize, version: usize) -> Spec {
         let number = self.next_runner;
         self.next_runner += 1;
-        let server = match place % 2 {
-            0 => Server::start_thread(number, version, &self.store, judge),
-            _ => Server::start_process(number, version, &self.store, judge),
-        };
+        Spec {
+            number,
+            version,
+            domain: self.shape.domain_of(place),
+            slots: self.shape.slots,
+            is_limited: self.shape.is_large,
+        }
+    }
+
+    fn start_runner(&mut self, place: usize, version: usize, judge: &Judge) -> usize {
+        let spec = self.new_spec(place, version);
+        let number = spec.number;
+        let server = start_server(self.shape.is_process(place), spec, &self.store, judge);
         self.keep_copy();
         server.listing.put();
         self.servers.insert(number, Arc::new(server));
@@ -187,6 +209,10 @@
                         .signal_if_running(Signal::SIGCONT);
                 });
             }
+            Fault::SlowRouter { index, cycle, time } => {
+                judge.record_fault(*time);
+                self.slow_router(*index, *cycle, *time);
+            }
             Fault::StopRouter(index) => self.stop_and_start(*index, judge),
             Fault::ReloadRouter(index) => {
                 let router = self.routers[*index].lock().expect("no thread panicked");
@@ -231,6 +257,16 @@
                 self.replace_with(*place, self.newest_version, judge);
                 self.after(*time, old.leave());
             }
+            Fault::UpgradeRunners(places, time) => {
+                self.upgrade_runners(places, *time, judge);
+            }
+            Fault::ChangeTimeout => {
+                self.stream_timeout_ms = match self.stream_timeout_ms {
+                    STREAM_TIMEOUT_MS => CHANGED_STREAM_TIMEOUT_MS,
+                    _ => STREAM_TIMEOUT_MS,
+                };
+                self.put_manifest();
+            }
             Fault::SpoilPart => {
                 BAD_PART.fetch_add(1, Ordering::SeqCst);
             }
@@ -250,8 +286,33 @@
 
     fn kill(&mut self, index: usize, judge: &Judge) {
         judge.record_fault(RESTART_TIME);
-        let mut router = self.routers[index].lock().expect("no thread panicked");
-        router.restart(Signal::SIGKILL);
+        let router = self.routers[index].clone();
+        // One that is about to stop would hold up the other faults.
+        self.after(Duration::ZERO, move || {
+            let mut router = router.lock().expect("no thread panicked");
+            router.restart(Signal::SIGKILL);
+        });
+    }
+
+    /// Lets a router run and wait in turn, as one does that has a small part of a core.
+    fn slow_router(&mut self, index: usize, cycle: Cycle, time: Duration) {
+        let router = self.routers[index].clone();
+        let end = Instant::now() + time;
+        self.after(Duration::ZERO, move || {
+            // Without the lock, the router is about to stop or to start again.
+            while Instant::now() < end {
+                if let Ok(router) = router.try_lock() {
+                    router.signal_if_running(Signal::SIGSTOP);
+                }
+                thread::sleep(cycle.wait);
+                if let Ok(router) = router.try_lock() {
+                    router.signal_if_running(Signal::SIGCONT);
+                }
+                thread::sleep(cycle.run);
+            }
+            let router = router.lock().expect("no thread panicked");
+            router.signal_if_running(Signal::SIGCONT);
+        });
     }
 
     /// Stops a router as planned and starts it again when it has exited.
@@ -345,11 +406,45 @@
         self.keep_copy();
         self.servers[&old].listing.drain();
         judge.record_leaving(old);
+        if self.shape.is_large {
+            self.after(LEAVE_TIME, self.servers[&old].leave());
+        }
+    }
+
+    /// Lets the runners at some places drain at once and starts others of the newest version
+    /// there. The old ones end after a time.
+    fn upgrade_runners(&mut self, places: &[usize], time: Duration, judge: &Judge) {
+        let version = self.newest_version;
+        let specs: Vec<Spec> = places
+            .iter()
+            .map(|place| self.new_spec(*place, version))
+            .collect();
+        let (shape, store) = (self.shape, &self.store);
+        let servers: Vec<Server> = thread::scope(|scope| {
+            let starts = places.iter().zip(&specs).map(|(place, spec)| {
+                let is_process = shape.is_process(*place);
+                scope.spawn(move || start_server(is_process, *spec, store, judge))
+            });
+            let starts: Vec<_> = starts.collect();
+            let servers = starts.into_iter();
+            servers
+                .map(|start| start.join().expect("the runner starts"))
+                .collect()
+        });
+        self.keep_copy();
+        for ((place, spec), server) in places.iter().zip(&specs).zip(servers) {
+            server.listing.put();
+            self.servers.insert(spec.number, Arc::new(server));
+            let old = std::mem::replace(&mut self.places[*place], spec.number);
+            self.servers[&old].listing.drain();
+            judge.record_leaving(old);
+            self.after(time, self.servers[&old].leave());
+        }
     }
 
     /// Lets half of the runners name a limit in their answers, or name none any more.
     pub fn limit_runners(&mut self, limit: u64, judge: &Judge) {
-        for place in 0..RUNNERS / 2 {
+        for place in 0..self.shape.places / 2 {
             let number = self.places[place];
             self.servers[&number].limit(limit);
             judge.record_limit(number, limit);
@@ -372,8 +467,11 @@
         let link = self.store_links[hub].clone();
         link.set_stalled(true);
         thread::sleep(TAKEOVER_TIME);
-        for place in 0..self.places.len() {
-            self.replace_runner(place, judge);
+        let places: Vec<usize> = (0..self.places.len()).collect();
+        for step in places.chunks(self.places.len().div_ceil(REPLACEMENT_STEPS)) {
+            for place in step {
+                self.replace_runner(*place, judge);
+            }
             thread::sleep(REPLACEMENT_INTERVAL);
         }
         thread::sleep(CHANGE_BOUND);
@@ -400,25 +498,37 @@
         }
     }
 
-    /// Stops all routers as planned. Their exit must be clean.
+    /// Stops all routers as planned, at once. Their exit must be clean.
     pub fn stop(&mut self, judge: &Judge) {
-        for router in &self.routers {
-            let mut router = router.lock().expect("no thread panicked");
-            router.signal_if_running(Signal::SIGTERM);
-            let code = router.wait();
-            if code != Some(0) {
-                judge.report(
-                    "clean exit",
-                    &format!("{} ended with {code:?}", router.callers),
-                );
+        thread::scope(|scope| {
+            for router in &self.routers {
+                scope.spawn(move || {
+                    let mut router = router.lock().expect("no thread panicked");
+                    router.signal_if_running(Signal::SIGTERM);
+                    let code = router.wait();
+                    if code != Some(0) {
+                        judge.report(
+                            "clean exit",
+                            &format!("{} ended with {code:?}", router.callers),
+                        );
+                    }
+                });
             }
-        }
+        });
         if judge.arrivals() == 0 {
             judge.report("service", "no request reached a runner");
         }
     }
 }
 
+/// Starts a runner that is a process or a thread.
+fn start_server(is_process: bool, spec: Spec, store: &Store, judge: &Judge) -> Server {
+    match is_process {
+        true => Server::start_process(spec, store, judge),
+        false => Server::start_thread(spec, store, judge),
+    }
+}
+
 impl Fleet {
     /// Prints where the logs of the routers and the notes of the run are, and keeps them.
     pub fn keep_logs(self, judge: &Judge) {
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::Report;
 use crate::server::now_ms;
+use crate::shape::Shape;
 
 /// Time within which a router in touch must use a change: `drain_ms` and `apply_ms` of
 /// the settings.
@@ -16,9 +17,9 @@
 /// `contact_ms` of the settings, and the bound.
 pub const CALM_TIME: Duration = Duration::from_millis(5000);
 
-/// Time after a withdrawal from which on no router may accept a key, whatever happened to
-/// it: the longest fault, the time until the router is in touch, and the bound.
-const KEY_BOUND: Duration = Duration::from_millis(2500 + 3000 + 2000);
+/// Time after a withdrawal and the longest fault from which on no router may accept a key,
+/// whatever happened to it: the time until the router is in touch, and the bound.
+const KEY_BOUND: Duration = Duration::from_millis(3000 + 2000);
 
 /// Crashes of runners after which, and time after the last of them from which on, a part
 /// that crashes runners must not reach any, but for a few requests.
@@ -128,16 +129,23 @@
 }
 
 /// Shared record of a run.
-#[derive(Clone, Debug, Default)]
-pub struct Judge(Arc<Mutex<State>>);
+#[derive(Clone, Debug)]
+pub struct Judge {
+    state: Arc<Mutex<State>>,
+    /// Time after a withdrawal from which on no router may accept a key.
+    key_bound: Duration,
+}
 
 impl Judge {
-    pub fn new() -> Self {
-        Judge::default()
+    pub fn new(shape: &Shape) -> Self {
+        Judge {
+            state: Arc::default(),
+            key_bound: shape.longest_fault + KEY_BOUND,
+        }
     }
 
     fn state(&self) -> std::sync::MutexGuard<'_, State> {
-        self.0.lock().expect("no thread panicked")
+        self.state.lock().expect("no thread panicked")
     }
 
     /// Measures how late threads of the soak wake up, until the process ends.
@@ -225,6 +233,11 @@
                 "right runner",
                 &format!("{id} for {expected} reached i-{runner}"),
             ),
+            Report::Stop { id, runner, event } => {
+                self.note(&format!(
+                    "{id} is stopped by i-{runner} before event {event}"
+                ));
+            }
             Report::Crash { part } => self.record_crashing(part),
         }
     }
@@ -234,7 +247,7 @@
         let mut state = self.state();
         state.requests.entry(id.to_owned()).or_default().outcome = Some(outcome);
         let withdrawn = state.withdrawn.get(key).copied();
-        let is_late = withdrawn.is_some_and(|at| sent > at + KEY_BOUND);
+        let is_late = withdrawn.is_some_and(|at| sent > at + self.key_bound);
         if is_late && outcome == Outcome::Complete {
             let age = sent - withdrawn.unwrap_or(sent);
             state
@@ -359,18 +372,21 @@
                 ));
             }
         }
-        let begins = state.repeats.iter();
-        for &begin in begins {
+        let sorted = |times: &[Instant]| {
+            let mut times = times.to_vec();
+            times.sort();
+            times
+        };
+        let (all_repeats, sent) = (sorted(&state.repeats), sorted(&state.sent));
+        for &begin in &all_repeats {
             let within = |times: &[Instant], from: Instant, to: Instant| {
-                times.iter().filter(|at| (from..to).contains(*at)).count() as f64
+                let before = |time: Instant| times.partition_point(|at| *at < time);
+                (before(to) - before(from)) as f64
             };
             let end = begin + RETRY_WINDOW;
-            let repeats = within(&state.repeats, begin, end);
-            let requests = within(&state.sent, begin - RETRY_WINDOW, begin).max(within(
-                &state.sent,
-                begin,
-                end,
-            ));
+            let repeats = within(&all_repeats, begin, end);
+            let requests =
+                within(&sent, begin - RETRY_WINDOW, begin).max(within(&sent, begin, end));
             if repeats > requests * RETRY_RATIO + RETRY_SLACK {
                 violations.push(format!(
                     "retry budget: {repeats} repeats of {requests} requests in a window"
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -28,6 +28,7 @@
 mod plan;
 mod process;
 mod server;
+mod shape;
 mod streams;
 
 use std::collections::BTreeSet;
@@ -40,6 +41,7 @@
 use crate::fleet::Fleet;
 use crate::judge::Judge;
 use crate::plan::Plan;
+use crate::shape::Shape;
 
 /// Time after the last fault within which the fleet must serve everything again.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
@@ -78,10 +80,10 @@
         .argument("SECONDS")
         .fallback(15);
     let routers = bpaf::long("routers")
-        .help("Number of router processes, 2 to 40")
+        .help("Number of router processes, 2 to 200")
         .argument("COUNT")
         .fallback(4)
-        .guard(|count| (2..=40).contains(count), "must be 2 to 40");
+        .guard(|count| (2..=200).contains(count), "must be 2 to 200");
     let filters = bpaf::positional("FILTER")
         .help("Names of tests, as cargo passes them on")
         .many();
@@ -140,15 +142,12 @@
 
 /// Plays the plan of a seed and returns what was seen.
 fn run(options: &Options) -> Judge {
-    let plan = Plan::new(
-        options.seed,
-        Duration::from_secs(options.seconds),
-        options.routers,
-    );
-    let judge = Judge::new();
+    let shape = Shape::new(options.routers);
+    let plan = Plan::new(options.seed, Duration::from_secs(options.seconds), &shape);
+    let judge = Judge::new(&shape);
     judge.measure_wakeups();
-    let mut fleet = Fleet::start(options, &judge);
-    let callers = Callers::start(options.seed, fleet.router_addresses(), &judge);
+    let mut fleet = Fleet::start(shape, &judge);
+    let callers = Callers::start(options.seed, &shape, fleet.router_addresses(), &judge);
     let begin = Instant::now();
     for step in &plan.steps {
         let due = begin + step.at;
@@ -168,11 +167,16 @@
     }
     callers.stop();
     let deadline = Instant::now() + RECOVERY_TIME;
-    for address in fleet.router_addresses() {
-        if !callers::serves_until(address, &judge, deadline) {
-            judge.report("recovery", &format!("router {address} does not serve"));
+    std::thread::scope(|scope| {
+        for address in fleet.router_addresses() {
+            let judge = &judge;
+            scope.spawn(move || {
+                if !callers::serves_until(address, judge, deadline) {
+                    judge.report("recovery", &format!("router {address} does not serve"));
+                }
+            });
         }
-    }
+    });
     fleet.stop(&judge);
     if !judge.violations().is_empty() {
         fleet.keep_logs(&judge);
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -5,11 +5,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Places of runners. Those with an odd number are taken by processes, the others by threads.
-pub const RUNNERS: usize = 6;
-
-/// Software versions that a run starts with.
-pub const VERSIONS: usize = 2;
+use crate::shape::Shape;
 
 /// Shortest and longest time between two steps. Steps overlap: a fault lasts up to
 /// `MAX_FAULT_MS`.
@@ -34,6 +30,32 @@
 /// Longest fault. Shorter than the timeouts of callers, so that some requests outlive it.
 const MAX_FAULT_MS: u64 = 2500;
 
+/// Shortest time from a release of a large fleet to the next one: all streams of the version
+/// before have ended for a while. Time from a release on in which runners may start again at
+/// another version.
+const LARGE_RELEASE_TIME: Duration = Duration::from_secs(13);
+const MIXED_TIME: Duration = Duration::from_secs(6);
+
+/// Runners of a large fleet that are replaced at once during a release, and the time until
+/// the next ones are.
+const BATCH: usize = 15;
+const BATCH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Shortest and longest time for which a router of a large fleet is stopped.
+const FREEZE_MS: std::ops::Range<u64> = 1000..4000;
+
+/// Shortest and longest time for which a router has a small part of a core, and for which it
+/// runs and waits in turn.
+const SLOW_MS: std::ops::Range<u64> = 2000..6000;
+const RUN_MS: std::ops::Range<u64> = 5..20;
+const WAIT_MS: std::ops::Range<u64> = 30..180;
+
+/// Share of the routers of a large fleet that freeze or are slow at once, as a divisor.
+const TROUBLED_DIVISOR: usize = 8;
+
+/// Most runners of a large fleet that end at once.
+const MAX_ENDED: usize = 10;
+
 /// Fault or planned change.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -43,6 +65,12 @@
     KillAllRouters,
     /// SIGSTOP for a time.
     PauseRouter(usize, Duration),
+    /// SIGSTOP and SIGCONT in turn.
+    SlowRouter {
+        index: usize,
+        cycle: Cycle,
+        time: Duration,
+    },
     /// SIGTERM; the router starts again once it has exited.
     StopRouter(usize),
     /// SIGHUP.
@@ -74,12 +102,24 @@
     /// A runner drains, and one of the newest version takes its place. The old one ends after
     /// a time.
     UpgradeRunner(usize, Duration),
+    /// Runners drain at once, and others of the newest version take their places. The old
+    /// ones end after a time.
+    UpgradeRunners(Vec<usize>, Duration),
+    /// The timeout of the routes of streams changes, or is the usual one again.
+    ChangeTimeout,
     /// The API key is replaced by a new one.
     WithdrawKey,
     /// A prompt part begins to crash each runner that begins to answer it.
     SpoilPart,
 }
 
+/// Times for which a router that has a small part of a core runs and waits in turn.
+#[derive(Clone, Copy, Debug)]
+pub struct Cycle {
+    pub run: Duration,
+    pub wait: Duration,
+}
+
 /// Change of a runner process that starts again.
 #[derive(Clone, Copy, Debug)]
 pub enum Change {
@@ -91,6 +131,14 @@
     Version(Duration),
 }
 
+impl Change {
+    fn keep_version(&mut self) {
+        if let Change::Version(_) = self {
+            *self = Change::Life;
+        }
+    }
+}
+
 /// Fault and the time at which it begins.
 #[derive(Clone, Debug)]
 pub struct Step {
@@ -106,25 +154,28 @@
 
 impl Plan {
     /// Creates the plan of a seed; it depends on nothing else than the arguments.
-    pub fn new(seed: u64, length: Duration, routers: usize) -> Self {
+    pub fn new(seed: u64, length: Duration, shape: &Shape) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut steps = Vec::new();
         // The first second is calm, so that something is under way.
         let mut at = Duration::from_secs(1);
         while at < length {
-            let fault = draw(&mut random, routers);
+            let fault = draw(&mut random, shape);
             steps.push(Step { at, fault });
             at += Duration::from_millis(random.random_range(STEP_MS));
         }
-        steps.extend(runner_steps(&mut random, length));
+        steps.extend(match shape.is_large {
+            false => runner_steps(&mut random, length, shape),
+            true => large_steps(&mut random, length, shape),
+        });
         steps.sort_by_key(|step| step.at);
         Plan { steps }
     }
 }
 
-fn draw(random: &mut impl Rng, routers: usize) -> Fault {
-    let router = random.random_range(0..routers);
-    let runner = random.random_range(0..RUNNERS);
+fn draw(random: &mut impl Rng, shape: &Shape) -> Fault {
+    let router = random.random_range(0..shape.routers);
+    let runner = random.random_range(0..shape.places);
     let time = random_ms(random, 100..MAX_FAULT_MS);
     match random.random_range(0..30) {
         0..=2 => Fault::KillRouter(router),
@@ -146,7 +197,7 @@
 }
 
 /// Returns the steps that concern runners only.
-fn runner_steps(random: &mut impl Rng, length: Duration) -> Vec<Step> {
+fn runner_steps(random: &mut impl Rng, length: Duration, shape: &Shape) -> Vec<Step> {
     let mut steps = Vec::new();
     let mut at = Duration::from_secs(1);
     let mut next_release = Duration::ZERO;
@@ -154,19 +205,19 @@
         match random.random_range(0..14) {
             0..=2 if at >= next_release => {
                 next_release = at + RELEASE_TIME;
-                release(random, at, &mut steps);
+                release(random, at, shape, &mut steps);
             }
             0..=8 => {
-                let fault = restart(random);
+                let fault = restart(random, shape);
                 steps.push(Step { at, fault });
             }
             9..=11 => {
-                let place = random.random_range(0..RUNNERS);
+                let place = random.random_range(0..shape.places);
                 let fault = Fault::SilenceRunner(place, random_ms(random, 100..MAX_FAULT_MS));
                 steps.push(Step { at, fault });
             }
             _ => {
-                let fault = Fault::ResetRunner(random.random_range(0..RUNNERS));
+                let fault = Fault::ResetRunner(random.random_range(0..shape.places));
                 steps.push(Step { at, fault });
             }
         }
@@ -177,16 +228,16 @@
 
 /// Adds a release at all places or at half of them. During one in three, all routers are
 /// killed.
-fn release(random: &mut impl Rng, mut at: Duration, steps: &mut Vec<Step>) {
+fn release(random: &mut impl Rng, mut at: Duration, shape: &Shape, steps: &mut Vec<Step>) {
     let begin = at;
     let fault = Fault::Release;
     steps.push(Step { at, fault });
     let count = match random.random_range(0..2) {
-        0 => RUNNERS,
-        _ => RUNNERS / 2,
+        0 => shape.places,
+        _ => shape.places / 2,
     };
-    let first = random.random_range(0..RUNNERS);
-    for place in (first..first + count).map(|place| place % RUNNERS) {
+    let first = random.random_range(0..shape.places);
+    for place in (first..first + count).map(|place| place % shape.places) {
         let fault = Fault::UpgradeRunner(place, random_ms(random, DRAIN_MS));
         steps.push(Step { at, fault });
         at += random_ms(random, 0..MAX_UPGRADE_MS);
@@ -198,8 +249,103 @@
     }
 }
 
-fn restart(random: &mut impl Rng) -> Fault {
-    let place = random.random_range(0..RUNNERS) | 1;
+/// Returns the steps of a large fleet that concern runners, slow routers and timeouts.
+fn large_steps(random: &mut impl Rng, length: Duration, shape: &Shape) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(1);
+    let mut next_release = Duration::ZERO;
+    let mut mixed_until = Duration::ZERO;
+    // After a change of routes, no sole version is inferred for a while.
+    let mut has_changed_timeout = false;
+    while at < length {
+        let many = random.random_range(1..=shape.routers.div_ceil(TROUBLED_DIVISOR));
+        let ended = random.random_range(1..=MAX_ENDED);
+        match random.random_range(0..16) {
+            0..=4 if at >= next_release => {
+                next_release = at + LARGE_RELEASE_TIME;
+                mixed_until = at + MIXED_TIME;
+                release_in_batches(random, at, shape, &mut steps);
+            }
+            0..=6 => {
+                for _ in 0..ended {
+                    let mut fault = restart(random, shape);
+                    if let Fault::RestartRunner { change, .. } = &mut fault
+                        && at > mixed_until
+                    {
+                        change.keep_version();
+                    }
+                    steps.push(Step { at, fault });
+                }
+            }
+            7..=9 => {
+                for _ in 0..many {
+                    let fault = slow_router(random, shape);
+                    steps.push(Step { at, fault });
+                }
+            }
+            10..=11 => {
+                for _ in 0..many {
+                    let index = random.random_range(0..shape.routers);
+                    let fault = Fault::PauseRouter(index, random_ms(random, FREEZE_MS));
+                    steps.push(Step { at, fault });
+                }
+            }
+            12 if !has_changed_timeout => {
+                has_changed_timeout = true;
+                let fault = Fault::ChangeTimeout;
+                steps.push(Step { at, fault });
+            }
+            12..=14 => {
+                let place = random.random_range(0..shape.places);
+                let fault = Fault::SilenceRunner(place, random_ms(random, 100..MAX_FAULT_MS));
+                steps.push(Step { at, fault });
+            }
+            _ => {
+                let fault = Fault::ResetRunner(random.random_range(0..shape.places));
+                steps.push(Step { at, fault });
+            }
+        }
+        at += random_ms(random, RUNNER_STEP_MS);
+    }
+    steps
+}
+
+/// Adds a release at all places, or at one batch of them.
+fn release_in_batches(
+    random: &mut impl Rng,
+    mut at: Duration,
+    shape: &Shape,
+    steps: &mut Vec<Step>,
+) {
+    let fault = Fault::Release;
+    steps.push(Step { at, fault });
+    let count = match random.random_range(0..4) {
+        0 => BATCH,
+        _ => shape.places,
+    };
+    let first = random.random_range(0..shape.places);
+    let places = (first..first + count).map(|place| place % shape.places);
+    for batch in places.collect::<Vec<_>>().chunks(BATCH) {
+        let fault = Fault::UpgradeRunners(batch.to_vec(), random_ms(random, DRAIN_MS));
+        steps.push(Step { at, fault });
+        at += BATCH_INTERVAL;
+    }
+}
+
+fn slow_router(random: &mut impl Rng, shape: &Shape) -> Fault {
+    Fault::SlowRouter {
+        index: random.random_range(0..shape.routers),
+        cycle: Cycle {
+            run: random_ms(random, RUN_MS),
+            wait: random_ms(random, WAIT_MS),
+        },
+        time: random_ms(random, SLOW_MS),
+    }
+}
+
+fn restart(random: &mut impl Rng, shape: &Shape) -> Fault {
+    let place = random.random_range(0..shape.places);
+    let place = place + usize::from(!shape.is_process(place));
     let change = match random.random_range(0..6) {
         0..=2 => Change::Life,
         3 => Change::Id(random_ms(random, 0..MAX_FAULT_MS)),
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -11,7 +11,7 @@
 
 use nix::sys::signal::Signal;
 
-use crate::answer::{Life, Notices, Report, answer, bad_part};
+use crate::answer::{IDLE_TIME, Life, Notices, Report, Room, answer, bad_part};
 use crate::command::unused_loopback_ip;
 use crate::environment::{self, asks_for_report, read_message};
 use crate::judge::Judge;
@@ -50,6 +50,8 @@
 pub struct Process {
     pub address: SocketAddr,
     notices: Arc<Notices>,
+    /// Requests that run at once; 0 for any number.
+    slots: usize,
     judge: Judge,
     state: Mutex<State>,
 }
@@ -58,6 +60,7 @@
     /// Returns a runner that has not started.
     pub fn new(
         number: usize,
+        slots: Option<usize>,
         notices: Arc<Notices>,
         judge: &Judge,
         listing: &Arc<Listing>,
@@ -65,6 +68,7 @@
         Process {
             address: SocketAddr::new(unused_loopback_ip(), PORT),
             notices,
+            slots: slots.unwrap_or(0),
             judge: judge.clone(),
             state: Mutex::new(State {
                 child: None,
@@ -95,6 +99,7 @@
             state.number.to_string(),
             born.to_string(),
             version.to_string(),
+            self.slots.to_string(),
         ]);
         command.args(state.former.iter().map(usize::to_string));
         command.stdin(Stdio::piped()).stdout(Stdio::piped());
@@ -215,16 +220,17 @@
 }
 
 /// Serves as a runner until the process ends, or the soak does. `args` are the address, the
-/// number, the start and the version of the runner, then the numbers of runners that had
-/// the address before.
+/// number, the start, the version and the slots of the runner, then the numbers of runners
+/// that had the address before.
 pub fn run(args: &[String]) -> ! {
     let address: SocketAddr = parse(&args[0]);
     let life = Life {
         number: parse(&args[1]),
         born: parse(&args[2]),
         version: parse(&args[3]),
-        former: args[4..].iter().map(parse).collect(),
+        former: args[5..].iter().map(parse).collect(),
         runs: AtomicU64::new(0),
+        room: Arc::new(Room::new(Some(parse(&args[4])).filter(|slots| *slots > 0))),
     };
     let notices: Arc<Notices> = Arc::default();
     let heard = notices.clone();
@@ -249,6 +255,10 @@
 
 fn serve(mut stream: TcpStream, life: &Life, notices: &Notices) {
     let report = |report: Report| println!("{}", report.encode());
+    if life.room.is_limited() {
+        // The connection may have ended.
+        let _ = stream.set_read_timeout(Some(IDLE_TIME));
+    }
     while let Some((head, _)) = read_message(&mut stream) {
         if asks_for_report(&head) {
             environment::report(&mut stream, life.born);
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -10,7 +10,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-use crate::answer::{Life, Notices, Report, answer, bad_part};
+use crate::answer::{Life, Notices, Report, Room, answer, bad_part};
 use crate::environment::{self, Runner, Store};
 use crate::judge::Judge;
 use crate::process::Process;
@@ -24,6 +24,23 @@
     since_epoch.expect("the clock is set").as_millis() as u64
 }
 
+/// What a runner starts with.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    pub number: usize,
+    pub version: usize,
+    pub domain: &'static str,
+    pub slots: usize,
+    /// Whether the runner turns requests away that it has no room for.
+    pub is_limited: bool,
+}
+
+impl Spec {
+    fn limit(&self) -> Option<usize> {
+        self.is_limited.then_some(self.slots)
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     born: u64,
@@ -37,6 +54,7 @@
 pub struct Listing {
     store: Store,
     name: String,
+    spec: Spec,
     address: OnceLock<SocketAddr>,
     entry: Mutex<Entry>,
 }
@@ -48,14 +66,15 @@
 }
 
 impl Listing {
-    fn new(store: &Store, number: usize, version: usize) -> Self {
+    fn new(store: &Store, spec: Spec) -> Self {
         Listing {
             store: store.handle(),
-            name: format!("i-{number}"),
+            name: format!("i-{}", spec.number),
+            spec,
             address: OnceLock::new(),
             entry: Mutex::new(Entry {
                 born: 0,
-                version,
+                version: spec.version,
                 state: "ready",
                 is_removed: false,
             }),
@@ -68,7 +87,8 @@
         change(&mut entry);
         let value = (!entry.is_removed).then(|| {
             let address = self.address.get().expect("the address is set");
-            let mut value: Value = environment::entry(*address, "s", 16);
+            let mut value: Value = environment::entry(*address, "s", self.spec.slots as u32);
+            value["zone"] = json!(self.spec.domain);
             value["born"] = json!(entry.born);
             value["version"] = json!(format!("v{}", entry.version));
             value["state"] = json!(entry.state);
@@ -125,9 +145,13 @@
 
 impl Server {
     /// Starts a runner that is a thread.
-    pub fn start_thread(number: usize, version: usize, store: &Store, judge: &Judge) -> Self {
+    pub fn start_thread(spec: Spec, store: &Store, judge: &Judge) -> Self {
+        let Spec {
+            number, version, ..
+        } = spec;
         let notices: Arc<Notices> = Arc::default();
-        let listing = Arc::new(Listing::new(store, number, version));
+        let room = Arc::new(Room::new(spec.limit()));
+        let listing = Arc::new(Listing::new(store, spec));
         let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
         let born: Arc<AtomicU64> = Arc::default();
         let runs = AtomicU64::new(0);
@@ -146,6 +170,7 @@
                 version,
                 former: Vec::new(),
                 runs: AtomicU64::new(runs.fetch_add(1, Ordering::SeqCst)),
+                room: room.clone(),
             };
             let report = |report| judge.record_report(report);
             answer(&life, &own_notices, head, stream, &report)
@@ -166,14 +191,14 @@
     }
 
     /// Starts a runner that is a process, and waits until it listens.
-    pub fn start_process(number: usize, version: usize, store: &Store, judge: &Judge) -> Self {
+    pub fn start_process(spec: Spec, store: &Store, judge: &Judge) -> Self {
         let notices: Arc<Notices> = Arc::default();
-        let listing = Arc::new(Listing::new(store, number, version));
-        let process = Process::new(number, notices.clone(), judge, &listing);
+        let listing = Arc::new(Listing::new(store, spec));
+        let process = Process::new(spec.number, spec.limit(), notices.clone(), judge, &listing);
         let process = Arc::new(process);
         listing.address.set(process.address).expect("set once");
         let born = now_ms();
-        process.start(0, born, version);
+        process.start(0, born, spec.version);
         listing.entry.lock().expect("no thread panicked").born = born;
         Server {
             host: Host::Process(process),
@@ -184,7 +209,12 @@
 
     /// Returns the runner under another id, which it has from its next start on.
     pub fn rename(&self, process: &Arc<Process>, number: usize, store: &Store) -> Self {
-        let listing = Arc::new(Listing::new(store, number, self.listing.version()));
+        let spec = Spec {
+            number,
+            version: self.listing.version(),
+            ..self.listing.spec
+        };
+        let listing = Arc::new(Listing::new(store, spec));
         listing.address.set(process.address).expect("set once");
         process.rename(number, &listing);
         Server {
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{STREAM_TIMEOUT_MS, part_of};
 use crate::judge::{Judge, Kind, Outcome};
 use crate::order::Progress;
+use crate::shape::Shape;
 
 /// Requests for one stream, after the first one.
 const MAX_TAKE_UPS: usize = 4;
@@ -22,6 +23,10 @@
 /// Time that a caller waits for a whole stream, over all its requests.
 const DEADLINE: Duration = Duration::from_millis(STREAM_TIMEOUT_MS);
 
+/// Same for some callers of a large fleet: more than the timeout of the route, and less.
+const LONG_DEADLINE: Duration = Duration::from_millis(12_000);
+const SHORT_DEADLINE: Duration = Duration::from_millis(3000);
+
 /// Remaining time below which a caller sends no further request.
 const MIN_TIME: Duration = Duration::from_millis(500);
 
@@ -72,6 +77,7 @@
 pub fn stream_until_stopped(
     number: u64,
     mut random: ChaCha8Rng,
+    shape: &Shape,
     routers: &[SocketAddr],
     judge: &Judge,
     stop: &AtomicBool,
@@ -97,12 +103,21 @@
             kind,
             deadline: Instant::now() + DEADLINE,
             pause,
-            names_origin: random.random_range(0..5) > 0,
+            // Few callers of a large fleet do.
+            names_origin: (random.random_range(0..5) > 0) != shape.is_large,
             key: draw_key(&mut random),
             judge,
             retry_after: Duration::ZERO,
             reason: String::new(),
         };
+        if shape.is_large {
+            let time = match random.random_range(0..3) {
+                0 => LONG_DEADLINE,
+                1 => SHORT_DEADLINE,
+                _ => DEADLINE,
+            };
+            caller.deadline = Instant::now() + time;
+        }
         let (router, connection) = match kept.take() {
             Some((router, connection)) if pause.is_none() && random.random_range(0..4) > 0 => {
                 (router, Some(connection))
