--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -165,6 +165,7 @@
 
     /// Records a violation of a promise.
     pub fn report(&self, promise: &str, detail: &str) {
+        self.note(&format!("violation {promise}: {detail}"));
         self.state().violations.push(format!("{promise}: {detail}"));
     }
 
