--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -540,7 +540,8 @@
             let router = router.lock().expect("no thread panicked");
             println!("log {}", router.log_file);
         }
-        // Dropping a router removes its folder. The processes have ended.
-        std::mem::forget(self.routers);
+        // Dropping a router removes its folder. The routers have ended, and runners end with
+        // this process.
+        std::mem::forget(self);
     }
 }
