Judge an answer without a length by the process that its runner reports

Callers could get half of an answer as a whole one if its runner broke off and another process answered at its address, up to 500 ms later: any report over a connection made after the end counted for an answer that arrived within 500 ms.

Change: the report names the start of the process (`born`). One that is listed since before the answer's connection was made shows that the answer's process lives, however late the router reads; another start shows nothing. Only runners that don't name their start are judged by time, as before. The response is read by the same code as before streams begin.

Their runner breaks off and goes on answering, which stands for the next process; it now says so by another start, and the checks are the same.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -6,12 +6,14 @@
 use balsamchute_adapter::request;
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
+use balsamchute_schedule::process::Process;
 use stakker::CX;
 
 use crate::edge::responses::Advance;
 use crate::edge::runners::CONNECT_TIMEOUT;
 use crate::edge::{Edge, Slot};
 use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
+use crate::identity::Identity;
 use crate::socket::Input;
 use crate::upstream::{Connection, Phase};
 
@@ -121,7 +123,7 @@
         connection.ended_at = Some(now);
         let answered_after = connection.answered_after.unwrap_or(connection.since);
         let (runner, address) = (connection.runner.clone(), connection.address);
-        let open_at = connection.open_at;
+        let (open_at, started_at) = (connection.open_at, connection.started_at);
         let arrived_after = self.arrived_after;
         match self.connect(now, Phase::Confirming, &runner, address) {
             Ok(contact_index) => self.endings.waiting.push(Ending {
@@ -135,7 +137,8 @@
                 address,
                 contact_index,
                 asked_index: None,
-                is_answered: false,
+                started_at,
+                reported: None,
                 contact: Contact::Pending,
             }),
             Err(error) => {
@@ -200,7 +203,7 @@
             }
         }
         if let Some(index) = ending.asked_index
-            && !ending.is_answered
+            && ending.reported.is_none()
             && self.is_asked(index, ending.id)
         {
             self.close(index);
@@ -210,9 +213,9 @@
     }
 
     /// Asks the runner for its report over a connection that was made before the end of the
-    /// answer, or over the one made after a brief one.
+    /// answer, or over the one made afterwards.
     fn ask(&mut self, ending: &mut Ending) {
-        if ending.is_answered {
+        if ending.reported.is_some() {
             return;
         }
         if let Some(index) = ending.asked_index {
@@ -224,7 +227,7 @@
                 ending.contact = Contact::Closed;
             }
         }
-        let is_contact_usable = ending.may_be_reported() && ending.contact == Contact::Accepted;
+        let is_contact_usable = ending.contact == Contact::Accepted;
         let contact_index = is_contact_usable.then_some(ending.contact_index);
         let Some(index) = self.find_witness(ending).or(contact_index) else {
             return;
@@ -271,7 +274,7 @@
         found.map(|(index, _)| index)
     }
 
-    /// Reads a report. Any answer to the request for one shows that the process lives.
+    /// Reads a report that was asked for after the end of an answer.
     pub(super) fn read_report(&mut self, index: usize, id: Id) {
         loop {
             let input = self.read(index);
@@ -287,51 +290,43 @@
                     connection.socket.flush();
                     return;
                 }
-                // The report may end with its connection.
-                Input::Eof if connection.response.is_some() => {
-                    self.close(index);
-                    return;
-                }
                 Input::Eof | Input::Broken => {
                     self.handle_upstream_closed(index, input == Input::Broken);
                     return;
                 }
             }
-            if connection.response.is_none() {
-                match connection.parse_head("", "GET") {
-                    Ok(true) => {}
-                    Ok(false) => continue,
-                    Err(_) => {
-                        self.close(index);
-                        return;
-                    }
-                }
-                let mut endings = self.endings.waiting.iter_mut();
-                let asked = endings.find(|ending| ending.asked_index == Some(index));
-                if let Some(ending) = asked.filter(|ending| ending.id == id) {
-                    ending.is_answered = true;
-                }
-            }
-            let Some(response) = &mut connection.response else {
-                return;
-            };
-            response.body.clear();
-            let decoded = response
-                .decoder
-                .decode(&connection.input, &mut response.body);
-            let Ok(consumed) = decoded else {
-                self.close(index);
-                return;
-            };
-            connection.input.drain(..consumed);
-            if response.decoder.is_done() {
-                let now = self.now();
-                self.release_connection(now, index);
+            if let Some(identity) = Identity::parse(&connection.input) {
+                self.settle_report(index, id, identity);
                 return;
             }
         }
     }
 
+    /// Records a report, and keeps its connection for the next request. Any answer to the
+    /// request for a report shows that the process lives.
+    fn settle_report(&mut self, index: usize, id: Id, identity: Identity) {
+        let now = self.now();
+        let mut endings = self.endings.waiting.iter_mut();
+        let asked = endings.find(|ending| ending.asked_index == Some(index) && ending.id == id);
+        if let Some(ending) = asked {
+            ending.reported = Some(Process::new(ending.started_at, identity.started_at));
+        }
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        if !identity.is_reusable {
+            self.close(index);
+            return;
+        }
+        connection.input.clear();
+        connection.is_verified =
+            Process::new(connection.started_at, identity.started_at) == Process::Listed;
+        connection.phase = Phase::Idle(Connection::unused_deadline(now));
+        connection.since = now;
+        let runner = connection.runner.clone();
+        self.keep_idle(now, index, &runner);
+    }
+
     /// Returns what became of the connection made after the end of an answer.
     fn contact(&self, now: Time, ending: &Ending) -> Contact {
         let connection = match self.slots.get(ending.contact_index) {
@@ -405,7 +400,7 @@
             transaction.attempts(),
             ending.runner,
             evidence.contact.as_str(),
-            ending.is_answered,
+            ending.reported.map_or("none", Process::as_str),
             evidence.has_witness,
             evidence.lost_witness,
             evidence.is_brief,
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -3,9 +3,11 @@
 //! Such an answer ends with its connection, and a process that dies closes its connections
 //! like one that has sent everything. A process that accepts connections afterwards may be
 //! another one, or none: a listener outlives the process in a supervisor or a forwarder.
-//! A connection that was made before the end shows that the process lives if an answer comes
-//! over it that was asked for after the end. That it is still open shows less: a process that
-//! exits closes its connections one after another, and may wait for the processor meanwhile.
+//! The runner is therefore asked for its report. A report over a connection that was made before
+//! the end shows that the process lives, and so does one over a later connection that names the
+//! start of the process that was listed before the answer. That a connection is still open shows
+//! less: a process that exits closes its connections one after another, and may wait for the
+//! processor meanwhile.
 
 use std::collections::HashMap;
 use std::io;
@@ -13,14 +15,16 @@
 
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::action::Id;
+use balsamchute_schedule::process::Process;
 
-/// Time from the end of an answer to the decision if no report was asked for. Also the time within which a brief answer arrives, many
-/// times what a connection takes and less than a process takes to die and be replaced.
+/// Time from the end of an answer to the decision if no report was asked for. Also the time
+/// within which a brief answer arrives, many times what a connection takes and less than a
+/// process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
-/// Time within which an answer arrives that counts as brief if the runner reports afterwards. A
-/// router that reads late knows no shorter bound, and a runner that crashed is back after some
-/// seconds.
+/// Time within which an answer arrives that counts as brief if a runner that does not name its
+/// start reports afterwards. A router that reads late knows no shorter bound, and a runner that
+/// crashed is back after some seconds (PROTOCOL.md).
 pub(crate) const REPORTED_TIME: Span = Span(500);
 
 /// Same as [`SETTLE_TIME`] after a brief answer. Its runner counts as busy until then, so it
@@ -83,14 +87,14 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Evidence {
     pub contact: Contact,
-    /// Whether an answer came over a connection that was made before the end.
+    /// Whether a report shows that the process of the answer lived after the end.
     pub has_report: bool,
     /// Whether a connection to the runner that was made beside the answer is open.
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
     pub lost_witness: bool,
-    /// Whether all of the answer arrived within [`SETTLE_TIME`], or [`REPORTED_TIME`] if the
-    /// runner has answered.
+    /// Whether all of the answer arrived within [`SETTLE_TIME`], or [`REPORTED_TIME`] if a
+    /// process that does not name its start has reported.
     pub is_brief: bool,
     /// Whether the end was read at or after the deadline that the runner was given, at which
     /// it stops and closes the connection.
@@ -138,36 +142,43 @@
     pub contact_index: usize,
     /// Slab index of the connection over which the runner's report is asked for.
     pub asked_index: Option<usize>,
-    /// Whether the runner has answered.
-    pub is_answered: bool,
-    /// Outcome of the connection made after the end so far. The system reports an error of a socket only once.
+    /// Start of the process that was listed when the answer's connection was made.
+    pub started_at: u64,
+    /// Process that has sent its report.
+    pub reported: Option<Process>,
+    /// Outcome of the connection made after the end so far. The system reports an error of a
+    /// socket only once.
     pub contact: Contact,
 }
 
 impl Ending {
     /// Returns the time at which the answer is judged, if its contact is known by then.
     pub fn due_at(&self) -> Time {
-        match (self.is_answered, self.asked_index) {
-            (true, _) => self.ended_at,
-            (false, Some(_)) => self.ended_at + REPORT_TIMEOUT,
-            (false, None) if self.is_brief() => self.ended_at + BRIEF_SETTLE_TIME,
-            (false, None) => self.ended_at + SETTLE_TIME,
+        match (self.reported, self.asked_index) {
+            (Some(_), _) => self.ended_at,
+            (None, Some(_)) => self.ended_at + REPORT_TIMEOUT,
+            (None, None) if self.is_brief() => self.ended_at + BRIEF_SETTLE_TIME,
+            (None, None) => self.ended_at + SETTLE_TIME,
         }
     }
 
     /// Returns whether the answer counts as complete if the runner accepts a connection.
     pub fn is_brief(&self) -> bool {
-        self.arrival_time < SETTLE_TIME || (self.is_answered && self.may_be_reported())
+        let limit = match self.reported {
+            Some(Process::Unnamed) => REPORTED_TIME,
+            Some(Process::Listed | Process::Other) | None => SETTLE_TIME,
+        };
+        self.arrival_time < limit
     }
 
-    /// Returns whether a report over the connection made after the end counts.
-    pub fn may_be_reported(&self) -> bool {
-        self.arrival_time < REPORTED_TIME
-    }
-
-    /// Returns whether the runner has answered over a connection that was made before the end.
+    /// Returns whether the process of the answer has reported after the end: one that was
+    /// reached before the end, or one that was listed before the answer's connection was made.
     pub fn has_report(&self) -> bool {
-        self.is_answered && self.asked_index != Some(self.contact_index)
+        match self.reported {
+            Some(Process::Listed) => true,
+            Some(Process::Other | Process::Unnamed) => self.asked_index != Some(self.contact_index),
+            None => false,
+        }
     }
 
     /// Returns whether a connection that was made at this time and is open shows that the
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -441,8 +441,11 @@
     assert!(is_whole && body.contains("event 5"), "{response}");
 }
 
-/// Runner that begins an answer when the test says so and breaks it off, while its port
-/// accepts connections.
+/// Start of a runner's process, as its entry names it.
+const LISTED_START: u64 = 1_700_000_000_000;
+
+/// Runner that begins an answer when the test says so and breaks it off, while another process
+/// accepts connections at its port.
 struct Breaking {
     runner: Runner,
     begun: Receiver<()>,
@@ -481,10 +484,20 @@
 
     /// Sends a request, and stops the router until the runner has broken off its answer.
     fn call(&self, store: &Store, router: &Router, path: &str, other: &Runner) -> Caller {
+        let mut listed = entry(self.runner.address, "s").expect("an entry");
+        listed["born"] = json!(LISTED_START);
+        store.put("servers", "i-0", Some(listed));
+        self.runner.set_born(LISTED_START);
+        let started_at = format!("started_at={LISTED_START} ");
+        wait_until("the start of the runner is listed", || {
+            router.log().contains(&started_at)
+        });
         let mut stream = connect(router.callers);
         let text = request("POST", path, "", "");
         stream.write_all(text.as_bytes()).expect("the router reads");
         self.begun.recv().expect("the runner has the request");
+        // The next process has taken the place of the one that broke off.
+        self.runner.set_born(LISTED_START + 1);
         store.put("servers", "i-1", entry(other.address, "s"));
         wait_until("the other runner is listed", || {
             router.log().contains("event=runner_listed runner=i-1 ")
@@ -542,7 +555,11 @@
             match number {
                 0 => {
                     thread::spawn(move || {
-                        let (head, _) = read_message(&mut stream).expect("a request");
+                        let (mut head, _) = read_message(&mut stream).expect("a request");
+                        if asks_for_report(&head) {
+                            report(&mut stream, 0);
+                            (head, _) = read_message(&mut stream).expect("a request");
+                        }
                         respond(&mut stream, &head, 200, "", &plain_events(1, 2));
                         thread::sleep(Duration::from_millis(300));
                     });
