Judge answers without a length of unnamed runners by 50 ms again

Callers could get half of an answer as a whole one if a runner that does not name its start broke off, the router read that up to 500 ms late, and the next process reported. The time within which an answer is brief is 50 ms for all runners; those that name their start are judged by it at any time.

Two more from the same review, by reading: an end within 10 ms before the runner's deadline does not count, as the runner's clock may be faster; and a connection made after the end of an answer belongs to that answer, so that one that takes its index is not judged for it.

The runner of a_body_that_ends_with_the_connection_is_forwarded_with_its_length names its start now: without one, a router that reads 50 ms late can't tell that the answer is whole, and the test would depend on the load of the machine.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -125,14 +125,14 @@
         let (runner, address) = (connection.runner.clone(), connection.address);
         let (open_at, started_at) = (connection.open_at, connection.started_at);
         let arrived_after = self.arrived_after;
-        match self.connect(now, Phase::Confirming, &runner, address) {
+        match self.connect(now, Phase::Confirming(id), &runner, address) {
             Ok(contact_index) => self.endings.waiting.push(Ending {
                 id,
                 index,
                 ended_at: now,
                 arrived_after,
                 open_at,
-                arrival_time: now.since(answered_after),
+                is_brief: now.since(answered_after) < SETTLE_TIME,
                 runner,
                 address,
                 contact_index,
@@ -191,7 +191,7 @@
     fn settle(&mut self, now: Time, ending: &Ending) {
         let evidence = self.evidence(ending);
         if let Some(Slot::Upstream(connection)) = self.slots.get_mut(ending.contact_index)
-            && matches!(connection.phase, Phase::Confirming)
+            && matches!(connection.phase, Phase::Confirming(id) if id == ending.id)
         {
             if ending.contact == Contact::Accepted {
                 connection.phase = Phase::Idle(Connection::unused_deadline(now));
@@ -330,7 +330,7 @@
     /// Returns what became of the connection made after the end of an answer.
     fn contact(&self, now: Time, ending: &Ending) -> Contact {
         let connection = match self.slots.get(ending.contact_index) {
-            Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Confirming) => {
+            Some(Slot::Upstream(connection)) if matches!(connection.phase, Phase::Confirming(id) if id == ending.id) => {
                 connection
             }
             _ => return Contact::Failed,
@@ -353,8 +353,8 @@
             has_report: ending.has_report(),
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
-            is_brief: ending.is_brief(),
-            is_past_deadline: request.is_none_or(|request| ending.ended_at >= request.deadline),
+            is_brief: ending.is_brief,
+            is_past_deadline: request.is_none_or(|request| ending.is_past(request.deadline)),
         };
         for (_, slot) in &self.slots {
             let Slot::Upstream(connection) = slot else {
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -300,7 +300,7 @@
             Phase::Connecting(id) => return self.continue_connecting(index, id),
             Phase::Probing => return self.continue_probe(index),
             Phase::Witness => return self.handle_witness_ready(index),
-            Phase::Confirming => return,
+            Phase::Confirming(_) => return,
             Phase::Asking(id) => return self.read_report(index, id),
             Phase::Identifying(_) | Phase::Busy(_) | Phase::Idle(_) => {}
         }
@@ -503,7 +503,7 @@
                 self.handle_idle_end(now, index);
                 return;
             }
-            Phase::Probing | Phase::Witness | Phase::Confirming => {
+            Phase::Probing | Phase::Witness | Phase::Confirming(_) => {
                 self.close(index);
                 return;
             }
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -22,10 +22,9 @@
 /// process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
 
-/// Time within which an answer arrives that counts as brief if a runner that does not name its
-/// start reports afterwards. A router that reads late knows no shorter bound, and a runner that
-/// crashed is back after some seconds (PROTOCOL.md).
-pub(crate) const REPORTED_TIME: Span = Span(500);
+/// Time before the deadline of a runner from which on it may stop: its clock may run faster than
+/// that of the router.
+const DEADLINE_MARGIN: Span = Span(10);
 
 /// Same as [`SETTLE_TIME`] after a brief answer. Its runner counts as busy until then, so it
 /// is short against the time of a plain request.
@@ -93,11 +92,10 @@
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
     pub lost_witness: bool,
-    /// Whether all of the answer arrived within [`SETTLE_TIME`], or [`REPORTED_TIME`] if a
-    /// process that does not name its start has reported.
+    /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
-    /// Whether the end was read at or after the deadline that the runner was given, at which
-    /// it stops and closes the connection.
+    /// Whether the end may have come at the deadline that the runner was given, at which it
+    /// stops and closes the connection.
     pub is_past_deadline: bool,
 }
 
@@ -134,8 +132,8 @@
     /// Last time at which the runner was known to have it open. The process may have died at
     /// any time since, and another one may be at the address.
     pub open_at: Time,
-    /// Time within which all of the answer arrived.
-    pub arrival_time: Span,
+    /// Whether all of the answer arrived within [`SETTLE_TIME`].
+    pub is_brief: bool,
     pub runner: Runner,
     pub address: SocketAddr,
     /// Slab index of the connection made after the end.
@@ -157,18 +155,14 @@
         match (self.reported, self.asked_index) {
             (Some(_), _) => self.ended_at,
             (None, Some(_)) => self.ended_at + REPORT_TIMEOUT,
-            (None, None) if self.is_brief() => self.ended_at + BRIEF_SETTLE_TIME,
+            (None, None) if self.is_brief => self.ended_at + BRIEF_SETTLE_TIME,
             (None, None) => self.ended_at + SETTLE_TIME,
         }
     }
 
-    /// Returns whether the answer counts as complete if the runner accepts a connection.
-    pub fn is_brief(&self) -> bool {
-        let limit = match self.reported {
-            Some(Process::Unnamed) => REPORTED_TIME,
-            Some(Process::Listed | Process::Other) | None => SETTLE_TIME,
-        };
-        self.arrival_time < limit
+    /// Returns whether the end may have come at the `deadline` that the runner was given.
+    pub fn is_past(&self, deadline: Time) -> bool {
+        self.ended_at + DEADLINE_MARGIN >= deadline
     }
 
     /// Returns whether the process of the answer has reported after the end: one that was
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -33,8 +33,8 @@
     Connecting(Id),
     /// The connection is being established to learn whether the runner accepts any.
     Probing,
-    /// The same, after an answer has ended with its connection.
-    Confirming,
+    /// The same, after the answer to this request has ended with its connection.
+    Confirming(Id),
     /// The connection is open while answers may end with theirs, to show that the runner's
     /// process lives.
     Witness,
@@ -131,7 +131,7 @@
             Phase::Connecting(id) | Phase::Identifying(id) | Phase::Busy(id) => Some(id),
             Phase::Idle(_)
             | Phase::Probing
-            | Phase::Confirming
+            | Phase::Confirming(_)
             | Phase::Witness
             | Phase::Asking(_) => None,
         }
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -482,8 +482,16 @@
         }
     }
 
-    /// Sends a request, and stops the router until the runner has broken off its answer.
-    fn call(&self, store: &Store, router: &Router, path: &str, other: &Runner) -> Caller {
+    /// Sends a request, and stops the router until the runner has broken off its answer. The
+    /// process that accepts connections then names the start `next`; 0 for none.
+    fn call(
+        &self,
+        store: &Store,
+        router: &Router,
+        path: &str,
+        other: &Runner,
+        next: u64,
+    ) -> Caller {
         let mut listed = entry(self.runner.address, "s").expect("an entry");
         listed["born"] = json!(LISTED_START);
         store.put("servers", "i-0", Some(listed));
@@ -496,8 +504,7 @@
         let text = request("POST", path, "", "");
         stream.write_all(text.as_bytes()).expect("the router reads");
         self.begun.recv().expect("the runner has the request");
-        // The next process has taken the place of the one that broke off.
-        self.runner.set_born(LISTED_START + 1);
+        self.runner.set_born(next);
         store.put("servers", "i-1", entry(other.address, "s"));
         wait_until("the other runner is listed", || {
             router.log().contains("event=runner_listed runner=i-1 ")
@@ -515,29 +522,33 @@
 
 #[test]
 fn a_stream_that_begins_and_breaks_off_while_the_router_is_stopped_goes_on_at_another_runner() {
-    let breaking = Breaking::start();
-    let other = Runner::start(|head, stream| {
-        let from: u64 = header(head, "last-event-id").map_or(0, |id| id.parse().expect("one"));
-        let body = format!("{}0\r\n\r\n", events(from + 1, 5));
-        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
-        true
-    });
-    let (store, router) = start_router(&[&breaking.runner]);
-    let caller = breaking.call(&store, &router, "/stream/x", &other);
-    let response = caller.read_to_end();
-    let expected = (plain_events(1, 5), true);
-    assert_eq!(decode_chunks(&response), expected, "{}", router.log());
+    for next in [0, LISTED_START + 1] {
+        let breaking = Breaking::start();
+        let other = Runner::start(|head, stream| {
+            let from: u64 = header(head, "last-event-id").map_or(0, |id| id.parse().expect("one"));
+            let body = format!("{}0\r\n\r\n", events(from + 1, 5));
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+            true
+        });
+        let (store, router) = start_router(&[&breaking.runner]);
+        let caller = breaking.call(&store, &router, "/stream/x", &other, next);
+        let response = caller.read_to_end();
+        let expected = (plain_events(1, 5), true);
+        assert_eq!(decode_chunks(&response), expected, "{}", router.log());
+    }
 }
 
 #[test]
 fn an_answer_that_begins_and_breaks_off_while_the_router_is_stopped_fails() {
-    let breaking = Breaking::start();
-    let other = Runner::start(|head, stream| respond_with_body(stream, head, "whole answer"));
-    let (store, router) = start_router(&[&breaking.runner]);
-    let caller = breaking.call(&store, &router, "/once/x", &other);
-    let response = caller.read_to_end();
-    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
-    assert!(other.requests().is_empty());
+    for next in [0, LISTED_START + 1] {
+        let breaking = Breaking::start();
+        let other = Runner::start(|head, stream| respond_with_body(stream, head, "whole answer"));
+        let (store, router) = start_router(&[&breaking.runner]);
+        let caller = breaking.call(&store, &router, "/once/x", &other, next);
+        let response = caller.read_to_end();
+        assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+        assert!(other.requests().is_empty());
+    }
 }
 
 /// A process that exits closes its connections one after another.
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -319,7 +319,14 @@
         respond(stream, head, 200, "", "until the end");
         false
     });
-    let (_store, router) = start_router(&[&runner]);
+    runner.set_born(1);
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let mut listed = entry(runner.address, "s").expect("an entry");
+    listed["born"] = json!(1);
+    store.put("servers", "i-0", Some(listed));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
     let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
     assert!(response.ends_with("\r\n\r\nuntil the end"), "{response}");
     assert_eq!(header(&response, "content-length"), Some("13"));
