Serve streams at runners that close connections on a request for a report

Callers would get 503 for each resumable stream if the runner closes the connection on GET /-/report: the close counted as a failed connection, and the runner was asked again on the next one.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -518,6 +518,11 @@
                 self.handle_connect_failure(now, index, id, is_reset);
                 return;
             }
+            // The runner may close connections on requests that it does not know.
+            Phase::Identifying(id) if !is_reset && connection.input.is_empty() => {
+                self.settle_identity(now, index, id, None);
+                return;
+            }
             Phase::Identifying(id) => {
                 self.handle_connect_failure(now, index, id, false);
                 return;
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -1,7 +1,7 @@
 //! Streams of runners that restart in place, under their id and address, at another version.
 
 use std::io::Read;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -9,8 +9,11 @@
 
 use serde_json::json;
 
-use super::environment::{LATE, Runner, Store, connect, header, respond, send_raw, wait_until};
-use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest, start_routers};
+use super::environment::{
+    LATE, Runner, Store, asks_for_report, connect, header, read_message, respond, send_raw,
+    wait_until,
+};
+use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, start_routers};
 
 /// Time in which routers tell each other of a stream.
 const SPREAD_TIME: Duration = Duration::from_millis(600);
@@ -194,3 +197,27 @@
     assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
     assert!(response.contains("id: 5\n"), "{response}");
 }
+
+#[test]
+fn a_runner_that_closes_connections_on_a_request_for_its_report_serves_streams() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            while let Some((head, _)) = read_message(&mut stream) {
+                if asks_for_report(&head) {
+                    break;
+                }
+                let body = format!("{}0\r\n\r\n", events(1, 3));
+                respond(&mut stream, &head, 200, EVENT_STREAM_FIELDS, &body);
+            }
+        }
+    });
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    store.put("servers", "i-0", entry(address, "s"));
+    let routers = start_routers(&store, 1);
+    let response = send_raw(routers[0].callers, &request("q1", ""));
+    let (body, is_whole) = decode_chunks(&response);
+    assert!(is_whole && body.contains("id: 3\n"), "{response}");
+}
