--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -302,8 +302,7 @@
         }
     }
 
-    /// Records a report, and keeps its connection for the next request. Any answer to the
-    /// request for a report shows that the process lives.
+    /// Records which process has sent a report, and keeps its connection for the next request.
     fn settle_report(&mut self, index: usize, id: Id, identity: Identity) {
         let now = self.now();
         let mut endings = self.endings.waiting.iter_mut();
--- a/crates/edge/src/edge/fleet.rs
+++ b/crates/edge/src/edge/fleet.rs
@@ -58,9 +58,9 @@
 
     /// Sends datagrams at once if a version has appeared, so that other routers know it before
     /// a caller can take up a stream that began there.
-    pub(super) fn tell_versions(&mut self, now: Time) {
+    pub(super) fn announce_versions(&mut self, now: Time) {
         let versions = self.scheduler.origins().versions();
-        if versions.appearances() != self.told_appearances {
+        if versions.appearances() != self.announced_appearances {
             self.send_frames(now);
         }
     }
@@ -101,7 +101,7 @@
     /// Updates the tier and sends the datagrams that are due.
     pub(super) fn send_frames(&mut self, now: Time) {
         self.last_exchange = now;
-        self.told_appearances = self.scheduler.origins().versions().appearances();
+        self.announced_appearances = self.scheduler.origins().versions().appearances();
         let descriptor = self.descriptor(now);
         if self.peers.update(now, &descriptor) {
             log::info!(target: "peer", "event=exchange_changed tier={:?} routers={}", self.peers.tier(), self.peers.alive(now).count() + 1);
@@ -142,7 +142,7 @@
         self.read_datagrams(index);
         // A hub passes versions on that members or other hubs tell.
         let now = self.now();
-        self.tell_versions(now);
+        self.announce_versions(now);
     }
 
     fn read_datagrams(&mut self, index: usize) {
@@ -187,7 +187,10 @@
             && let Some(report) = self.peers.report(sender)
         {
             self.scheduler.apply_report(now, &source, report);
-            self.scheduler.origins_mut().versions_mut().hear(sent_after);
+            self.scheduler
+                .origins_mut()
+                .versions_mut()
+                .record_peer_report(sent_after);
         }
     }
 
--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    /// Sends a request over a connection, unless it is a stream that may not go on there.
+    /// Sends a request, unless it continues a stream that another process may answer.
     pub(super) fn use_connection(&mut self, now: Time, index: usize, id: Id) {
         let Some(Slot::Upstream(connection)) = self.slots.get(index) else {
             return;
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -156,7 +156,7 @@
     last_sweep: Time,
     last_exchange: Time,
     // Appearances of versions up to the last datagrams that were sent.
-    told_appearances: u64,
+    announced_appearances: u64,
     // Time since which bytes that are read in this turn may have waited: the process may have
     // been stopped meanwhile.
     arrived_after: Time,
@@ -258,7 +258,7 @@
             last_sweep: now,
             // The first datagrams go out with the first tick.
             last_exchange: Time(0),
-            told_appearances: 0,
+            announced_appearances: 0,
             arrived_after: now,
             datagrams_read_at: now,
             has_pending_accepts: false,
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -9,7 +9,7 @@
 use balsamchute_schedule::stream::Basis;
 
 use crate::edge::{Edge, Slot};
-use crate::identity::REPORT_TIMEOUT;
+use crate::identity::IDENTIFY_TIMEOUT;
 use crate::pool::Pool;
 use crate::socket::{Input, Socket};
 use crate::upstream::{Connection, Partial, Phase};
@@ -606,7 +606,7 @@
                 Phase::Connecting(id) if now.since(connection.since) > CONNECT_TIMEOUT => {
                     timed_out.push((index, id));
                 }
-                Phase::Identifying(id) if now.since(connection.since) > REPORT_TIMEOUT => {
+                Phase::Identifying(id) if now.since(connection.since) > IDENTIFY_TIMEOUT => {
                     unidentified.push((index, id));
                 }
                 _ => {}
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -470,7 +470,7 @@
         for change in changes {
             self.apply_runner_change(now, change, source);
         }
-        self.tell_versions(now);
+        self.announce_versions(now);
         self.log_deferrals(source);
     }
 
--- a/crates/edge/src/identity.rs
+++ b/crates/edge/src/identity.rs
@@ -8,9 +8,8 @@
 
 use crate::upstream::MAX_HEAD_BYTES;
 
-/// Time for which a connection waits for the report. A runner that sends none by then counts
-/// as one that does not name its start.
-pub(crate) const REPORT_TIMEOUT: Span = Span(250);
+/// Time for which a request waits for the runner's report before it is sent or goes elsewhere.
+pub(crate) const IDENTIFY_TIMEOUT: Span = Span(250);
 
 /// Upper bound of a report in bytes, with its head.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -70,8 +70,8 @@
     settings::parse(&text).map_err(|e| error(e.to_string()))
 }
 
-/// Waits for events for this time at most. Returns whether these are all events that were
-/// ready when the wait began.
+/// Waits for events for this time at most. Returns whether `events` holds all events that were
+/// ready; `false` after a signal, or if it is full.
 fn wait(poll: &mut Poll, events: &mut Events, timeout: Duration) -> Result<bool, Error> {
     match poll.poll(events, Some(timeout)) {
         Ok(()) => Ok(events.iter().count() < MAX_EVENTS),
--- a/crates/schedule/src/process.rs
+++ b/crates/schedule/src/process.rs
@@ -12,7 +12,7 @@
     Named,
     /// They do not name it, or none came a short time ago.
     Unnamed,
-    /// They name it, but none came a short time ago.
+    /// They name it, but the last one did not arrive within the timeout.
     Silent,
 }
 
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -40,8 +40,8 @@
 /// crashed: a process that ends may close its connections before its listener.
 const PROBE_DELAY: Span = Span(50);
 
-/// Time after a refused or broken connection in which the next process of the runner may serve before
-/// its entry is listed: the store drops the entry of a process that is gone after three
+/// Time after a refused or broken connection in which the next process of the runner may answer
+/// before its entry is listed: the store drops the entry of a process that is gone after three
 /// check-in intervals, and lists a new one within one.
 const REFUSAL_TIME: Span = Span(6000);
 
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -135,7 +135,7 @@
     }
 
     /// Records a report of other routers, which names the versions that they listed at `at`.
-    pub fn hear(&mut self, at: Time) {
+    pub fn record_peer_report(&mut self, at: Time) {
         self.heard_at = self.heard_at.max(Some(at));
     }
 
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -107,7 +107,7 @@
     let mut versions = Versions::default();
     versions.set_first();
     list(&mut versions, 0, 20, &["old"]);
-    versions.hear(NOW + Span::from_secs(20));
+    versions.record_peer_report(NOW + Span::from_secs(20));
     assert!(sole(&versions, 21).is_some());
     assert_eq!(sole(&versions, 22), None);
     list(&mut versions, 21, 21, &["old"]);
--- a/tests/soak/answer.rs
+++ b/tests/soak/answer.rs
@@ -13,7 +13,7 @@
 /// Requests that wait at a runner without a free slot; further ones are turned away.
 const QUEUE: usize = 4;
 
-/// Time after which a runner with limited room closes a connection without a request, and
+/// Time after which a runner with limited slots closes a connection without a request, and
 /// the seconds that it names for that.
 pub const IDLE_TIME: Duration = Duration::from_millis(5500);
 const KEEP_ALIVE_S: u64 = 5;
@@ -26,25 +26,25 @@
 
 /// Slots of a runner, and the requests that use them or wait for one.
 #[derive(Debug)]
-pub struct Room {
+pub struct Slots {
     /// Requests that run at once; `None` for any number.
-    slots: Option<usize>,
+    limit: Option<usize>,
     load: Mutex<Load>,
     freed: Condvar,
 }
 
-impl Room {
-    pub fn new(slots: Option<usize>) -> Self {
-        Room {
-            slots,
+impl Slots {
+    pub fn new(limit: Option<usize>) -> Self {
+        Slots {
+            limit,
             load: Mutex::default(),
             freed: Condvar::new(),
         }
     }
 
-    /// Returns whether the room is limited.
+    /// Returns whether their number is limited.
     pub fn is_limited(&self) -> bool {
-        self.slots.is_some()
+        self.limit.is_some()
     }
 
     fn load(&self) -> MutexGuard<'_, Load> {
@@ -52,50 +52,50 @@
     }
 
     /// Adds a request; `None` if the runner is full.
-    fn enter(&self) -> Option<Guest<'_>> {
+    fn enter(&self) -> Option<Permit<'_>> {
         let mut load = self.load();
         if self
-            .slots
-            .is_some_and(|slots| load.present >= slots + QUEUE)
+            .limit
+            .is_some_and(|limit| load.present >= limit + QUEUE)
         {
             return None;
         }
         load.present += 1;
-        Some(Guest {
-            room: self,
+        Some(Permit {
+            slots: self,
             runs: false,
         })
     }
 
     /// Returns the fields that answers name the load in.
     fn fields(&self) -> String {
-        let Some(slots) = self.slots else {
+        let Some(limit) = self.limit else {
             return String::new();
         };
         let load = self.load();
         let waiting = load.present - load.running;
         format!(
-            "X-Runner-Load: {},{waiting},{slots}\r\nKeep-Alive: timeout={KEEP_ALIVE_S}\r\n",
+            "X-Runner-Load: {},{waiting},{limit}\r\nKeep-Alive: timeout={KEEP_ALIVE_S}\r\n",
             load.running
         )
     }
 }
 
 /// Request at a runner.
-struct Guest<'a> {
-    room: &'a Room,
+struct Permit<'a> {
+    slots: &'a Slots,
     runs: bool,
 }
 
-impl Guest<'_> {
+impl Permit<'_> {
     /// Waits for a free slot until `deadline`; returns whether the request has one.
     fn wait(&mut self, deadline: Instant) -> bool {
-        let is_full = |load: &mut Load| self.room.slots.is_some_and(|slots| load.running >= slots);
+        let is_full = |load: &mut Load| self.slots.limit.is_some_and(|limit| load.running >= limit);
         let time = deadline.saturating_duration_since(Instant::now());
         let waited = self
-            .room
+            .slots
             .freed
-            .wait_timeout_while(self.room.load(), time, is_full);
+            .wait_timeout_while(self.slots.load(), time, is_full);
         let (mut load, result) = waited.expect("no thread panicked");
         self.runs = !result.timed_out();
         load.running += usize::from(self.runs);
@@ -103,12 +103,12 @@
     }
 }
 
-impl Drop for Guest<'_> {
+impl Drop for Permit<'_> {
     fn drop(&mut self) {
-        let mut load = self.room.load();
+        let mut load = self.slots.load();
         load.present -= 1;
         load.running -= usize::from(self.runs);
-        self.room.freed.notify_one();
+        self.slots.freed.notify_one();
     }
 }
 
@@ -220,7 +220,7 @@
     pub former: Vec<usize>,
     /// Number of runs so far.
     pub runs: AtomicU64,
-    pub room: Arc<Room>,
+    pub slots: Arc<Slots>,
 }
 
 /// Returns the whole answer to a plain request; its length varies with the id.
@@ -254,7 +254,7 @@
     report: &dyn Fn(Report),
 ) -> bool {
     let deadline = deadline_of(head);
-    if life.room.is_limited() {
+    if life.slots.is_limited() {
         // The connection may have ended.
         let _ = stream.set_read_timeout(Some(IDLE_TIME));
     }
@@ -268,7 +268,7 @@
     };
     let expected = header(head, "x-expect-instance").unwrap_or("-");
     let is_former = |number: &usize| expected == format!("i-{number}");
-    let fields = notices.fields() + &life.room.fields();
+    let fields = notices.fields() + &life.slots.fields();
     if life.former.iter().any(is_former) {
         report(arrival(false));
         let fields = format!("X-Not-Executed: 1\r\n{fields}Content-Length: 0\r\n");
@@ -294,14 +294,14 @@
         respond(stream, head, 503, &fields, "");
         return true;
     }
-    let Some(mut guest) = life.room.enter() else {
+    let Some(mut permit) = life.slots.enter() else {
         report(arrival(false));
         let fields = format!("X-Not-Executed: 1\r\n{fields}Content-Length: 0\r\n");
         respond(stream, head, 503, &fields, "");
         return true;
     };
     report(arrival(true));
-    if !guest.wait(deadline) {
+    if !permit.wait(deadline) {
         let fields = format!("{fields}Content-Length: 0\r\n");
         respond(stream, head, 504, &fields, "");
         return true;
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -11,7 +11,7 @@
 
 use nix::sys::signal::Signal;
 
-use crate::answer::{IDLE_TIME, Life, Notices, Report, Room, answer, bad_part};
+use crate::answer::{IDLE_TIME, Life, Notices, Report, Slots, answer, bad_part};
 use crate::command::unused_loopback_ip;
 use crate::environment::{self, asks_for_report, read_message};
 use crate::judge::Judge;
@@ -230,7 +230,7 @@
         version: parse(&args[3]),
         former: args[5..].iter().map(parse).collect(),
         runs: AtomicU64::new(0),
-        room: Arc::new(Room::new(Some(parse(&args[4])).filter(|slots| *slots > 0))),
+        slots: Arc::new(Slots::new(Some(parse(&args[4])).filter(|slots| *slots > 0))),
     };
     let notices: Arc<Notices> = Arc::default();
     let heard = notices.clone();
@@ -255,7 +255,7 @@
 
 fn serve(mut stream: TcpStream, life: &Life, notices: &Notices) {
     let report = |report: Report| println!("{}", report.encode());
-    if life.room.is_limited() {
+    if life.slots.is_limited() {
         // The connection may have ended.
         let _ = stream.set_read_timeout(Some(IDLE_TIME));
     }
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -10,7 +10,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-use crate::answer::{Life, Notices, Report, Room, answer, bad_part};
+use crate::answer::{Life, Notices, Report, Slots, answer, bad_part};
 use crate::environment::{self, Runner, Store};
 use crate::judge::Judge;
 use crate::process::Process;
@@ -31,7 +31,7 @@
     pub version: usize,
     pub domain: &'static str,
     pub slots: usize,
-    /// Whether the runner turns requests away that it has no room for.
+    /// Whether the runner turns requests away that it has no slots for.
     pub is_limited: bool,
 }
 
@@ -150,7 +150,7 @@
             number, version, ..
         } = spec;
         let notices: Arc<Notices> = Arc::default();
-        let room = Arc::new(Room::new(spec.limit()));
+        let slots = Arc::new(Slots::new(spec.limit()));
         let listing = Arc::new(Listing::new(store, spec));
         let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
         let born: Arc<AtomicU64> = Arc::default();
@@ -170,7 +170,7 @@
                 version,
                 former: Vec::new(),
                 runs: AtomicU64::new(runs.fetch_add(1, Ordering::SeqCst)),
-                room: room.clone(),
+                slots: slots.clone(),
             };
             let report = |report| judge.record_report(report);
             answer(&life, &own_notices, head, stream, &report)
