Ask which process answers also if the runner left the list while connecting

Callers could get a stream joined of two versions: the entry of a runner left the list 1 ms after a stream was sent there, so the runner was not asked which process answers, and the stream counted as begun at the version of the entry. Another process had answered, and the stream went on at another version.

A runner without an entry is asked, and compared with the start that was listed when the connection was made. Without that start, the origin is unknown.

--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -27,7 +27,8 @@
             return false;
         };
         let naming = self.targets.get(&dispatch.runner).map(Target::naming);
-        pending.request.is_resumable() && matches!(naming, Some(Naming::Unknown | Naming::Named))
+        let naming = naming.unwrap_or(Naming::Unknown);
+        pending.request.is_resumable() && matches!(naming, Naming::Unknown | Naming::Named)
     }
 
     /// Records that the connection for a request is known to lead to the listed process.
@@ -51,7 +52,9 @@
             return;
         };
         self.settled.clear();
-        if let Some(target) = self.targets.get_mut(&dispatch.runner) {
+        let target = self.targets.get_mut(&dispatch.runner);
+        let is_listed = target.is_some();
+        if let Some(target) = target {
             target.record_process(now, process);
             if process == Process::Listed {
                 dispatch.software = target.entry.software.clone();
@@ -59,8 +62,9 @@
         }
         match process {
             Process::Listed => dispatch.is_verified = true,
-            Process::Other => dispatch.software = Software::unknown(),
-            Process::Unnamed => {}
+            // The process that was listed may have ended.
+            Process::Unnamed if is_listed => {}
+            Process::Other | Process::Unnamed => dispatch.software = Software::unknown(),
         }
     }
 
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -291,6 +291,24 @@
     }
 }
 
+#[test]
+fn a_stream_that_an_unknown_process_begins_at_a_runner_that_left_the_list_is_of_unknown_version() {
+    for (named, taken_up) in [(None, false), (Some(2), false), (Some(1), true)] {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+        submit(&mut scheduler, NOW, 1, begin(1));
+        scheduler.remove_runner(&runner("x"));
+        assert!(scheduler.needs_process(1));
+        scheduler.record_process(NOW, 1, Process::new(1, named));
+        assert!(scheduler.may_send(NOW, 1));
+        scheduler.record_write(1);
+        scheduler.record_events(NOW, 1, 1);
+        scheduler.set_runner(NOW, versioned("y", "old", 1));
+        let sent = submit(&mut scheduler, NOW, 2, take_up(2, 1));
+        assert_eq!(!sent.is_empty(), taken_up, "{named:?}");
+    }
+}
+
 /// Its start does not rule out that the new process began the stream; the connection does.
 #[test]
 fn a_stream_of_a_process_that_named_its_start_keeps_its_version_after_a_restart() {
