Share the end of two tests of stream origins; wrap a line of the package page

Both tests began a stream and asked whether another runner takes it up, in the same lines. The assertions are the same; 15 of 15 tests of origin pass.

--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -9,9 +9,10 @@
 //! answers), [`cold`] (runners that started a short time ago), [`stream`], [`version`] and
 //! [`route`] (software versions at which streams began, and services that may have begun
 //! them), [`process`] (which process of a runner answers), [`record`] (when these are written
-//! to the store) and [`budget`] (retry budget, split over all routers); [`scheduler::Scheduler`] combines them. [`evacuation`] holds the
-//! failure domains whose runners get no new attempts. [`directory`] chooses the routers that
-//! a caller is told to use, and [`admission`] how many connections are accepted.
+//! to the store) and [`budget`] (retry budget, split over all routers);
+//! [`scheduler::Scheduler`] combines them. [`evacuation`] holds the failure domains whose
+//! runners get no new attempts. [`directory`] chooses the routers that a caller is told to use,
+//! and [`admission`] how many connections are accepted.
 
 pub mod action;
 pub mod admission;
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -275,6 +275,14 @@
     }
 }
 
+/// Begins stream 1 where it was sent, and returns whether `y`, of version `old`, takes it up.
+fn is_taken_up_at_y(scheduler: &mut Scheduler) -> bool {
+    scheduler.record_write(1);
+    scheduler.record_events(NOW, 1, 1);
+    scheduler.set_runner(NOW, versioned("y", "old", 1));
+    !submit(scheduler, NOW, 2, take_up(2, 1)).is_empty()
+}
+
 #[test]
 fn a_stream_that_another_process_than_is_listed_begins_is_of_unknown_version() {
     for (named, taken_up) in [(None, true), (Some(1), true), (Some(2), false)] {
@@ -283,11 +291,7 @@
         submit(&mut scheduler, NOW, 1, begin(1));
         scheduler.record_process(NOW, 1, Process::new(1, named));
         assert!(scheduler.may_send(NOW, 1));
-        scheduler.record_write(1);
-        scheduler.record_events(NOW, 1, 1);
-        scheduler.set_runner(NOW, versioned("y", "old", 1));
-        let sent = submit(&mut scheduler, NOW, 2, take_up(2, 1));
-        assert_eq!(!sent.is_empty(), taken_up, "{named:?}");
+        assert_eq!(is_taken_up_at_y(&mut scheduler), taken_up, "{named:?}");
     }
 }
 
@@ -301,11 +305,7 @@
         assert!(scheduler.needs_process(1));
         scheduler.record_process(NOW, 1, Process::new(1, named));
         assert!(scheduler.may_send(NOW, 1));
-        scheduler.record_write(1);
-        scheduler.record_events(NOW, 1, 1);
-        scheduler.set_runner(NOW, versioned("y", "old", 1));
-        let sent = submit(&mut scheduler, NOW, 2, take_up(2, 1));
-        assert_eq!(!sent.is_empty(), taken_up, "{named:?}");
+        assert_eq!(is_taken_up_at_y(&mut scheduler), taken_up, "{named:?}");
     }
 }
 
