Keep unused connections to runners by one function

Three places made a connection idle that had carried no request: after a probe, after the end of an answer, and after a report.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -15,7 +15,7 @@
 use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
 use crate::identity::Identity;
 use crate::socket::Input;
-use crate::upstream::{Connection, Phase};
+use crate::upstream::Phase;
 
 impl Edge {
     /// Keeps a connection to the runner of an answer that will end with its own: a witness
@@ -194,10 +194,8 @@
             && matches!(connection.phase, Phase::Confirming(id) if id == ending.id)
         {
             if ending.contact == Contact::Accepted {
-                connection.phase = Phase::Idle(Connection::unused_deadline(now));
-                connection.since = now;
                 connection.established_at = Some(self.clock.now());
-                self.keep_idle(now, ending.contact_index, &ending.runner);
+                self.keep_unused(now, ending.contact_index);
             } else {
                 self.close(ending.contact_index);
             }
@@ -320,10 +318,7 @@
         connection.input.clear();
         connection.is_verified =
             Process::new(connection.started_at, identity.started_at) == Process::Listed;
-        connection.phase = Phase::Idle(Connection::unused_deadline(now));
-        connection.since = now;
-        let runner = connection.runner.clone();
-        self.keep_idle(now, index, &runner);
+        self.keep_unused(now, index);
     }
 
     /// Returns what became of the connection made after the end of an answer.
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -204,10 +204,8 @@
         match connection.socket.check_connected() {
             Ok(false) => {}
             Ok(true) => {
-                connection.phase = Phase::Idle(Connection::unused_deadline(now));
-                connection.since = now;
                 connection.established_at = Some(self.clock.now());
-                self.keep_idle(now, index, &runner);
+                self.keep_unused(now, index);
             }
             Err(error) => {
                 self.close(index);
@@ -219,6 +217,17 @@
         }
     }
 
+    /// Keeps a connection that has carried no request, or only one for a report.
+    pub(super) fn keep_unused(&mut self, now: Time, index: usize) {
+        let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
+            return;
+        };
+        connection.phase = Phase::Idle(Connection::unused_deadline(now));
+        connection.since = now;
+        let runner = connection.runner.clone();
+        self.keep_idle(now, index, &runner);
+    }
+
     /// Adds an idle connection to the pool; closes the oldest one beyond the limit.
     pub(super) fn keep_idle(&mut self, now: Time, index: usize, runner: &Runner) {
         let limit = self.idle_limit(now, runner);
