--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -473,6 +473,22 @@
     command.spawn().expect("the router starts")
 }
 
+/// Limits on the memory and the file descriptors of a router.
+struct Resources {
+    memory_mb: usize,
+    descriptors: usize,
+}
+
+impl Default for Resources {
+    /// Returns the limits of the example settings in `platform/tests/decode.rs`.
+    fn default() -> Self {
+        Resources {
+            memory_mb: 110,
+            descriptors: 4100,
+        }
+    }
+}
+
 /// Edge router process that is killed when dropped.
 pub struct Router {
     child: Child,
@@ -488,33 +504,50 @@
 }
 
 impl Router {
-    /// Starts a router on a loopback address of its own, with the descriptor limit of
-    /// the example settings in `platform/tests/decode.rs`.
+    /// Starts a router on a loopback address of its own, with the limits of the example
+    /// settings in `platform/tests/decode.rs`.
     pub fn start(name: &str, store: SocketAddr) -> Self {
-        Router::start_with(name, "a", store, &[], 4100, "")
+        Router::start_with(name, "a", store, &[], Resources::default(), "")
     }
 
-    /// Starts a router with a limit on file descriptors.
-    pub fn start_with_descriptors(name: &str, store: SocketAddr, descriptors: usize) -> Self {
-        Router::start_with(name, "a", store, &[], descriptors, "")
+    /// Starts a router with these limits on its memory in MB and on its file descriptors.
+    #[allow(dead_code, reason = "not used by the soak")]
+    pub fn start_with_limits(
+        name: &str,
+        store: SocketAddr,
+        memory_mb: usize,
+        descriptors: usize,
+    ) -> Self {
+        let resources = Resources {
+            memory_mb,
+            descriptors,
+        };
+        Router::start_with(name, "a", store, &[], resources, "")
     }
 
     /// Starts a router with the addresses of other routers as seeds.
     pub fn start_with_seeds(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Router::start_with(name, "a", store, seeds, 4100, "")
+        Router::start_with(name, "a", store, seeds, Resources::default(), "")
     }
 
     /// Starts a router in a failure domain, with the addresses of other routers as seeds.
     #[allow(dead_code, reason = "used by the soak")]
     pub fn start_in(name: &str, domain: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Router::start_with(name, domain, store, seeds, 4100, "")
+        Router::start_with(name, domain, store, seeds, Resources::default(), "")
     }
 
     /// Starts a router of a deployment whose operator evacuates failure domains, with the
     /// addresses of other routers as seeds.
     #[allow(dead_code, reason = "not used by the soak")]
     pub fn start_with_evacuations(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Router::start_with(name, "a", store, seeds, 4100, "evac_ms = 5000\n")
+        Router::start_with(
+            name,
+            "a",
+            store,
+            seeds,
+            Resources::default(),
+            "evac_ms = 5000\n",
+        )
     }
 
     fn start_with(
@@ -522,7 +555,7 @@
         domain: &str,
         store: SocketAddr,
         seeds: &[SocketAddr],
-        descriptors: usize,
+        resources: Resources,
         more_bounds: &str,
     ) -> Self {
         let ip = unused_loopback_ip();
@@ -538,9 +571,11 @@
         let text = format!(
             "bootstrap = true\nnode_name = \"{name}\"\nzone = \"{domain}\"\nport_range = [{port},{port}]\nseeds = [{seeds}]\n\
              heartbeat_ms = 1200\n[listen]\nfront = \"{callers}\"\nready = \"{ready}\"\ndirectory = \"{directory}\"\n\
-             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 110\nmax_fds = {descriptors}\n[bounds]\ndrain_ms = 2000\n\
+             [limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = {memory_mb}\nmax_fds = {descriptors}\n[bounds]\ndrain_ms = 2000\n\
              grace_s = 8\napply_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 54\n\
              quota_window_s = 4\nttl_max_s = 5\n{more_bounds}[provider]\naddress = \"{store}\"\n",
+            memory_mb = resources.memory_mb,
+            descriptors = resources.descriptors,
             port = peers.port(),
             seeds = seeds.join(","),
         );
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -439,7 +439,7 @@
     let store = Store::start();
     store.put("config", "main", manifest(1, &["k1"]));
     store.put("servers", "i-0", entry(runner.address, "s"));
-    let router = Router::start_with_descriptors("small", store.address, 100);
+    let router = Router::start_with_limits("small", store.address, 110, 100);
     router.wait_ready();
     let text = request("POST", "/once/x", "", "").replace("Connection: close\r\n", "");
     let mut connections = Vec::new();
