Continue with pipelined requests from the event loop, not by recursion

Callers saw the router end: 4,000 short requests that are refused, sent on one connection behind one in progress, overflowed its stack (SIGABRT). Each refusal ended its response, parsed the next request and refused it within its own call, so the depth was the number of requests that waited in the input.

finish_response now queues a connection whose input was left, and the event loop goes on with the queue once a turn, one request a connection. The depth does not depend on the input any more. Nothing more is read while a request waits in the input.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -81,6 +81,8 @@
     pub is_read_paused: bool,
     /// Whether the write side was shut down.
     pub is_write_shut: bool,
+    /// Whether the connection is among those that the event loop goes on with.
+    pub is_queued: bool,
 }
 
 impl Connection {
@@ -99,6 +101,7 @@
             close: false,
             is_read_paused: false,
             is_write_shut: false,
+            is_queued: false,
         }
     }
 
@@ -131,6 +134,11 @@
         }
     }
 
+    /// Returns whether input waits for the end of a response that has ended.
+    pub fn has_waiting_input(&self) -> bool {
+        matches!(self.phase, Phase::Idle) && !self.input.is_empty()
+    }
+
     /// Returns whether reading from the socket is allowed.
     pub fn may_read(&self) -> bool {
         !matches!(self.phase, Phase::Busy(_)) || self.input.len() < MAX_PIPELINED_BYTES
--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -13,6 +13,7 @@
 use balsamchute_schedule::request::{Request as Scheduled, Resumed};
 use balsamchute_wire::record::Outcome;
 use smallvec::SmallVec;
+use stakker::CX;
 
 use crate::caller::{Fault, Incoming, Phase as CallerPhase};
 use crate::edge::{Edge, Slot};
@@ -83,8 +84,15 @@
 impl Edge {
     pub(super) fn handle_caller_ready(&mut self, index: usize) {
         self.flush_caller(index);
+        if let Some(Slot::Caller(connection)) = self.slots.get(index)
+            && connection.has_waiting_input()
+        {
+            self.advance_caller(index);
+        }
         loop {
             let may_read = match self.slots.get_mut(index) {
+                // Another request waits in the input; the event loop goes on with it.
+                Some(Slot::Caller(connection)) if connection.has_waiting_input() => return,
                 Some(Slot::Caller(connection)) => {
                     connection.is_read_paused = !connection.may_read();
                     !connection.is_read_paused
@@ -322,8 +330,8 @@
         self.send_local_response(now, index, rejection.response(request_id, false));
     }
 
-    /// Completes a response and continues with the next request of the
-    /// connection.
+    /// Completes a response. The event loop continues with the next request of the
+    /// connection if its input is there.
     pub(super) fn finish_response(&mut self, now: Time, index: usize) {
         let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
             return;
@@ -333,12 +341,36 @@
             false => CallerPhase::Idle,
         };
         connection.enter(now, next_phase);
-        let was_read_paused = connection.is_read_paused;
+        let has_input = connection.is_read_paused || !connection.input.is_empty();
         self.flush_caller(index);
-        if was_read_paused {
-            self.handle_caller_ready(index);
+        if has_input {
+            self.queue_caller(index);
         }
-        self.advance_caller(index);
+    }
+
+    /// Lets the event loop go on with a connection whose input was left. The caller of this
+    /// method does not go on itself: it would run as deep as requests wait in the input.
+    fn queue_caller(&mut self, index: usize) {
+        if let Some(Slot::Caller(connection)) = self.slots.get_mut(index)
+            && !connection.is_queued
+        {
+            connection.is_queued = true;
+            self.queued_callers.push_back(index);
+        }
+    }
+
+    /// Goes on with the connections whose input was left.
+    pub fn continue_callers(&mut self, _cx: CX![]) {
+        for _ in 0..self.queued_callers.len() {
+            let Some(index) = self.queued_callers.pop_front() else {
+                break;
+            };
+            if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
+                connection.is_queued = false;
+                self.handle_caller_ready(index);
+            }
+        }
+        self.run_actions();
     }
 
     fn reject_and_close(&mut self, index: usize, request_id: Option<&str>, rejection: &Rejection) {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -12,7 +12,7 @@
 mod runners;
 mod store;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -118,6 +118,8 @@
     endings: Endings,
     caller_listener: usize,
     caller_count: usize,
+    // Slab indices of callers' connections whose input was left, to go on with.
+    queued_callers: VecDeque<usize>,
     // Bytes of the request bodies of all transactions.
     body_bytes: usize,
     watchers: BTreeMap<Kind, Watcher>,
@@ -229,6 +231,7 @@
             endings: Endings::default(),
             caller_listener: 0,
             caller_count: 0,
+            queued_callers: VecDeque::new(),
             body_bytes: 0,
             watchers: watchers
                 .into_iter()
@@ -339,9 +342,10 @@
         }
     }
 
-    /// Returns whether callers' connections are left in the accept queue.
-    pub fn has_pending_accepts(&self) -> bool {
-        self.has_pending_accepts
+    /// Returns whether the last turn left work that waits for no event: connections in the
+    /// accept queue, or input of callers.
+    pub fn has_pending_work(&self) -> bool {
+        self.has_pending_accepts || !self.queued_callers.is_empty()
     }
 
     /// Returns whether the process may exit.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -103,7 +103,7 @@
     let mut suspension = Suspension::new();
     loop {
         let pending = edge.query(&mut stakker, |edge, _| {
-            (edge.has_pending_accepts(), edge.next_settlement())
+            (edge.has_pending_work(), edge.next_settlement())
         });
         let max_sleep = match pending {
             Some((true, _)) => Duration::ZERO,
@@ -148,6 +148,7 @@
             call!([edge], handle_ready(index_of(event)));
         }
         call!([edge], accept_more());
+        call!([edge], continue_callers());
         call!([edge], settle_endings());
         // Timers judge silence, so they run up to a time at which all that had arrived was
         // asked for and is read. The process may have been stopped since.
