Read no further request of a caller that does not read its answers

Callers saw the router exceed its memory: a connection that pipelines requests that are refused and reads no answer made the router hold all of these answers. Each short request added about twice its size to the write buffer, without a bound.

A caller's next request is neither parsed nor read while more than 128 KiB for it are unsent, the bound that already pauses reading from its runner.

Test waiting::answers_that_are_not_read_do_not_exhaust_memory, 4 connections: peak of 121,794,560 bytes before, 17,825,792 now, limit 44 MiB.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -12,6 +12,10 @@
 /// Pipelined bytes that are buffered while a request is in progress.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Unsent bytes to a caller above which neither its next request nor more of its answer is
+/// read.
+pub(crate) const MAX_UNSENT_BYTES: usize = 128 * 1024;
+
 /// Reason why a request could not be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Fault {
@@ -134,14 +138,22 @@
         }
     }
 
-    /// Returns whether input waits for the end of a response that has ended.
+    /// Returns whether input waits that the event loop may go on with.
     pub fn has_waiting_input(&self) -> bool {
-        matches!(self.phase, Phase::Idle) && !self.input.is_empty()
+        matches!(self.phase, Phase::Idle) && !self.input.is_empty() && !self.is_blocked()
+    }
+
+    /// Returns whether the caller leaves too many bytes unread to get another answer.
+    pub fn is_blocked(&self) -> bool {
+        self.socket.unsent() > MAX_UNSENT_BYTES
     }
 
     /// Returns whether reading from the socket is allowed.
     pub fn may_read(&self) -> bool {
-        !matches!(self.phase, Phase::Busy(_)) || self.input.len() < MAX_PIPELINED_BYTES
+        match self.phase {
+            Phase::Busy(_) => self.input.len() < MAX_PIPELINED_BYTES,
+            _ => !self.is_blocked(),
+        }
     }
 
     /// Parses the buffered bytes. Returns a request once it is complete.
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -8,6 +8,7 @@
 use balsamchute_schedule::action::{Action, End, Id, Rationale};
 use balsamchute_schedule::stream::Basis;
 
+use crate::caller::MAX_UNSENT_BYTES;
 use crate::edge::{Edge, Slot};
 use crate::identity::IDENTIFY_TIMEOUT;
 use crate::pool::Pool;
@@ -18,9 +19,6 @@
 /// millisecond. A runner that has not accepted by then counts as unreachable.
 pub(super) const CONNECT_TIMEOUT: Span = Span(300);
 
-/// Unsent bytes to a caller above which reading from its runner pauses.
-const MAX_UNSENT_BYTES: usize = 128 * 1024;
-
 impl Edge {
     /// Carries out the pending actions of the scheduler.
     pub(super) fn run_actions(&mut self) {
