Bound the reads from one caller in a turn of the event loop

Found by reading, not reproduced: a caller that sends as fast as the router reads kept the loop over its socket going, and nothing else was served meanwhile. The loop ended only when the socket was empty, also while the input of a closing connection is discarded.

A turn reads four times from a connection at most (256 KiB), and the event loop goes on with it in the next turn, as with requests that wait in the input. Bytes that a turn left count as arrived in it, so that the age of a resumed stream is not taken for less.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -85,6 +85,9 @@
     pub is_read_paused: bool,
     /// Whether the write side was shut down.
     pub is_write_shut: bool,
+    /// Time after which bytes arrived that an earlier turn left unread; `None` if all that had
+    /// arrived was read.
+    pub unread_after: Option<Time>,
     /// Whether the connection is among those that the event loop goes on with.
     pub is_queued: bool,
 }
@@ -105,6 +108,7 @@
             close: false,
             is_read_paused: false,
             is_write_shut: false,
+            unread_after: None,
             is_queued: false,
         }
     }
--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -40,6 +40,10 @@
 /// Time that a caller may take to send a body, however steadily it arrives.
 const MAX_UPLOAD_TIME: Span = Span::from_secs(60);
 
+/// Reads from one connection in one turn of the event loop. A caller that sends as fast as
+/// the router reads must not hold up the other connections.
+const MAX_READS_PER_TURN: usize = 4;
+
 /// Idle connections that one eviction closes. A batch makes the scan over all
 /// slots rare.
 const EVICTION_BATCH: usize = 64;
@@ -89,7 +93,7 @@
         {
             self.advance_caller(index);
         }
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             let may_read = match self.slots.get_mut(index) {
                 // Another request waits in the input; the event loop goes on with it.
                 Some(Slot::Caller(connection)) if connection.has_waiting_input() => return,
@@ -104,13 +108,22 @@
             }
             match self.read(index) {
                 Input::Bytes(length) => self.receive_caller_bytes(index, length),
-                Input::WouldBlock => return,
+                Input::WouldBlock => {
+                    if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
+                        connection.unread_after = None;
+                    }
+                    return;
+                }
                 Input::Eof | Input::Broken => {
                     self.handle_caller_disconnect(index);
                     return;
                 }
             }
         }
+        if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
+            connection.unread_after.get_or_insert(self.arrived_after);
+        }
+        self.queue_caller(index);
     }
 
     fn receive_caller_bytes(&mut self, index: usize, length: usize) {
@@ -120,6 +133,7 @@
             if matches!(connection.phase, CallerPhase::Closing) {
                 return;
             }
+            let arrived_after = connection.unread_after.unwrap_or(arrived_after);
             connection.receive(now, arrived_after, &self.read_buffer[..length]);
         }
         self.advance_caller(index);
