Bound the receive buffers of clients' connections, and the sent part of write buffers

Listeners now ask for 64 KiB a connection, as Linux counts them, which their connections inherit.

A write buffer kept what it had sent until all was sent, so a caller that reads slowly but never all made it grow. The sent part is removed from 64 KiB on.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -47,7 +47,7 @@
 use crate::pool::Pool;
 use crate::registry::{Registry, Source};
 use crate::server;
-use crate::socket::{Input, Socket};
+use crate::socket::{Input, Socket, limit_receive_buffer};
 use crate::stats::Stats;
 use crate::transaction::Transaction;
 use crate::upstream;
@@ -609,7 +609,9 @@
 }
 
 fn bind_listener(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).map_err(|error| listen_error(address, error))
+    let listener = TcpListener::bind(address).map_err(|error| listen_error(address, error))?;
+    limit_receive_buffer(&listener);
+    Ok(listener)
 }
 
 fn listen_error(address: SocketAddr, error: io::Error) -> Error {
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use mio::net::TcpStream;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use socket2::SockRef;
 
@@ -19,6 +19,14 @@
 /// Unanswered keep-alive probes that end a connection.
 const MAX_PROBES: u32 = 3;
 
+/// Bytes that may wait unread in the socket of a client, as the system counts them. They are
+/// charged to the memory of the machine; without a bound of its own the system lets the
+/// buffer of a connection grow to several megabytes.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Sent bytes at the front of a write buffer from which on they are removed.
+const MAX_SENT_BYTES: usize = 64 * 1024;
+
 /// Result of a read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Input {
@@ -32,6 +40,16 @@
     Broken,
 }
 
+/// Bounds the receive buffers of the connections that `listener` will accept by
+/// [`RECEIVE_BUFFER_BYTES`].
+pub(crate) fn limit_receive_buffer(listener: &TcpListener) {
+    // Linux doubles the value, to count its own overhead.
+    let socket = SockRef::from(listener);
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES / 2) {
+        log::debug!(target: "socket", "event=options error={error:?}");
+    }
+}
+
 /// TCP connection and the bytes that are still to be written.
 #[derive(Debug)]
 pub(crate) struct Socket {
@@ -168,6 +186,9 @@
             // A large body must not occupy memory for the lifetime of the
             // connection.
             self.write_buffer.shrink_to(4096);
+        } else if self.sent >= MAX_SENT_BYTES {
+            self.write_buffer.drain(..self.sent);
+            self.sent = 0;
         }
         written
     }
