Count all memory that callers make the router hold in one account

Callers saw the router exceed its memory and end, and the answers in hand were lost. The memory for bodies was checked once a body was whole and paid for; bodies that arrive, the capacity of buffers, heads, input behind a request in progress and answers that are not read were not counted at all.

One account, 0.3 of memory_mb as before, now counts these where they are taken (edge::memory). What gives way is decided in schedule::memory, without I/O: larger bodies use three quarters of the account, those of one workspace three quarters of that; a body that has stalled for 1 s (below 64 KB/s, bursts not credited) gives way to another one; if all is used up, what has stalled longest gives way, and a request that finds nothing is refused with 503. All of that is true: no attempt was sent. Nobody waits for memory, so no crowd can block the others by waiting.

Ruled out: to pause reading. Bytes that wait in sockets count as well, and callers that wait for each other would never end.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -15,16 +15,19 @@
 use smallvec::SmallVec;
 use stakker::CX;
 
-use crate::caller::{Fault, Incoming, Phase as CallerPhase};
+use crate::caller::{Fault, Incoming, Phase as CallerPhase, Step, head_memory};
 use crate::edge::{Edge, Slot};
 use crate::peers::Phase;
 use crate::socket::Input;
 use crate::transaction::{Delivery, Transaction};
 
-/// Delay in `Retry-After` of a router that is starting or whose memory for bodies
-/// is full.
+/// Delay in `Retry-After` of a router that is starting.
 const RETRY_AFTER_UNAVAILABLE: Span = Span(300);
 
+/// Delay in `Retry-After` of a router whose memory for requests is used up: by then a
+/// request that has stalled gives way.
+const RETRY_AFTER_MEMORY: Span = Span::from_secs(1);
+
 /// Delay in `Retry-After` of a router that is shutting down; callers go to
 /// another one.
 const RETRY_AFTER_LEAVING: Span = Span(50);
@@ -34,9 +37,6 @@
 /// refused until the process exits.
 const LEAVING_ACCEPT_TIME: Span = Span(1500);
 
-/// Share of `resource_limits.memory_bytes` that buffered request bodies may use.
-const BODY_MEMORY_SHARE: f64 = 0.3;
-
 /// Time that a caller may take to send a body, however steadily it arrives.
 const MAX_UPLOAD_TIME: Span = Span::from_secs(60);
 
@@ -53,8 +53,15 @@
 /// caller is closed.
 const CLOSING_TIMEOUT: Span = Span(1000);
 
+/// Manifest, route and workspace that are in force for a request.
+struct Found {
+    manifest: Arc<Manifest>,
+    route: Arc<Route>,
+    workspace: Option<Workspace>,
+}
+
 /// An error response for a request that is not forwarded.
-struct Rejection {
+pub(super) struct Rejection {
     status: u16,
     retry: Option<Span>,
     reason: String,
@@ -104,10 +111,14 @@
                 _ => return,
             };
             if !may_read {
+                self.charge_caller(index);
                 return;
             }
             match self.read(index) {
-                Input::Bytes(length) => self.receive_caller_bytes(index, length),
+                Input::Bytes(length) => {
+                    self.receive_caller_bytes(index, length);
+                    self.enforce_memory();
+                }
                 Input::WouldBlock => {
                     if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
                         connection.unread_after = None;
@@ -143,19 +154,87 @@
     pub(super) fn advance_caller(&mut self, index: usize) {
         let now = self.now();
         let limits = self.caller_limits();
-        let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
-            return;
+        loop {
+            let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
+                return;
+            };
+            match connection.advance(now, &limits) {
+                Ok(Step::Complete(incoming)) => {
+                    self.admit(now, index, incoming);
+                    return;
+                }
+                Ok(Step::NeedsMemory(bytes)) => {
+                    if !self.admit_body(now, index, bytes) {
+                        return;
+                    }
+                }
+                Ok(Step::Incomplete) => {
+                    self.charge_caller(index);
+                    return;
+                }
+                Err(fault) => {
+                    let (status, reason) = status_and_reason(&fault);
+                    self.reject_unread(index, None, &Rejection::new(status, reason));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Admits a larger body of a request up to `bytes`, or rejects the request. What is known
+    /// from its head is checked before memory is given to it.
+    fn admit_body(&mut self, now: Time, index: usize, bytes: usize) -> bool {
+        let Some(Slot::Caller(connection)) = self.slots.get(index) else {
+            return false;
+        };
+        let CallerPhase::Body(partial) = &connection.phase else {
+            return false;
         };
-        match connection.advance(now, &limits) {
-            Ok(Some(incoming)) => self.admit(now, index, incoming),
-            Ok(None) => {}
-            Err(fault) => {
-                let (status, reason) = status_and_reason(&fault);
-                log::info!(target: "request", "event=unreadable status={status} reason={reason:?}");
-                self.stats.count_rejected(status);
-                self.reject_and_close(index, None, &Rejection::new(status, reason));
+        let request_id = partial.head.fields.get(request::REQUEST_ID);
+        let request_id = request_id.map(str::to_owned);
+        let admitted = request::decode(&partial.head)
+            .map_err(|error| Rejection::new(400, error.to_string()))
+            .and_then(|caller| self.find_route(now, &partial.head, caller.api_key))
+            .and_then(|found| {
+                let workspace = found.workspace;
+                self.reserve(now, index, workspace.as_ref(), bytes)
+                    .map(|displaced| (workspace, displaced))
+                    .ok_or_else(no_memory)
+            });
+        let (workspace, displaced) = match admitted {
+            Ok(admitted) => admitted,
+            Err(rejection) => {
+                self.reject_unread(index, request_id.as_deref(), &rejection);
+                return false;
             }
+        };
+        for index in displaced {
+            self.displace(index);
         }
+        if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
+            connection.admit(bytes, workspace);
+        }
+        self.charge_caller(index);
+        true
+    }
+
+    /// Rejects a request that was not read whole, and closes its connection.
+    pub(super) fn reject_unread(
+        &mut self,
+        index: usize,
+        request_id: Option<&str>,
+        rejection: &Rejection,
+    ) {
+        log::info!(
+            target: "request",
+            "event=unreadable request={} status={} reason={:?}",
+            request_id.unwrap_or("-"),
+            rejection.status,
+            rejection.reason
+        );
+        self.stats.count_rejected(rejection.status);
+        self.send_local_response(self.now(), index, rejection.response(request_id, true));
+        self.charge_caller(index);
     }
 
     /// Schedules a complete request, or rejects it.
@@ -199,6 +278,7 @@
     ) -> Result<Scheduled, (Option<String>, Rejection)> {
         let Incoming {
             head,
+            head_length,
             body,
             has_body,
             arrived_after,
@@ -207,19 +287,16 @@
             .map_err(|error| (None, Rejection::new(400, error.to_string())))?;
         let request_id = caller.request_id.to_owned();
         let with_id = |rejection| (Some(request_id.clone()), rejection);
-        let manifest = self.usable_manifest(now).map_err(with_id)?;
-        let host = head.fields.get("host").unwrap_or_default();
-        let route = manifest
-            .route(host, head.path())
-            .cloned()
-            .ok_or_else(|| with_id(Rejection::new(404, "no route matches host and path")))?;
-        let workspace = authorize_workspace(&manifest, &route, caller.api_key)
-            .ok_or_else(|| with_id(Rejection::new(401, "the API key is not known")))?;
-        let memory_limit = self.settings.resource_limits.memory_bytes as f64 * BODY_MEMORY_SHARE;
-        if (self.body_bytes + body.len()) as f64 > memory_limit {
-            let rejection =
-                Rejection::new(503, "too many bodies wait").with_retry(RETRY_AFTER_UNAVAILABLE);
-            return Err(with_id(rejection));
+        let Found {
+            manifest,
+            route,
+            workspace,
+        } = self
+            .find_route(now, &head, caller.api_key)
+            .map_err(with_id)?;
+        let memory = head_memory(head_length) + body.capacity();
+        if !self.make_room(now, index, memory) {
+            return Err(with_id(no_memory()));
         }
         let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
         let is_resumed = caller.last_event_id.is_some() || caller.resumes.is_some();
@@ -273,7 +350,6 @@
         let last_event = caller.last_event_id;
         let resumed_after = last_event.filter(|_| route.retry_policy == RetryPolicy::Resumable);
         let resumes = caller.resumes.map(str::to_owned);
-        self.body_bytes += body.len();
         let transaction = Transaction {
             caller: index,
             request_id: request_id.clone(),
@@ -293,13 +369,37 @@
             service: scheduled.service.clone(),
             fallback: None,
             head,
+            head_length,
             body,
             has_body,
         };
+        self.account.update(0, transaction.memory());
         self.transactions.insert(id, transaction);
         Ok(scheduled)
     }
 
+    /// Finds the route and the workspace of a request, which its head names.
+    fn find_route(
+        &self,
+        now: Time,
+        head: &Request,
+        api_key: Option<&str>,
+    ) -> Result<Found, Rejection> {
+        let manifest = self.usable_manifest(now)?;
+        let host = head.fields.get("host").unwrap_or_default();
+        let route = manifest
+            .route(host, head.path())
+            .cloned()
+            .ok_or_else(|| Rejection::new(404, "no route matches host and path"))?;
+        let workspace = authorize_workspace(&manifest, &route, api_key)
+            .ok_or_else(|| Rejection::new(401, "the API key is not known"))?;
+        Ok(Found {
+            manifest,
+            route,
+            workspace,
+        })
+    }
+
     /// Returns the estimated time since a caller first sent its request.
     /// Callers of a route use the same timeout, so the longest remaining time
     /// seen on the route is that of a new request.
@@ -364,7 +464,7 @@
 
     /// Lets the event loop go on with a connection whose input was left. The caller of this
     /// method does not go on itself: it would run as deep as requests wait in the input.
-    fn queue_caller(&mut self, index: usize) {
+    pub(super) fn queue_caller(&mut self, index: usize) {
         if let Some(Slot::Caller(connection)) = self.slots.get_mut(index)
             && !connection.is_queued
         {
@@ -385,10 +485,7 @@
             }
         }
         self.run_actions();
-    }
-
-    fn reject_and_close(&mut self, index: usize, request_id: Option<&str>, rejection: &Rejection) {
-        self.send_local_response(self.now(), index, rejection.response(request_id, true));
+        self.enforce_memory();
     }
 
     /// Writes the unsent bytes of a caller. Resumes reading from its runner
@@ -398,9 +495,7 @@
         let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
             return;
         };
-        if connection.socket.flush() > 0 {
-            connection.last_sent = now;
-        }
+        connection.flush(now);
         if connection.socket.is_broken() {
             self.handle_caller_disconnect(index);
             return;
@@ -415,6 +510,7 @@
             connection.since = now;
             connection.socket.shutdown();
         }
+        self.charge_caller(index);
         if let (true, Some(id)) = (is_flushed, id) {
             self.resume_upstream(id);
         }
@@ -449,7 +545,7 @@
     /// Removes a transaction and closes its connection to a runner.
     pub(super) fn take_transaction(&mut self, id: Id) -> Option<Transaction> {
         let transaction = self.transactions.remove(&id)?;
-        self.body_bytes -= transaction.body.len();
+        self.account.update(transaction.memory(), 0);
         if let Some(upstream) = transaction.upstream {
             self.close(upstream);
         }
@@ -500,8 +596,8 @@
             match &connection.phase {
                 // A response that is read slowly is not cut.
                 CallerPhase::Idle | CallerPhase::Closing if connection.socket.unsent() > 0 => {
-                    let progress = connection.last_sent.max(connection.since);
-                    if now.since(progress) > limits.idle_timeout {
+                    let last = connection.sent.map_or(connection.since, |sent| sent.last());
+                    if now.since(last.max(connection.since)) > limits.idle_timeout {
                         expired.push(index);
                     }
                 }
@@ -510,7 +606,7 @@
                 CallerPhase::Closing if age > CLOSING_TIMEOUT => expired.push(index),
                 CallerPhase::Head if age > limits.head_timeout => slow.push(index),
                 CallerPhase::Body(_)
-                    if now.since(connection.last_received) > limits.idle_timeout
+                    if now.since(connection.received.last()) > limits.idle_timeout
                         || age > MAX_UPLOAD_TIME =>
                 {
                     slow.push(index);
@@ -523,13 +619,16 @@
         }
         for index in slow {
             let rejection = Rejection::new(408, "the request did not arrive in time");
-            log::info!(target: "request", "event=unreadable status=408 reason={:?}", rejection.reason);
-            self.stats.count_rejected(rejection.status);
-            self.reject_and_close(index, None, &rejection);
+            self.reject_unread(index, None, &rejection);
         }
     }
 }
 
+/// Returns the response to a request that finds no memory.
+pub(super) fn no_memory() -> Rejection {
+    Rejection::new(503, "the memory for requests is used up").with_retry(RETRY_AFTER_MEMORY)
+}
+
 /// Returns the workspace of a request, or `None` if its API key is missing or
 /// unknown and the route requires one.
 fn authorize_workspace(
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod evacuations;
 mod fleet;
 mod identify;
+mod memory;
 mod responses;
 mod runners;
 mod store;
@@ -26,6 +27,7 @@
 use balsamchute_schedule::action::Id;
 use balsamchute_schedule::admission::Admission;
 use balsamchute_schedule::cold;
+use balsamchute_schedule::memory::Account;
 use balsamchute_schedule::record::Writer;
 use balsamchute_schedule::route;
 use balsamchute_schedule::scheduler::{self, Scheduler};
@@ -120,8 +122,8 @@
     caller_count: usize,
     // Slab indices of callers' connections whose input was left, to go on with.
     queued_callers: VecDeque<usize>,
-    // Bytes of the request bodies of all transactions.
-    body_bytes: usize,
+    // Memory that callers make the process hold.
+    account: Account,
     watchers: BTreeMap<Kind, Watcher>,
     // Evacuated failure domains; `None` where the platform has no evacuations.
     evacuations: Option<Domains>,
@@ -232,7 +234,7 @@
             caller_listener: 0,
             caller_count: 0,
             queued_callers: VecDeque::new(),
-            body_bytes: 0,
+            account: Account::new(settings.resource_limits.memory_bytes),
             watchers: watchers
                 .into_iter()
                 .chain(evacuation_watcher)
@@ -378,6 +380,7 @@
             None => {}
         }
         self.run_actions();
+        self.enforce_memory();
     }
 
     /// Runs the periodic work and schedules the next tick.
@@ -574,7 +577,10 @@
             return;
         };
         match &slot {
-            Slot::Caller(_) => self.caller_count -= 1,
+            Slot::Caller(connection) => {
+                self.caller_count -= 1;
+                self.account.update(connection.charged, 0);
+            }
             Slot::Upstream(connection) => {
                 self.pool.remove(&connection.runner, index);
                 let witness = self.endings.witnesses.get_mut(&connection.address);
@@ -591,8 +597,16 @@
 
     /// Reads once from a connection into the read buffer.
     fn read(&mut self, index: usize) -> Input {
-        match self.slots.get_mut(index).and_then(socket_of) {
-            Some(socket) => socket.read(&mut self.read_buffer),
+        let Some(slot) = self.slots.get_mut(index) else {
+            return Input::WouldBlock;
+        };
+        let limit = match slot {
+            Slot::Caller(connection) => connection.read_limit(),
+            _ => None,
+        };
+        let limit = limit.unwrap_or(READ_BUFFER_BYTES).min(READ_BUFFER_BYTES);
+        match socket_of(slot) {
+            Some(socket) => socket.read(&mut self.read_buffer[..limit]),
             None => Input::WouldBlock,
         }
     }
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -157,6 +157,11 @@
         &mut self.write_buffer
     }
 
+    /// Returns the bytes that the write buffer occupies.
+    pub fn memory(&self) -> usize {
+        self.write_buffer.capacity()
+    }
+
     /// Returns the number of buffered bytes that are not written yet.
     pub fn unsent(&self) -> usize {
         self.write_buffer.len() - self.sent
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -8,6 +8,8 @@
 use balsamchute_model::prelude::*;
 use smallvec::SmallVec;
 
+use crate::caller::head_memory;
+
 /// Part of the response that was sent to the caller.
 #[derive(Debug)]
 pub(crate) enum Delivery {
@@ -30,6 +32,8 @@
     /// Slab index of the caller's connection.
     pub caller: usize,
     pub head: Request,
+    /// Length of the head in bytes.
+    pub head_length: usize,
     pub body: Vec<u8>,
     pub has_body: bool,
     /// Request id that the caller chose.
@@ -76,6 +80,11 @@
         })
     }
 
+    /// Returns the bytes that the caller makes the router hold for the request.
+    pub fn memory(&self) -> usize {
+        head_memory(self.head_length) + self.body.capacity()
+    }
+
     /// Returns the number of attempts sent to runners, including the current one.
     pub fn attempts(&self) -> usize {
         self.runners.len()
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -12,7 +12,8 @@
 //! to the store) and [`budget`] (retry budget, split over all routers);
 //! [`scheduler::Scheduler`] combines them. [`evacuation`] holds the failure domains whose
 //! runners get no new attempts. [`directory`] chooses the routers that a caller is told to use,
-//! and [`admission`] how many connections are accepted.
+//! [`admission`] how many connections are accepted, and [`memory`] what gives way when callers
+//! have used up the memory that they may make a router hold.
 
 pub mod action;
 pub mod admission;
@@ -23,6 +24,7 @@
 pub mod evacuation;
 mod hash;
 mod home;
+pub mod memory;
 pub mod notice;
 mod parts;
 mod pending;
