Close stalled connections when none is idle and descriptors are used up

Callers saw their new connections dropped: a crowd that stays open within a head or a body kept the share of descriptors for callers for 3 to 60 s, as only idle connections were closed to make room.

If none is idle, the connections that have stalled longest within a request or an answer are closed: those that stalled for 1 s in a batch, otherwise one for each new connection. A request that was not read whole is refused with 503 first, which is true. Connections that wait for the close after the last response count as idle, and those with an unsent answer do not any more.

Tests waiting::heads_that_do_not_end_leave_descriptors_to_others and bodies_...: 400 connections at a limit of 300 descriptors; an ordinary request got no answer before, and 200 now.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -44,10 +44,6 @@
 /// the router reads must not hold up the other connections.
 const MAX_READS_PER_TURN: usize = 4;
 
-/// Idle connections that one eviction closes. A batch makes the scan over all
-/// slots rare.
-const EVICTION_BATCH: usize = 64;
-
 /// Time that a connection waits for the caller to close it after the last response.
 /// While the router shuts down, also the idle time after which a connection of a
 /// caller is closed.
@@ -68,7 +64,7 @@
 }
 
 impl Rejection {
-    fn new(status: u16, reason: impl Into<String>) -> Self {
+    pub fn new(status: u16, reason: impl Into<String>) -> Self {
         Rejection {
             status,
             retry: None,
@@ -76,7 +72,7 @@
         }
     }
 
-    fn with_retry(mut self, retry: Span) -> Self {
+    pub fn with_retry(mut self, retry: Span) -> Self {
         self.retry = Some(retry);
         self
     }
@@ -563,25 +559,6 @@
         })
     }
 
-    /// Closes the connections that have been idle longest, to make room for new
-    /// ones. Returns whether any was closed.
-    pub(super) fn evict_callers(&mut self) -> bool {
-        let idle = self.slots.iter().filter_map(|(index, slot)| match slot {
-            Slot::Caller(connection) if matches!(connection.phase, CallerPhase::Idle) => {
-                Some((connection.since, index))
-            }
-            _ => None,
-        });
-        let mut idle: Vec<(Time, usize)> = idle.collect();
-        idle.sort_unstable();
-        idle.truncate(EVICTION_BATCH);
-        for &(_, index) in &idle {
-            self.close(index);
-        }
-        log::info!(target: "caller", "event=idle_closed count={} open={}", idle.len(), self.caller_count);
-        !idle.is_empty()
-    }
-
     /// Closes callers' connections that exceed a timeout.
     pub(super) fn sweep_callers(&mut self, now: Time) {
         let limits = self.caller_limits();
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod ends;
 mod evacuations;
+mod eviction;
 mod fleet;
 mod identify;
 mod memory;
--- a/crates/schedule/src/memory.rs
+++ b/crates/schedule/src/memory.rs
@@ -22,8 +22,9 @@
 /// Share of the memory for larger bodies that those of one workspace may use.
 const WORKSPACE_SHARE: f64 = 0.75;
 
-/// Time without progress after which a larger body gives way to another one.
-const STALL_TIME: Span = Span::from_secs(1);
+/// Time without progress after which a caller counts as stalled, and a larger body gives way
+/// to another one.
+pub const STALL_TIME: Span = Span::from_secs(1);
 
 /// Bytes per millisecond below which a caller falls behind. At this rate the largest body of
 /// the sheets takes as long as an upload may take in all.
