Bound what clients of the internal endpoints make the router hold

Callers reach the directory as well. Three faults of the same kind there: a client that pipelines requests and reads no response made the router hold all of these, up to 20 KB for a request of 40 bytes; after an error, input was kept and read on without a bound; and connections were accepted without a limit, up to all descriptors of the process.

They may use a tenth of the descriptors; beyond that the longest silent connection to the endpoint that has most of them is closed, so that a crowd at the directory does not close the connections of the platform's readiness checks.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -216,17 +216,7 @@
 
     /// Writes as many unsent bytes as the system accepts.
     pub fn flush(&mut self, now: Time) {
-        if self.socket.unsent() == 0 {
-            return;
-        }
-        let sent = self.sent.get_or_insert(Progress::new(now));
-        match self.socket.flush() {
-            0 => {}
-            written => sent.record(now, written),
-        }
-        if self.socket.unsent() == 0 {
-            self.sent = None;
-        }
+        self.socket.flush_with_progress(now, &mut self.sent);
     }
 
     /// Discards the input behind the request in progress, and closes the connection after its
--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -13,7 +13,6 @@
 use balsamchute_schedule::request::{Request as Scheduled, Resumed};
 use balsamchute_wire::record::Outcome;
 use smallvec::SmallVec;
-use stakker::CX;
 
 use crate::caller::{Fault, Incoming, Phase as CallerPhase, Step, head_memory};
 use crate::edge::{Edge, Slot};
@@ -42,7 +41,7 @@
 
 /// Reads from one connection in one turn of the event loop. A caller that sends as fast as
 /// the router reads must not hold up the other connections.
-const MAX_READS_PER_TURN: usize = 4;
+pub(super) const MAX_READS_PER_TURN: usize = 4;
 
 /// Time that a connection waits for the caller to close it after the last response.
 /// While the router shuts down, also the idle time after which a connection of a
@@ -107,7 +106,7 @@
                 _ => return,
             };
             if !may_read {
-                self.charge_caller(index);
+                self.charge(index);
                 return;
             }
             match self.read(index) {
@@ -130,7 +129,7 @@
         if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
             connection.unread_after.get_or_insert(self.arrived_after);
         }
-        self.queue_caller(index);
+        self.queue(index);
     }
 
     fn receive_caller_bytes(&mut self, index: usize, length: usize) {
@@ -165,7 +164,7 @@
                     }
                 }
                 Ok(Step::Incomplete) => {
-                    self.charge_caller(index);
+                    self.charge(index);
                     return;
                 }
                 Err(fault) => {
@@ -210,7 +209,7 @@
         if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
             connection.admit(bytes, workspace);
         }
-        self.charge_caller(index);
+        self.charge(index);
         true
     }
 
@@ -230,7 +229,7 @@
         );
         self.stats.count_rejected(rejection.status);
         self.send_local_response(self.now(), index, rejection.response(request_id, true));
-        self.charge_caller(index);
+        self.charge(index);
     }
 
     /// Schedules a complete request, or rejects it.
@@ -454,36 +453,10 @@
         let has_input = connection.is_read_paused || !connection.input.is_empty();
         self.flush_caller(index);
         if has_input {
-            self.queue_caller(index);
+            self.queue(index);
         }
     }
 
-    /// Lets the event loop go on with a connection whose input was left. The caller of this
-    /// method does not go on itself: it would run as deep as requests wait in the input.
-    pub(super) fn queue_caller(&mut self, index: usize) {
-        if let Some(Slot::Caller(connection)) = self.slots.get_mut(index)
-            && !connection.is_queued
-        {
-            connection.is_queued = true;
-            self.queued_callers.push_back(index);
-        }
-    }
-
-    /// Goes on with the connections whose input was left.
-    pub fn continue_callers(&mut self, _cx: CX![]) {
-        for _ in 0..self.queued_callers.len() {
-            let Some(index) = self.queued_callers.pop_front() else {
-                break;
-            };
-            if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
-                connection.is_queued = false;
-                self.handle_caller_ready(index);
-            }
-        }
-        self.run_actions();
-        self.enforce_memory();
-    }
-
     /// Writes the unsent bytes of a caller. Resumes reading from its runner
     /// once all are written.
     pub(super) fn flush_caller(&mut self, index: usize) {
@@ -506,7 +479,7 @@
             connection.since = now;
             connection.socket.shutdown();
         }
-        self.charge_caller(index);
+        self.charge(index);
         if let (true, Some(id)) = (is_flushed, id) {
             self.resume_upstream(id);
         }
--- a/crates/edge/src/edge/endpoints.rs
+++ b/crates/edge/src/edge/endpoints.rs
@@ -8,6 +8,7 @@
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::directory::{Candidate, select};
 
+use crate::edge::callers::MAX_READS_PER_TURN;
 use crate::edge::{Edge, Slot};
 use crate::frame::VIEW_PATH;
 use crate::peers::Phase;
@@ -22,6 +23,9 @@
 /// Idle timeout of a connection to an internal endpoint.
 const IDLE_TIMEOUT: Span = Span::from_secs(10);
 
+/// Requests of one connection that are served in one turn of the event loop.
+const MAX_REQUESTS_PER_TURN: usize = 16;
+
 /// HTTP path of the metrics, as in `deploy/system.toml`.
 const METRICS_PATH: &str = "/metrics";
 
@@ -31,7 +35,19 @@
 
 impl Edge {
     pub(super) fn handle_server_ready(&mut self, index: usize) {
-        loop {
+        // Requests may wait in the input for the responses before them.
+        let is_open = self.flush_server(index) && self.serve_requests(index);
+        if !is_open {
+            return;
+        }
+        for _ in 0..MAX_READS_PER_TURN {
+            let may_read = match self.slots.get(index) {
+                Some(Slot::Server(connection)) => connection.may_read() && !connection.is_queued,
+                _ => false,
+            };
+            if !may_read {
+                return;
+            }
             match self.read(index) {
                 Input::Bytes(length) => {
                     let now = self.now();
@@ -42,36 +58,37 @@
                         return;
                     }
                 }
-                Input::WouldBlock => break,
+                Input::WouldBlock => return,
                 Input::Eof | Input::Broken => {
                     self.close(index);
                     return;
                 }
             }
         }
-        self.flush_server(index);
+        self.queue(index);
     }
 
-    /// Serves the complete requests in the buffer. Returns whether the
-    /// connection stays open.
+    /// Serves complete requests in the buffer. Returns whether the connection stays open.
     fn serve_requests(&mut self, index: usize) -> bool {
-        loop {
+        for _ in 0..MAX_REQUESTS_PER_TURN {
             let request = match self.slots.get_mut(index) {
-                Some(Slot::Server(connection)) => connection.next_request(),
-                _ => return false,
+                Some(Slot::Server(connection)) if connection.may_read() => {
+                    connection.next_request()
+                }
+                _ => return self.flush_server(index),
             };
             match request {
                 Ok(Some(head)) => self.serve_request(index, &head),
-                Ok(None) => break,
+                Ok(None) => return self.flush_server(index),
                 Err(error) => {
                     if let Some(Slot::Server(connection)) = self.slots.get_mut(index) {
-                        connection.close = true;
-                        connection.write_response(400, TEXT, error.to_string().as_bytes());
+                        connection.refuse(&error);
                     }
-                    break;
+                    return self.flush_server(index);
                 }
             }
         }
+        self.queue(index);
         self.flush_server(index)
     }
 
@@ -162,15 +179,17 @@
 
     /// Writes unsent bytes. Returns whether the connection stays open.
     fn flush_server(&mut self, index: usize) -> bool {
+        let now = self.now();
         let Some(Slot::Server(connection)) = self.slots.get_mut(index) else {
             return false;
         };
-        connection.socket.flush();
+        connection.flush(now);
         let is_finished = connection.close && connection.socket.unsent() == 0;
         if is_finished || connection.socket.is_broken() {
             self.close(index);
             return false;
         }
+        self.charge(index);
         true
     }
 
@@ -178,7 +197,7 @@
         let mut idle = Vec::new();
         for (index, slot) in &self.slots {
             if let Slot::Server(connection) = slot
-                && now.since(connection.last_received) > IDLE_TIMEOUT
+                && now.since(connection.received.last()) > IDLE_TIMEOUT
             {
                 idle.push(index);
             }
--- a/crates/edge/src/edge/eviction.rs
+++ b/crates/edge/src/edge/eviction.rs
@@ -6,6 +6,7 @@
 use crate::caller::{Connection, Phase};
 use crate::edge::callers::Rejection;
 use crate::edge::{Edge, Slot};
+use crate::server::Endpoint;
 
 /// Connections that one eviction closes. A batch makes the scan over all slots rare.
 const EVICTION_BATCH: usize = 64;
@@ -55,6 +56,31 @@
         !stalled.is_empty()
     }
 
+    /// Closes a connection to an internal endpoint to make room for a new one: of those to the
+    /// endpoint that has most, the one from which nothing was received for longest.
+    pub(super) fn evict_server(&mut self) {
+        let connections = || {
+            self.slots.iter().filter_map(|(index, slot)| match slot {
+                Slot::Server(connection) => Some((index, connection)),
+                _ => None,
+            })
+        };
+        let count = |endpoint| {
+            let same = connections().filter(move |(_, connection)| connection.endpoint == endpoint);
+            same.count()
+        };
+        let crowded = Endpoint::ALL
+            .into_iter()
+            .max_by_key(|endpoint| count(*endpoint));
+        let silent = connections()
+            .filter(|(_, connection)| Some(connection.endpoint) == crowded)
+            .min_by_key(|(_, connection)| connection.received.last());
+        if let Some((index, connection)) = silent {
+            log::info!(target: "directory", "event=client_closed endpoint={:?} open={}", connection.endpoint, self.server_count);
+            self.close(index);
+        }
+    }
+
     /// Returns up to [`EVICTION_BATCH`] of the callers' connections for which `age` returns an
     /// age, with their slab indices, in descending order of it.
     fn oldest_callers(&self, age: impl Fn(&Connection) -> Option<Span>) -> Vec<(Span, usize)> {
--- a/crates/edge/src/edge/memory.rs
+++ b/crates/edge/src/edge/memory.rs
@@ -9,13 +9,21 @@
 use crate::edge::{Edge, Slot};
 
 impl Edge {
-    /// Counts what a caller's connection occupies now.
-    pub(super) fn charge_caller(&mut self, index: usize) {
-        if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
-            let memory = connection.memory();
-            self.account.update(connection.charged, memory);
-            connection.charged = memory;
-        }
+    /// Counts what a connection of a caller or of another client occupies now.
+    pub(super) fn charge(&mut self, index: usize) {
+        let (charged, memory) = match self.slots.get_mut(index) {
+            Some(Slot::Caller(connection)) => {
+                let memory = connection.memory();
+                (&mut connection.charged, memory)
+            }
+            Some(Slot::Server(connection)) => {
+                let memory = connection.memory();
+                (&mut connection.charged, memory)
+            }
+            _ => return,
+        };
+        self.account.update(*charged, memory);
+        *charged = memory;
     }
 
     /// Returns what all callers make the router hold.
@@ -30,6 +38,12 @@
                 },
                 stalled: connection.stalled(now),
             }),
+            Slot::Server(connection) => Some(Holding {
+                index,
+                bytes: connection.charged,
+                workspace: None,
+                stalled: connection.stalled(now),
+            }),
             _ => None,
         });
         let requests = self.transactions.values().map(|transaction| Holding {
@@ -91,8 +105,10 @@
     /// and a caller that does not read its answer is disconnected. The answer to a request in
     /// progress is still sent if only input behind it is held.
     pub(super) fn displace(&mut self, index: usize) {
-        let Some(Slot::Caller(connection)) = self.slots.get_mut(index) else {
-            return;
+        let connection = match self.slots.get_mut(index) {
+            Some(Slot::Caller(connection)) => connection,
+            Some(Slot::Server(_)) => return self.close(index),
+            _ => return,
         };
         log::info!(
             target: "caller",
@@ -105,8 +121,8 @@
             Phase::Head | Phase::Body(_) => self.reject_unread(index, None, &no_memory()),
             Phase::Busy(_) if connection.sent.is_none() => {
                 connection.discard_input();
-                self.queue_caller(index);
-                self.charge_caller(index);
+                self.queue(index);
+                self.charge(index);
             }
             _ => self.handle_caller_disconnect(index),
         }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -78,6 +78,9 @@
 /// Share of the file descriptors that callers' connections may use.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.6;
 
+/// Share of the file descriptors that connections to the internal endpoints may use.
+const SERVER_DESCRIPTOR_SHARE: f64 = 0.1;
+
 /// Time for which a caller may leave bytes unread or unacknowledged. Longer than for
 /// connections between machines of the platform: callers read at their own pace.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -121,8 +124,10 @@
     endings: Endings,
     caller_listener: usize,
     caller_count: usize,
-    // Slab indices of callers' connections whose input was left, to go on with.
-    queued_callers: VecDeque<usize>,
+    // Slab indices of connections whose input was left, to go on with.
+    queued: VecDeque<usize>,
+    // Connections to the internal endpoints.
+    server_count: usize,
     // Memory that callers make the process hold.
     account: Account,
     watchers: BTreeMap<Kind, Watcher>,
@@ -234,7 +239,8 @@
             endings: Endings::default(),
             caller_listener: 0,
             caller_count: 0,
-            queued_callers: VecDeque::new(),
+            queued: VecDeque::new(),
+            server_count: 0,
             account: Account::new(settings.resource_limits.memory_bytes),
             watchers: watchers
                 .into_iter()
@@ -346,9 +352,44 @@
     }
 
     /// Returns whether the last turn left work that waits for no event: connections in the
-    /// accept queue, or input of callers.
+    /// accept queue, or input.
     pub fn has_pending_work(&self) -> bool {
-        self.has_pending_accepts || !self.queued_callers.is_empty()
+        self.has_pending_accepts || !self.queued.is_empty()
+    }
+
+    /// Lets the event loop go on with a connection whose input was left. The caller of this
+    /// method does not go on itself: it would run as deep as requests wait in the input.
+    fn queue(&mut self, index: usize) {
+        let is_queued = match self.slots.get_mut(index) {
+            Some(Slot::Caller(connection)) => &mut connection.is_queued,
+            Some(Slot::Server(connection)) => &mut connection.is_queued,
+            _ => return,
+        };
+        if !std::mem::replace(is_queued, true) {
+            self.queued.push_back(index);
+        }
+    }
+
+    /// Goes on with the connections whose input was left.
+    pub fn continue_queued(&mut self, _cx: CX![]) {
+        for _ in 0..self.queued.len() {
+            let Some(index) = self.queued.pop_front() else {
+                break;
+            };
+            match self.slots.get_mut(index) {
+                Some(Slot::Caller(connection)) => {
+                    connection.is_queued = false;
+                    self.handle_caller_ready(index);
+                }
+                Some(Slot::Server(connection)) => {
+                    connection.is_queued = false;
+                    self.handle_server_ready(index);
+                }
+                _ => {}
+            }
+        }
+        self.run_actions();
+        self.enforce_memory();
     }
 
     /// Returns whether the process may exit.
@@ -536,13 +577,19 @@
 
     fn add_connection(&mut self, listener_index: usize, socket: Socket) {
         let now = self.now();
+        let descriptors = self.settings.resource_limits.descriptors as f64;
         let slot = match &self.slots[listener_index] {
             Slot::ServerListener(_, endpoint) => {
-                Slot::Server(Box::new(server::Connection::new(now, socket, *endpoint)))
+                let endpoint = *endpoint;
+                let limit = descriptors * SERVER_DESCRIPTOR_SHARE;
+                if self.server_count as f64 >= limit {
+                    self.evict_server();
+                }
+                self.server_count += 1;
+                Slot::Server(Box::new(server::Connection::new(now, socket, endpoint)))
             }
             _ => {
-                let limit =
-                    self.settings.resource_limits.descriptors as f64 * CALLER_DESCRIPTOR_SHARE;
+                let limit = descriptors * CALLER_DESCRIPTOR_SHARE;
                 if self.caller_count as f64 >= limit && !self.evict_callers() {
                     log::warn!(target: "caller", "event=connection_refused open={}", self.caller_count);
                     return;
@@ -582,6 +629,10 @@
                 self.caller_count -= 1;
                 self.account.update(connection.charged, 0);
             }
+            Slot::Server(connection) => {
+                self.server_count -= 1;
+                self.account.update(connection.charged, 0);
+            }
             Slot::Upstream(connection) => {
                 self.pool.remove(&connection.runner, index);
                 let witness = self.endings.witnesses.get_mut(&connection.address);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -148,7 +148,7 @@
             call!([edge], handle_ready(index_of(event)));
         }
         call!([edge], accept_more());
-        call!([edge], continue_callers());
+        call!([edge], continue_queued());
         call!([edge], settle_endings());
         // Timers judge silence, so they run up to a time at which all that had arrived was
         // asked for and is read. The process may have been stopped since.
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balsamchute_model::prelude::*;
+use balsamchute_schedule::memory::Progress;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use socket2::SockRef;
@@ -198,6 +200,22 @@
         written
     }
 
+    /// Writes as many bytes as the system accepts, and records their progress; `None` stands
+    /// for nothing unsent.
+    pub fn flush_with_progress(&mut self, now: Time, progress: &mut Option<Progress>) {
+        if self.unsent() == 0 {
+            return;
+        }
+        let sent = progress.get_or_insert(Progress::new(now));
+        match self.flush() {
+            0 => {}
+            written => sent.record(now, written),
+        }
+        if self.unsent() == 0 {
+            *progress = None;
+        }
+    }
+
     /// Closes the write side.
     pub fn shutdown(&self) {
         if let Err(error) = self.stream.shutdown(std::net::Shutdown::Write) {
