Send larger bodies to runners from the request, without a copy

A body was copied into the write buffer of the connection to its runner and kept for a further attempt as well, so a body that a slow runner did not read yet counted once and occupied memory twice. Bodies over 16 KiB are now shared between both; smaller ones are still copied behind the head, so that one write sends them. A connection with an unsent rest is not reused, as before, so these bytes cannot follow an early answer.

Tried and dropped: to divide a share of memory among the answers that are buffered whole.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -1,6 +1,7 @@
 //! Connections of callers: reading and admitting requests, and detecting
 //! disconnects.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use balsamchute_adapter::request;
@@ -365,7 +366,7 @@
             fallback: None,
             head,
             head_length,
-            body,
+            body: Rc::new(body),
             has_body,
         };
         self.account.update(0, transaction.memory());
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -19,6 +19,9 @@
 /// millisecond. A runner that has not accepted by then counts as unreachable.
 pub(super) const CONNECT_TIMEOUT: Span = Span(300);
 
+/// Bodies up to this length are copied behind the head, so that one write sends both.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 impl Edge {
     /// Carries out the pending actions of the scheduler.
     pub(super) fn run_actions(&mut self) {
@@ -286,11 +289,13 @@
             body: &transaction.body,
             has_body: transaction.has_body,
         };
-        request::encode(
-            connection.socket.write_buffer(),
-            &transaction.head,
-            &forwarded,
-        );
+        let buffer = connection.socket.write_buffer();
+        if transaction.body.len() <= MAX_COPIED_BYTES {
+            request::encode(buffer, &transaction.head, &forwarded);
+        } else {
+            request::encode_head(buffer, &transaction.head, &forwarded);
+            connection.socket.append_shared(transaction.body.clone());
+        }
         // The runner may have received bytes even if the write fails.
         self.scheduler.record_write(id);
         connection.socket.flush();
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use balsamchute_model::prelude::*;
@@ -58,6 +59,8 @@
     stream: TcpStream,
     write_buffer: Vec<u8>,
     sent: usize,
+    /// Bytes that follow the write buffer, and the number of them that are sent.
+    shared: Option<(Rc<Vec<u8>>, usize)>,
     broken: bool,
 }
 
@@ -83,6 +86,7 @@
             stream,
             write_buffer: Vec::new(),
             sent: 0,
+            shared: None,
             broken: false,
         };
         if let Err(error) = socket.set_options() {
@@ -154,11 +158,17 @@
         }
     }
 
-    /// Returns the write buffer, to append to.
+    /// Returns the write buffer, to append to. Nothing may be appended behind shared bytes.
     pub fn write_buffer(&mut self) -> &mut Vec<u8> {
+        debug_assert!(self.shared.is_none(), "shared bytes are unsent");
         &mut self.write_buffer
     }
 
+    /// Appends bytes without copying them.
+    pub fn append_shared(&mut self, bytes: Rc<Vec<u8>>) {
+        self.shared = Some((bytes, 0));
+    }
+
     /// Returns the bytes that the write buffer occupies.
     pub fn memory(&self) -> usize {
         self.write_buffer.capacity()
@@ -166,7 +176,9 @@
 
     /// Returns the number of buffered bytes that are not written yet.
     pub fn unsent(&self) -> usize {
-        self.write_buffer.len() - self.sent
+        let shared = self.shared.as_ref();
+        let shared = shared.map_or(0, |(bytes, sent)| bytes.len() - sent);
+        self.write_buffer.len() - self.sent + shared
     }
 
     /// Returns whether a write failed.
@@ -176,17 +188,9 @@
 
     /// Writes as many bytes as the system accepts. Returns their number.
     pub fn flush(&mut self) -> usize {
-        let before = self.sent;
-        while self.sent < self.write_buffer.len() && !self.broken {
-            match self.stream.write(&self.write_buffer[self.sent..]) {
-                Ok(0) => self.broken = true,
-                Ok(length) => self.sent += length,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => self.broken = true,
-            }
-        }
-        let written = self.sent - before;
+        let unsent = &self.write_buffer[self.sent..];
+        let mut total = write(&mut self.stream, unsent, &mut self.broken);
+        self.sent += total;
         if self.sent == self.write_buffer.len() {
             self.write_buffer.clear();
             self.sent = 0;
@@ -197,7 +201,14 @@
             self.write_buffer.drain(..self.sent);
             self.sent = 0;
         }
-        written
+        if let (true, Some((bytes, sent))) = (self.write_buffer.is_empty(), self.shared.take()) {
+            let written = write(&mut self.stream, &bytes[sent..], &mut self.broken);
+            total += written;
+            if sent + written < bytes.len() {
+                self.shared = Some((bytes, sent + written));
+            }
+        }
+        total
     }
 
     /// Writes as many bytes as the system accepts, and records their progress; `None` stands
@@ -232,3 +243,19 @@
         }
     }
 }
+
+/// Writes as many of `bytes` as the system accepts, and returns their number. Sets `broken` if
+/// a write fails.
+fn write(stream: &mut TcpStream, bytes: &[u8], broken: &mut bool) -> usize {
+    let mut written = 0;
+    while written < bytes.len() && !*broken {
+        match stream.write(&bytes[written..]) {
+            Ok(0) => *broken = true,
+            Ok(length) => written += length,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => *broken = true,
+        }
+    }
+    written
+}
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -1,6 +1,7 @@
 //! State of a request in flight between its caller and a runner.
 
 use std::fmt;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use balsamchute_http::event::Splitter;
@@ -34,7 +35,8 @@
     pub head: Request,
     /// Length of the head in bytes.
     pub head_length: usize,
-    pub body: Vec<u8>,
+    /// Body, shared with the connection that sends it.
+    pub body: Rc<Vec<u8>>,
     pub has_body: bool,
     /// Request id that the caller chose.
     pub request_id: String,
