Read on for up to 10 s while a refused caller still sends its request

A caller that sends a whole body before it reads lost the refusal: the router discarded input for a second after the last response and then closed, and a close with unread bytes resets the connection. A closed connection promises nothing, so such a request was not sent again although it had not run.

The connection now closes a second after the last bytes, and 10 s after the response at most.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -44,11 +44,15 @@
 /// the router reads must not hold up the other connections.
 pub(super) const MAX_READS_PER_TURN: usize = 4;
 
-/// Time that a connection waits for the caller to close it after the last response.
-/// While the router shuts down, also the idle time after which a connection of a
+/// Time that a connection waits for the caller to close it, or for more of the request that
+/// it still sends, after the last response. While the router shuts down, also the idle time after which a connection of a
 /// caller is closed.
 const CLOSING_TIMEOUT: Span = Span(1000);
 
+/// Time after the last response for which a caller may go on to send its request. A close
+/// with unread bytes resets the connection, and the caller may lose the response.
+const MAX_CLOSING_TIME: Span = Span::from_secs(10);
+
 /// Manifest, route and workspace that are in force for a request.
 struct Found {
     manifest: Arc<Manifest>,
@@ -138,6 +142,7 @@
         let arrived_after = self.arrived_after;
         if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
             if matches!(connection.phase, CallerPhase::Closing) {
+                connection.received.record(now, length);
                 return;
             }
             let arrived_after = connection.unread_after.unwrap_or(arrived_after);
@@ -554,7 +559,13 @@
                 }
                 CallerPhase::Idle if age > limits.idle_timeout => expired.push(index),
                 CallerPhase::Idle if leaving && age > CLOSING_TIMEOUT => expired.push(index),
-                CallerPhase::Closing if age > CLOSING_TIMEOUT => expired.push(index),
+                CallerPhase::Closing
+                    if age > MAX_CLOSING_TIME
+                        || now.since(connection.since.max(connection.received.last()))
+                            > CLOSING_TIMEOUT =>
+                {
+                    expired.push(index);
+                }
                 CallerPhase::Head if age > limits.head_timeout => slow.push(index),
                 CallerPhase::Body(_)
                     if now.since(connection.received.last()) > limits.idle_timeout
--- a/tests/clients/uploads.rs
+++ b/tests/clients/uploads.rs
@@ -1,7 +1,10 @@
 //! Crowds that send bodies.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Barrier};
+use std::thread;
+use std::time::Duration;
 
 use crate::crowd::{self, Fixture, MAX_BODY, open, request, status, write_repeated};
 
@@ -160,6 +163,27 @@
     fixture.check_beside(crowd);
 }
 
+/// A caller that sends its whole body before it reads must not lose the answer to a reset.
+#[test]
+fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let fixture = Fixture::start(DESCRIPTORS);
+    let is_sent = Arc::new(AtomicBool::new(false));
+    let was_sent = is_sent.clone();
+    let mut streams = open(fixture.router.callers, 1, move |stream| {
+        let length = format!("Content-Length: {MAX_BODY}\r\n");
+        stream.write_all(request("none", "POST", "/once/x", &length).as_bytes())?;
+        for _ in 0..32 {
+            stream.write_all(&[b'x'; MAX_BODY / 32])?;
+            thread::sleep(Duration::from_millis(60));
+        }
+        was_sent.store(true, Ordering::SeqCst);
+        Ok(())
+    });
+    assert!(is_sent.load(Ordering::SeqCst), "the connection was reset");
+    assert_eq!(status(&mut streams[0]), Some(401));
+    fixture.check_beside(streams);
+}
+
 /// A refusal promises that the request has not run and never will.
 #[test]
 fn uploads_that_are_refused_do_not_run() {
