Serve the native interface without tiny_http, within bounds on clients

Clients could end a process of `balsamchute serve`: the server library keeps a header line of any length, and to skip a body it allocates what the client announces, so one request with a huge Content-Length, refused or not, aborts the process (read in its source). It has no timeouts and no limit on connections, and gives out no socket to set any, so stalled requests kept their threads and the places of others for ever.

crates/router now reads heads and bodies by balsamchute_http, as the edge does, on a thread a connection that also serves its requests (before, two threads a request). Heads are limited to 64 KiB and 10 s, silence to 60 s between requests and 15 s within a body, an unread answer to 30 s; limits.connections (4096) bounds connections, and beyond it the one that has waited longest for its client is closed. A request takes its place among limits.requests once its body is read. The probes that worked around two defects of the library are not needed any more.

--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -57,10 +57,13 @@
 pub fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        204 => "No Content",
         400 => "Bad Request",
         401 => "Unauthorized",
         404 => "Not Found",
+        405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -3,7 +3,8 @@
 use std::io::{self, Write};
 
 use balsamchute_wire::record::{Code, End, Outcome, Record};
-use tiny_http::{Header, Request, Response};
+
+use crate::http::{Request, Response, Writer};
 
 /// Answer to one request, written record by record.
 pub(crate) struct Answer {
@@ -14,11 +15,13 @@
     /// Nothing has been written.
     Unstarted(Request),
     /// The response head has been written. Records may follow.
-    Streaming(Box<dyn Write + Send>),
+    Streaming(Writer),
     /// The answer has ended, or the client disconnected.
     Closed,
 }
 
+const JSON: &str = "application/json";
+
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\n\
     Content-Type: application/x-ndjson\r\n\
     Transfer-Encoding: chunked\r\n\r\n";
@@ -69,7 +72,10 @@
                 self.write_line(&Record::End(end.clone()).to_line())?;
                 self.write(b"0\r\n\r\n")?;
                 self.flush()?;
-                self.state = State::Closed;
+                if let State::Streaming(writer) = std::mem::replace(&mut self.state, State::Closed)
+                {
+                    writer.finish();
+                }
                 Ok(())
             }
         }
@@ -97,25 +103,26 @@
 /// status. For a resent key, the outcome is reported as unknown instead of not
 /// run, because the earlier sending may have run.
 pub(crate) fn respond_with_end(request: Request, end: &End) -> io::Result<()> {
-    let is_resend = request
-        .headers()
-        .iter()
-        .any(|header| header.field.equiv(RESEND_HEADER));
+    let is_resend = request.header(RESEND_HEADER).is_some();
     let end = &if is_resend {
         end.clone().for_resend()
     } else {
         end.clone()
     };
     let body = Record::End(end.clone()).to_line();
-    let mut response = Response::from_string(body).with_status_code(status_code(end));
-    response.add_header(header("Content-Type", "application/json"));
+    let mut response =
+        Response::new(status_code(end), body.into_bytes()).with_field("Content-Type", JSON);
     if let Some(retry_after_ms) = end.retry_after_ms {
-        response.add_header(header(
-            "Retry-After",
-            &retry_after_ms.div_ceil(1000).to_string(),
-        ));
+        let seconds = retry_after_ms.div_ceil(1000).to_string();
+        response = response.with_field("Retry-After", seconds);
     }
-    request.respond(response)
+    request.respond(&response)
+}
+
+/// Sends a response with a JSON body. The client may have closed the connection.
+pub(crate) fn respond_with_json(request: Request, status: u16, body: String) {
+    let response = Response::new(status, body.into_bytes());
+    let _ = request.respond(&response.with_field("Content-Type", JSON));
 }
 
 /// Returns the HTTP status of a response that consists of the end record only.
@@ -132,12 +139,3 @@
         (Outcome::NotRun, None) => 400,
     }
 }
-
-/// Creates a header of the given name and value.
-///
-/// # Panics
-///
-/// Panics if either contains characters that a header must not have.
-pub(crate) fn header(name: &str, value: &str) -> Header {
-    Header::from_bytes(name, value).expect("header is valid")
-}
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -1,7 +1,6 @@
 //! HTTP server for callers and operators.
 
 use std::io::Read;
-use std::thread;
 
 use balsamchute_base::digest::Digest;
 use balsamchute_base::prelude::*;
@@ -10,10 +9,10 @@
 use balsamchute_wire::record::{End, Outcome};
 use rand::RngExt;
 use serde::Serialize;
-use tiny_http::{Method, Request, Response};
 
-use crate::answer::{self, header};
-use crate::context::{Context, STACK_BYTES};
+use crate::answer;
+use crate::context::Context;
+use crate::http::{Request, Response};
 use crate::input::{Query, Subject};
 use crate::outcome;
 use crate::request;
@@ -22,54 +21,34 @@
 /// the maximum number of requests.
 const BUSY_RETRY_AFTER: Span = Span::from_secs(1);
 
-/// Accepts a request and starts a thread that serves it. Refuses the request if
-/// the maximum number of requests is being served.
-pub(crate) fn accept(context: &Context, request: Request) {
-    let Some(permit) = context.acquire_permit() else {
-        let end = End::new(
-            Outcome::NotRun,
-            "router is full: too many requests are served",
-        );
-        let _ = answer::respond_with_end(request, &end.with_retry_after(BUSY_RETRY_AFTER));
-        return;
-    };
-    let context = context.clone();
-    let spawned = thread::Builder::new()
-        .stack_size(STACK_BYTES)
-        .spawn(move || {
-            handle(&context, request);
-            drop(permit);
-        });
-    if let Err(error) = spawned {
-        log::warn!("callers: cannot start a thread to serve a request. {error}");
-    }
-}
-
-fn handle(context: &Context, request: Request) {
+/// Serves a request. Refuses it if the maximum number of requests is being served.
+pub(crate) fn serve(context: &Context, request: Request) {
     let url = request.url().to_owned();
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    if let ("POST", Some(service)) = (request.method(), path.strip_prefix("/v1/run/")) {
+        return serve_run(context, request, service);
+    }
+    let Some(_permit) = context.acquire_permit() else {
+        return refuse_full(request);
+    };
     match (request.method(), path) {
-        (Method::Post, path) if path.starts_with("/v1/run/") => {
-            let service = path["/v1/run/".len()..].to_owned();
-            serve_run(context, request, &service);
-        }
-        (Method::Get, "/v1/address") => serve_addresses(context, request, query),
-        (Method::Get, "/v1/status") => {
+        ("GET", "/v1/address") => serve_addresses(context, request, query),
+        ("GET", "/v1/status") => {
             let status = context.query(Query::Status);
             send_json(request, status.as_ref());
         }
-        (Method::Get, "/v1/explain") => serve_explanation(context, request, query),
-        (Method::Get, "/v1/outcome") => outcome::serve(context, request, query),
-        (Method::Get, "/v1/quarantine") => {
+        ("GET", "/v1/explain") => serve_explanation(context, request, query),
+        ("GET", "/v1/outcome") => outcome::serve(context, request, query),
+        ("GET", "/v1/quarantine") => {
             let suspects = context.query(Query::CrashSuspects);
             send_json(request, suspects.as_ref());
         }
-        (Method::Post, path) if path.starts_with("/v1/quarantine/") => {
+        ("POST", path) if path.starts_with("/v1/quarantine/") => {
             release_fingerprint(context, request, &path["/v1/quarantine/".len()..]);
         }
-        (Method::Get, "/health") => serve_health(context, request),
-        (Method::Get, "/metrics") => serve_metrics(context, request),
-        (Method::Get | Method::Post, _) => {
+        ("GET", "/health") => serve_health(context, request),
+        ("GET", "/metrics") => serve_metrics(context, request),
+        ("GET" | "POST", _) => {
             send_error(request, 404, &format!("path \"{path}\" does not exist"));
         }
         _ => send_error(request, 405, "method is not allowed"),
@@ -83,24 +62,33 @@
     };
     let limit = context.settings.limits.body_bytes;
     if request.body_length().is_some_and(|length| length > limit) {
-        let end = End::new(
-            Outcome::NotRun,
-            &format!("body is longer than {limit} bytes"),
-        );
-        return drop(answer::respond_with_end(request, &end));
+        return refuse_not_run(request, &format!("body is longer than {limit} bytes"));
     }
     let mut body = Vec::new();
-    match request
-        .as_reader()
+    let read = request
+        .reader()
         .take(limit as u64 + 1)
-        .read_to_end(&mut body)
-    {
+        .read_to_end(&mut body);
+    match read {
         Ok(length) if length > limit => {
-            refuse_not_run(request, &format!("body is longer than {limit} bytes"));
+            return refuse_not_run(request, &format!("body is longer than {limit} bytes"));
         }
-        Ok(_) => request::serve(context, request, head, &body),
-        Err(error) => refuse_not_run(request, &format!("body cannot be read: {error}")),
+        Ok(_) => {}
+        Err(error) => return refuse_not_run(request, &format!("body cannot be read: {error}")),
     }
+    // A client that does not send its body does not take the place of a request.
+    match context.acquire_permit() {
+        Some(_permit) => request::serve(context, request, head, &body),
+        None => refuse_full(request),
+    }
+}
+
+fn refuse_full(request: Request) {
+    let end = End::new(
+        Outcome::NotRun,
+        "router is full: too many requests are served",
+    );
+    let _ = answer::respond_with_end(request, &end.with_retry_after(BUSY_RETRY_AFTER));
 }
 
 fn refuse_not_run(request: Request, reason: &str) {
@@ -111,11 +99,7 @@
 fn parse_head(context: &Context, request: &Request, service: &str) -> Result<Head, String> {
     let limits = &context.settings.limits;
     let header_value = |name: &'static str| -> Result<Option<&str>, String> {
-        let header = request
-            .headers()
-            .iter()
-            .find(|header| header.field.equiv(name));
-        match header.map(|header| header.value.as_str()) {
+        match request.header(name) {
             Some(value) if value.len() > limits.header_bytes => Err(format!(
                 "header \"{name}\" is longer than {} bytes",
                 limits.header_bytes
@@ -253,8 +237,9 @@
     }
     match context.metrics.encode() {
         Ok(page) => {
-            let content_type = header("Content-Type", "text/plain; version=0.0.4");
-            let _ = request.respond(Response::from_string(page).with_header(content_type));
+            let response = Response::new(200, page.into_bytes());
+            let content_type = "text/plain; version=0.0.4";
+            let _ = request.respond(&response.with_field("Content-Type", content_type));
         }
         Err(error) => send_error(request, 500, &error.to_string()),
     }
@@ -277,15 +262,10 @@
     let Some(body) = value.and_then(|value| serde_json::to_string(value).ok()) else {
         return send_error(request, 503, "router is too busy to answer");
     };
-    let response =
-        Response::from_string(body).with_header(header("Content-Type", "application/json"));
-    let _ = request.respond(response);
+    answer::respond_with_json(request, 200, body);
 }
 
 pub(crate) fn send_error(request: Request, status: u16, reason: &str) {
     let body = serde_json::json!({"error": reason}).to_string();
-    let response = Response::from_string(body)
-        .with_status_code(status)
-        .with_header(header("Content-Type", "application/json"));
-    let _ = request.respond(response);
+    answer::respond_with_json(request, status, body);
 }
--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -17,7 +17,7 @@
 use crate::run::Targets;
 use crate::settings::Settings;
 
-/// Stack size of a thread, in bytes. Each request is served by a thread of its
+/// Stack size of a thread, in bytes. Each connection is served by a thread of its
 /// own.
 pub(crate) const STACK_BYTES: usize = 256 * 1024;
 
--- a/crates/router/src/inner.rs
+++ b/crates/router/src/inner.rs
@@ -1,7 +1,6 @@
 //! HTTP server for other routers.
 
 use std::io::Read;
-use std::thread;
 use std::time::Duration;
 
 use balsamchute_dispatch::event::Event;
@@ -11,10 +10,10 @@
 use crossbeam_channel::bounded;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tiny_http::{Method, Request, Response};
 
 use crate::answer;
-use crate::context::{Context, STACK_BYTES};
+use crate::context::Context;
+use crate::http::{Request, Response};
 use crate::input::{Input, Query};
 use crate::request;
 use crate::traffic;
@@ -41,27 +40,26 @@
 /// frees the thread.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Accepts a request from another router. Forwarded requests and claims get a
-/// thread each and count against the limit on concurrent requests. Other
-/// control messages are served by the calling thread.
-pub(crate) fn accept(context: &Context, request: Request) {
+/// Serves a request from another router. Forwarded requests and claims count against the
+/// limit on concurrent requests.
+pub(crate) fn serve(context: &Context, request: Request) {
     let url = request.url().to_owned();
     if url != RUN_PATH {
         traffic::count_request_received(context, &request);
     }
     match (request.method(), url.as_str()) {
-        (Method::Post, RUN_PATH) => spawn_handler(context, request, serve_forwarded),
-        (Method::Post, "/inner/claim") => spawn_handler(context, request, serve_claims),
-        (Method::Post, "/inner/messages") => serve_messages(context, request),
-        (Method::Post, "/inner/exchange") => serve_exchange(context, request),
-        (Method::Get, "/inner/config") => serve_config(context, request),
-        (Method::Get, "/inner/stamp") => serve_stamp(context, request),
+        ("POST", RUN_PATH) => serve_limited(context, request, serve_forwarded),
+        ("POST", "/inner/claim") => serve_limited(context, request, serve_claims),
+        ("POST", "/inner/messages") => serve_messages(context, request),
+        ("POST", "/inner/exchange") => serve_exchange(context, request),
+        ("GET", "/inner/config") => serve_config(context, request),
+        ("GET", "/inner/stamp") => serve_stamp(context, request),
         _ => respond_status(context, request, 404),
     }
 }
 
-fn spawn_handler(context: &Context, request: Request, handler: fn(&Context, Request)) {
-    let Some(permit) = context.acquire_permit() else {
+fn serve_limited(context: &Context, request: Request, handler: fn(&Context, Request)) {
+    let Some(_permit) = context.acquire_permit() else {
         let end = End::new(
             Outcome::NotRun,
             "router is full: too many requests are served",
@@ -74,16 +72,7 @@
         );
         return;
     };
-    let context = context.clone();
-    let spawned = thread::Builder::new()
-        .stack_size(STACK_BYTES)
-        .spawn(move || {
-            handler(&context, request);
-            drop(permit);
-        });
-    if let Err(error) = spawned {
-        log::warn!("inner: cannot start a thread to serve a request. {error}");
-    }
+    handler(context, request);
 }
 
 fn serve_forwarded(context: &Context, mut request: Request) {
@@ -156,7 +145,7 @@
 
 fn decode_body<T: DeserializeOwned>(request: &mut Request, limit: u64) -> Result<T, String> {
     let mut body = Vec::new();
-    let result = request.as_reader().take(limit + 1).read_to_end(&mut body);
+    let result = request.reader().take(limit + 1).read_to_end(&mut body);
     match result {
         Ok(length) if length as u64 > limit => Err(format!("body is longer than {limit} bytes")),
         Ok(_) => codec::decode(&body).map_err(|error| error.to_string()),
@@ -167,10 +156,10 @@
 fn respond<T: Serialize>(context: &Context, request: Request, value: &T) {
     let body = codec::encode(value);
     traffic::count_response_sent(context, request.url(), body.len());
-    let _ = request.respond(Response::from_data(body));
+    let _ = request.respond(&Response::new(200, body));
 }
 
 fn respond_status(context: &Context, request: Request, code: u16) {
     traffic::count_response_sent(context, request.url(), 0);
-    let _ = request.respond(Response::empty(code));
+    let _ = request.respond(&Response::new(code, Vec::new()));
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 mod context;
 mod error;
 mod forward;
+mod http;
 mod inner;
 mod input;
 mod listen;
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -1,45 +1,20 @@
-//! Listeners that work around two defects of the HTTP server library.
-//!
-//! `tiny_http` stops accepting connections permanently when one accept fails,
-//! for example while the process has no file descriptor left. Connections that
-//! it has already accepted continue to work. A failed server is therefore kept
-//! for its connections, and a new server takes over the listening socket.
-//!
-//! The library also hands connections to a pool of threads. If two connections
-//! arrive while one thread is about to wake up, both can be queued for it.
-//! The second one is then served only when some connection ends, which can take
-//! minutes with persistent connections and long answers. Another connection
-//! that ends immediately makes a thread check the queue.
-//!
-//! A router therefore connects to its own listeners at intervals. The probes
-//! detect the first defect and remedy the second.
-
-use std::io::{ErrorKind, Read};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+//! Listeners, and the connections that they have accepted.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-use tiny_http::{Request, Server};
-
-use crate::context::Context;
+use crate::context::{Context, STACK_BYTES};
 use crate::error::Error;
+use crate::http::{Connection, Request};
 use crate::peers::spawn;
 use crate::settings::Settings;
 use crate::{callers, inner};
 
-/// Threads that take requests of other routers. They also serve most control
-/// messages, some of which wait for the actor. Requests of callers get a thread
-/// each and need only one to take them.
-const INNER_THREADS: usize = 4;
-
-/// Interval of the probes, and thus the longest time that a queued connection
-/// waits for a thread.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Longest wait for the server to close the connection of a probe. After it, the
-/// server is considered to have stopped accepting.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Wait after a failed accept, for example while the process has no file descriptor left.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Bound listening sockets of a router process.
 #[derive(Debug)]
@@ -76,22 +51,12 @@
     }
 
     /// Returns the listener for callers and the one for other routers.
-    pub(crate) fn into_listeners(self, settings: &Settings) -> Result<(Listener, Listener), Error> {
-        let callers = Listener::new(
-            "callers",
-            settings.callers,
-            self.callers,
-            1,
-            callers::accept,
-        )?;
-        let inner = Listener::new(
-            "inner",
-            settings.inner,
-            self.inner,
-            INNER_THREADS,
-            inner::accept,
-        )?;
-        Ok((callers, inner))
+    pub(crate) fn into_listeners(self, settings: &Settings) -> (Listener, Listener) {
+        let max_connections = settings.limits.connections;
+        (
+            Listener::new(self.callers, max_connections, callers::serve),
+            Listener::new(self.inner, max_connections, inner::serve),
+        )
     }
 }
 
@@ -99,111 +64,123 @@
 #[derive(Clone)]
 pub(crate) struct Listener {
     socket: Arc<TcpListener>,
-    /// Number of threads that take requests from the HTTP server and pass them
-    /// to `handle`.
-    threads: usize,
+    max_connections: usize,
     handle: fn(&Context, Request),
+    connections: Connections,
 }
 
 impl Listener {
-    /// Prepares a bound socket; `address` is the value of the setting `setting`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] that names the setting if an option of the socket
-    /// cannot be set.
-    fn new(
-        setting: &'static str,
-        address: SocketAddr,
-        socket: TcpListener,
-        threads: usize,
-        handle: fn(&Context, Request),
-    ) -> Result<Self, Error> {
-        // Accepted sockets inherit this option. Without it, a token may wait
-        // for the acknowledgement of the previous one.
-        let no_delay = socket2::SockRef::from(&socket).set_tcp_nodelay(true);
-        no_delay.map_err(|error| Error::Listen {
-            setting,
-            address,
-            reason: error.to_string(),
-        })?;
-        Ok(Listener {
+    fn new(socket: TcpListener, max_connections: usize, handle: fn(&Context, Request)) -> Self {
+        Listener {
             socket: Arc::new(socket),
-            threads,
+            max_connections,
             handle,
-        })
+            connections: Connections::default(),
+        }
     }
 
-    /// Starts to serve requests and to probe the listener.
+    /// Starts to accept connections. Each one has a thread, which also serves its
+    /// requests.
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] if the HTTP server or a thread cannot be started.
+    /// Returns an [`Error`] if the thread that accepts cannot be started.
     pub fn start(&self, context: &Context) -> Result<(), Error> {
-        self.start_server(context)?;
         let listener = self.clone();
-        spawn(context, move |context| listener.probe_loop(context))
+        spawn(context, move |context| listener.accept_loop(context))
     }
 
-    fn start_server(&self, context: &Context) -> Result<(), Error> {
-        let server = self.new_server().map_err(Error::Thread)?;
-        for _ in 0..self.threads {
-            let (listener, server) = (self.clone(), Arc::clone(&server));
-            spawn(context, move |context| listener.serve(context, &server))?;
+    fn accept_loop(&self, context: &Context) {
+        let mut is_failing = false;
+        loop {
+            match self.socket.accept() {
+                Ok((stream, _)) => {
+                    is_failing = false;
+                    self.accept(context, stream);
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut is_failing, true) {
+                        log::warn!("router: cannot accept a connection. {error}");
+                    }
+                    thread::sleep(ACCEPT_RETRY_DELAY);
+                }
+            }
         }
-        Ok(())
     }
 
-    fn new_server(&self) -> std::io::Result<Arc<Server>> {
-        let socket = self.socket.try_clone()?;
-        let server = Server::from_listener(socket, None);
-        server.map(Arc::new).map_err(std::io::Error::other)
+    fn accept(&self, context: &Context, stream: TcpStream) {
+        // Without this option, a token may wait for the acknowledgement of the
+        // previous one.
+        let connection = stream
+            .set_nodelay(true)
+            .and_then(|()| Connection::new(stream, context.clock));
+        let connection = match connection {
+            Ok(connection) => Arc::new(connection),
+            // The client has closed the connection.
+            Err(_) => return,
+        };
+        let place = self.connections.add(&connection, self.max_connections);
+        let (context, handle) = (context.clone(), self.handle);
+        let spawned = thread::Builder::new()
+            .stack_size(STACK_BYTES)
+            .spawn(move || {
+                serve(&context, &connection, handle);
+                drop(place);
+            });
+        if let Err(error) = spawned {
+            log::warn!("router: cannot start a thread to serve a connection. {error}");
+        }
     }
+}
 
-    fn serve(&self, context: &Context, server: &Server) {
-        loop {
-            match server.recv() {
-                Ok(request) => (self.handle)(context, request),
-                Err(error) => log::warn!("router: cannot accept a connection. {error}"),
-            }
+/// Serves the requests of a connection until it ends.
+fn serve(context: &Context, connection: &Arc<Connection>, handle: fn(&Context, Request)) {
+    while let Some(request) = connection.next_request() {
+        let is_keep_alive = request.is_keep_alive();
+        handle(context, request);
+        if !connection.finish_request(is_keep_alive) {
+            return;
         }
     }
+}
 
-    /// Probes the listener at intervals and starts another server if the
-    /// current one has stopped accepting connections.
-    fn probe_loop(&self, context: &Context) {
-        loop {
-            thread::sleep(PROBE_INTERVAL);
-            if !self.is_stalled() {
-                continue;
-            }
-            match self.start_server(context) {
-                Ok(()) => log::warn!(
-                    "router: started a new HTTP server because the last one had stopped accepting connections."
-                ),
-                Err(error) => log::warn!(
-                    "router: connections are not accepted, and a new HTTP server cannot be started. {error}"
-                ),
-            }
+/// Open connections of a listener, by the order in which they were accepted. Clones refer
+/// to the same connections.
+#[derive(Clone, Default)]
+struct Connections(Arc<Mutex<BTreeMap<u64, Arc<Connection>>>>);
+
+impl Connections {
+    /// Adds a connection until the returned place is dropped. If there are `limit` others,
+    /// the one that has waited longest for its client is ended, or the new one if all serve
+    /// requests.
+    fn add(&self, connection: &Arc<Connection>, limit: usize) -> Place {
+        let mut open = self.open();
+        if open.len() >= limit {
+            let waiting = open.values().filter(|open| open.waits_since().is_some());
+            let longest = waiting.min_by_key(|open| open.waits_since());
+            longest.unwrap_or(connection).end();
+        }
+        let number = open.last_key_value().map_or(0, |(number, _)| number + 1);
+        open.insert(number, Arc::clone(connection));
+        Place {
+            connections: self.clone(),
+            number,
         }
     }
 
-    /// Opens a connection, closes its sending side and returns whether the
-    /// server does not close it within [`PROBE_TIMEOUT`].
-    fn is_stalled(&self) -> bool {
-        let Ok(address) = self.socket.local_addr() else {
-            return false;
-        };
-        // A failure to connect, for example because of too many open files, may
-        // be temporary.
-        let Ok(mut stream) = TcpStream::connect(address) else {
-            return false;
-        };
-        let prepared = stream
-            .set_read_timeout(Some(PROBE_TIMEOUT))
-            .and_then(|()| stream.shutdown(Shutdown::Write));
-        let result = prepared.and_then(|()| stream.read(&mut [0]));
-        result
-            .is_err_and(|error| matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
+    fn open(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Connection>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Place of a connection among the open ones.
+struct Place {
+    connections: Connections,
+    number: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.connections.open().remove(&self.number);
     }
 }
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -8,11 +8,11 @@
 use balsamchute_wire::claim::Reply;
 use balsamchute_wire::record::{End, Outcome};
 use crossbeam_channel::bounded;
-use tiny_http::{Request, Response};
 
-use crate::answer::header;
+use crate::answer;
 use crate::callers::{query_parameter, send_error, send_json};
 use crate::context::Context;
+use crate::http::Request;
 use crate::input::{Input, Query};
 
 /// Longest wait for the claim log or for another router.
@@ -82,9 +82,7 @@
     });
     match result {
         Ok(Ok((status, body))) => {
-            let response = Response::from_string(body).with_status_code(status);
-            let _ =
-                request.respond(response.with_header(header("Content-Type", "application/json")));
+            answer::respond_with_json(request, status, body);
         }
         Ok(Err(error)) | Err(error) => {
             send_error(
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -11,12 +11,12 @@
 use balsamchute_wire::forward::Head;
 use balsamchute_wire::record::{Code, End, Outcome, Record, Token};
 use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
-use tiny_http::Request;
 
 use crate::answer::Answer;
 use crate::callers::body_digest;
 use crate::context::Context;
 use crate::forward::{Delivery, forward};
+use crate::http::Request;
 use crate::input::Input;
 use crate::run;
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -64,7 +64,7 @@
 pub fn serve_on(sockets: Sockets, settings: Settings, hooks: Hooks) -> Result<(), Error> {
     let clock = Clock::new();
     let (inputs, receiver) = unbounded();
-    let (callers, inner) = sockets.into_listeners(&settings)?;
+    let (callers, inner) = sockets.into_listeners(&settings);
     let grace = Duration::from_millis(settings.grace_ms);
     let dispatcher = new_dispatcher(&settings, &clock);
     let metrics = Metrics::new(settings.limits.labels).map_err(Error::Metrics)?;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -40,8 +40,10 @@
     pub body_bytes: usize,
     /// Maximum length of a header value, in bytes.
     pub header_bytes: usize,
-    /// Maximum number of requests served at the same time. Each one has a
-    /// thread.
+    /// Maximum number of connections of callers, and of other routers. Each one
+    /// has a thread.
+    pub connections: usize,
+    /// Maximum number of requests served at the same time.
     pub requests: usize,
     /// Maximum number of requests that the router holds at the same time,
     /// running ones included. Has no effect unless it is lower than `requests`,
@@ -60,6 +62,7 @@
         Limits {
             body_bytes: 1 << 20,
             header_bytes: 1024,
+            connections: 4096,
             requests: 2048,
             queue: 20_000,
             deadline_ms: 600_000,
@@ -104,6 +107,7 @@
             ("grace_ms", self.grace_ms),
             ("limits.body_bytes", limits.body_bytes as u64),
             ("limits.header_bytes", limits.header_bytes as u64),
+            ("limits.connections", limits.connections as u64),
             ("limits.requests", limits.requests as u64),
             ("limits.queue", limits.queue as u64),
             ("limits.deadline_ms", limits.deadline_ms),
--- a/crates/router/src/traffic.rs
+++ b/crates/router/src/traffic.rs
@@ -7,21 +7,19 @@
 
 use balsamchute_metrics::{Direction, Traffic};
 use balsamchute_platform::Client;
-use tiny_http::Request;
 use ureq::Body;
 use ureq::http::Response;
 
 use crate::context::Context;
+use crate::http::Request;
 
 /// Approximate size of a request head between routers without its path, in bytes.
 /// Uses the longest IPv4 address and a body length of four digits.
 const REQUEST_HEAD_BYTES: usize =
     "POST  HTTP/1.1\r\nhost: 255.255.255.255:65535\r\ncontent-length: 1000\r\n\r\n".len();
 
-/// Approximate size of a response head written by the server library, in bytes.
-const RESPONSE_HEAD_BYTES: usize = "HTTP/1.1 200 OK\r\nServer: tiny-http (Rust)\r\n\
-    Date: Thu, 01 Jan 1970 00:00:00 GMT\r\nContent-Length: 1000\r\n\r\n"
-    .len();
+/// Approximate size of a response head, in bytes.
+const RESPONSE_HEAD_BYTES: usize = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n".len();
 
 /// Size of a status line, in bytes.
 const STATUS_LINE_BYTES: usize = "HTTP/1.1 200 OK\r\n".len();
@@ -65,12 +63,11 @@
 /// Counts a request from another router.
 pub(crate) fn count_request_received(context: &Context, request: &Request) {
     let path = request.url().trim_start_matches("/inner/");
-    let headers = request.headers().iter();
-    let head_bytes: usize = headers
-        .map(|header| header.field.as_str().as_str().len() + header.value.as_str().len())
-        .map(|bytes| bytes + HEADER_BYTES)
+    let head_bytes: usize = request
+        .headers()
+        .map(|(name, value)| name.len() + value.len() + HEADER_BYTES)
         .sum();
-    let line_bytes = request.method().as_str().len() + request.url().len() + "  HTTP/1.1\r\n".len();
+    let line_bytes = request.method().len() + request.url().len() + "  HTTP/1.1\r\n".len();
     let bytes = line_bytes + head_bytes + "\r\n".len() + request.body_length().unwrap_or(0);
     count(context, control_kind(path), Direction::In, bytes);
 }
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -3,8 +3,8 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
     self, Route, Router, Runner, Store, connect, header, read_message, respond_with_body, send_raw,
     wait_until,
 };
-use crate::usage;
+use crate::{exclusive, usage};
 
 /// Largest body that the manifest allows.
 pub const MAX_BODY: usize = 1 << 20;
@@ -25,9 +25,6 @@
 /// Time after which a caller gives up sending to a router that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Runs the tests one at a time, so that no other crowd shares the machine.
-static EXCLUSIVE: Mutex<()> = Mutex::new(());
-
 /// A router with small limits, a store and a runner. Requests to `/once/` wait at the runner
 /// until [`Fixture::release`].
 pub struct Fixture {
@@ -37,7 +34,7 @@
     descriptors: usize,
     is_released: Arc<AtomicBool>,
     _store: Store,
-    _exclusive: MutexGuard<'static, ()>,
+    _exclusive: exclusive::Guard,
 }
 
 impl Fixture {
@@ -48,7 +45,7 @@
 
     /// Starts a router that may use this number of descriptors and this memory in MB.
     pub fn start_with_memory(descriptors: usize, memory_mb: usize) -> Self {
-        let exclusive = EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner);
+        let exclusive = exclusive::lock();
         let is_released = Arc::new(AtomicBool::new(false));
         let may_answer = is_released.clone();
         let runner = Runner::start(move |head, stream| {
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -17,6 +17,8 @@
 )]
 #[path = "../all/edge/environment.rs"]
 mod environment;
+mod exclusive;
+mod native;
 mod uploads;
 mod usage;
 mod waiting;
