Bound the memory of request bodies at the native interface

Callers could end a process of `balsamchute serve`: each request had a thread that read its body whole, so 2,048 stalled requests held 2 GiB, and a quarter of that while their buffers grew.

limits.held_body_bytes (256 MiB) bounds the bodies over 16 KiB of all requests, those that arrive included: an announced body is reserved before it is read, one in chunks in steps of 64 KiB. A request that finds no room is refused as not run, with a time to come again; a single body is always read. A body has 60 s to arrive.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -1,7 +1,5 @@
 //! HTTP server for callers and operators.
 
-use std::io::Read;
-
 use balsamchute_base::digest::Digest;
 use balsamchute_base::prelude::*;
 use balsamchute_metrics::Load;
@@ -11,6 +9,7 @@
 use serde::Serialize;
 
 use crate::answer;
+use crate::body;
 use crate::context::Context;
 use crate::http::{Request, Response};
 use crate::input::{Query, Subject};
@@ -61,24 +60,18 @@
         Err(reason) => return refuse_not_run(request, &reason),
     };
     let limit = context.settings.limits.body_bytes;
-    if request.body_length().is_some_and(|length| length > limit) {
-        return refuse_not_run(request, &format!("body is longer than {limit} bytes"));
-    }
-    let mut body = Vec::new();
-    let read = request
-        .reader()
-        .take(limit as u64 + 1)
-        .read_to_end(&mut body);
-    match read {
-        Ok(length) if length > limit => {
-            return refuse_not_run(request, &format!("body is longer than {limit} bytes"));
+    let body = match context.bodies.read(&mut request, limit) {
+        Ok(body) => body,
+        Err(error @ body::Error::NoMemory) => {
+            let end = End::new(Outcome::NotRun, &error.to_string());
+            let _ = answer::respond_with_end(request, &end.with_retry_after(BUSY_RETRY_AFTER));
+            return;
         }
-        Ok(_) => {}
-        Err(error) => return refuse_not_run(request, &format!("body cannot be read: {error}")),
-    }
+        Err(error) => return refuse_not_run(request, &error.to_string()),
+    };
     // A client that does not send its body does not take the place of a request.
     match context.acquire_permit() {
-        Some(_permit) => request::serve(context, request, head, &body),
+        Some(_permit) => request::serve(context, request, head, &body.bytes),
         None => refuse_full(request),
     }
 }
--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -11,6 +11,7 @@
 use balsamchute_metrics::Metrics;
 use crossbeam_channel::{Receiver, Sender, bounded};
 
+use crate::body;
 use crate::cancel::Cancellations;
 use crate::hooks::Hooks;
 use crate::input::{Input, Query};
@@ -49,6 +50,8 @@
     pub cancellations: Cancellations,
     /// Counters and histograms for operators.
     pub metrics: Arc<Metrics>,
+    /// Memory that request bodies occupy.
+    pub bodies: body::Account,
     request_numbers: Arc<AtomicU64>,
     active_requests: Arc<AtomicUsize>,
     end_forced: Arc<AtomicBool>,
@@ -74,6 +77,7 @@
         cancellations: Cancellations,
     ) -> Self {
         Context {
+            bodies: body::Account::new(settings.limits.held_body_bytes),
             metrics: Arc::new(metrics),
             settings: Arc::new(settings),
             hooks,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod settings;
 
 mod answer;
+mod body;
 mod callers;
 mod cancel;
 mod claims;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -38,6 +38,9 @@
 pub struct Limits {
     /// Maximum length of a request body, in bytes.
     pub body_bytes: usize,
+    /// Maximum length of the bodies of all requests together, in bytes. Bodies of
+    /// at most 16 KiB are not counted.
+    pub held_body_bytes: usize,
     /// Maximum length of a header value, in bytes.
     pub header_bytes: usize,
     /// Maximum number of connections of callers, and of other routers. Each one
@@ -61,6 +64,7 @@
     fn default() -> Self {
         Limits {
             body_bytes: 1 << 20,
+            held_body_bytes: 256 << 20,
             header_bytes: 1024,
             connections: 4096,
             requests: 2048,
@@ -82,6 +86,8 @@
         /// Name of the setting, with its section.
         name: &'static str,
     },
+    /// setting "limits.held_body_bytes" is less than "limits.body_bytes"
+    BodyTooLarge,
     /// settings "callers" and "inner" have the same address {0}
     SameAddress(SocketAddr),
 }
@@ -116,6 +122,9 @@
         if let Some((name, _)) = positive.into_iter().find(|(_, value)| *value == 0) {
             return Err(Error::Zero { name });
         }
+        if limits.held_body_bytes < limits.body_bytes {
+            return Err(Error::BodyTooLarge);
+        }
         if self.callers == self.inner {
             return Err(Error::SameAddress(self.inner));
         }
--- a/tests/all/serve.rs
+++ b/tests/all/serve.rs
@@ -123,6 +123,10 @@
             "\"inner\"",
         ),
         (format!("{valid}limits: {{queue: 0}}\n"), "limits.queue"),
+        (
+            format!("{valid}limits: {{held_body_bytes: 1000}}\n"),
+            "limits.held_body_bytes",
+        ),
         (valid.replace("domain: mids-brum\n", ""), "domain"),
         (valid.replace(&inner.to_string(), "localhost"), "localhost"),
         ("- 1\n".to_owned(), "s.yaml"),
--- a/tests/clients/native.rs
+++ b/tests/clients/native.rs
@@ -15,6 +15,9 @@
 /// Memory that the process may use in these tests.
 const MEMORY_BYTES: usize = 64 << 20;
 
+/// Largest body, which is the default.
+const MAX_BODY: usize = 1 << 20;
+
 const INVENTORY: &str = "
 domains: [{name: mids-brum, region: mids}]
 services: [{name: dispatch-board, kind: plain}]
@@ -113,6 +116,32 @@
     )
 }
 
+/// Limit on the bodies of all requests that the tests set.
+const HELD_BODIES: &str = "held_body_bytes: 16777216";
+
+#[test]
+fn stalled_bodies_with_a_length_do_not_exhaust_memory() {
+    let fixture = Fixture::start(HELD_BODIES);
+    let crowd = open(fixture.callers, 96, |stream| {
+        let length = format!("Content-Length: {MAX_BODY}\r\n");
+        stream.write_all(run_head("c1", &length).as_bytes())?;
+        stream.write_all(&vec![b'x'; MAX_BODY - 1])
+    });
+    fixture.check_beside(crowd);
+}
+
+#[test]
+fn stalled_bodies_in_chunks_do_not_exhaust_memory() {
+    let fixture = Fixture::start(HELD_BODIES);
+    let crowd = open(fixture.callers, 96, |stream| {
+        let fields = "Transfer-Encoding: chunked\r\n";
+        stream.write_all(run_head("c1", fields).as_bytes())?;
+        let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+        write_repeated(stream, &chunk, chunk.len() * (MAX_BODY / 0x8000))
+    });
+    fixture.check_beside(crowd);
+}
+
 /// Requests that are stalled must not take the places of all others.
 #[test]
 fn stalled_bodies_leave_places_to_others() {
@@ -133,3 +162,13 @@
     });
     fixture.check_beside(crowd);
 }
+
+/// What a client announces must not be allocated, even to skip it.
+#[test]
+fn an_announced_body_of_any_length_does_not_end_the_process() {
+    let fixture = Fixture::start("");
+    let crowd = open(fixture.callers, 1, |stream| {
+        stream.write_all(run_head("c1", "Content-Length: 1000000000000000\r\n").as_bytes())
+    });
+    fixture.check_beside(crowd);
+}
