Let the soak play clients that stall, exceed limits or do not read

Beside the callers of a seed, one client and one more for each eight routers opens eight connections at a time to a router: heads and bodies without an end, small chunks, lengths far over the limit or exceeded, and requests that are refused, pipelined and not read. The plans and callers of seeds stay as they are.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -23,6 +23,8 @@
 mod connection;
 mod event;
 mod fleet;
+mod hostile;
+
 mod judge;
 mod order;
 mod plan;
@@ -39,6 +41,7 @@
 
 use crate::callers::Callers;
 use crate::fleet::Fleet;
+use crate::hostile::Clients;
 use crate::judge::Judge;
 use crate::plan::Plan;
 use crate::shape::Shape;
@@ -148,6 +151,7 @@
     judge.measure_wakeups();
     let mut fleet = Fleet::start(shape, &judge);
     let callers = Callers::start(options.seed, &shape, fleet.router_addresses(), &judge);
+    let hostile = Clients::start(options.seed, &shape, &fleet.router_addresses());
     let begin = Instant::now();
     for step in &plan.steps {
         let due = begin + step.at;
@@ -166,6 +170,7 @@
         fleet.replace_runners_without_hub(&judge);
     }
     callers.stop();
+    hostile.stop();
     let deadline = Instant::now() + RECOVERY_TIME;
     std::thread::scope(|scope| {
         for address in fleet.router_addresses() {
