Decode lines of chunked bodies without copying whole ones

A line of a chunked body went through a buffer of its own, with an allocation, also if it was whole in the input; a body in chunks of one byte has two lines a byte. Lines that are whole are now parsed in place, and the length of a trailer counts the buffered part too.

1 MiB of content in chunks of one byte, release build: 60 to 66 ms before, 18 to 22 ms now, three times each. The tests of balsamchute-http pass.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -116,18 +116,29 @@
         }
     }
 
-    /// Buffers input up to the end of a line and applies the complete line.
+    /// Applies the next line if its end is in the input, and buffers a part of it otherwise.
     fn decode_line(&mut self, input: &[u8]) -> Result<usize, Error> {
         let end = input.iter().position(|&b| b == b'\n');
         let consumed = end.map_or(input.len(), |end| end + 1);
-        self.line.extend_from_slice(&input[..consumed]);
-        if self.line.len() > MAX_LINE_BYTES {
+        if self.line.len() + consumed > MAX_LINE_BYTES {
             return Err(Error::Chunk("line is too long"));
         }
+        let part = &input[..consumed];
         if end.is_none() {
-            return Ok(consumed);
+            self.line.extend_from_slice(part);
+        } else if self.line.is_empty() {
+            self.apply_line(part)?;
+        } else {
+            let mut line = std::mem::take(&mut self.line);
+            line.extend_from_slice(part);
+            self.apply_line(&line)?;
         }
-        let line = std::mem::take(&mut self.line);
+        Ok(consumed)
+    }
+
+    /// Applies a line with its CR LF.
+    fn apply_line(&mut self, line: &[u8]) -> Result<(), Error> {
+        let length = line.len();
         let line = line
             .strip_suffix(b"\r\n")
             .ok_or(Error::Chunk("line does not end with CR LF"))?;
@@ -141,12 +152,12 @@
             State::ChunkEnd => return Err(Error::Chunk("data is longer than its size")),
             // Trailer fields are ignored; an empty line ends the section.
             _ if line.is_empty() => State::Done,
-            State::Trailer(length) if length + consumed <= MAX_TRAILER_BYTES => {
-                State::Trailer(length + consumed)
+            State::Trailer(before) if before + length <= MAX_TRAILER_BYTES => {
+                State::Trailer(before + length)
             }
             _ => return Err(Error::Chunk("trailer section is too long")),
         };
-        Ok(consumed)
+        Ok(())
     }
 }
 
