Send no body with a refusal of HEAD

Callers that keep connections got the body of a refusal of HEAD before the next response, as the response to HEAD has none, whatever its Content-Length: encode_generated always appended it. The connection now knows whether the current request is HEAD, and every response that the router generates goes through it.

Test edge::a_refusal_of_head_has_no_body failed with the method left out, and passes now.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -121,6 +121,8 @@
     pub sent: Option<Progress>,
     /// Bytes that the connection counts for in the account of memory.
     pub charged: usize,
+    /// Whether the current request has the method HEAD.
+    pub is_head: bool,
     /// Whether the connection closes after the current response.
     pub close: bool,
     /// Whether reading is paused because the buffer of pipelined bytes is full.
@@ -150,6 +152,7 @@
             received: Progress::new(now),
             sent: None,
             charged: 0,
+            is_head: false,
             close: false,
             is_read_paused: false,
             is_write_shut: false,
@@ -180,7 +183,10 @@
 
     pub fn enter(&mut self, now: Time, phase: Phase) {
         match phase {
-            Phase::Head => self.received = Progress::new(now),
+            Phase::Head => {
+                self.received = Progress::new(now);
+                self.is_head = false;
+            }
             // Its input is discarded.
             Phase::Closing => self.input = Vec::new(),
             _ => {}
@@ -339,6 +345,7 @@
         };
         let has_body = head.fields.get("content-length").is_some() || framing == Framing::Chunked;
         self.close = !head.is_keep_alive();
+        self.is_head = head.method == "HEAD";
         Ok(Some(Partial {
             awaits_interim: head.fields.contains_token("expect", "100-continue"),
             head,
--- a/crates/edge/src/edge/admission.rs
+++ b/crates/edge/src/edge/admission.rs
@@ -63,6 +63,7 @@
             retry_after: self.retry,
             reason: &self.reason,
             close,
+            is_head: false,
         }
     }
 }
--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -244,6 +244,7 @@
             retry_after,
             reason,
             close: false,
+            is_head: false,
         };
         self.send_local_response(now, transaction.caller, response);
     }
@@ -255,11 +256,12 @@
         let leaving = self.leaving_since.is_some();
         if let Some(Slot::Caller(caller)) = self.slots.get_mut(index) {
             caller.close |= leaving | response.close;
-            let close = caller.close;
-            response::encode_generated(
-                caller.socket.write_buffer(),
-                &Generated { close, ..response },
-            );
+            let response = Generated {
+                close: caller.close,
+                is_head: caller.is_head,
+                ..response
+            };
+            response::encode_generated(caller.socket.write_buffer(), &response);
         }
         self.finish_response(now, index);
     }
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -138,6 +138,19 @@
     assert!(!received.contains("k1"), "{received}");
 }
 
+/// The body of a refusal would stand before the next response on the connection.
+#[test]
+fn a_refusal_of_head_has_no_body() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "the answer"));
+    let (_store, router) = start_router(&[&runner]);
+    let refused = request("HEAD", "/none/x", "", "").replace("Connection: close\r\n", "");
+    let served = request("GET", "/safe/x", "", "");
+    let responses = send_raw(router.callers, &format!("{refused}{served}"));
+    let (refusal, answer) = responses.split_once("\r\n\r\n").expect("a head");
+    assert!(refusal.starts_with("HTTP/1.1 404 "), "{responses}");
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{responses}");
+}
+
 /// Invalid, unauthorized and oversized requests must not use capacity of a runner. The
 /// one with both `Content-Length` and `Transfer-Encoding` could smuggle a request.
 #[test]
