Charge a connection anew when its body moves into the transaction

The connection counted for a body that was complete until its next event, beside the request that holds it. Found by reading; the next event of the socket corrected it soon, and the new test uploads_that_fit_the_account_are_all_served passed before as well.

--- a/crates/edge/src/edge/admission.rs
+++ b/crates/edge/src/edge/admission.rs
@@ -122,6 +122,8 @@
                 if let Some(Slot::Caller(connection)) = self.slots.get_mut(index) {
                     connection.enter(now, CallerPhase::Busy(id));
                 }
+                // The transaction counts for the body now.
+                self.charge(index);
                 let workspace = scheduled.workspace.as_ref();
                 self.admission.record_request(now, workspace);
                 self.scheduler.submit(now, id, scheduled);
--- a/tests/clients/uploads.rs
+++ b/tests/clients/uploads.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::crowd::{self, Fixture, MAX_BODY, open, request, status, write_repeated};
+use crate::environment::wait_until;
 
 /// Connections of a crowd; their bodies exceed the memory of the router.
 const CROWD: usize = 64;
@@ -146,6 +147,27 @@
     fixture.check_beside(streams);
 }
 
+/// A body counts once, also while its request waits at a runner.
+#[test]
+fn uploads_that_fit_the_account_are_all_served() {
+    let fixture = Fixture::start(DESCRIPTORS);
+    let mut streams = Vec::new();
+    for count in 1..=6 {
+        streams.extend(open(fixture.router.callers, 1, |stream| {
+            let length = format!("Content-Length: {MAX_BODY}\r\n");
+            stream.write_all(request("k1", "POST", "/once/x", &length).as_bytes())?;
+            stream.write_all(&vec![b'x'; MAX_BODY])
+        }));
+        wait_until("the runner has the request", || {
+            fixture.runner.requests().len() == count
+        });
+    }
+    fixture.release();
+    let statuses: Vec<Option<u16>> = streams.iter_mut().map(status).collect();
+    assert_eq!(statuses, [Some(200); 6]);
+    fixture.check_beside(streams);
+}
+
 #[test]
 fn uploads_of_one_workspace_leave_memory_to_another() {
     let fixture = Fixture::start(DESCRIPTORS);
