--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -201,7 +201,9 @@
             self.write_buffer.drain(..self.sent);
             self.sent = 0;
         }
-        if let (true, Some((bytes, sent))) = (self.write_buffer.is_empty(), self.shared.take()) {
+        if self.write_buffer.is_empty()
+            && let Some((bytes, sent)) = self.shared.take()
+        {
             let written = write(&mut self.stream, &bytes[sent..], &mut self.broken);
             total += written;
             if sent + written < bytes.len() {
