Name the module of callers' requests by them

schedule::admission is about connections; a module of that name for requests in the edge was easily taken for its shell. No change of behaviour.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -5,7 +5,7 @@
 use balsamchute_wire::record::Outcome;
 
 use crate::caller::{Fault, Phase as CallerPhase, Step};
-use crate::edge::admission::Rejection;
+use crate::edge::requests::Rejection;
 use crate::edge::{Edge, Slot};
 use crate::socket::Input;
 use crate::transaction::Transaction;
@@ -17,8 +17,8 @@
 /// the router reads must not hold up the other connections.
 pub(super) const MAX_READS_PER_TURN: usize = 4;
 
-/// Bytes that are read from all callers in one turn. Small chunks take about 3 ms a MiB on a
-/// core, and the smallest machines have a tenth of one.
+/// Bytes that are read from all callers in one turn. A MiB of small chunks takes about 3 ms of
+/// a core, and the smallest machines have a tenth of one.
 const MAX_BYTES_PER_TURN: usize = 1024 * 1024;
 
 /// Time that a connection waits for the caller to close it, or for more of the request that
@@ -31,6 +31,7 @@
 const MAX_CLOSING_TIME: Span = Span::from_secs(10);
 
 impl Edge {
+    /// Writes what is unsent, goes on with a request that waits in the input, and reads.
     pub(super) fn handle_caller_ready(&mut self, index: usize) {
         self.flush_caller(index);
         if let Some(Slot::Caller(connection)) = self.slots.get(index)
--- a/crates/edge/src/edge/eviction.rs
+++ b/crates/edge/src/edge/eviction.rs
@@ -4,7 +4,7 @@
 use balsamchute_schedule::memory::STALL_TIME;
 
 use crate::caller::{Connection, Phase};
-use crate::edge::admission::Rejection;
+use crate::edge::requests::Rejection;
 use crate::edge::{Edge, Slot};
 use crate::server::Endpoint;
 
--- a/crates/edge/src/edge/memory.rs
+++ b/crates/edge/src/edge/memory.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::caller::Phase;
-use crate::edge::admission::no_memory;
+use crate::edge::requests::no_memory;
 use crate::edge::{Edge, Slot};
 
 impl Edge {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -1,7 +1,6 @@
 //! State of the process, and the dispatch of readiness events.
 
 mod accept;
-mod admission;
 mod announce;
 mod callers;
 mod deliver;
@@ -12,6 +11,7 @@
 mod fleet;
 mod identify;
 mod memory;
+mod requests;
 mod responses;
 mod runners;
 mod store;
--- a/crates/edge/src/edge/admission.rs
+++ b/crates/edge/src/edge/requests.rs
@@ -1,5 +1,4 @@
-//! Admission of requests: what is decided from the head, and the transaction of a complete
-//! request.
+//! Requests of callers: what is decided from the head, and the transaction of a complete one.
 
 use std::rc::Rc;
 use std::sync::Arc;
