--- a/tests/clients/uploads.rs
+++ b/tests/clients/uploads.rs
@@ -1,6 +1,7 @@
 //! Crowds that send bodies.
 
-use std::io::Write;
+use std::io::{self, Write};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Barrier};
 use std::thread;
@@ -15,13 +16,18 @@
 /// Descriptors of the example settings.
 const DESCRIPTORS: usize = 4100;
 
+/// Announces a body of the largest size and sends `sent` bytes of it.
+fn upload(stream: &mut TcpStream, key: &str, path: &str, sent: usize) -> io::Result<()> {
+    let length = format!("Content-Length: {MAX_BODY}\r\n");
+    stream.write_all(request(key, "POST", path, &length).as_bytes())?;
+    stream.write_all(&vec![b'x'; sent])
+}
+
 #[test]
 fn stalled_bodies_with_a_length_do_not_exhaust_memory() {
     let fixture = Fixture::start(DESCRIPTORS);
     let crowd = open(fixture.router.callers, CROWD, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("k1", "POST", "/once/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY - 1])
+        upload(stream, "k1", "/once/x", MAX_BODY - 1)
     });
     fixture.check_beside(crowd);
 }
@@ -69,9 +75,7 @@
 fn whole_bodies_that_wait_do_not_exhaust_memory() {
     let fixture = Fixture::start(DESCRIPTORS);
     let crowd = open(fixture.router.callers, CROWD, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("k1", "POST", "/once/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY])
+        upload(stream, "k1", "/once/x", MAX_BODY)
     });
     fixture.check_beside(crowd);
 }
@@ -123,9 +127,7 @@
 fn bodies_of_unknown_callers_are_not_kept() {
     let fixture = Fixture::start(DESCRIPTORS);
     let crowd = open(fixture.router.callers, CROWD, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("none", "POST", "/once/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY - 1])
+        upload(stream, "none", "/once/x", MAX_BODY - 1)
     });
     fixture.check_beside(crowd);
 }
@@ -134,9 +136,7 @@
 fn one_upload_of_the_largest_size_is_served() {
     let fixture = Fixture::start(DESCRIPTORS);
     let mut streams = open(fixture.router.callers, 1, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("k1", "POST", "/safe/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY])
+        upload(stream, "k1", "/safe/x", MAX_BODY)
     });
     assert_eq!(status(&mut streams[0]), Some(200));
     let received = &fixture.runner.requests()[0];
@@ -154,9 +154,7 @@
     let mut streams = Vec::new();
     for count in 1..=6 {
         streams.extend(open(fixture.router.callers, 1, |stream| {
-            let length = format!("Content-Length: {MAX_BODY}\r\n");
-            stream.write_all(request("k1", "POST", "/once/x", &length).as_bytes())?;
-            stream.write_all(&vec![b'x'; MAX_BODY])
+            upload(stream, "k1", "/once/x", MAX_BODY)
         }));
         wait_until("the runner has the request", || {
             fixture.runner.requests().len() == count
@@ -172,14 +170,10 @@
 fn uploads_of_one_workspace_leave_memory_to_another() {
     let fixture = Fixture::start(DESCRIPTORS);
     let crowd = open(fixture.router.callers, CROWD, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("k1", "POST", "/once/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY - 1])
+        upload(stream, "k1", "/once/x", MAX_BODY - 1)
     });
     let mut upload = open(fixture.router.callers, 1, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("k2", "POST", "/safe/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY])
+        upload(stream, "k2", "/safe/x", MAX_BODY)
     });
     assert_eq!(status(&mut upload[0]), Some(200));
     fixture.check_beside(crowd);
@@ -212,9 +206,7 @@
     let fixture = Fixture::start(DESCRIPTORS);
     fixture.release();
     let mut crowd = open(fixture.router.callers, CROWD, |stream| {
-        let length = format!("Content-Length: {MAX_BODY}\r\n");
-        stream.write_all(request("k1", "POST", "/once/x", &length).as_bytes())?;
-        stream.write_all(&vec![b'x'; MAX_BODY])
+        upload(stream, "k1", "/once/x", MAX_BODY)
     });
     let statuses: Vec<Option<u16>> = crowd.iter_mut().map(crowd::status).collect();
     let served = statuses.iter().filter(|status| **status == Some(200));
