Keep larger bodies of the native interface in pages of their own

Cause: the allocator keeps what a thread has freed in an arena of that thread, and each connection has a thread, so the bodies that were refused stayed resident beside those that count.

A body over 16 KiB is read into an anonymous mapping (memmap2), which returns to the system when the body is dropped; reads are 4 and 8 KiB, and empty buffers are released.

--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -6,12 +6,16 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
+use memmap2::MmapMut;
 
 use crate::http::Request;
 
 /// Length up to which a body is not counted. The number of requests bounds these.
 const MAX_SMALL_BYTES: usize = 16 * 1024;
 
+/// Bytes of one read.
+const READ_BYTES: usize = 4 * 1024;
+
 /// Bytes by which the memory for a body without a length grows.
 const RESERVATION_STEP: usize = 64 * 1024;
 
@@ -56,19 +60,19 @@
         let began = Instant::now();
         let announced = request.body_length().unwrap_or(0);
         let mut body = Body {
-            bytes: Vec::new(),
+            buffer: Buffer::Small(Vec::new()),
             reserved: 0,
             account: self.clone(),
         };
         body.reserve(announced, limit)?;
         let mut reader = request.reader();
-        let mut piece = [0; MAX_SMALL_BYTES];
+        let mut piece = [0; READ_BYTES];
         loop {
             match reader.read(&mut piece) {
                 Ok(0) => return Ok(body),
                 Ok(length) => {
-                    body.reserve(body.bytes.len() + length, limit)?;
-                    body.bytes.extend_from_slice(&piece[..length]);
+                    body.reserve(body.bytes().len() + length, limit)?;
+                    body.buffer.append(&piece[..length]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(Error::Unreadable(error)),
@@ -82,13 +86,56 @@
 
 /// Body of a request. It counts in the account until it is dropped.
 pub(crate) struct Body {
-    pub bytes: Vec<u8>,
+    buffer: Buffer,
     reserved: usize,
     account: Account,
 }
 
+/// Bytes of a body.
+enum Buffer {
+    Small(Vec<u8>),
+    /// Pages of their own, which return to the system at once: the allocator keeps freed
+    /// memory for each thread. The number of bytes follows.
+    Large(MmapMut, usize),
+}
+
+impl Buffer {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Buffer::Small(bytes) => bytes,
+            Buffer::Large(pages, length) => &pages[..*length],
+        }
+    }
+
+    /// Appends bytes, for which there is room in [`Buffer::Large`].
+    fn append(&mut self, bytes: &[u8]) {
+        match self {
+            Buffer::Small(buffer) => buffer.extend_from_slice(bytes),
+            Buffer::Large(pages, length) => {
+                pages[*length..*length + bytes.len()].copy_from_slice(bytes);
+                *length += bytes.len();
+            }
+        }
+    }
+
+    /// Moves a small body to pages with room for `limit` bytes.
+    fn enlarge(&mut self, limit: usize) -> io::Result<()> {
+        if let Buffer::Small(bytes) = self {
+            let mut pages = MmapMut::map_anon(limit)?;
+            pages[..bytes.len()].copy_from_slice(bytes);
+            *self = Buffer::Large(pages, bytes.len());
+        }
+        Ok(())
+    }
+}
+
 impl Body {
-    /// Reserves memory for `length` bytes in all.
+    /// Returns the bytes that were read.
+    pub fn bytes(&self) -> &[u8] {
+        self.buffer.bytes()
+    }
+
+    /// Reserves memory for `length` bytes in all, of `limit` at most.
     fn reserve(&mut self, length: usize, limit: usize) -> Result<(), Error> {
         if length > limit {
             return Err(Error::TooLong(limit));
@@ -105,8 +152,7 @@
             return Err(Error::NoMemory);
         }
         self.reserved = reserved;
-        self.bytes.reserve_exact(reserved - self.bytes.len());
-        Ok(())
+        self.buffer.enlarge(limit).map_err(Error::Unreadable)
     }
 }
 
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -71,7 +71,7 @@
     };
     // A client that does not send its body does not take the place of a request.
     match context.acquire_permit() {
-        Some(_permit) => request::serve(context, request, head, &body.bytes),
+        Some(_permit) => request::serve(context, request, head, body.bytes()),
         None => refuse_full(request),
     }
 }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -38,7 +38,7 @@
 const SKIP_TIME: Duration = Duration::from_secs(10);
 
 /// Bytes of one read from a connection.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 8 * 1024;
 
 /// Value of [`Connection::waits_since`] while a request is being served.
 const NOT_WAITING: u64 = u64::MAX;
@@ -205,6 +205,10 @@
                 let length = buffer.len().min(input.content.len());
                 buffer[..length].copy_from_slice(&input.content[..length]);
                 input.content.drain(..length);
+                if input.content.is_empty() {
+                    // A stalled body must not keep what it has passed on.
+                    input.content = Vec::new();
+                }
                 return Ok(length);
             }
             if input.decoder.is_done() {
@@ -226,6 +230,9 @@
             } = &mut *input;
             let used = decoder.decode(bytes, content).map_err(io::Error::other)?;
             bytes.drain(..used);
+            if bytes.is_empty() {
+                *bytes = Vec::new();
+            }
             self.note_body(decoder);
         }
     }
