Let the server of the line tests read its requests to the end

Cause: the test's server read once, which may be the head without the body, and closed with the body unread, so the system reset the connection and the client lost the response; it then found the listener gone. The server now closes its write side and reads to the end. What the tests assert is the same.

--- a/crates/target/tests/line.rs
+++ b/crates/target/tests/line.rs
@@ -1,7 +1,7 @@
 //! Properties of stream lines, and streams with malformed or missing lines.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener};
 use std::thread;
 
 use balsamchute_base::prelude::*;
@@ -63,6 +63,9 @@
             let head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
             connection.write_all(head.as_bytes()).unwrap();
             connection.write_all(body.as_bytes()).unwrap();
+            // A close with unread bytes of the request would reset the connection.
+            connection.shutdown(Shutdown::Write).unwrap();
+            let _ = std::io::copy(&mut connection, &mut std::io::sink());
         }
     });
     address
