--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -534,7 +534,12 @@
     /// Starts a runner. It rejects requests for another instance, answers health probes and
     /// reports, and gives all others to the handler.
     pub fn start(id: &str, handler: Arc<Handler>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Runner::start_at(id, "127.0.0.1:0".parse().expect("an address"), handler)
+    }
+
+    /// The same at an address.
+    pub fn start_at(id: &str, address: SocketAddr, handler: Arc<Handler>) -> Self {
+        let listener = TcpListener::bind(address).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let name = id.to_owned();
         thread::spawn(move || {
