Log the error of a runner's connection and the call that found it

Cause: the log could not tell whether an answer without a length that was believed to be complete ended in good order, or was reset and the error was reported to another call than the read; nor whether its request was sent. Change: a socket remembers its first error and the call that found it (read, write, peek, query). event=end_judged and event=runner_broke name it as failure=, and the unwritten bytes of the request as unsent=. The error decides nothing yet.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -389,7 +389,7 @@
         let ended_at = ending.ended_at;
         log::info!(
             target: "request",
-            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} report={} witness={} lost={} brief={} sent_ms={} open_ms={} arrival_ms={} left_ms={}",
+            "event=end_judged request={} attempt={} runner={} complete={shows_complete} contact={} report={} witness={} lost={} brief={} sent_ms={} open_ms={} arrival_ms={} left_ms={} unsent={} failure={}",
             transaction.request_id,
             transaction.attempts(),
             ending.runner,
@@ -401,7 +401,9 @@
             ended_at.since(connection.since).0,
             ended_at.since(ending.open_at).0,
             ended_at.since(ending.arrived_after).0,
-            transaction.deadline.since(ended_at).0
+            transaction.deadline.since(ended_at).0,
+            connection.socket.unsent(),
+            connection.socket.failure().map_or_else(|| "-".to_owned(), |failure| failure.to_string())
         );
         let is_finished = connection
             .response
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -561,10 +561,12 @@
         };
         log::info!(
             target: "request",
-            "event=runner_broke request={} attempt={} runner={} reset={is_reset} reused={} after_ms={} events={} framing={} partial={} {}",
+            "event=runner_broke request={} attempt={} runner={} reset={is_reset} failure={} unsent={} reused={} after_ms={} events={} framing={} partial={} {}",
             transaction.request_id,
             transaction.attempts(),
             connection.runner,
+            connection.socket.failure().map_or_else(|| "-".to_owned(), |failure| failure.to_string()),
+            connection.socket.unsent(),
             connection.is_reused,
             now.since(connection.since).0,
             transaction.splitter.event_count(),
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -1,5 +1,7 @@
 //! Non-blocking TCP connection with a write buffer.
 
+use std::cell::Cell;
+use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,6 +45,36 @@
     Broken,
 }
 
+/// Call that found the failure of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Call {
+    Read,
+    Write,
+    Peek,
+    /// Query of the pending error.
+    Query,
+}
+
+/// Failure of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Failure {
+    kind: io::ErrorKind,
+    found_by: Call,
+}
+
+impl fmt::Display for Failure {
+    /// Writes the kind of the error and the call that found it, as in `ConnectionReset:peek`.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let found_by = match self.found_by {
+            Call::Read => "read",
+            Call::Write => "write",
+            Call::Peek => "peek",
+            Call::Query => "query",
+        };
+        write!(f, "{:?}:{found_by}", self.kind)
+    }
+}
+
 /// Bounds the receive buffers of the connections that `listener` will accept by
 /// [`RECEIVE_BUFFER_BYTES`].
 pub(crate) fn limit_receive_buffer(listener: &TcpListener) {
@@ -62,6 +94,8 @@
     /// Bytes that follow the write buffer, and the number of them that are sent.
     shared: Option<(Rc<Vec<u8>>, usize)>,
     broken: bool,
+    /// First failure. The system reports an error only once, to whichever call comes next.
+    failure: Cell<Option<Failure>>,
 }
 
 impl Socket {
@@ -88,6 +122,7 @@
             sent: 0,
             shared: None,
             broken: false,
+            failure: Cell::new(None),
         };
         if let Err(error) = socket.set_options() {
             log::debug!(target: "socket", "event=options error={error:?}");
@@ -129,6 +164,7 @@
     /// Returns the error of a connection attempt that failed.
     pub fn check_connected(&self) -> io::Result<bool> {
         if let Some(error) = self.stream.take_error()? {
+            self.record_failure(&error, Call::Query);
             return Err(error);
         }
         match self.stream.peer_addr() {
@@ -141,8 +177,30 @@
     /// Returns whether an established connection is open and no bytes wait in it. If bytes
     /// wait, an end may follow them.
     pub fn is_open(&self) -> bool {
-        let peeked = self.stream.peek(&mut [0]);
-        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        match self.stream.peek(&mut [0]) {
+            Ok(_) => false,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
+            Err(error) => {
+                self.record_failure(&error, Call::Peek);
+                false
+            }
+        }
+    }
+
+    /// Returns the failure of the connection, if the system has reported one or has one pending.
+    pub fn failure(&self) -> Option<Failure> {
+        if let Ok(Some(error)) = self.stream.take_error() {
+            self.record_failure(&error, Call::Query);
+        }
+        self.failure.get()
+    }
+
+    fn record_failure(&self, error: &io::Error, found_by: Call) {
+        let found = Failure {
+            kind: error.kind(),
+            found_by,
+        };
+        self.failure.set(self.failure.get().or(Some(found)));
     }
 
     /// Reads available bytes into `buffer`.
@@ -153,7 +211,10 @@
                 Ok(length) => Input::Bytes(length),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => Input::WouldBlock,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(_) => Input::Broken,
+                Err(error) => {
+                    self.record_failure(&error, Call::Read);
+                    Input::Broken
+                }
             };
         }
     }
@@ -188,8 +249,11 @@
 
     /// Writes as many bytes as the system accepts. Returns their number.
     pub fn flush(&mut self) -> usize {
+        if self.broken {
+            return 0;
+        }
         let unsent = &self.write_buffer[self.sent..];
-        let mut total = write(&mut self.stream, unsent, &mut self.broken);
+        let (mut total, mut error) = write(&mut self.stream, unsent);
         self.sent += total;
         if self.sent == self.write_buffer.len() {
             self.write_buffer.clear();
@@ -204,12 +268,17 @@
         if self.write_buffer.is_empty()
             && let Some((bytes, sent)) = self.shared.take()
         {
-            let written = write(&mut self.stream, &bytes[sent..], &mut self.broken);
+            let written;
+            (written, error) = write(&mut self.stream, &bytes[sent..]);
             total += written;
             if sent + written < bytes.len() {
                 self.shared = Some((bytes, sent + written));
             }
         }
+        if let Some(error) = error {
+            self.broken = true;
+            self.record_failure(&error, Call::Write);
+        }
         total
     }
 
@@ -246,18 +315,18 @@
     }
 }
 
-/// Writes as many of `bytes` as the system accepts, and returns their number. Sets `broken` if
-/// a write fails.
-fn write(stream: &mut TcpStream, bytes: &[u8], broken: &mut bool) -> usize {
+/// Writes as many of `bytes` as the system accepts. Returns their number, and the error if a
+/// write fails.
+fn write(stream: &mut TcpStream, bytes: &[u8]) -> (usize, Option<io::Error>) {
     let mut written = 0;
-    while written < bytes.len() && !*broken {
+    while written < bytes.len() {
         match stream.write(&bytes[written..]) {
-            Ok(0) => *broken = true,
+            Ok(0) => return (written, Some(io::ErrorKind::WriteZero.into())),
             Ok(length) => written += length,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(_) => *broken = true,
+            Err(error) => return (written, Some(error)),
         }
     }
-    written
+    (written, None)
 }
