Test answers that a living runner resets, and early ones; list them as failing

Change: tests in which a runner that lives and reports resets two or six answers at once, with the router stopped and without, and in which it ends an answer to an upload that it has not read.

--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -30,7 +30,7 @@
 const FOREVER: Duration = Duration::from_secs(3600);
 
 /// Returns the events `from` to `to` as they are without chunks.
-fn plain_events(from: u64, to: u64) -> String {
+pub fn plain_events(from: u64, to: u64) -> String {
     let events = (from..=to).map(|id| format!("id: {id}\ndata: event {id}\n\n"));
     events.collect()
 }
--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -29,6 +29,15 @@
 /// `None` if the connection ends before the message does. A chunked body is left
 /// unread.
 pub fn read_message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let head = read_head(stream)?;
+    let length = header(&head, "content-length").map_or(0, |text| text.parse().expect("a number"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// Reads the head of an HTTP message; `None` if the connection ends before it does.
+pub fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0];
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -37,11 +46,7 @@
             _ => return None,
         }
     }
-    let head = String::from_utf8(bytes).expect("the head is UTF-8");
-    let length = header(&head, "content-length").map_or(0, |text| text.parse().expect("a number"));
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, body))
+    Some(String::from_utf8(bytes).expect("the head is UTF-8"))
 }
 
 /// Returns the value of a header in the head of a message.
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -10,6 +10,7 @@
 mod notice;
 mod order;
 mod poison;
+mod resets;
 mod restarts;
 mod restore;
 mod store;
