Report a failed connection as broken to every later read

What callers saw: an answer without a length that its runner had reset arrived as complete, plain ones with a length, streams with the last chunk (MIXED, ORDER). Cause: the system reports the error of a socket once, to whichever call comes next. When several connections to a runner are reset at one moment, the event of the first makes the router peek into the others (outlives, evidence, note_open_connections, note_open_answers), which takes their errors. The read that follows returns 0, like an end in good order, and the report of the living runner confirms it. A failed write and a query of the error do the same. Evidence: end_judged complete=true failure=ConnectionReset:peek in each failed test. Change: the socket remembers its first failure, whichever call finds it. Reads return what had arrived, then that the connection is broken, never an end; at an end the pending error is queried as well. check_connected reports a failure each time, and a broken connection is not used again. It works because no call can take an error off a socket unnoticed any more.

--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -144,8 +144,7 @@
     pub started_at: u64,
     /// Process that has sent its report.
     pub reported: Option<Process>,
-    /// Outcome of the connection made after the end so far. The system reports an error of a
-    /// socket only once.
+    /// Outcome of the connection made after the end so far.
     pub contact: Contact,
 }
 
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -93,7 +93,6 @@
     sent: usize,
     /// Bytes that follow the write buffer, and the number of them that are sent.
     shared: Option<(Rc<Vec<u8>>, usize)>,
-    broken: bool,
     /// First failure. The system reports an error only once, to whichever call comes next.
     failure: Cell<Option<Failure>>,
 }
@@ -121,7 +120,6 @@
             write_buffer: Vec::new(),
             sent: 0,
             shared: None,
-            broken: false,
             failure: Cell::new(None),
         };
         if let Err(error) = socket.set_options() {
@@ -163,9 +161,8 @@
     ///
     /// Returns the error of a connection attempt that failed.
     pub fn check_connected(&self) -> io::Result<bool> {
-        if let Some(error) = self.stream.take_error()? {
-            self.record_failure(&error, Call::Query);
-            return Err(error);
+        if let Some(failure) = self.failure() {
+            return Err(failure.kind.into());
         }
         match self.stream.peer_addr() {
             Ok(_) => Ok(true),
@@ -177,6 +174,9 @@
     /// Returns whether an established connection is open and no bytes wait in it. If bytes
     /// wait, an end may follow them.
     pub fn is_open(&self) -> bool {
+        if self.is_broken() {
+            return false;
+        }
         match self.stream.peek(&mut [0]) {
             Ok(_) => false,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
@@ -203,14 +203,19 @@
         self.failure.set(self.failure.get().or(Some(found)));
     }
 
-    /// Reads available bytes into `buffer`.
+    /// Reads available bytes into `buffer`. Bytes that arrived before a failure are read first; no
+    /// end is reported after one.
     pub fn read(&mut self, buffer: &mut [u8]) -> Input {
         loop {
             return match self.stream.read(buffer) {
+                Ok(0) if self.failure().is_some() => Input::Broken,
                 Ok(0) => Input::Eof,
                 Ok(length) => Input::Bytes(length),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => Input::WouldBlock,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => match self.is_broken() {
+                    true => Input::Broken,
+                    false => Input::WouldBlock,
+                },
                 Err(error) => {
                     self.record_failure(&error, Call::Read);
                     Input::Broken
@@ -242,14 +247,14 @@
         self.write_buffer.len() - self.sent + shared
     }
 
-    /// Returns whether a write failed.
+    /// Returns whether a call has found the connection to be broken.
     pub fn is_broken(&self) -> bool {
-        self.broken
+        self.failure.get().is_some()
     }
 
     /// Writes as many bytes as the system accepts. Returns their number.
     pub fn flush(&mut self) -> usize {
-        if self.broken {
+        if self.is_broken() {
             return 0;
         }
         let unsent = &self.write_buffer[self.sent..];
@@ -276,7 +281,6 @@
             }
         }
         if let Some(error) = error {
-            self.broken = true;
             self.record_failure(&error, Call::Write);
         }
         total
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -185,7 +185,8 @@
             && response.framing != Framing::UntilClose
             && response.head.is_keep_alive()
             && self.input.is_empty()
-            && self.socket.unsent() == 0;
+            && self.socket.unsent() == 0
+            && !self.socket.is_broken();
         if !is_reusable {
             return None;
         }
