Read what a runner has answered before a failed write ends its connection

What callers saw: 502 for an answer that their runner had given in full, with a length or in chunks, before it reset a connection on which it left the rest of the request unread. Cause: the router writes before it reads, and a failed write ended the connection with the answer unread. Change: the write only marks the connection as broken; the read that follows delivers what arrived, then the failure. Whole answers that end by close after an upload pass before and after.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -319,11 +319,8 @@
         if connection.ended_at.is_some() {
             return;
         }
+        // A failed write does not end the connection here: an answer may wait to be read.
         connection.socket.flush();
-        if connection.socket.is_broken() {
-            self.handle_upstream_closed(index, true);
-            return;
-        }
         // Bytes that waited during a pause arrived at an unknown time.
         let has_just_arrived = !connection.is_read_paused;
         self.read_upstream(index, has_just_arrived);
--- a/tests/all/edge/resets.rs
+++ b/tests/all/edge/resets.rs
@@ -147,7 +147,7 @@
 }
 
 /// Starts a runner that answers a request before it has read the body, and ends the answer.
-fn start_early(fill: &str, end: End) -> Runner {
+fn start_early(fields: &'static str, fill: &str, end: End) -> Runner {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let fill = fill.to_owned();
@@ -162,7 +162,7 @@
                     }
                     // A part of the upload, so that the rest waits in the router.
                     let _ = stream.read(&mut [0; 1024]);
-                    respond(&mut stream, &head, 200, "", &fill);
+                    respond(&mut stream, &head, 200, fields, &fill);
                     reset_on_close(&stream);
                     if let End::CloseThenReset(after) = end {
                         let _ = stream.shutdown(Shutdown::Write);
@@ -195,8 +195,8 @@
     String::from_utf8_lossy(&received).into_owned()
 }
 
-fn check_early(length: usize, fill: &str, end: End) {
-    let runner = start_early(fill, end);
+/// Starts a router that takes long uploads for a runner.
+fn start_for_uploads(runner: &Runner) -> (Store, Router) {
     let store = Store::start();
     let mut limited = manifest(1, &["k1"]).expect("a manifest");
     limited["limits"]["max_body_bytes"] = json!(2 * LONG_UPLOAD);
@@ -204,6 +204,12 @@
     store.put("servers", "i-0", entry(runner.address, "s"));
     let router = Router::start_with_limits("r1", store.address, 200, 4100);
     router.wait_ready();
+    (store, router)
+}
+
+fn check_early(length: usize, fill: &str, end: End) {
+    let runner = start_early("", fill, end);
+    let (_store, router) = start_for_uploads(&runner);
     for path in ["/once/x", "/stream/x"] {
         assert_not_complete(&upload(&router, path, length), &router);
     }
@@ -238,3 +244,36 @@
     let end = End::CloseThenReset(Duration::from_millis(1));
     check_early(LONG_UPLOAD, &plain_events(1, 40_000), end);
 }
+
+#[test]
+fn a_whole_early_answer_is_delivered_though_the_rest_of_the_request_is_reset() {
+    for fields in ["Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let body = match fields.contains("chunked") {
+            true => "4\r\nbody\r\n0\r\n\r\n",
+            false => "body",
+        };
+        for length in [200_000, LONG_UPLOAD] {
+            let runner = start_early(fields, body, End::Reset);
+            let (_store, router) = start_for_uploads(&runner);
+            let response = upload(&router, "/once/x", length);
+            let is_whole =
+                response.starts_with("HTTP/1.1 200 ") && response.ends_with("\r\n\r\nbody");
+            assert!(is_whole, "{response}\n{}", router.log());
+        }
+    }
+}
+
+/// The runner has read the whole request, so its end by close counts.
+#[test]
+fn a_whole_answer_that_ends_by_close_after_an_upload_is_delivered() {
+    let runner = Runner::start(|head, stream| {
+        respond(stream, head, 200, "", "body");
+        false
+    });
+    let (_store, router) = start_for_uploads(&runner);
+    for length in [0, 200_000, LONG_UPLOAD] {
+        let response = upload(&router, "/once/x", length);
+        let is_whole = response.starts_with("HTTP/1.1 200 ") && response.ends_with("\r\n\r\nbody");
+        assert!(is_whole, "{response}\n{}", router.log());
+    }
+}
