Read what a runner has answered also if the first write of a request fails

What callers saw: 502 for a whole early answer to an upload of 12 MB, when the runner reset the connection while the router was still in its first write.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -300,7 +300,7 @@
         self.scheduler.record_write(id);
         connection.socket.flush();
         if connection.socket.is_broken() {
-            self.handle_upstream_closed(index, true);
+            self.read_upstream(index, true);
         }
     }
 
