Take no answer for complete that ends before its request was sent

Cause: the end was confirmed by the report of the runner, which shows that its process lives, not that it has read the request. Change: an answer that ends by close while bytes of its request are unsent counts as broken off. The system takes up to 256 KB of a request to a runner (it took some MB), so that an upload that nobody reads shows as unsent. It works because a runner that has read the whole request leaves none unsent; such answers, and early ones with a length or chunks, are delivered as before.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -20,7 +20,7 @@
 pub(super) const CONNECT_TIMEOUT: Span = Span(300);
 
 /// Bodies up to this length are copied behind the head, so that one write sends both.
-const MAX_COPIED_BYTES: usize = 16 * 1024;
+pub(super) const MAX_COPIED_BYTES: usize = 16 * 1024;
 
 impl Edge {
     /// Carries out the pending actions of the scheduler.
@@ -167,7 +167,7 @@
         runner: &Runner,
         address: SocketAddr,
     ) -> io::Result<usize> {
-        let socket = Socket::connect(address)?;
+        let socket = Socket::connect(address)?.with_send_buffer_limit();
         let entry = self.registry.get(runner);
         let started_at = entry.map_or(0, |entry| entry.started_at);
         let connection = Connection::new(now, socket, runner.clone(), address, started_at, phase);
@@ -538,7 +538,9 @@
             }
             Phase::Busy(id) => id,
         };
-        match connection.ends_by_close() && !is_reset {
+        // A runner that lives may end an answer before it has read the request, in trouble.
+        let is_sent = connection.socket.unsent() == 0;
+        match connection.ends_by_close() && is_sent && !is_reset {
             true => self.confirm_end(now, index, id),
             false => {
                 let address = connection.address;
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -29,6 +29,10 @@
 /// buffer of a connection grow to several megabytes.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Bytes of requests that may wait in the system to be sent to a runner. What exceeds it, and what
+/// the runner lets arrive before it reads, counts as unsent.
+const SEND_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Sent bytes at the front of a write buffer from which on they are removed.
 const MAX_SENT_BYTES: usize = 64 * 1024;
 
@@ -108,6 +112,16 @@
         self
     }
 
+    /// Bounds the bytes that wait in the system to be sent by [`SEND_BUFFER_BYTES`].
+    pub fn with_send_buffer_limit(self) -> Self {
+        let socket = SockRef::from(&self.stream);
+        // Linux doubles the value, to count its own overhead.
+        if let Err(error) = socket.set_send_buffer_size(SEND_BUFFER_BYTES / 2) {
+            log::debug!(target: "socket", "event=options error={error:?}");
+        }
+        self
+    }
+
     /// Starts connecting to `address`.
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
         TcpStream::connect(address).map(Socket::new)
