Take no answer for complete whose connection is reset after its end

Cause: an end was judged without a look at what became of its own connection, and as soon as the runner reported. A runner that has left a part of the request unread closes its write side and then resets the connection. A reset that comes later than 50 ms after the end of an answer to an upload that the system took whole is not seen.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -10,7 +10,7 @@
 use stakker::CX;
 
 use crate::edge::responses::Advance;
-use crate::edge::runners::CONNECT_TIMEOUT;
+use crate::edge::runners::{CONNECT_TIMEOUT, MAX_COPIED_BYTES};
 use crate::edge::{Edge, Slot};
 use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
 use crate::identity::Identity;
@@ -125,6 +125,8 @@
         let (runner, address) = (connection.runner.clone(), connection.address);
         let (open_at, started_at) = (connection.open_at, connection.started_at);
         let arrived_after = self.arrived_after;
+        let request = self.transactions.get(&id);
+        let is_upload = request.is_some_and(|request| request.body.len() > MAX_COPIED_BYTES);
         match self.connect(now, Phase::Confirming(id), &runner, address) {
             Ok(contact_index) => self.endings.waiting.push(Ending {
                 id,
@@ -133,6 +135,7 @@
                 arrived_after,
                 open_at,
                 is_brief: now.since(answered_after) < SETTLE_TIME,
+                is_upload,
                 runner,
                 address,
                 contact_index,
@@ -179,7 +182,7 @@
             self.ask(&mut ending);
             let is_settled = now >= ending.due_at();
             match ending.contact {
-                _ if ending.has_report() => self.settle(now, &ending),
+                _ if ending.has_report() && is_settled => self.settle(now, &ending),
                 Contact::Refused => self.settle(now, &ending),
                 Contact::Pending => self.endings.waiting.push(ending),
                 _ if is_settled => self.settle(now, &ending),
@@ -342,12 +345,17 @@
     /// sockets, whose events may still wait.
     fn evidence(&self, ending: &Ending) -> Evidence {
         let request = self.transactions.get(&ending.id);
+        let was_reset = match self.slots.get(ending.index) {
+            Some(Slot::Upstream(connection)) => connection.socket.failure().is_some(),
+            _ => false,
+        };
         let mut evidence = Evidence {
             contact: ending.contact,
             has_report: ending.has_report(),
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
             is_brief: ending.is_brief,
+            was_reset,
             is_past_deadline: request.is_none_or(|request| ending.is_past(request.deadline)),
         };
         for (_, slot) in &self.slots {
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -17,7 +17,8 @@
 use balsamchute_schedule::action::Id;
 use balsamchute_schedule::process::Process;
 
-/// Time from the end of an answer to the decision if no report was asked for. Also the time
+/// Time from the end of an answer to the decision if no report was asked for, or if the request
+/// was long. Also the time
 /// within which a brief answer arrives, many times what a connection takes and less than a
 /// process takes to die and be replaced.
 pub(crate) const SETTLE_TIME: Span = Span(50);
@@ -94,6 +95,8 @@
     pub lost_witness: bool,
     /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
+    /// Whether the connection was reset after its end.
+    pub was_reset: bool,
     /// Whether the end may have come at the deadline that the runner was given, at which it
     /// stops and closes the connection.
     pub is_past_deadline: bool,
@@ -105,7 +108,7 @@
     /// A brief answer counts as complete if the runner accepts a connection and none was
     /// lost: there was hardly time for its process to die. Any other one needs a witness.
     pub fn shows_complete(&self) -> bool {
-        if self.is_past_deadline {
+        if self.was_reset || self.is_past_deadline {
             return false;
         }
         if self.has_report {
@@ -134,6 +137,9 @@
     pub open_at: Time,
     /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
+    /// Whether the request is long, so that the runner may have left a part of it unread. It then
+    /// resets the connection after the end.
+    pub is_upload: bool,
     pub runner: Runner,
     pub address: SocketAddr,
     /// Slab index of the connection made after the end.
@@ -152,6 +158,7 @@
     /// Returns the time at which the answer is judged, if its contact is known by then.
     pub fn due_at(&self) -> Time {
         match (self.reported, self.asked_index) {
+            (Some(_), _) if self.is_upload => self.ended_at + SETTLE_TIME,
             (Some(_), _) => self.ended_at,
             (None, Some(_)) => self.ended_at + REPORT_TIMEOUT,
             (None, None) if self.is_brief => self.ended_at + BRIEF_SETTLE_TIME,
