Test that sound answers of every framing arrive whole

Change: a new test file sends answers through a router process by Content-Length, in chunks with extensions and trailers, by a brief and a longer end of the connection, by HTTP/1.0, after interim answers, without a reason phrase, with status 204, 250, 599 and 500, to GET, to a POST with an upload and to HEAD, and streams of the same framings.

--- /dev/null
+++ b/tests/all/edge/messages.rs
@@ -0,0 +1,184 @@
+//! Messages of runners and the store that break HTTP/1.1, and sound ones of every framing.
+
+use std::io::Write;
+use std::thread;
+use std::time::Duration;
+
+use super::environment::{Runner, header, send_raw};
+use super::{decode_chunks, events, request, start_router};
+
+/// Fields of an answer to the requests of these tests.
+const SIGNED: &str = "X-Request-Id: q1\r\nX-Answer-Signature: s\r\n";
+
+/// Time between the parts of an answer, after which it is not brief.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts a runner that answers a request for `/ROUTE/N` with message N, and closes the
+/// connection.
+fn start_runner(messages: &[&str]) -> Runner {
+    let signed = |message: &&str| message.replace("SIGNED\r\n", SIGNED);
+    let messages: Vec<String> = messages.iter().map(signed).collect();
+    Runner::start(move |head, stream| {
+        let target = head.split(' ').nth(1).expect("a request target");
+        let number = target.rsplit('/').next().expect("a path");
+        let number: usize = number.parse().expect("the number of a message");
+        for (index, part) in messages[number].split("<pause>").enumerate() {
+            thread::sleep(if index > 0 { PAUSE } else { Duration::ZERO });
+            // The router may have closed the connection.
+            let _ = stream.write_all(part.as_bytes());
+        }
+        false
+    })
+}
+
+/// A sound answer, and what the caller gets: the start of its head, and its body.
+type Sound<'a> = (&'a str, &'a str, &'a str);
+
+/// Checks that a router passes on each of these answers to a request, whole.
+fn check_sound(method: &str, fields: &str, request_body: &str, cases: &[Sound<'_>]) {
+    let messages: Vec<&str> = cases.iter().map(|&(message, ..)| message).collect();
+    let runner = start_runner(&messages);
+    let (_store, router) = start_router(&[&runner]);
+    for (number, (message, line, body)) in cases.iter().enumerate() {
+        let text = request(method, &format!("/once/{number}"), fields, request_body);
+        let response = send_raw(router.callers, &text);
+        let (head, received) = response.split_once("\r\n\r\n").expect("a message head");
+        assert!(head.starts_with(line), "{message:?}: {response:?}");
+        assert_eq!(received, *body, "{message:?}: {response:?}");
+        assert_eq!(header(head, "x-answer-signature"), Some("s"), "{message:?}");
+        if method != "HEAD" {
+            let length = body.len().to_string();
+            assert_eq!(header(head, "content-length"), Some(length.as_str()));
+        }
+    }
+}
+
+const SOUND: [Sound<'_>; 14] = [
+    (
+        "HTTP/1.1 200 OK\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndo<pause>ne",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nSIGNED\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ndo\r\n<pause>2\r\nne\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nSIGNED\r\nTransfer-Encoding: chunked\r\n\r\n4;a=b;c=\"d\te;f\"\r\ndone\r\n0;g\r\nA<pause>: b\tc\r\nD:\r\n<pause>E: \u{e4}\r\n\r<pause>\n",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\ndo<pause>ne",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.0 200 OK\r\nSIGNED\r\n\r\ndo<pause>ne",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 100 Continue\r\n\r\n<pause>HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 200 \r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200 \r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 200 \r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 204 No Content\r\nSIGNED\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n",
+        "",
+    ),
+    (
+        "HTTP/1.1 250 Fine\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 250 Fine\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 599 Bad\r\nSIGNED\r\nContent-Length: 4\r\n\r\nfail",
+        "HTTP/1.1 599 Bad\r\n",
+        "fail",
+    ),
+    (
+        "HTTP/1.1 500 Bad\r\nSIGNED\r\n\r\nfa<pause>il",
+        "HTTP/1.1 500 Bad\r\n",
+        "fail",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nSIGNED\r\nA: b\tc\r\nD:\r\n!#$%&'*+-.^_`|~1: \u{e4}\r\nContent-Length:4\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\n",
+        "done",
+    ),
+];
+
+#[test]
+fn sound_answers_of_every_framing_arrive_whole() {
+    check_sound("GET", "", "", &SOUND);
+}
+
+#[test]
+fn sound_answers_to_an_upload_arrive_whole() {
+    let body = "b".repeat(60_000);
+    let fields = format!("Content-Length: {}\r\n", body.len());
+    check_sound("POST", &fields, &body, &SOUND);
+}
+
+#[test]
+fn sound_answers_to_head_arrive_whole() {
+    let cases: [Sound<'_>; 3] = [
+        (
+            "HTTP/1.1 200 OK\r\nSIGNED\r\nContent-Length: 4\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n",
+            "",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nSIGNED\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n",
+            "",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n",
+            "",
+        ),
+    ];
+    check_sound("HEAD", "", "", &cases);
+}
+
+#[test]
+fn sound_streams_of_every_framing_arrive_whole() {
+    let plain = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n";
+    let chunks = events(1, 2).replacen("\r\n", ";a=\"b\tc\";d\r\n", 1);
+    let head = "HTTP/1.1 200 OK\r\nSIGNED\r\nContent-Type: text/event-stream\r\n";
+    let length = format!("{head}Content-Length: {}\r\n\r\n{plain}", plain.len());
+    let until_close = format!("{head}\r\n{plain}");
+    let (first, rest) = until_close.split_at(until_close.len() - 7);
+    let paused = format!("{first}<pause>{rest}");
+    let coded = format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunks}");
+    let chunked = format!("{coded}0;e\r\nF: g\r\n<pause>H: i\r\n\r\n");
+    let interim = format!("HTTP/1.1 100 Continue\r\n\r\n{length}");
+    let messages = [&*length, &until_close, &paused, &chunked, &interim];
+    let runner = start_runner(&messages);
+    let (_store, router) = start_router(&[&runner]);
+    for (number, message) in messages.iter().enumerate() {
+        let text = request("GET", &format!("/stream/{number}"), "", "");
+        let response = send_raw(router.callers, &text);
+        let expected = (plain.to_owned(), true);
+        assert_eq!(decode_chunks(&response), expected, "{message:?}");
+    }
+}
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod interfaces;
 mod log_commands;
+mod messages;
 mod notice;
 mod order;
 mod poison;
