Test that malformed heads are refused

Change: tests of the parser and through a router process: blanks, control bytes, DEL, NUL and a bare CR in names, values and the reason phrase, a line without a colon, a blank before the colon, folded lines, each as the first and as a later field, and malformed status lines.

--- a/crates/http/tests/message.rs
+++ b/crates/http/tests/message.rs
@@ -38,6 +38,74 @@
     assert_eq!(error, Error::HeadTooLong(HEAD_LIMIT_BYTES));
 }
 
+/// Lines that no head may have.
+const MALFORMED_LINES: [&str; 18] = [
+    "A B: c",
+    "A\tB: c",
+    "A\u{1}: c",
+    "A\u{7f}: c",
+    "A\0: c",
+    "A\r: c",
+    "A(: c",
+    "\u{e4}: c",
+    "A",
+    ": c",
+    "A : c",
+    "Content-Length : 4",
+    " A: c",
+    "\tfolded",
+    "A: b\0",
+    "A: b\rc",
+    "A: b\u{1}",
+    "A: b\u{7f}",
+];
+
+#[test]
+fn a_malformed_line_in_a_head_is_rejected() {
+    for line in MALFORMED_LINES {
+        for fields in [
+            format!("{line}\r\nHost: h"),
+            format!("Host: h\r\n{line}"),
+            format!("Host: h\r\n{line}\r\nContent-Length: 4"),
+        ] {
+            let head = format!("HTTP/1.1 200 OK\r\n{fields}\r\n\r\n");
+            let parsed = Response::parse(head.as_bytes(), HEAD_LIMIT_BYTES);
+            assert!(parsed.is_err(), "{fields:?}");
+            let head = format!("GET / HTTP/1.1\r\n{fields}\r\n\r\n");
+            let parsed = Request::parse(head.as_bytes(), HEAD_LIMIT_BYTES);
+            assert!(parsed.is_err(), "{fields:?}");
+        }
+    }
+}
+
+#[test]
+fn a_malformed_status_line_is_rejected() {
+    for line in [
+        "HTTP/1.1 200 O\u{1}K",
+        "HTTP/1.1 200 O\0K",
+        "HTTP/1.1 200 O\rK",
+        "HTTP/1.1 200 O\u{7f}K",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2 0 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1 200\tOK",
+        "HTTP/2.0 200 OK",
+    ] {
+        let head = format!("{line}\r\nContent-Length: 4\r\n\r\n");
+        let parsed = Response::parse(head.as_bytes(), HEAD_LIMIT_BYTES);
+        assert!(parsed.is_err(), "{line:?}");
+    }
+}
+
+#[test]
+fn a_reason_phrase_may_be_missing() {
+    for line in ["HTTP/1.1 200", "HTTP/1.1 200 "] {
+        let head = response(&format!("{line}\r\nContent-Length: 4\r\n\r\n"));
+        assert_eq!((head.status, head.reason.as_str()), (200, ""), "{line:?}");
+    }
+}
+
 #[test]
 fn ambiguous_framing_is_rejected() {
     let ambiguous = [
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -182,3 +182,68 @@
         assert_eq!(decode_chunks(&response), expected, "{message:?}");
     }
 }
+
+/// Checks that a router passes on none of these messages of a runner as an answer.
+fn check_refused(messages: &[&str]) {
+    let runner = start_runner(messages);
+    let (_store, router) = start_router(&[&runner]);
+    for (number, message) in messages.iter().enumerate() {
+        let text = request("POST", &format!("/once/{number}"), "", "");
+        let response = send_raw(router.callers, &text);
+        assert!(
+            response.starts_with("HTTP/1.1 502 "),
+            "{message:?}: {response:?}"
+        );
+        assert_eq!(runner.requests().len(), number + 1, "{message:?}");
+    }
+}
+
+#[test]
+fn an_answer_with_a_malformed_head_is_not_passed_on() {
+    let lines = [
+        "A B: c",
+        "A\tB: c",
+        "A\u{1}: c",
+        "A\u{7f}: c",
+        "A\0: c",
+        "A",
+        ": c",
+        "A : c",
+        "Content-Length : 4",
+        " A: c",
+        "\tfolded",
+        "A: b\0",
+        "A: b\rc",
+        "A: b\u{1}",
+        "A: b\u{7f}",
+        "A(: c",
+        "\u{e4}: c",
+        "A\r: c",
+    ];
+    let mut messages = Vec::new();
+    for line in lines {
+        messages.push(format!(
+            "HTTP/1.1 200 OK\r\n{line}\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone"
+        ));
+        messages.push(format!(
+            "HTTP/1.1 200 OK\r\nSIGNED\r\nContent-Length: 4\r\n{line}\r\n\r\ndone"
+        ));
+    }
+    for line in [
+        "HTTP/1.1 200 O\u{1}K",
+        "HTTP/1.1 200 O\0K",
+        "HTTP/1.1 200 O\rK",
+        "HTTP/1.1 200 O\u{7f}K",
+        "HTTP/1.1 20",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2 0",
+        "HTTP/1.1  200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/1.1\t200 OK",
+        "HTTP/1.1 200\tOK",
+    ] {
+        messages.push(format!("{line}\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone"));
+    }
+    let messages: Vec<&str> = messages.iter().map(String::as_str).collect();
+    check_refused(&messages);
+}
