Refuse responses whose status is not in 100 to 599

Cause: the library checks that a status has three digits, and nothing else did. Change: Response::parse returns Error::Status outside the range of RFC 9110, section 15, so every reader refuses such a message. Evidence: the new test through a router process failed before, with `HTTP/1.1 0 X` and the runner's body; the unit test names the new error, so it does not compile before. Result: the caller gets a 502; statuses 250 and 599 still pass.

--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -9,6 +9,8 @@
     Malformed(String),
     /// head is longer than {0} bytes
     HeadTooLong(usize),
+    /// status {0:03} is not in the range from 100 to 599
+    Status(u16),
     /// more than one header {0}
     DuplicateHeader(&'static str),
     /// both Content-Length and Transfer-Encoding are given
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -127,7 +127,7 @@
 /// Head of a response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Response {
-    /// Status code as received, three digits.
+    /// Status code, from 100 to 599.
     pub status: u16,
     /// Reason phrase, empty if there is none.
     pub reason: String,
@@ -143,16 +143,22 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Malformed`] for bytes that are not a head, and
-    /// [`Error::HeadTooLong`] if the head exceeds `limit`.
+    /// Returns [`Error::Malformed`] for bytes that are not a head, [`Error::HeadTooLong`]
+    /// if the head exceeds `limit`, and [`Error::Status`] if the status is not in the
+    /// range of RFC 9110, section 15.
     pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut headers);
         let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limit)? else {
             return Ok(None);
         };
+        // The library checks that there are three digits.
+        let status = parsed.code.unwrap_or_default();
+        if !(100..=599).contains(&status) {
+            return Err(Error::Status(status));
+        }
         let head = Response {
-            status: parsed.code.unwrap_or_default(),
+            status,
             reason: parsed.reason.unwrap_or_default().to_owned(),
             is_http_1_1: parsed.version == Some(1),
             fields: Fields::from_parsed(parsed.headers),
--- a/crates/http/tests/message.rs
+++ b/crates/http/tests/message.rs
@@ -98,6 +98,29 @@
     }
 }
 
+#[test]
+fn a_status_that_is_not_in_100_to_599_is_rejected() {
+    let parse = |status: &str| {
+        let head = format!("HTTP/1.1 {status} X\r\n\r\n");
+        let parsed = Response::parse(head.as_bytes(), HEAD_LIMIT_BYTES)?;
+        Ok(parsed.map(|(head, _)| head.status))
+    };
+    for (text, status) in [
+        ("000", 0),
+        ("001", 1),
+        ("099", 99),
+        ("600", 600),
+        ("999", 999),
+    ] {
+        assert_eq!(parse(text), Err(Error::Status(status)));
+    }
+    for (text, status) in [("100", 100), ("200", 200), ("250", 250), ("599", 599)] {
+        assert_eq!(parse(text), Ok(Some(status)));
+    }
+    let error = Error::Status(0).to_string();
+    assert_eq!(error, "status 000 is not in the range from 100 to 599");
+}
+
 #[test]
 fn a_reason_phrase_may_be_missing() {
     for line in ["HTTP/1.1 200", "HTTP/1.1 200 "] {
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -247,3 +247,11 @@
     let messages: Vec<&str> = messages.iter().map(String::as_str).collect();
     check_refused(&messages);
 }
+
+#[test]
+fn an_answer_whose_status_is_not_in_100_to_599_is_not_passed_on() {
+    let message =
+        |status: &str| format!("HTTP/1.1 {status} X\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone");
+    let messages = ["000", "001", "099", "600", "999"].map(message);
+    check_refused(&messages.each_ref().map(String::as_str));
+}
