Check trailer fields and chunk extensions

Cause: the decoder skipped trailers and extensions unread. Change: each trailer line is parsed by the library that parses heads, and an extension must not contain control characters other than tab. Evidence: the unit test and three tests through a router process failed before; the tests of sound trailers and extensions, also split at any byte, passed before and pass now. Result: such an answer leads to a 502, such a stream has no end, and such a request gets 400.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -137,9 +137,9 @@
     }
 
     /// Applies a line with its CR LF.
-    fn apply_line(&mut self, line: &[u8]) -> Result<(), Error> {
-        let length = line.len();
-        let line = line
+    fn apply_line(&mut self, full_line: &[u8]) -> Result<(), Error> {
+        let length = full_line.len();
+        let line = full_line
             .strip_suffix(b"\r\n")
             .ok_or(Error::Chunk("line does not end with CR LF"))?;
         self.state = match self.state {
@@ -150,9 +150,10 @@
             State::ChunkEnd if line.is_empty() => State::ChunkSize,
             // The data is not followed by CR LF.
             State::ChunkEnd => return Err(Error::Chunk("data is longer than its size")),
-            // Trailer fields are ignored; an empty line ends the section.
+            // Trailer fields are checked and ignored; an empty line ends the section.
             _ if line.is_empty() => State::Done,
             State::Trailer(before) if before + length <= MAX_TRAILER_BYTES => {
+                check_trailer(full_line)?;
                 State::Trailer(before + length)
             }
             _ => return Err(Error::Chunk("trailer section is too long")),
@@ -168,13 +169,26 @@
     consumed
 }
 
+/// Checks the line of a trailer field with its CR LF.
+fn check_trailer(line: &[u8]) -> Result<(), Error> {
+    // A valid line is only the beginning of a section, which an empty line ends.
+    match httparse::parse_headers(line, &mut [httparse::EMPTY_HEADER]) {
+        Ok(_) => Ok(()),
+        Err(_) => Err(Error::Chunk("trailer field is malformed")),
+    }
+}
+
 /// Parses the size of a chunk, ignoring its extensions. The size must be a hexadecimal
-/// number that fits a `u64`, without blanks around it.
+/// number that fits a `u64`, without blanks around it, and the extensions must not contain
+/// control characters other than tab.
 fn chunk_size(line: &[u8]) -> Result<u64, Error> {
     let digits = line.split(|&b| b == b';').next().unwrap_or_default();
     let text = std::str::from_utf8(digits).unwrap_or_default();
     if text.is_empty() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
         return Err(Error::Chunk("size is not a hexadecimal number"));
     }
+    if line.iter().any(|&b| b.is_ascii_control() && b != b'\t') {
+        return Err(Error::Chunk("extension contains a control character"));
+    }
     u64::from_str_radix(text, 16).map_err(|_| Error::Chunk("size is too large"))
 }
--- a/crates/http/tests/body.rs
+++ b/crates/http/tests/body.rs
@@ -42,6 +42,57 @@
     }
 }
 
+#[test]
+fn malformed_trailers_and_extensions_are_rejected() {
+    let fields = [
+        "A B: c",
+        "A\tB: c",
+        "A\u{1}: c",
+        "A\u{7f}: c",
+        "A\0: c",
+        "A\r: c",
+        "\u{e4}: c",
+        "A",
+        ": c",
+        "A : c",
+        " A: c",
+        "\tfolded",
+        "A: b\u{1}",
+        "A: b\u{7f}",
+        "A: b\0",
+        "A: b\rc",
+    ];
+    let trailers = fields.map(|field| format!("0\r\n{field}\r\n"));
+    let later = fields.map(|field| format!("0\r\nD: e\r\n{field}\r\n"));
+    let extensions = ["a=\u{1}", "a=\"\0\"", "\u{7f}", "a\rb", "a=b;\u{b}"];
+    let first = extensions.map(|extension| format!("4;{extension}\r\n"));
+    let last = extensions.map(|extension| format!("0;{extension}\r\n"));
+    for text in [&trailers[..], &later, &first, &last].concat() {
+        assert!(
+            decode(Framing::Chunked, &[text.as_bytes()]).is_err(),
+            "{text:?}"
+        );
+        for cut in 0..text.len() {
+            let (start, end) = text.as_bytes().split_at(cut);
+            assert!(
+                decode(Framing::Chunked, &[start, end]).is_err(),
+                "{text:?} {cut}"
+            );
+        }
+    }
+}
+
+#[test]
+fn sound_trailers_and_extensions_are_ignored_wherever_they_are_split() {
+    let text = "2;a;b=c;d=\"e\tf; \\\" g\"\r\nab\r\n2;h\r\ncd\r\n0;i=j\r\nK: l\tm \r\nN:\r\n\
+                O:\u{e4}\r\n!#$%&'*+-.^_`|~1: p: q\r\n\r\n";
+    for cut in 0..=text.len() {
+        let (start, end) = text.as_bytes().split_at(cut);
+        let decoded = decode(Framing::Chunked, &[start, end]);
+        assert_eq!(decoded, Ok((b"abcd".to_vec(), true)), "{cut}");
+    }
+}
+
 #[test]
 fn a_close_truncates_a_body_unless_the_body_extends_to_it() {
     for (framing, text) in [
@@ -146,7 +197,7 @@
     assert!(rejected);
 }
 
-/// Trailer fields are ignored, so a sender could continue them for as long as it likes.
+/// Trailer fields are not kept, so a sender could continue them for as long as it likes.
 #[test]
 fn a_trailer_section_without_end_is_rejected() {
     let mut decoder = Decoder::new(Framing::Chunked);
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -4,8 +4,8 @@
 use std::thread;
 use std::time::Duration;
 
-use super::environment::{Runner, header, send_raw};
-use super::{decode_chunks, events, request, start_router};
+use super::environment::{Runner, header, respond, respond_with_body, send_raw};
+use super::{EVENT_STREAM_FIELDS, decode_chunks, events, request, start_router};
 
 /// Fields of an answer to the requests of these tests.
 const SIGNED: &str = "X-Request-Id: q1\r\nX-Answer-Signature: s\r\n";
@@ -255,3 +255,63 @@
     let messages = ["000", "001", "099", "600", "999"].map(message);
     check_refused(&messages.each_ref().map(String::as_str));
 }
+
+/// Chunked bodies of four bytes that are malformed after the first chunk.
+fn malformed_chunks() -> Vec<String> {
+    let trailers = [
+        "A B: c",
+        "A\tB: c",
+        "A\u{1}: c",
+        "A\0: c",
+        "A",
+        ": c",
+        "A : c",
+        " A: c",
+        "D: e\r\n folded",
+        "A: b\u{1}",
+        "A: b\0",
+        "A: b\rc",
+        "A: b\u{7f}",
+    ];
+    let extensions = ["a=\u{1}", "a=\"\0\"", "\u{7f}", "a\rb"];
+    let trailers = trailers.map(|field| format!("4\r\ndone\r\n0\r\n{field}\r\n\r\n"));
+    let first = extensions.map(|extension| format!("4;{extension}\r\ndone\r\n0\r\n\r\n"));
+    let last = extensions.map(|extension| format!("4\r\ndone\r\n0;{extension}\r\n\r\n"));
+    [&trailers[..], &first, &last].concat()
+}
+
+#[test]
+fn an_answer_with_a_malformed_trailer_or_extension_is_not_passed_on() {
+    let message =
+        |body| format!("HTTP/1.1 200 OK\r\nSIGNED\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+    let messages: Vec<String> = malformed_chunks().iter().map(message).collect();
+    let messages: Vec<&str> = messages.iter().map(String::as_str).collect();
+    check_refused(&messages);
+}
+
+#[test]
+fn a_stream_with_a_malformed_trailer_is_not_complete() {
+    let runner = Runner::start(|head, stream| {
+        let body = format!("{}0\r\nA B: c\r\n\r\n", events(1, 2));
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+        false
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("GET", "/stream/x", "", ""));
+    assert!(!decode_chunks(&response).1, "{response}");
+}
+
+#[test]
+fn a_request_with_a_malformed_trailer_or_extension_gets_400() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "done"));
+    let (_store, router) = start_router(&[&runner]);
+    for body in malformed_chunks() {
+        let text = request("POST", "/once/x", "Transfer-Encoding: chunked\r\n", &body);
+        let response = send_raw(router.callers, &text);
+        assert!(
+            response.starts_with("HTTP/1.1 400 "),
+            "{body:?}: {response:?}"
+        );
+    }
+    assert_eq!(runner.requests().len(), 0);
+}
