Refuse Transfer-Encoding in messages of HTTP/1.0

What callers saw: a whole 200 for an answer of HTTP/1.0 with Transfer-Encoding: chunked, and such a request of a caller was forwarded. Cause: the framing was taken from the fields alone, while RFC 9112, section 6.1, calls that of such a message faulty: a hop of HTTP/1.0 may not have decoded it. Change: Framing::of_request and Framing::of_response return Error::CodingVersion. Evidence: both tests through a router process failed before; the unit test names the new error, so it does not compile before. Result: the answer leads to a 502, the request gets 400; an answer of HTTP/1.0 with a length, or that ends with its connection, still passes.

--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -17,6 +17,8 @@
     ConflictingFraming,
     /// transfer coding {0:?} is not supported
     TransferCoding(String),
+    /// Transfer-Encoding is given in a message of HTTP/1.0
+    CodingVersion,
     /// content length {0:?} is not a number
     ContentLength(String),
     /// malformed chunk: {0}
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -36,7 +36,7 @@
         if head.fields.values("host").count() > 1 {
             return Err(Error::DuplicateHeader("Host"));
         }
-        Ok(declared(&head.fields)?.unwrap_or(Framing::Length(0)))
+        Ok(declared(head.is_http_1_1, &head.fields)?.unwrap_or(Framing::Length(0)))
     }
 
     /// Returns the framing of the body of a response to a request with `method`.
@@ -45,7 +45,7 @@
     ///
     /// Returns an error if the framing is malformed or ambiguous.
     pub fn of_response(head: &Response, method: &str) -> Result<Self, Error> {
-        let declared = declared(&head.fields)?;
+        let declared = declared(head.is_http_1_1, &head.fields)?;
         let empty = matches!(head.status, 100..=199 | 204 | 304) || method == "HEAD";
         if empty {
             return Ok(Framing::Length(0));
@@ -55,9 +55,13 @@
 }
 
 /// Returns the framing that the header fields declare, if any.
-fn declared(fields: &Fields) -> Result<Option<Framing>, Error> {
+fn declared(is_http_1_1: bool, fields: &Fields) -> Result<Option<Framing>, Error> {
     let mut codings = fields.values("transfer-encoding");
     let coding = codings.next();
+    // RFC 9112, section 6.1: the framing of such a message is faulty.
+    if coding.is_some() && !is_http_1_1 {
+        return Err(Error::CodingVersion);
+    }
     if codings.next().is_some() {
         return Err(Error::DuplicateHeader("Transfer-Encoding"));
     }
--- a/crates/http/tests/message.rs
+++ b/crates/http/tests/message.rs
@@ -147,6 +147,24 @@
     }
 }
 
+#[test]
+fn a_transfer_coding_of_http_1_0_is_rejected() {
+    for fields in [
+        "Transfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3",
+    ] {
+        let head = request(&format!("POST / HTTP/1.0\r\n{fields}\r\n\r\n"));
+        assert_eq!(Framing::of_request(&head), Err(Error::CodingVersion));
+        for method in ["GET", "HEAD"] {
+            let head = response(&format!("HTTP/1.0 200 OK\r\n{fields}\r\n\r\n"));
+            let framing = Framing::of_response(&head, method);
+            assert_eq!(framing, Err(Error::CodingVersion));
+        }
+    }
+    let head = response("HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\n");
+    assert_eq!(Framing::of_response(&head, "GET"), Ok(Framing::Length(3)));
+}
+
 #[test]
 fn framing_depends_on_fields_method_and_status() {
     let head = request("POST / HTTP/1.1\r\nContent-Length: 12\r\n\r\n");
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -315,3 +315,22 @@
     }
     assert_eq!(runner.requests().len(), 0);
 }
+
+#[test]
+fn an_answer_of_http_1_0_in_chunks_is_not_passed_on() {
+    let fields = "SIGNED\r\nTransfer-Encoding: chunked";
+    check_refused(&[&format!(
+        "HTTP/1.0 200 OK\r\n{fields}\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+    )]);
+}
+
+#[test]
+fn a_request_of_http_1_0_in_chunks_gets_400() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "done"));
+    let (_store, router) = start_router(&[&runner]);
+    let body = "4\r\nbody\r\n0\r\n\r\n";
+    let text = request("POST", "/once/x", "Transfer-Encoding: chunked\r\n", body);
+    let response = send_raw(router.callers, &text.replace("HTTP/1.1", "HTTP/1.0"));
+    assert!(response.starts_with("HTTP/1.1 400 "), "{response}");
+    assert_eq!(runner.requests().len(), 0);
+}
