Close a test runner's connection only after answers that end with it

Cause: sound_answers_of_every_framing_arrive_whole and sound_answers_to_an_upload_arrive_whole failed once (502 runner_broke) in a run beside other work. The test's runner closed its connection after each answer, also after one with a length, without `Connection: close`: the router keeps such a connection, and the next request may be sent over it as it closes. Change: messages name where the runner closes; it keeps the connection otherwise.

--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -13,8 +13,8 @@
 /// Time between the parts of an answer, after which it is not brief.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Starts a runner that answers a request for `/ROUTE/N` with message N, and closes the
-/// connection.
+/// Starts a runner that answers a request for `/ROUTE/N` with message N, with a pause at each
+/// `<pause>`, and closes the connection at `<close>`.
 fn start_runner(messages: &[&str]) -> Runner {
     let signed = |message: &&str| message.replace("SIGNED\r\n", SIGNED);
     let messages: Vec<String> = messages.iter().map(signed).collect();
@@ -22,12 +22,16 @@
         let target = head.split(' ').nth(1).expect("a request target");
         let number = target.rsplit('/').next().expect("a path");
         let number: usize = number.parse().expect("the number of a message");
-        for (index, part) in messages[number].split("<pause>").enumerate() {
+        let (message, closes) = match messages[number].strip_suffix("<close>") {
+            Some(message) => (message, true),
+            None => (messages[number].as_str(), false),
+        };
+        for (index, part) in message.split("<pause>").enumerate() {
             thread::sleep(if index > 0 { PAUSE } else { Duration::ZERO });
             // The router may have closed the connection.
             let _ = stream.write_all(part.as_bytes());
         }
-        false
+        !closes
     })
 }
 
@@ -70,17 +74,17 @@
         "done",
     ),
     (
-        "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\ndone<close>",
         "HTTP/1.1 200 OK\r\n",
         "done",
     ),
     (
-        "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\ndo<pause>ne",
+        "HTTP/1.1 200 OK\r\nSIGNED\r\n\r\ndo<pause>ne<close>",
         "HTTP/1.1 200 OK\r\n",
         "done",
     ),
     (
-        "HTTP/1.0 200 OK\r\nSIGNED\r\n\r\ndo<pause>ne",
+        "HTTP/1.0 200 OK\r\nSIGNED\r\n\r\ndo<pause>ne<close>",
         "HTTP/1.1 200 OK\r\n",
         "done",
     ),
@@ -115,7 +119,7 @@
         "fail",
     ),
     (
-        "HTTP/1.1 500 Bad\r\nSIGNED\r\n\r\nfa<pause>il",
+        "HTTP/1.1 500 Bad\r\nSIGNED\r\n\r\nfa<pause>il<close>",
         "HTTP/1.1 500 Bad\r\n",
         "fail",
     ),
@@ -166,8 +170,8 @@
     let chunks = events(1, 2).replacen("\r\n", ";a=\"b\tc\";d\r\n", 1);
     let head = "HTTP/1.1 200 OK\r\nSIGNED\r\nContent-Type: text/event-stream\r\n";
     let length = format!("{head}Content-Length: {}\r\n\r\n{plain}", plain.len());
-    let until_close = format!("{head}\r\n{plain}");
-    let (first, rest) = until_close.split_at(until_close.len() - 7);
+    let until_close = format!("{head}\r\n{plain}<close>");
+    let (first, rest) = until_close.split_at(until_close.len() - 14);
     let paused = format!("{first}<pause>{rest}");
     let coded = format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunks}");
     let chunked = format!("{coded}0;e\r\nF: g\r\n<pause>H: i\r\n\r\n");
