--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -338,3 +338,31 @@
     assert!(response.starts_with("HTTP/1.1 400 "), "{response}");
     assert_eq!(runner.requests().len(), 0);
 }
+
+#[test]
+fn an_answer_that_also_carries_the_id_of_another_request_is_not_passed_on() {
+    let message =
+        |fields: &str| format!("HTTP/1.1 200 OK\r\n{fields}\r\nContent-Length: 4\r\n\r\ndone");
+    let messages = [
+        "SIGNED\r\nX-Request-Id: q0",
+        "X-Request-Id: q0\r\nSIGNED",
+        "SIGNED\r\nX-Request-Id:",
+        "SIGNED\r\nX-Request-Id: \u{e4}",
+        "SIGNED\r\nX-Answer-Signature: t",
+    ]
+    .map(message);
+    check_refused(&messages.each_ref().map(String::as_str));
+}
+
+/// The id of a late answer to another request may be any bytes.
+#[test]
+fn an_answer_whose_id_is_not_text_is_skipped() {
+    let late = b"HTTP/1.1 500 X\r\nX-Request-Id: \xff\r\nContent-Length: 3\r\n\r\nold";
+    let runner = Runner::start(move |head, stream| {
+        let _ = stream.write_all(late);
+        respond_with_body(stream, head, "mine")
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(response.ends_with("\r\n\r\nmine"), "{response}");
+}
