Skip interim responses wherever responses are read

What callers saw: a router whose store, or a proxy before it, sends `100 Continue` did not become ready; the report of a runner that sends one counted as a report that names no process. Cause: only the reader of answers skipped interim responses. That of reports took one for a report, and the client of the store and of other routers took one for the complete response, since it has no body. Change: Response::parse_final returns the head of the final response, and all three readers use it; the limit of a head holds for it together with the interim ones. Evidence: both tests through a router process failed before (not ready, and no report=listed in the log, within 60 s each); the unit test names the new function. Interim answers before an answer passed before and pass now. Other routers are read by the client of the store, and have no test of their own.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -11,7 +11,7 @@
 
 use crate::socket::Socket;
 
-/// Upper bound of a response head in bytes.
+/// Upper bound of a response head in bytes, with the interim responses before it.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// Purpose of a client connection.
@@ -93,7 +93,7 @@
     pub fn receive(&mut self, bytes: &[u8]) -> Result<Option<Message>, balsamchute_http::Error> {
         self.input.extend_from_slice(bytes);
         if self.head.is_none() {
-            let Some((head, length)) = Response::parse(&self.input, MAX_HEAD_BYTES)? else {
+            let Some((head, length)) = Response::parse_final(&self.input, MAX_HEAD_BYTES)? else {
                 return Ok(None);
             };
             self.input.drain(..length);
--- a/crates/edge/src/identity.rs
+++ b/crates/edge/src/identity.rs
@@ -34,12 +34,12 @@
         if input.len() > MAX_REPORT_BYTES {
             return Some(unknown);
         }
-        let (head, length) = match Response::parse(input, MAX_HEAD_BYTES) {
+        let (head, length) = match Response::parse_final(input, MAX_HEAD_BYTES) {
             Ok(parsed) => parsed?,
             Err(_) => return Some(unknown),
         };
         let framing = match Framing::of_response(&head, "GET") {
-            Ok(framing) if framing != Framing::UntilClose && head.status >= 200 => framing,
+            Ok(framing) if framing != Framing::UntilClose => framing,
             _ => return Some(unknown),
         };
         let (mut decoder, mut body) = (Decoder::new(framing), Vec::new());
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -12,7 +12,7 @@
 
 use crate::socket::Socket;
 
-/// Upper bound of a response head in bytes.
+/// Upper bound of a response head in bytes, with the interim responses before it.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Idle time for which a connection may be reused if the runner does not
@@ -150,25 +150,19 @@
     ///
     /// Returns an error if the bytes are not a valid response.
     pub fn parse_head(&mut self, request_id: &str, method: &str) -> Result<bool, Error> {
-        loop {
-            let Some((head, length)) = Response::parse(&self.input, MAX_HEAD_BYTES)? else {
-                return Ok(false);
-            };
-            self.input.drain(..length);
-            // Interim responses do not end the request.
-            if (100..200).contains(&head.status) {
-                continue;
-            }
-            let framing = Framing::of_response(&head, method)?;
-            self.response = Some(Partial {
-                classification: response::classify(&head, request_id, self.is_reused),
-                decoder: Decoder::new(framing),
-                framing,
-                head,
-                body: Vec::new(),
-            });
-            return Ok(true);
-        }
+        let Some((head, length)) = Response::parse_final(&self.input, MAX_HEAD_BYTES)? else {
+            return Ok(false);
+        };
+        self.input.drain(..length);
+        let framing = Framing::of_response(&head, method)?;
+        self.response = Some(Partial {
+            classification: response::classify(&head, request_id, self.is_reused),
+            decoder: Decoder::new(framing),
+            framing,
+            head,
+            body: Vec::new(),
+        });
+        Ok(true)
     }
 
     /// Returns the time until which the connection may be kept without a request that it
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -166,6 +166,31 @@
         Ok(Some((head, length)))
     }
 
+    /// Parses the head of a final response after any number of interim ones (RFC 9110,
+    /// section 15.2), which have at most `limit` bytes together. Returns the head and the
+    /// number of bytes up to its end, or `None` if `bytes` does not contain that.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Response::parse`].
+    pub fn parse_final(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
+        let mut end = 0;
+        loop {
+            let parsed = Response::parse(&bytes[end..], limit - end);
+            let parsed = parsed.map_err(|error| match error {
+                Error::HeadTooLong(_) => Error::HeadTooLong(limit),
+                error => error,
+            })?;
+            let Some((head, length)) = parsed else {
+                return Ok(None);
+            };
+            end += length;
+            if head.status >= 200 {
+                return Ok(Some((head, end)));
+            }
+        }
+    }
+
     /// Returns whether the connection can carry another message after this one:
     /// HTTP/1.1 without `Connection: close`. Keep-alive of HTTP/1.0 is not supported.
     #[must_use]
--- a/crates/http/tests/message.rs
+++ b/crates/http/tests/message.rs
@@ -121,6 +121,25 @@
     assert_eq!(error, "status 000 is not in the range from 100 to 599");
 }
 
+#[test]
+fn interim_responses_are_skipped_within_the_limit() {
+    let parse = |text: &str, limit| {
+        let parsed = Response::parse_final(text.as_bytes(), limit)?;
+        Ok(parsed.map(|(head, length)| (head.status, length)))
+    };
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+    let text = format!("{interim}HTTP/1.1 200 OK\r\n\r\n");
+    for end in 0..text.len() {
+        assert_eq!(parse(&text[..end], text.len()), Ok(None));
+    }
+    assert_eq!(parse(&text, text.len()), Ok(Some((200, text.len()))));
+    let limit = text.len() - 1;
+    assert_eq!(parse(&text, limit), Err(Error::HeadTooLong(limit)));
+    let endless = interim.repeat(100);
+    assert_eq!(parse(&endless, 1000), Err(Error::HeadTooLong(1000)));
+    assert!(parse(&format!("{interim}HTTP/1.1 600 X\r\n\r\n"), 1000).is_err());
+}
+
 #[test]
 fn a_reason_phrase_may_be_missing() {
     for line in ["HTTP/1.1 200", "HTTP/1.1 200 "] {
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -1,11 +1,18 @@
 //! Messages of runners and the store that break HTTP/1.1, and sound ones of every framing.
 
 use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use super::environment::{Runner, header, respond, respond_with_body, send_raw};
-use super::{EVENT_STREAM_FIELDS, decode_chunks, events, request, start_router};
+use serde_json::json;
+
+use super::environment::{
+    Router, Runner, Store, asks_for_report, header, read_message, report, respond,
+    respond_with_body, send_raw, wait_until,
+};
+use super::{EVENT_STREAM_FIELDS, decode_chunks, entry, events, manifest, request, start_router};
 
 /// Fields of an answer to the requests of these tests.
 const SIGNED: &str = "X-Request-Id: q1\r\nX-Answer-Signature: s\r\n";
@@ -366,3 +373,94 @@
     let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
     assert!(response.ends_with("\r\n\r\nmine"), "{response}");
 }
+
+/// Starts a relay to the store that writes `interim` before each response.
+fn start_relay(store: SocketAddr, interim: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut near in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut far = TcpStream::connect(store).expect("the store accepts");
+                while let Some((head, body)) = read_message(&mut near) {
+                    let written = far.write_all(&[head.as_bytes(), &body].concat());
+                    written.expect("the store reads");
+                    let Some((head, body)) = read_message(&mut far) else {
+                        return;
+                    };
+                    // The router may have closed the connection.
+                    let _ = near.write_all(&[interim.as_bytes(), head.as_bytes(), &body].concat());
+                }
+            });
+        }
+    });
+    address
+}
+
+/// An interim response without a length would end with the connection.
+#[test]
+fn interim_responses_of_the_store_are_skipped() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "done"));
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+    let router = Router::start("r1", start_relay(store.address, interim));
+    router.wait_ready();
+    let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(response.ends_with("done"), "{response}");
+    assert!(store.writes() > 0);
+}
+
+/// Starts a runner whose connections `handle` serves.
+fn start_connections<F>(handle: F) -> SocketAddr
+where
+    F: Fn(TcpStream) + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handle = handle.clone();
+            thread::spawn(move || handle(stream));
+        }
+    });
+    address
+}
+
+/// Starts a router with one runner that names its start, 1, in its entry.
+fn start_with_born(address: SocketAddr) -> (Store, Router) {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let mut listed = entry(address, "s").expect("an entry");
+    listed["born"] = json!(1);
+    store.put("servers", "i-0", Some(listed));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    (store, router)
+}
+
+#[test]
+fn interim_answers_before_a_report_are_skipped() {
+    let address = start_connections(|mut stream| {
+        while let Some((head, _)) = read_message(&mut stream) {
+            if asks_for_report(&head) {
+                // The router may have closed the connection.
+                let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\n\r\n");
+                report(&mut stream, 1);
+                continue;
+            }
+            respond(&mut stream, &head, 200, "", "until ");
+            thread::sleep(PAUSE);
+            let _ = stream.write_all(b"the end");
+            return;
+        }
+    });
+    let (_store, router) = start_with_born(address);
+    let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+    assert!(response.ends_with("\r\n\r\nuntil the end"), "{response}");
+    wait_until("the log names the process that reported", || {
+        router.log().contains("report=listed")
+    });
+}
