Refuse status 101, since no upgrade is requested

What callers saw: a 200 made of the bytes after a `101 Switching Protocols`. Cause: 101 was skipped like an interim response, but ends HTTP on the connection, and the router forwards no Upgrade field, so no runner may send it. Change: parse_final returns Error::Upgrade, for all readers. Evidence: the test through a router process failed before; the unit test names the new error. Result: the caller gets a 502.

--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -11,6 +11,8 @@
     HeadTooLong(usize),
     /// status {0:03} is not in the range from 100 to 599
     Status(u16),
+    /// status 101 without a request for an upgrade
+    Upgrade,
     /// more than one header {0}
     DuplicateHeader(&'static str),
     /// both Content-Length and Transfer-Encoding are given
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -5,6 +5,8 @@
 /// Maximum number of header fields in a head; a head with more is malformed.
 const MAX_FIELDS: usize = 128;
 
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Header fields in the order in which they were received.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Fields(Vec<(String, Vec<u8>)>);
@@ -172,7 +174,8 @@
     ///
     /// # Errors
     ///
-    /// Same as [`Response::parse`].
+    /// Same as [`Response::parse`], and [`Error::Upgrade`] for an interim response that
+    /// changes the protocol, which no request asks for.
     pub fn parse_final(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
         let mut end = 0;
         loop {
@@ -185,8 +188,10 @@
                 return Ok(None);
             };
             end += length;
-            if head.status >= 200 {
-                return Ok(Some((head, end)));
+            match head.status {
+                SWITCHING_PROTOCOLS => return Err(Error::Upgrade),
+                100..=199 => {}
+                _ => return Ok(Some((head, end))),
             }
         }
     }
--- a/crates/http/tests/message.rs
+++ b/crates/http/tests/message.rs
@@ -140,6 +140,17 @@
     assert!(parse(&format!("{interim}HTTP/1.1 600 X\r\n\r\n"), 1000).is_err());
 }
 
+#[test]
+fn a_change_of_the_protocol_is_rejected() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let upgrade = "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n";
+    let rest = "HTTP/1.1 200 OK\r\n\r\n";
+    for text in [format!("{upgrade}{rest}"), format!("{interim}{upgrade}")] {
+        let parsed = Response::parse_final(text.as_bytes(), HEAD_LIMIT_BYTES);
+        assert_eq!(parsed, Err(Error::Upgrade), "{text}");
+    }
+}
+
 #[test]
 fn a_reason_phrase_may_be_missing() {
     for line in ["HTTP/1.1 200", "HTTP/1.1 200 "] {
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -374,6 +374,15 @@
     assert!(response.ends_with("\r\n\r\nmine"), "{response}");
 }
 
+/// 101 ends HTTP on the connection, so what follows is no answer.
+#[test]
+fn an_upgrade_that_was_not_requested_is_not_passed_on() {
+    check_refused(&[
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 101 X\r\nSIGNED\r\nContent-Length: 4\r\n\r\ndone",
+    ]);
+}
+
 /// Starts a relay to the store that writes `interim` before each response.
 fn start_relay(store: SocketAddr, interim: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
