Do not take a late answer for the report of a living process

What callers saw: half an answer without a length as a complete one, when its process ended and a late copy of another answer was under way on a kept connection, over which the router asked for the report. Cause: any message with a length counted as a report, and one that names no process counts as proof that the process lives if the connection is older than the end; so did malformed bytes. Change: messages that carry a request's id are answers and are skipped, since the report may follow; malformed bytes, and an answer that ends with its connection, are no report. ends.rs records a report only if there was one. Evidence: the first test failed before (end_judged complete=true report=unnamed witness=false); now complete=false report=none. The second test, in which the report follows the copy, passed before (by the copy) and passes now (by the report). A late answer without an id still counts as a report, as a runner without reports may answer 404.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -305,7 +305,7 @@
         let now = self.now();
         let mut endings = self.endings.waiting.iter_mut();
         let asked = endings.find(|ending| ending.asked_index == Some(index) && ending.id == id);
-        if let Some(ending) = asked {
+        if let (Some(ending), true) = (asked, identity.is_report) {
             ending.reported = Some(Process::new(ending.started_at, identity.started_at));
         }
         let Some(Slot::Upstream(connection)) = self.slots.get_mut(index) else {
--- a/crates/edge/src/identity.rs
+++ b/crates/edge/src/identity.rs
@@ -1,6 +1,7 @@
 //! Response of a runner to the question which process it is.
 
-use balsamchute_adapter::runner;
+use balsamchute_adapter::{response, runner};
+use balsamchute_http::Error;
 use balsamchute_http::body::Decoder;
 use balsamchute_http::framing::Framing;
 use balsamchute_http::head::Response;
@@ -17,6 +18,9 @@
 /// What a connection shows of the process that it leads to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Identity {
+    /// Whether the response may be a report. Another message, such as a late answer to a
+    /// request, does not show that the process lives.
+    pub is_report: bool,
     /// Start of the process in milliseconds since the Unix epoch, if it names it.
     pub started_at: Option<u64>,
     /// Whether the connection can carry a request after the report.
@@ -24,35 +28,49 @@
 }
 
 impl Identity {
-    /// Reads the response to a report request. Returns `None` until it is complete. A response
-    /// that is not a report names no start.
+    /// Nothing, from bytes that are not a report.
+    const UNKNOWN: Identity = Identity {
+        is_report: false,
+        started_at: None,
+        is_reusable: false,
+    };
+
+    /// Reads the response to a report request, which has no id. Answers to requests before it
+    /// are skipped. Returns `None` until it is complete. A response that is not a report names
+    /// no start.
     pub fn parse(input: &[u8]) -> Option<Self> {
-        let unknown = Identity {
-            started_at: None,
-            is_reusable: false,
-        };
         if input.len() > MAX_REPORT_BYTES {
-            return Some(unknown);
+            return Some(Identity::UNKNOWN);
         }
-        let (head, length) = match Response::parse_final(input, MAX_HEAD_BYTES) {
-            Ok(parsed) => parsed?,
-            Err(_) => return Some(unknown),
-        };
-        let framing = match Framing::of_response(&head, "GET") {
-            Ok(framing) if framing != Framing::UntilClose => framing,
-            _ => return Some(unknown),
-        };
-        let (mut decoder, mut body) = (Decoder::new(framing), Vec::new());
-        let Ok(consumed) = decoder.decode(&input[length..], &mut body) else {
-            return Some(unknown);
-        };
-        if !decoder.is_done() {
-            return None;
+        Identity::read(input).unwrap_or(Some(Identity::UNKNOWN))
+    }
+
+    fn read(mut input: &[u8]) -> Result<Option<Self>, Error> {
+        while let Some((head, length)) = Response::parse_final(input, MAX_HEAD_BYTES)? {
+            let framing = Framing::of_response(&head, "GET")?;
+            let is_answer = response::has_request_id(&head);
+            if framing == Framing::UntilClose {
+                return Ok(Some(Identity {
+                    is_report: !is_answer,
+                    ..Identity::UNKNOWN
+                }));
+            }
+            let (mut decoder, mut body) = (Decoder::new(framing), Vec::new());
+            let consumed = decoder.decode(&input[length..], &mut body)?;
+            if !decoder.is_done() {
+                return Ok(None);
+            }
+            input = &input[length + consumed..];
+            if is_answer {
+                continue;
+            }
+            let report = (head.status == 200).then(|| runner::decode_start(&body));
+            return Ok(Some(Identity {
+                is_report: true,
+                started_at: report.and_then(|start| start.ok().flatten()),
+                is_reusable: head.is_keep_alive() && input.is_empty(),
+            }));
         }
-        let report = (head.status == 200).then(|| runner::decode_start(&body));
-        Some(Identity {
-            started_at: report.and_then(|start| start.ok().flatten()),
-            is_reusable: head.is_keep_alive() && length + consumed == input.len(),
-        })
+        Ok(None)
     }
 }
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -1,8 +1,10 @@
 //! Messages of runners and the store that break HTTP/1.1, and sound ones of every framing.
 
+use std::collections::BTreeMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -473,3 +475,85 @@
         router.log().contains("report=listed")
     });
 }
+
+/// Fields of an answer whose connection is kept for longer than the test takes.
+const KEPT_FIELDS: &str = "Keep-Alive: timeout=8\r\nContent-Length: 4\r\n";
+
+/// Returns the response to request q2, whose answer ends with its connection while that of
+/// q1 is kept. Asked for a report there, the runner sends its answer to q1 again, and its
+/// report if `reports`. All other connections end with the answer, and later ones get no
+/// response.
+fn response_before_late_copy(reports: bool) -> (String, String) {
+    let others: Mutex<BTreeMap<SocketAddr, TcpStream>> = Mutex::default();
+    let begun = Barrier::new(2);
+    let (arrive, arrived) = channel();
+    let address = start_connections(move |mut stream| {
+        let peer = stream.peer_addr().expect("an open connection");
+        let others = || others.lock().expect("no thread panicked");
+        others().insert(peer, stream.try_clone().expect("a descriptor"));
+        let mut kept: Option<String> = None;
+        while let Some((head, _)) = read_message(&mut stream) {
+            match &kept {
+                Some(answered) if asks_for_report(&head) => {
+                    respond(&mut stream, answered, 200, KEPT_FIELDS, "kept");
+                    if reports {
+                        report(&mut stream, 0);
+                        continue;
+                    }
+                    return;
+                }
+                _ if asks_for_report(&head) => {}
+                _ if header(&head, "x-request-id") == Some("q1") => {
+                    arrive.send(()).expect("the test goes on");
+                    begun.wait();
+                    others().remove(&peer);
+                    respond(&mut stream, &head, 200, KEPT_FIELDS, "kept");
+                    kept = Some(head);
+                }
+                _ => {
+                    respond(&mut stream, &head, 200, "", "first half");
+                    begun.wait();
+                    thread::sleep(2 * PAUSE);
+                    others().remove(&peer);
+                    for other in std::mem::take(&mut *others()).into_values() {
+                        // The router may have closed it.
+                        let _ = other.shutdown(Shutdown::Both);
+                    }
+                    return;
+                }
+            }
+        }
+    });
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    store.put("servers", "i-0", entry(address, "s"));
+    let router = Router::start("r1", store.address);
+    router.wait_ready();
+    let (callers, first) = (router.callers, request("POST", "/once/x", "", ""));
+    let second = first.replace("q1", "q2");
+    let kept = thread::spawn(move || send_raw(callers, &first));
+    arrived.recv().expect("the runner gets the request");
+    let response = send_raw(callers, &second);
+    let kept = kept.join().expect("the caller ends");
+    assert!(kept.ends_with("\r\n\r\nkept"), "{kept}");
+    wait_until("the log has the verdict on the end", || {
+        router.log().contains("event=end_judged")
+    });
+    (response, router.log())
+}
+
+/// Its process may have ended after it sent the copy.
+#[test]
+fn a_late_copy_of_another_answer_does_not_show_that_the_process_lives() {
+    let (response, log) = response_before_late_copy(false);
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}\n{log}");
+}
+
+#[test]
+fn a_report_after_a_late_copy_of_another_answer_shows_that_the_process_lives() {
+    let (response, log) = response_before_late_copy(true);
+    assert!(
+        response.ends_with("\r\n\r\nfirst half"),
+        "{response}\n{log}"
+    );
+}
