Wait for the router's object in the test of interim responses

Cause: interim_responses_of_the_store_are_skipped failed in 1 of 24 runs, four at once beside other work: the router writes its object to the store some time after it is ready, and the test looked at once. Change: it waits for the write.

--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -420,7 +420,7 @@
     router.wait_ready();
     let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
     assert!(response.ends_with("done"), "{response}");
-    assert!(store.writes() > 0);
+    wait_until("the router has written its object", || store.writes() > 0);
 }
 
 /// Starts a runner whose connections `handle` serves.
