--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -5,6 +5,8 @@
 /// Maximum number of header fields in a head; a head with more is malformed.
 const MAX_FIELDS: usize = 128;
 
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Header fields in the order in which they were received.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Fields(Vec<(String, Vec<u8>)>);
@@ -127,7 +129,7 @@
 /// Head of a response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Response {
-    /// Status code as received, three digits.
+    /// Status code, from 100 to 599.
     pub status: u16,
     /// Reason phrase, empty if there is none.
     pub reason: String,
@@ -143,16 +145,22 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Malformed`] for bytes that are not a head, and
-    /// [`Error::HeadTooLong`] if the head exceeds `limit`.
+    /// Returns [`Error::Malformed`] for bytes that are not a head, [`Error::HeadTooLong`]
+    /// if the head exceeds `limit`, and [`Error::Status`] if the status is not in the
+    /// range of RFC 9110, section 15.
     pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut headers);
         let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limit)? else {
             return Ok(None);
         };
+        // The library checks that there are three digits.
+        let status = parsed.code.unwrap_or_default();
+        if !(100..=599).contains(&status) {
+            return Err(Error::Status(status));
+        }
         let head = Response {
-            status: parsed.code.unwrap_or_default(),
+            status,
             reason: parsed.reason.unwrap_or_default().to_owned(),
             is_http_1_1: parsed.version == Some(1),
             fields: Fields::from_parsed(parsed.headers),
@@ -160,6 +168,34 @@
         Ok(Some((head, length)))
     }
 
+    /// Parses the head of a final response after any number of interim ones (RFC 9110,
+    /// section 15.2), which have at most `limit` bytes together. Returns the head and the
+    /// number of bytes up to its end, or `None` if `bytes` does not contain that.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Response::parse`], and [`Error::Upgrade`] for an interim response that
+    /// changes the protocol, which no request asks for.
+    pub fn parse_final(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, Error> {
+        let mut end = 0;
+        loop {
+            let parsed = Response::parse(&bytes[end..], limit - end);
+            let parsed = parsed.map_err(|error| match error {
+                Error::HeadTooLong(_) => Error::HeadTooLong(limit),
+                error => error,
+            })?;
+            let Some((head, length)) = parsed else {
+                return Ok(None);
+            };
+            end += length;
+            match head.status {
+                SWITCHING_PROTOCOLS => return Err(Error::Upgrade),
+                100..=199 => {}
+                _ => return Ok(Some((head, end))),
+            }
+        }
+    }
+
     /// Returns whether the connection can carry another message after this one:
     /// HTTP/1.1 without `Connection: close`. Keep-alive of HTTP/1.0 is not supported.
     #[must_use]
