--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod plain;
 pub mod platform;
 pub mod prompt;
+pub mod raw;
 pub mod record;
 mod stream;
--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -1,11 +1,12 @@
 //! HTTP agents whose connect errors are distinguishable from all other errors.
 
 use balsamchute_base::prelude::*;
+use balsamchute_transport::{Connection, Connector};
 use displaydoc::Display;
 use ureq::Agent;
 use ureq::http::Response;
 use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector};
+use ureq::unversioned::transport::{self, ConnectionDetails};
 
 use crate::error::Error;
 use crate::settings::Settings;
@@ -30,12 +31,12 @@
 
 impl std::error::Error for ConnectError {}
 
-/// TCP connector that wraps its errors in [`ConnectError`].
+/// Connector that wraps its errors in [`ConnectError`].
 #[derive(Debug, Default)]
-struct Dialer(TcpConnector);
+struct Dialer(Connector);
 
-impl Connector<()> for Dialer {
-    type Out = <TcpConnector as Connector<()>>::Out;
+impl transport::Connector for Dialer {
+    type Out = Connection;
 
     fn connect(
         &self,
--- a/crates/target/src/plain.rs
+++ b/crates/target/src/plain.rs
@@ -5,7 +5,6 @@
 
 use balsamchute_base::prelude::*;
 use ureq::Body;
-use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ureq::http::{Response, StatusCode};
 
 use crate::dial::{self, Agents};
@@ -88,7 +87,7 @@
         if response.status() != StatusCode::OK {
             return Err(dial::status_error(response));
         }
-        if !announces_end(&response) {
+        if !balsamchute_transport::announces_end(&response) {
             return Err(Error::MayHaveRun {
                 reason: "the answer has neither a length nor chunks".to_owned(),
             });
@@ -155,9 +154,3 @@
         false
     }
 }
-
-/// Returns whether the end of the body can be told from a connection that breaks off.
-fn announces_end(response: &Response<Body>) -> bool {
-    let fields = response.headers();
-    fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
-}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,30 @@
+//! Connections of `ureq` clients on which every received byte is checked.
+//!
+//! `ureq` takes a reset for the end of a body that ends with its connection, decodes a
+//! body of HTTP/1.0 in chunks as plain bytes, and accepts any status from 100 to 999. All
+//! clients of this project therefore use the [`Connector`] of this crate, which parses
+//! responses by the same code as the edge router and fails the call of a response that is
+//! malformed or broken off.
+
+mod check;
+mod connector;
+mod error;
+
+use ureq::Body;
+use ureq::http::Response;
+use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+
+pub use check::Check;
+pub use connector::{Connection, Connector};
+pub use error::Error;
+
+/// Returns whether the response shows where its body ends, by a length or in chunks.
+///
+/// A body that ends with its connection may be incomplete, as the process that sent it
+/// may have ended. Only a format that shows its own end makes up for that.
+#[must_use]
+pub fn announces_end(response: &Response<Body>) -> bool {
+    // The connection has refused other transfer codings than chunks.
+    let fields = response.headers();
+    fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
+}
