Refuse exported cache state that only the end of a connection completes

What callers saw: no caller of the export exists yet in the router; an operator's or a later caller's import would have stored a part of an engine's cache state.

Cause: the state is raw bytes, which don't show their own end, and export read a response without a length or chunks up to the end of the connection. An engine that dies in the middle of it closes the connection as well.

Change: export has the check of plain services' answers, announces_end.

Evidence: cache_state_whose_end_only_the_connection_shows_is_not_exported failed before (close: Ok with the four bytes sent); it passes with close and reset. State with a length and in chunks is exported (sound_answers_of_each_framing_are_complete).

--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -201,11 +201,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::ErrorResponse`] if the engine has no state of the prefix.
+    /// Returns [`Error::ErrorResponse`] if the engine has no state of the prefix, and
+    /// [`Error::Malformed`] if the state may be incomplete.
     pub fn export(&self, target: SocketAddr, prefix: &str) -> Result<Vec<u8>, Error> {
         let response = self.get(&cache_url(target, prefix))?;
         match response.status() {
-            StatusCode::OK => read_body(response, MAX_CACHE_STATE_BYTES),
+            StatusCode::OK if balsamchute_transport::announces_end(&response) => {
+                read_body(response, MAX_CACHE_STATE_BYTES)
+            }
+            StatusCode::OK => Err(Error::Malformed {
+                reason: "the state has neither a length nor chunks".to_owned(),
+            }),
             _ => Err(dial::status_error(response)),
         }
     }
--- a/crates/target/tests/messages.rs
+++ b/crates/target/tests/messages.rs
@@ -127,6 +127,14 @@
     }
 }
 
+#[test]
+fn cache_state_whose_end_only_the_connection_shows_is_not_exported() {
+    for end in [End::Close, End::Reset] {
+        let state = export("HTTP/1.1 200 OK\r\n\r\nstat", end);
+        assert!(state.is_err(), "{end:?}: {state:?}");
+    }
+}
+
 #[test]
 fn sound_answers_of_each_framing_are_complete() {
     for response in [
