Take x-not-run for an attestation only if it is given once

What callers saw: a non-idempotent request may run twice, as a response with "x-not-run: 1" and "x-not-run: 0" counted as an attestation that it did not run, so that it was sent again.

Cause: the first of several fields was read.

Change: a response with more than one such field attests nothing; the call may have run.

Evidence: fields_that_contradict_each_other_do_not_attest_that_a_call_did_not_run failed before (Refused) and passes now; a_refused_call_did_not_run keeps the other side.

--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -140,10 +140,9 @@
 /// [`Error::Refused`] if the target attests that the request did not run,
 /// otherwise [`Error::ErrorResponse`].
 pub fn status_error(mut response: Response<ureq::Body>) -> Error {
-    let attested = response
-        .headers()
-        .get(NOT_RUN_HEADER)
-        .is_some_and(|value| value == "1");
+    let mut values = response.headers().get_all(NOT_RUN_HEADER).iter();
+    // Repeated fields may contradict each other.
+    let attested = values.next().is_some_and(|value| value == "1") && values.next().is_none();
     let body = response.body_mut().with_config().limit(MAX_REASON_BYTES);
     let text = body.lossy_utf8(true).read_to_string().unwrap_or_default();
     let status = response.status();
--- a/crates/target/tests/messages.rs
+++ b/crates/target/tests/messages.rs
@@ -127,6 +127,13 @@
     }
 }
 
+#[test]
+fn fields_that_contradict_each_other_do_not_attest_that_a_call_did_not_run() {
+    let response = "HTTP/1.1 503 X\r\nx-not-run: 1\r\nx-not-run: 0\r\ncontent-length: 0\r\n\r\n";
+    let error = call(response, End::Open).unwrap_err();
+    assert!(error.may_have_run(), "{error:?}");
+}
+
 #[test]
 fn cache_state_whose_end_only_the_connection_shows_is_not_exported() {
     for end in [End::Close, End::Reset] {
