--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,11 +6,13 @@
 use std::time::Instant;
 
 use balsamchute_base::prelude::*;
+use balsamchute_transport::Connector;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use rand::RngExt;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use ureq::http::{Response, StatusCode};
+use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Body};
 
 use crate::budget::{Bucket, Retries};
@@ -134,13 +136,12 @@
     /// Creates a client of the platform at `address` without connecting to it.
     #[must_use]
     pub fn new(address: SocketAddr, settings: Settings) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
             .proxy(None)
             .timeout_connect(Some(settings.connect_timeout.into()))
-            .build()
-            .new_agent();
+            .build();
         let state = State {
             call_budget: Bucket::new(settings.calls_per_second, settings.burst, Time(0)),
             retry_budget: Retries::new(settings.retry_ratio, MAX_SAVED_RETRIES),
@@ -149,7 +150,7 @@
         Self {
             address,
             settings,
-            agent,
+            agent: Agent::with_parts(config, Connector::default(), DefaultResolver::default()),
             started: Instant::now(),
             state: Mutex::new(state),
         }
