Refuse objects that only the end of a connection completes

What callers saw: the client gave the part of an object that arrived before the store's process died or reset the connection as the object. The objects so far are JSON or MessagePack, of which a part does not parse, so a configuration or an entry of the claim log counted as malformed in the store; raw bytes would have been cut.

Cause: get and watch read a response without a length or chunks up to the end of the connection.

Change: such a response is malformed. Lists and the list of instances are JSON arrays, which show their own end, and are still read.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -456,6 +456,9 @@
 fn read_object(call: &str, response: Response<Body>) -> Result<Object, Error> {
     let version =
         version_header(&response).ok_or_else(|| malformed(call, "no x-version header"))?;
+    if !balsamchute_transport::announces_end(&response) {
+        return Err(malformed(call, "neither a length nor chunks"));
+    }
     let bytes = read_body(call, response)?;
     Ok(Object { version, bytes })
 }
--- a/crates/platform/tests/messages.rs
+++ b/crates/platform/tests/messages.rs
@@ -21,6 +21,19 @@
     Client::new(platform, settings)
 }
 
+#[test]
+fn an_object_whose_end_only_the_connection_shows_is_not_read() {
+    for fields in ["", "transfer-encoding: gzip\r\n"] {
+        for end in [End::Close, End::Reset] {
+            let response = format!("HTTP/1.1 200 OK\r\nx-version: 3\r\n{fields}\r\nval");
+            let client = client(&response, end);
+            for object in [client.get("a").map(Some), client.watch("a", 0, Span(1))] {
+                assert!(object.is_err(), "{fields:?}, {end:?}: {object:?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn an_object_with_malformed_framing_is_not_read() {
     for head in ["HTTP/1.0 200 OK", "HTTP/1.1 200 OK\r\ncontent-length: 3"] {
