Read the version of an object only if it is given once

What callers saw: a version of the store's object, or of a write, that the response contradicts, so that a later write conflicts or replaces a change of another writer.

Cause: the first of several x-version fields was read.

Change: a response with more than one x-version field has none: a read is malformed, the effect of a write is unknown.

Evidence: versions_that_contradict_each_other_are_malformed failed before (Ok(Object { version: 3, .. })) and passes now.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -427,8 +427,13 @@
 }
 
 fn version_header(response: &Response<Body>) -> Option<u64> {
-    let value = response.headers().get("x-version")?;
-    value.to_str().ok()?.parse().ok()
+    let mut values = response.headers().get_all("x-version").iter();
+    let value = values.next()?;
+    // Repeated fields may contradict each other.
+    match values.next() {
+        Some(_) => None,
+        None => value.to_str().ok()?.parse().ok(),
+    }
 }
 
 fn not_found(path: &str) -> Error {
--- a/crates/platform/tests/messages.rs
+++ b/crates/platform/tests/messages.rs
@@ -62,6 +62,20 @@
     }
 }
 
+#[test]
+fn versions_that_contradict_each_other_are_malformed() {
+    let response =
+        "HTTP/1.1 200 OK\r\nx-version: 3\r\nx-version: 4\r\ncontent-length: 3\r\n\r\nval";
+    let client = client(response, End::Open);
+    let object = client.get("a");
+    assert!(matches!(object, Err(Error::Malformed { .. })), "{object:?}");
+    let written = client.put_if("a", 3, b"val");
+    assert!(
+        matches!(written, Err(Error::ResponseLost { .. })),
+        "{written:?}"
+    );
+}
+
 #[test]
 fn a_malformed_response_to_a_write_leaves_its_effect_unknown() {
     for response in [
