Pass on outcomes of another router only if they arrived whole

What callers saw: GET /v1/outcome at a router that asks the router of the key returned a part of the end record as a complete 200 with a length, after the other process was killed or its connection reset; also a body with chunk sizes in it, and status 999.

Cause: the router passes on the status and the body of the other router's response. It read a body without a length or chunks up to the end of the connection, of which ureq reports a reset as an end in good order, and gave the part a length.

Change: the agents for other routers use the connector of balsamchute-transport, and the response must have a length or chunks; otherwise the caller gets a 503. The agents no longer take a proxy from the environment, which the connector does not support. Other responses of routers protect themselves: answers are lines with a digest and an end record, control messages are MessagePack.

Evidence: an_outcome_that_another_router_does_not_send_whole_is_not_passed_on failed before in 10 of its 12 cases (200 with {"out, by close and by reset; 200 with "2\r\n{}\r\n0\r\n\r\n"; 999) and passes now. Outcomes with a length and in chunks are passed on (an_outcome_that_another_router_sends_whole_is_passed_on).

--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -9,7 +9,9 @@
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Event, RequestNumber};
 use balsamchute_metrics::Metrics;
+use balsamchute_transport::Connector;
 use crossbeam_channel::{Receiver, Sender, bounded};
+use ureq::unversioned::resolver::DefaultResolver;
 
 use crate::body;
 use crate::cancel::Cancellations;
@@ -172,20 +174,21 @@
 /// at most four go to the same router, or opens a new one for each request if
 /// `max_idle` is 0.
 fn build_agent(max_idle: usize) -> ureq::Agent {
-    ureq::Agent::config_builder()
+    let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .max_idle_connections(max_idle)
         .max_idle_connections_per_host(max_idle.min(4))
         .max_redirects(0)
+        .proxy(None)
         .input_buffer_size(BUFFER_BYTES)
         .output_buffer_size(BUFFER_BYTES)
         .max_response_header_size(BUFFER_BYTES)
         // An empty value leaves the header out.
         .user_agent("")
         .accept("")
-        .build()
-        .into()
+        .build();
+    ureq::Agent::with_parts(config, Connector::default(), DefaultResolver::default())
 }
 
 /// Returns whether the error is a refused connection, which shows that no
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -8,6 +8,8 @@
 use balsamchute_wire::claim::Reply;
 use balsamchute_wire::record::{End, Outcome};
 use crossbeam_channel::bounded;
+use ureq::Body;
+use ureq::http::Response;
 
 use crate::answer;
 use crate::callers::{query_parameter, send_error, send_json};
@@ -73,27 +75,31 @@
         .get(url)
         .config()
         .timeout_global(Some(LOOKUP_TIMEOUT));
-    let result = call.build().call().map(|mut response| {
-        let status = response.status().as_u16();
-        response
-            .body_mut()
-            .read_to_string()
-            .map(|body| (status, body))
-    });
-    match result {
-        Ok(Ok((status, body))) => {
+    let response = call.build().call().map_err(|error| error.to_string());
+    match response.and_then(read_json) {
+        Ok((status, body)) => {
             answer::respond_with_json(request, status, body);
         }
-        Ok(Err(error)) | Err(error) => {
+        Err(reason) => {
             send_error(
                 request,
                 503,
-                &format!("router \"{instance}\" did not answer: {error}"),
+                &format!("router \"{instance}\" did not answer: {reason}"),
             );
         }
     }
 }
 
+/// Returns the status and the body of another router's response.
+fn read_json(mut response: Response<Body>) -> Result<(u16, String), String> {
+    if !balsamchute_transport::announces_end(&response) {
+        return Err("the response has neither a length nor chunks".to_owned());
+    }
+    let body = response.body_mut().read_to_string();
+    let body = body.map_err(|error| error.to_string())?;
+    Ok((response.status().as_u16(), body))
+}
+
 /// Responds with the reply of the claim log.
 fn serve_from_log(context: &Context, request: Request, workspace: Workspace, key: &Key) {
     let (sender, receiver) = bounded(1);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,10 +1,10 @@
 //! Connections of `ureq` clients on which every received byte is checked.
 //!
 //! `ureq` takes a reset for the end of a body that ends with its connection, decodes a
-//! body of HTTP/1.0 in chunks as plain bytes, and accepts any status from 100 to 999. All
-//! clients of this project therefore use the [`Connector`] of this crate, which parses
-//! responses by the same code as the edge router and fails the call of a response that is
-//! malformed or broken off.
+//! body of HTTP/1.0 in chunks as plain bytes, and accepts any status from 100 to 999. The
+//! clients of targets, of the platform and of other routers therefore use the [`Connector`]
+//! of this crate, which parses responses by the same code as the edge router and fails the
+//! call of a response that is malformed or broken off.
 
 mod check;
 mod connector;
