Test that malformed and cut requests of the native interface are not accepted

The caller's side of the native interface reads heads and bodies by crates/http. A body that ends before its length or its last chunk, faulty chunks, contradictory framing and malformed field names get a 400; no test showed that. No change of code: the cases passed at once.

--- a/crates/router/tests/border.rs
+++ b/crates/router/tests/border.rs
@@ -176,3 +176,52 @@
     );
     assert!(health.starts_with("HTTP/1.1 503"), "{health}");
 }
+
+/// Guards against a request that is malformed, or breaks off before its end, and counts as
+/// whole.
+#[test]
+fn requests_that_are_malformed_or_break_off_are_not_accepted() {
+    let router = start_router();
+    for (version, rest) in [
+        ("1.1", "Content-Length: 3\r\n\r\n{}"),
+        ("1.1", "Transfer-Encoding: chunked\r\n\r\n"),
+        ("1.1", "Transfer-Encoding: chunked\r\n\r\n2\r\n{"),
+        ("1.1", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"),
+        ("1.1", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\na: b\r\n",
+        ),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\n\r\n+2\r\n{}\r\n0\r\n\r\n",
+        ),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}}\r\n0\r\n\r\n",
+        ),
+        ("1.1", "Transfer-Encoding: gzip\r\n\r\n{}"),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        ),
+        ("1.1", "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}"),
+        ("1.1", "a b: c\r\nContent-Length: 2\r\n\r\n{}"),
+        ("1.1", "a\u{1}b: c\r\nContent-Length: 2\r\n\r\n{}"),
+        ("1.1", "a\r\nContent-Length: 2\r\n\r\n{}"),
+        ("1.1", "a : b\r\nContent-Length: 2\r\n\r\n{}"),
+        ("2.0", "Content-Length: 2\r\n\r\n{}"),
+    ] {
+        let request = format!("POST /v1/run/draft HTTP/{version}\r\nx-workspace: w\r\n{rest}");
+        let answer = send_raw(router, request.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 400"), "{request:?}: {answer}");
+    }
+    for rest in [
+        "Content-Length: 2\r\n\r\n{}",
+        "Transfer-Encoding: chunked\r\n\r\n2;a=b\r\n{}\r\n0;c\r\nd: e\r\n\r\n",
+    ] {
+        let request = format!("POST /v1/run/draft HTTP/1.1\r\nx-workspace: w\r\n{rest}");
+        let answer = send_raw(router, request.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 503"), "{request:?}: {answer}");
+    }
+}
