Call targets for callers' requests on connections of their own

What callers saw: the answer of another request. A plain service that sends a second copy of an answer late answered the next idempotent call on the same connection with it; an engine's second copy of a stream became the next request's stream. The lines of an engine and the answers of a service carry nothing by which the request is known.

Cause: idempotent requests were sent on pooled connections. The pool drops a connection on which bytes have arrived before it is used again, not one on which they arrive afterwards.

Change: each request of a caller, and each resumption of a stream, has a new connection, as requests with a key had. Control calls keep the pool: a late copy of a report or an event list is read as one answer at most, and each has an age, a sequence number or an incarnation; that of an order or an import is a known gap.

The test that an idempotent call on a pooled connection reports that it may have run was right as long as there were such calls; it now asserts that calls with and without a key never fail on a target that closes used connections, which is more.

Evidence: a_late_second_answer_is_not_taken_for_that_of_the_next_call (the second call got token "0", expected "1"), a_late_second_stream_is_not_taken_for_that_of_the_next_request (the same) and a_call_never_uses_a_pooled_connection (MayHaveRun) failed before and pass now.

--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -1,6 +1,5 @@
 //! HTTP agents whose connect errors are distinguishable from all other errors.
 
-use balsamchute_base::prelude::*;
 use balsamchute_transport::{Connection, Connector};
 use displaydoc::Display;
 use ureq::Agent;
@@ -51,30 +50,22 @@
 /// HTTP agents of a client.
 #[derive(Clone, Debug)]
 pub struct Agents {
-    /// Agent that keeps idle connections for later calls.
-    pub pooled: Agent,
-    /// Agent that opens a new connection for each call.
-    pub unpooled: Agent,
+    /// Agent of control calls, which keeps idle connections for later ones.
+    pub control: Agent,
+    /// Agent of callers' requests, which opens a new connection for each.
+    ///
+    /// A target may send a second copy of an answer, which on a pooled connection would
+    /// answer the next request. If it closes a pooled connection, the error is the same as
+    /// for a request that it has received.
+    pub requests: Agent,
 }
 
 impl Agents {
     /// Creates both agents with the timeouts and the pool size of `settings`.
     pub fn new(settings: &Settings) -> Self {
         Self {
-            pooled: agent(settings, settings.max_idle_connections),
-            unpooled: agent(settings, 0),
-        }
-    }
-
-    /// Returns the agent for a request with the idempotency key `key`.
-    ///
-    /// If the target closes a pooled connection, the error is the same as for a
-    /// request that it has received. A non-idempotent request, which has a key,
-    /// therefore gets a new connection.
-    pub fn for_request(&self, key: Option<&Key>) -> &Agent {
-        match key {
-            Some(_) => &self.unpooled,
-            None => &self.pooled,
+            control: agent(settings, settings.max_idle_connections),
+            requests: agent(settings, 0),
         }
     }
 }
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -121,8 +121,10 @@
         generation: &Generation<'_>,
     ) -> Result<Stream, Error> {
         let body = serde_json::to_vec(generation).expect("a generation encodes as JSON");
-        let agent = self.agents.for_request(generation.key);
-        let request = agent.post(format!("http://{target}/generate"));
+        let request = self
+            .agents
+            .requests
+            .post(format!("http://{target}/generate"));
         let result = request.content_type("application/json").send(&body[..]);
         let (response, loss_reason) = match result {
             Ok(response) if response.status() == StatusCode::OK => (Some(response), String::new()),
@@ -130,10 +132,10 @@
             Err(error) if dial::is_unsent(&error) => return Err(dial::transport_error(&error)),
             Err(error) => (None, error.to_string()),
         };
-        let (agent, settings) = (&self.agents.pooled, &self.settings);
+        let (agents, settings) = (&self.agents, &self.settings);
         let attempt = generation.attempt;
         Ok(Stream::new(
-            agent,
+            agents,
             settings,
             target,
             attempt,
@@ -178,7 +180,7 @@
             serde_json::to_vec(&FencedOrder { fence, order }).expect("an order encodes as JSON");
         let request = self
             .agents
-            .pooled
+            .control
             .post(format!("http://{target}/order"))
             .config();
         let request = request.timeout_global(Some(self.settings.control_timeout.into()));
@@ -222,7 +224,7 @@
     ///
     /// Returns an error if the engine does not confirm the import.
     pub fn import(&self, target: SocketAddr, prefix: &str, state: &[u8]) -> Result<(), Error> {
-        let request = self.agents.pooled.put(cache_url(target, prefix));
+        let request = self.agents.control.put(cache_url(target, prefix));
         let response = request
             .send(state)
             .map_err(|error| dial::transport_error(&error))?;
@@ -233,7 +235,7 @@
     }
 
     fn get(&self, url: &str) -> Result<Response<Body>, Error> {
-        let request = self.agents.pooled.get(url).config();
+        let request = self.agents.control.get(url).config();
         let request = request.timeout_global(Some(self.settings.control_timeout.into()));
         let response = request.build().call();
         response.map_err(|error| dial::transport_error(&error))
--- a/crates/target/src/plain.rs
+++ b/crates/target/src/plain.rs
@@ -65,7 +65,7 @@
     pub fn call(&self, target: SocketAddr, call: &Call<'_>) -> Result<Vec<u8>, Error> {
         let mut request = self
             .agents
-            .for_request(call.key)
+            .requests
             .post(format!("http://{target}/call"))
             .header("x-attempt", call.attempt.as_str())
             .header("x-workspace", call.workspace.as_str())
@@ -118,7 +118,7 @@
     fn probe(&self, target: SocketAddr) -> Result<Response<Body>, ureq::Error> {
         let request = self
             .agents
-            .pooled
+            .control
             .get(format!("http://{target}/load"))
             .config();
         let request = request.timeout_global(Some(self.settings.control_timeout.into()));
--- a/crates/target/src/settings.rs
+++ b/crates/target/src/settings.rs
@@ -18,7 +18,7 @@
     /// further one, at most eight times. Also the delay between two probes of a
     /// plain service.
     pub recovery_backoff: Span,
-    /// Idle connections kept open for each target.
+    /// Idle connections for control calls that are kept open for each target.
     pub max_idle_connections: usize,
 }
 
--- a/crates/target/src/stream.rs
+++ b/crates/target/src/stream.rs
@@ -10,7 +10,7 @@
 use ureq::http::{Response, StatusCode};
 use ureq::{Agent, Body, BodyReader};
 
-use crate::dial;
+use crate::dial::{self, Agents};
 use crate::error::Error;
 use crate::line::{Line, MAX_LINE_BYTES};
 use crate::settings::Settings;
@@ -76,6 +76,7 @@
 /// After a lost connection the stream resumes from the next token, so that no
 /// token is missing or repeated.
 pub struct Stream {
+    agent: Agent,
     settings: Settings,
     canceller: Canceller,
     reader: Option<LineReader>,
@@ -91,7 +92,7 @@
     /// Creates the stream of `attempt`. `response` is `None` if the response to
     /// the request was lost, and `loss_reason` is the error.
     pub(crate) fn new(
-        agent: &Agent,
+        agents: &Agents,
         settings: &Settings,
         target: SocketAddr,
         attempt: &Attempt,
@@ -99,12 +100,13 @@
         loss_reason: String,
     ) -> Self {
         let canceller = Canceller {
-            agent: agent.clone(),
+            agent: agents.control.clone(),
             url: format!("http://{target}/stream/{attempt}"),
             timeout: settings.control_timeout,
             cancelled: Arc::new(AtomicBool::new(false)),
         };
         Self {
+            agent: agents.requests.clone(),
             settings: settings.clone(),
             canceller,
             reader: response.map(line_reader),
@@ -206,7 +208,7 @@
             if self.is_cancelled() {
                 return Err(self.cancelled_error());
             }
-            match self.canceller.agent.get(&url).call() {
+            match self.agent.get(&url).call() {
                 Ok(response) if response.status() == StatusCode::OK => {
                     self.reader = Some(line_reader(response));
                     return Ok(());
@@ -260,11 +262,11 @@
 }
 
 impl Stream {
-    /// Reads to the end of the body, so that the connection returns to the pool.
+    /// Reads to the end of the body. A close with unread bytes would reset the connection.
     fn finish_body(&mut self) {
         if let Some(mut reader) = self.reader.take() {
             let mut excess = [0; 1];
-            // A connection with data after the end line is closed instead.
+            // The answer is complete whatever follows.
             let _ = reader.read(&mut excess);
         }
     }
