Check the responses of routers to operators' commands

What callers saw: an operator's command took the body of a malformed response, such as one of HTTP/1.0 with a transfer coding or one with an unknown coding, for a router's status. A POST, such as the release of a fingerprint, counted as done by such a 200.

Cause: the commands used ureq without the check that the other clients have.

Change: they use it too, by the function agent of balsamchute-transport, which the clients of the platform and of routers now share.

Evidence: a_malformed_or_cut_status_of_a_router_is_not_shown failed before (HTTP/1.0 with a transfer coding, exit code 0) and passes now. A status that ends with its connection, which JSON shows to be whole, with a length and in chunks is shown (a_sound_status_of_a_router_is_shown_in_each_framing). The release itself has no test.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,13 +6,11 @@
 use std::time::Instant;
 
 use balsamchute_base::prelude::*;
-use balsamchute_transport::Connector;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use rand::RngExt;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use ureq::http::{Response, StatusCode};
-use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Body};
 
 use crate::budget::{Bucket, Retries};
@@ -150,7 +148,7 @@
         Self {
             address,
             settings,
-            agent: Agent::with_parts(config, Connector::default(), DefaultResolver::default()),
+            agent: balsamchute_transport::agent(config),
             started: Instant::now(),
             state: Mutex::new(state),
         }
--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -9,9 +9,7 @@
 use balsamchute_base::prelude::*;
 use balsamchute_dispatch::event::{Event, RequestNumber};
 use balsamchute_metrics::Metrics;
-use balsamchute_transport::Connector;
 use crossbeam_channel::{Receiver, Sender, bounded};
-use ureq::unversioned::resolver::DefaultResolver;
 
 use crate::body;
 use crate::cancel::Cancellations;
@@ -188,7 +186,7 @@
         .user_agent("")
         .accept("")
         .build();
-    ureq::Agent::with_parts(config, Connector::default(), DefaultResolver::default())
+    balsamchute_transport::agent(config)
 }
 
 /// Returns whether the error is a refused connection, which shows that no
--- a/src/commands/wait.rs
+++ b/src/commands/wait.rs
@@ -60,13 +60,13 @@
 }
 
 fn agent() -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
         .timeout_global(Some(RESPONSE_TIMEOUT))
-        .build()
-        .new_agent()
+        .build();
+    balsamchute_transport::agent(config)
 }
 
 /// Returns the routers that do not have `version` in force, each with the reason.
--- a/src/router.rs
+++ b/src/router.rs
@@ -83,13 +83,13 @@
 impl Client {
     /// Creates a client that follows no redirects and uses no proxy.
     pub fn new() -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
             .proxy(None)
             .timeout_global(Some(RESPONSE_TIMEOUT))
-            .build()
-            .new_agent();
+            .build();
+        let agent = balsamchute_transport::agent(config);
         Client { agent }
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod command;
 mod edge;
 mod explain;
+mod responses;
 mod serve;
