Test that a forwarded answer that breaks off is not complete

The connection between two routers is reset or closed in the middle of an answer that one forwards to the other. Its lines show no end then, and the caller gets an end record with the outcome unknown and the number of tokens.

--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -12,6 +12,7 @@
 use balsamchute_router::Sockets;
 use balsamchute_router::hooks::Hooks;
 use balsamchute_router::settings::Settings;
+use balsamchute_standin::link::Link;
 use balsamchute_standin::{engine, plain, platform};
 use balsamchute_wire::config::Document;
 use balsamchute_wire::record::{End, Outcome, Record};
@@ -90,6 +91,25 @@
         self.routers.push(callers);
     }
 
+    /// Starts a router that the others reach through a link.
+    fn start_linked_router(&mut self, index: usize) -> Link {
+        let (callers, callers_socket) = bind();
+        let (upstream, inner_socket) = bind();
+        let link = Link::start("127.0.0.1:0".parse().expect("address is valid"), upstream)
+            .expect("link starts");
+        let inner = link.address();
+        let text = format!(
+            "instance: r{index}\ndomain: d1\ncallers: {callers}\ninner: {inner}\nplatform: {}\n",
+            self.platform.address()
+        );
+        let settings = Settings::parse(&text).expect("settings are valid");
+        self.platform.put_instance(instance(index, inner));
+        let sockets = Sockets::new(callers_socket, inner_socket);
+        thread::spawn(move || balsamchute_router::serve_on(sockets, settings, Hooks::new()));
+        self.routers.push(callers);
+        link
+    }
+
     /// Waits until each router lists `count` routers.
     fn wait_ready(&self, count: usize) {
         let start = Instant::now();
@@ -443,6 +463,39 @@
     assert_eq!(fleet.plain.records().len(), 30);
 }
 
+/// Guards against a forwarded answer that counts as complete although its connection
+/// between the routers was reset or closed.
+#[test]
+fn a_forwarded_answer_that_breaks_off_is_not_complete() {
+    for is_reset in [true, false] {
+        let mut fleet = Fleet::start(1);
+        let link = fleet.start_linked_router(1);
+        fleet.wait_ready(2);
+        let url = format!("http://{}/v1/address?workspace=w1", fleet.routers[1]);
+        let mut response = ureq::get(url).call().expect("router responds");
+        let body = response.body_mut().read_to_string();
+        let address: serde_json::Value =
+            serde_json::from_str(&body.expect("response body is text")).expect("body is JSON");
+        let key = address["key"].as_str().expect("response has a key");
+        let (texts, end) = thread::scope(|scope| {
+            let body = r#"{"tokens":40000}"#;
+            let router = fleet.routers[0];
+            let caller = scope.spawn(move || run(router, "draft", "w1", Some(key), body));
+            while fleet.engine.running() == 0 {
+                thread::sleep(Duration::from_millis(1));
+            }
+            thread::sleep(Duration::from_millis(200));
+            match is_reset {
+                true => link.reset().expect("connections are reset"),
+                false => link.close(),
+            }
+            caller.join().expect("caller reads its answer to the end")
+        });
+        assert_eq!(end.outcome, Outcome::Unknown, "{is_reset}: {end:?}");
+        assert_eq!(end.tokens, texts.len() as u64, "{is_reset}: {end:?}");
+    }
+}
+
 /// Sends a request on a new connection, waits for the start of the response and
 /// returns the open connection.
 fn request_health(router: SocketAddr) -> std::io::Result<std::net::TcpStream> {
