--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -134,13 +134,12 @@
     /// Creates a client of the platform at `address` without connecting to it.
     #[must_use]
     pub fn new(address: SocketAddr, settings: Settings) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
             .proxy(None)
             .timeout_connect(Some(settings.connect_timeout.into()))
-            .build()
-            .new_agent();
+            .build();
         let state = State {
             call_budget: Bucket::new(settings.calls_per_second, settings.burst, Time(0)),
             retry_budget: Retries::new(settings.retry_ratio, MAX_SAVED_RETRIES),
@@ -149,7 +148,7 @@
         Self {
             address,
             settings,
-            agent,
+            agent: balsamchute_transport::agent(config),
             started: Instant::now(),
             state: Mutex::new(state),
         }
@@ -426,8 +425,13 @@
 }
 
 fn version_header(response: &Response<Body>) -> Option<u64> {
-    let value = response.headers().get("x-version")?;
-    value.to_str().ok()?.parse().ok()
+    let mut values = response.headers().get_all("x-version").iter();
+    let value = values.next()?;
+    // Repeated fields may contradict each other.
+    match values.next() {
+        Some(_) => None,
+        None => value.to_str().ok()?.parse().ok(),
+    }
 }
 
 fn not_found(path: &str) -> Error {
@@ -455,6 +459,9 @@
 fn read_object(call: &str, response: Response<Body>) -> Result<Object, Error> {
     let version =
         version_header(&response).ok_or_else(|| malformed(call, "no x-version header"))?;
+    if !balsamchute_transport::announces_end(&response) {
+        return Err(malformed(call, "neither a length nor chunks"));
+    }
     let bytes = read_body(call, response)?;
     Ok(Object { version, bytes })
 }
--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -1,11 +1,11 @@
 //! HTTP agents whose connect errors are distinguishable from all other errors.
 
-use balsamchute_base::prelude::*;
+use balsamchute_transport::{Connection, Connector};
 use displaydoc::Display;
 use ureq::Agent;
 use ureq::http::Response;
 use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector};
+use ureq::unversioned::transport::{self, ConnectionDetails};
 
 use crate::error::Error;
 use crate::settings::Settings;
@@ -30,12 +30,12 @@
 
 impl std::error::Error for ConnectError {}
 
-/// TCP connector that wraps its errors in [`ConnectError`].
+/// Connector that wraps its errors in [`ConnectError`].
 #[derive(Debug, Default)]
-struct Dialer(TcpConnector);
+struct Dialer(Connector);
 
-impl Connector<()> for Dialer {
-    type Out = <TcpConnector as Connector<()>>::Out;
+impl transport::Connector for Dialer {
+    type Out = Connection;
 
     fn connect(
         &self,
@@ -50,30 +50,22 @@
 /// HTTP agents of a client.
 #[derive(Clone, Debug)]
 pub struct Agents {
-    /// Agent that keeps idle connections for later calls.
-    pub pooled: Agent,
-    /// Agent that opens a new connection for each call.
-    pub unpooled: Agent,
+    /// Agent of control calls, which keeps idle connections for later ones.
+    pub control: Agent,
+    /// Agent of callers' requests, which opens a new connection for each.
+    ///
+    /// A target may send a second copy of an answer, which on a pooled connection would
+    /// answer the next request. If it closes a pooled connection, the error is the same as
+    /// for a request that it has received.
+    pub requests: Agent,
 }
 
 impl Agents {
     /// Creates both agents with the timeouts and the pool size of `settings`.
     pub fn new(settings: &Settings) -> Self {
         Self {
-            pooled: agent(settings, settings.max_idle_connections),
-            unpooled: agent(settings, 0),
-        }
-    }
-
-    /// Returns the agent for a request with the idempotency key `key`.
-    ///
-    /// If the target closes a pooled connection, the error is the same as for a
-    /// request that it has received. A non-idempotent request, which has a key,
-    /// therefore gets a new connection.
-    pub fn for_request(&self, key: Option<&Key>) -> &Agent {
-        match key {
-            Some(_) => &self.unpooled,
-            None => &self.pooled,
+            control: agent(settings, settings.max_idle_connections),
+            requests: agent(settings, 0),
         }
     }
 }
@@ -139,10 +131,9 @@
 /// [`Error::Refused`] if the target attests that the request did not run,
 /// otherwise [`Error::ErrorResponse`].
 pub fn status_error(mut response: Response<ureq::Body>) -> Error {
-    let attested = response
-        .headers()
-        .get(NOT_RUN_HEADER)
-        .is_some_and(|value| value == "1");
+    let mut values = response.headers().get_all(NOT_RUN_HEADER).iter();
+    // Repeated fields may contradict each other.
+    let attested = values.next().is_some_and(|value| value == "1") && values.next().is_none();
     let body = response.body_mut().with_config().limit(MAX_REASON_BYTES);
     let text = body.lossy_utf8(true).read_to_string().unwrap_or_default();
     let status = response.status();
