Check responses of the library's clients by Response::parse_final

Cause: the check of the clients' connections had its own rules for statuses, interim responses and HTTP/1.0, which crates/http has now as well. Change: it uses those; the tests of the native listener and of targets have cases of malformed trailers, chunk extensions and HTTP/1.0 in chunks.

--- a/crates/router/tests/border.rs
+++ b/crates/router/tests/border.rs
@@ -210,6 +210,22 @@
         ("1.1", "a\u{1}b: c\r\nContent-Length: 2\r\n\r\n{}"),
         ("1.1", "a\r\nContent-Length: 2\r\n\r\n{}"),
         ("1.1", "a : b\r\nContent-Length: 2\r\n\r\n{}"),
+        (
+            "1.0",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        ),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\n\r\n2;a\u{1}\r\n{}\r\n0\r\n\r\n",
+        ),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\na b: c\r\n\r\n",
+        ),
+        (
+            "1.1",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\na\r\n\r\n",
+        ),
         ("2.0", "Content-Length: 2\r\n\r\n{}"),
     ] {
         let request = format!("POST /v1/run/draft HTTP/{version}\r\nx-workspace: w\r\n{rest}");
--- a/crates/target/tests/messages.rs
+++ b/crates/target/tests/messages.rs
@@ -88,6 +88,10 @@
         "transfer-encoding: chunked\r\n\r\n+4\r\nbook\r\n0\r\n\r\n",
         "transfer-encoding: chunked\r\n\r\n 4\r\nbook\r\n0\r\n\r\n",
         "transfer-encoding: chunked\r\n\r\n4\r\nbooks\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n4;a\u{1}\r\nbook\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n4\r\nbook\r\n0\r\na b: c\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n4\r\nbook\r\n0\r\na\u{1}: c\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n4\r\nbook\r\n0\r\na\r\n\r\n",
     ] {
         let answer = call(&format!("HTTP/1.1 200 OK\r\n{rest}"), End::Open);
         let is_lost = matches!(answer, Err(Error::MayHaveRun { .. }));
--- a/crates/transport/src/check.rs
+++ b/crates/transport/src/check.rs
@@ -6,9 +6,6 @@
 
 use crate::error::Error;
 
-/// Statuses of final responses.
-const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
-
 /// Check of the bytes received on one connection. The responses belong to requests of
 /// methods other than `HEAD`, which are sent one after the other.
 #[derive(Debug)]
@@ -21,7 +18,7 @@
 enum State {
     /// No response is due.
     Idle,
-    /// Within the head of a response, after these bytes of it.
+    /// Within the head of a response, after these bytes of it and of the interim ones.
     Head(Vec<u8>),
     /// Within the body of a response.
     Body(Decoder),
@@ -31,7 +28,7 @@
 
 impl Check {
     /// Creates the check of a connection without requests so far. A response head may
-    /// have up to `max_head_bytes`.
+    /// have up to `max_head_bytes`, with the interim responses before it.
     #[must_use]
     pub fn new(max_head_bytes: usize) -> Self {
         Check {
@@ -89,11 +86,12 @@
     fn receive_head(&mut self, mut received: Vec<u8>, bytes: &[u8]) -> Result<usize, Error> {
         let before = received.len();
         received.extend_from_slice(bytes);
-        let Some((head, length)) = Response::parse(&received, self.max_head_bytes)? else {
+        let Some((head, length)) = Response::parse_final(&received, self.max_head_bytes)? else {
             self.state = State::Head(received);
             return Ok(bytes.len());
         };
-        self.state = next_state(&head)?;
+        let framing = Framing::of_response(&head, "GET")?;
+        self.state = body_state(Decoder::new(framing));
         Ok(length - before)
     }
 
@@ -105,23 +103,6 @@
     }
 }
 
-/// Returns the state after a head: at the next head after an interim response, otherwise
-/// in the body.
-fn next_state(head: &Response) -> Result<State, Error> {
-    match head.status {
-        // No client asks for another protocol.
-        101 => return Err(Error::Status(head.status)),
-        100..=199 => return Ok(State::Head(Vec::new())),
-        status if !FINAL_STATUSES.contains(&status) => return Err(Error::Status(status)),
-        _ => {}
-    }
-    if !head.is_http_1_1 && head.fields.values("transfer-encoding").next().is_some() {
-        return Err(Error::TransferCoding);
-    }
-    let framing = Framing::of_response(head, "GET")?;
-    Ok(body_state(Decoder::new(framing)))
-}
-
 fn body_state(decoder: Decoder) -> State {
     match decoder.is_done() {
         true => State::Idle,
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -7,10 +7,6 @@
 pub enum Error {
     /// response is invalid: {0}
     Invalid(balsamchute_http::Error),
-    /// response has status {0}
-    Status(u16),
-    /// response of HTTP/1.0 has a transfer coding
-    TransferCoding,
     /// connection broke off: {0}
     Broken(std::io::Error),
 }
