Do not apply a response of the store that no call asked for

What callers could see: refusals, as a late response that arrived between two calls was applied like one to the next call: a runner left the list that had not left the store. Cause: the client of the store parsed whatever arrived. Change: bytes that arrive while no call is in progress close the connection (event=surplus_bytes), as they do on connections to runners. Result: a_response_of_the_store_to_no_call_is_not_applied failed before (event=runner_gone) and passes. A late response that arrives after the next call began can't be told from the right one: neither carries an id.

--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -169,6 +169,13 @@
                     let Some(Slot::Client(connection)) = self.slots.get_mut(index) else {
                         return;
                     };
+                    // A late response to an earlier call would be taken for that to the next one.
+                    if connection.deadline.is_none() {
+                        let target = connection.purpose.log_target();
+                        log::warn!(target: target, "event=surplus_bytes bytes={length}");
+                        self.close_client(index);
+                        return;
+                    }
                     match connection.receive(&self.read_buffer[..length]) {
                         Ok(Some(message)) => self.handle_client_response(index, &message),
                         Ok(None) => {}
--- a/tests/all/edge/messages.rs
+++ b/tests/all/edge/messages.rs
@@ -385,8 +385,9 @@
     ]);
 }
 
-/// Starts a relay to the store that writes `interim` before each response.
-fn start_relay(store: SocketAddr, interim: &'static str) -> SocketAddr {
+/// Starts a relay to the store that writes `interim` before each response. 50 ms after one
+/// without events, another response with the body `late` follows on the connection.
+fn start_relay(store: SocketAddr, interim: &'static str, late: Option<&'static str>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
@@ -401,6 +402,11 @@
                     };
                     // The router may have closed the connection.
                     let _ = near.write_all(&[interim.as_bytes(), head.as_bytes(), &body].concat());
+                    if let Some(late) = late.filter(|_| body.ends_with(b"\"events\":[]}")) {
+                        thread::sleep(Duration::from_millis(50));
+                        let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n", late.len());
+                        let _ = near.write_all(format!("{head}\r\n{late}").as_bytes());
+                    }
                 }
             });
         }
@@ -416,13 +422,31 @@
     store.put("config", "main", manifest(1, &["k1"]));
     store.put("servers", "i-0", entry(runner.address, "s"));
     let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
-    let router = Router::start("r1", start_relay(store.address, interim));
+    let router = Router::start("r1", start_relay(store.address, interim, None));
     router.wait_ready();
     let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
     assert!(response.ends_with("done"), "{response}");
     wait_until("the router has written its object", || store.writes() > 0);
 }
 
+/// The router calls for runners each 200 ms, so the response arrives between two calls.
+#[test]
+fn a_response_of_the_store_to_no_call_is_not_applied() {
+    let runner = Runner::start(|head, stream| respond_with_body(stream, head, "done"));
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    store.put("servers", "i-0", entry(runner.address, "s"));
+    let late = r#"{"at":99,"events":[{"object":{"metadata":{"name":"i-0"}},"deleted":true}]}"#;
+    let router = Router::start("r1", start_relay(store.address, "", Some(late)));
+    router.wait_ready();
+    wait_until("two late responses were read", || {
+        router.log().matches("event=surplus_bytes").count() > 1
+            || router.log().contains("event=runner_gone")
+    });
+    let log = router.log();
+    assert!(!log.contains("event=runner_gone"), "{log}");
+}
+
 /// Starts a runner whose connections `handle` serves.
 fn start_connections<F>(handle: F) -> SocketAddr
 where
