Never answer a connection that got the index of another one

Cause: make_room lets stalled connections give way and did not leave out the one whose request it makes room for; prepare went on and stored the transaction with the slab index of the closed connection. The class: a slab uses an index again at once, and transactions, endings, the pool, the queue of waiting input and events of the same turn keep indices longer than the connection may live. Change: Account::give_way leaves out the claimant, and make_room fails if its connection is not open. The event loop keeps its sockets in Slots, whose indices carry a serial number and are not used again, so an index whose connection is closed finds none; the poll tokens are these indices.

Ruled out by reading: a close of a caller in progress that leaves its transaction. Only handle_caller_disconnect closes one, and fail, which has taken the transaction before.

The other sides: the slow caller still gets all its answers and then the 503 to its last request; a request of another caller still displaces a stalled one.

--- a/crates/edge/src/edge/accept.rs
+++ b/crates/edge/src/edge/accept.rs
@@ -40,8 +40,8 @@
                 self.record_accepts(true);
                 return;
             }
-            let accepted = match &self.slots[index] {
-                Slot::CallerListener(listener) | Slot::ServerListener(listener, _) => {
+            let accepted = match self.slots.get(index) {
+                Some(Slot::CallerListener(listener) | Slot::ServerListener(listener, _)) => {
                     listener.accept()
                 }
                 _ => return,
@@ -78,8 +78,8 @@
     fn add_connection(&mut self, listener_index: usize, socket: Socket) {
         let now = self.now();
         let descriptors = self.settings.resource_limits.descriptors as f64;
-        let slot = match &self.slots[listener_index] {
-            Slot::ServerListener(_, endpoint) => {
+        let slot = match self.slots.get(listener_index) {
+            Some(Slot::ServerListener(_, endpoint)) => {
                 let endpoint = *endpoint;
                 let limit = descriptors * SERVER_DESCRIPTOR_SHARE;
                 if self.server_count as f64 >= limit {
--- a/crates/edge/src/edge/eviction.rs
+++ b/crates/edge/src/edge/eviction.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns up to [`EVICTION_BATCH`] of the callers' connections for which `age` returns an
-    /// age, with their slab indices, in descending order of it.
+    /// age, with their indices, in descending order of it.
     fn oldest_callers(&self, age: impl Fn(&Connection) -> Option<Span>) -> Vec<(Span, usize)> {
         let ages = self.slots.iter().filter_map(|(index, slot)| match slot {
             Slot::Caller(connection) => Some((age(connection)?, index)),
--- a/crates/edge/src/edge/memory.rs
+++ b/crates/edge/src/edge/memory.rs
@@ -72,8 +72,8 @@
         self.account.admit(&claim, &self.holdings(now))
     }
 
-    /// Makes room for a request that is complete and has `memory` bytes. Returns whether
-    /// there is enough.
+    /// Makes room for a request that is complete and has `memory` bytes; other callers give
+    /// way. Returns whether there is enough and the connection of the request is open.
     pub(super) fn make_room(&mut self, now: Time, index: usize, memory: usize) -> bool {
         let charged = match self.slots.get(index) {
             Some(Slot::Caller(connection)) => connection.charged,
@@ -81,22 +81,23 @@
         };
         // The connection counts for the request until it is charged again.
         let more = memory.saturating_sub(charged);
-        self.displace_stalled(now, more);
-        self.account.excess(more) == 0
+        self.displace_stalled(now, more, Some(index));
+        self.account.excess(more) == 0 && self.slots.contains(index)
     }
 
     /// Lets callers give way if they make the router hold too much.
     pub(super) fn enforce_memory(&mut self) {
         if self.account.excess(0) > 0 {
-            self.displace_stalled(self.now(), 0);
+            self.displace_stalled(self.now(), 0, None);
         }
     }
 
-    fn displace_stalled(&mut self, now: Time, more: usize) {
+    fn displace_stalled(&mut self, now: Time, more: usize, claimant: Option<usize>) {
         if self.account.excess(more) == 0 {
             return;
         }
-        for index in self.account.give_way(more, &self.holdings(now)) {
+        let displaced = self.account.give_way(more, claimant, &self.holdings(now));
+        for index in displaced {
             self.displace(index);
         }
     }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -37,7 +37,6 @@
 use mio::event::Event;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Interest, Registry as Poller, Token};
-use slab::Slab;
 use stakker::{CX, after};
 
 use crate::caller;
@@ -52,6 +51,7 @@
 use crate::pool::Pool;
 use crate::registry::{Registry, Source};
 use crate::server;
+use crate::slots::Slots;
 use crate::socket::{Input, Socket, limit_receive_buffer};
 use crate::stats::Stats;
 use crate::transaction::Transaction;
@@ -77,7 +77,8 @@
 /// Size of the read buffer, which bounds a single read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
-/// A socket registered with the event loop. The slab index is its poll token.
+/// A socket registered with the event loop. Its index in [`Slots`] is its poll token, and is not
+/// used again for another socket.
 #[derive(Debug)]
 enum Slot {
     CallerListener(TcpListener),
@@ -94,7 +95,7 @@
     settings: Settings,
     clock: Clock,
     poller: Poller,
-    slots: Slab<Slot>,
+    slots: Slots<Slot>,
     read_buffer: Vec<u8>,
     output: Output,
     stats: Stats,
@@ -116,7 +117,7 @@
     endings: Endings,
     caller_listener: usize,
     caller_count: usize,
-    // Slab indices of connections whose input was left, to go on with.
+    // Indices of connections whose input was left, to go on with.
     queued: VecDeque<usize>,
     // Bytes that were read from callers in this turn.
     turn_bytes: usize,
@@ -128,7 +129,7 @@
     // Evacuated failure domains; `None` where the platform has no evacuations.
     evacuations: Option<Domains>,
     contact: Contact,
-    // Slab indices of the connections to the store, by kind of object.
+    // Indices of the connections to the store, by kind of object.
     watch_connections: BTreeMap<Kind, usize>,
     // Whether this router's object was written to the store, or is being written.
     announced: bool,
@@ -215,7 +216,7 @@
         let mut edge = Edge {
             clock,
             poller,
-            slots: Slab::new(),
+            slots: Slots::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             output,
             stats: Stats::new().map_err(Error::Metrics)?,
@@ -327,11 +328,13 @@
     fn add_listener(&mut self, address: SocketAddr, slot: Slot) -> Result<usize, Error> {
         let index = self.slots.insert(slot);
         let token = Token(index);
-        let registered = match &mut self.slots[index] {
-            Slot::CallerListener(socket) | Slot::ServerListener(socket, _) => {
+        let registered = match self.slots.get_mut(index) {
+            Some(Slot::CallerListener(socket) | Slot::ServerListener(socket, _)) => {
+                self.poller.register(socket, token, Interest::READABLE)
+            }
+            Some(Slot::PeerSocket(socket)) => {
                 self.poller.register(socket, token, Interest::READABLE)
             }
-            Slot::PeerSocket(socket) => self.poller.register(socket, token, Interest::READABLE),
             _ => Ok(()),
         };
         registered.map_err(|error| listen_error(address, error))?;
@@ -397,7 +400,7 @@
         self.turn_bytes = 0;
     }
 
-    /// Handles a readiness event for the socket at slab index `index`.
+    /// Handles a readiness event for the socket at `index`.
     pub fn handle_ready(&mut self, _cx: CX![], index: usize) {
         match self.slots.get(index) {
             Some(Slot::CallerListener(_) | Slot::ServerListener(..)) => self.accept(index),
@@ -590,7 +593,7 @@
     Error::Listen { address, error }
 }
 
-/// Returns the slab index that an event refers to.
+/// Returns the index that an event refers to.
 pub(crate) fn index_of(event: &Event) -> usize {
     event.token().0
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod process;
 pub mod record;
 pub mod registry;
+pub mod slots;
 pub mod watcher;
 
 mod caller;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -8,7 +8,7 @@
 /// idle. The rest is left to requests in flight and to new routers.
 const IDLE_SHARE: f64 = 0.5;
 
-/// Slab indices of idle connections by runner, the most recently used last.
+/// Indices of idle connections by runner, the most recently used last.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: HashMap<Runner, Vec<usize>>,
@@ -29,7 +29,7 @@
         (per_router as usize).max(1)
     }
 
-    /// Adds the connection with slab index `index`. Returns the least recently used
+    /// Adds the connection with index `index`. Returns the least recently used
     /// one if there are more than `limit`; it must then be closed.
     #[must_use]
     pub fn put(&mut self, runner: &Runner, index: usize, limit: usize) -> Option<usize> {
@@ -44,7 +44,7 @@
         self.idle.get_mut(runner)?.pop()
     }
 
-    /// Removes the connection with slab index `index`.
+    /// Removes the connection with index `index`.
     pub fn remove(&mut self, runner: &Runner, index: usize) {
         if let Some(indices) = self.idle.get_mut(runner) {
             indices.retain(|&other| other != index);
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -30,7 +30,7 @@
 /// A request in flight with the state of its response.
 #[derive(Debug)]
 pub(crate) struct Transaction {
-    /// Slab index of the caller's connection.
+    /// Index of the caller's connection.
     pub caller: usize,
     pub head: Request,
     /// Length of the head in bytes.
@@ -53,7 +53,7 @@
     pub resumes: Option<String>,
     pub splitter: Splitter,
     pub delivery: Delivery,
-    /// Slab index of the connection to the runner during an attempt.
+    /// Index of the connection to the runner during an attempt.
     pub upstream: Option<usize>,
     /// Runners that the request was sent to, one for each attempt.
     pub runners: SmallVec<[Runner; 2]>,
--- a/crates/schedule/src/memory.rs
+++ b/crates/schedule/src/memory.rs
@@ -73,7 +73,7 @@
 /// What one connection or one request in progress makes the router hold.
 #[derive(Clone, Copy, Debug)]
 pub struct Holding<'a> {
-    /// Slab index of the caller's connection.
+    /// Index of the caller's connection.
     pub index: usize,
     /// Bytes that are held or admitted.
     pub bytes: usize,
@@ -86,7 +86,7 @@
 /// A larger body that asks for memory.
 #[derive(Clone, Copy, Debug)]
 pub struct Claim<'a> {
-    /// Slab index of the caller's connection.
+    /// Index of the caller's connection.
     pub index: usize,
     /// Workspace of the request; `None` without an API key.
     pub workspace: Option<&'a Workspace>,
@@ -129,11 +129,17 @@
     }
 
     /// Returns the connections that give way so that `more` bytes fit, the ones that stalled
-    /// longest first. If they are not enough, all that can give way are returned.
+    /// longest first. If they are not enough, all that can give way are returned, but never the
+    /// `claimant` that the bytes are for.
     #[must_use]
-    pub fn give_way(&self, more: usize, holdings: &[Holding<'_>]) -> Vec<usize> {
+    pub fn give_way(
+        &self,
+        more: usize,
+        claimant: Option<usize>,
+        holdings: &[Holding<'_>],
+    ) -> Vec<usize> {
         let mut chosen = Choice::new(holdings, Span(0));
-        chosen.free(self.excess(more), |_| true);
+        chosen.free(self.excess(more), |holding| Some(holding.index) != claimant);
         chosen.indices.into_vec()
     }
 
--- a/crates/schedule/tests/memory.rs
+++ b/crates/schedule/tests/memory.rs
@@ -109,11 +109,27 @@
         holding(3, 5 * MIB, Some(Span(30))),
     ];
     assert_eq!(account.excess(0), 30 * MIB - (MEMORY as f64 * 0.3) as usize);
-    assert_eq!(account.give_way(0, &holdings), [2, 3]);
-    assert_eq!(account.give_way(100 * MIB, &holdings), [2, 3, 1]);
-    assert!(account.give_way(0, &holdings[..1]).is_empty());
+    assert_eq!(account.give_way(0, None, &holdings), [2, 3]);
+    assert_eq!(account.give_way(100 * MIB, None, &holdings), [2, 3, 1]);
+    assert!(account.give_way(0, None, &holdings[..1]).is_empty());
     account.update(5 * MIB, 0);
-    assert!(account.give_way(0, &holdings).is_empty());
+    assert!(account.give_way(0, None, &holdings).is_empty());
+}
+
+// Guards against a caller that is disconnected to make room for its own request.
+#[test]
+fn a_caller_does_not_give_way_to_its_own_request() {
+    let mut account = Account::new(MEMORY);
+    account.update(0, 30 * MIB);
+    let holdings = [5, 1].map(|stalled| Holding {
+        index: stalled,
+        bytes: 5 * MIB,
+        workspace: None,
+        stalled: Some(Span(stalled as u64)),
+    });
+    assert_eq!(account.give_way(0, Some(5), &holdings), [1]);
+    assert!(account.give_way(0, Some(5), &holdings[..1]).is_empty());
+    assert_eq!(account.give_way(0, Some(7), &holdings), [5]);
 }
 
 // Guards against callers that send a byte now and then to seem active, also after a burst.
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod connections;
+mod displaced;
 mod ends;
 pub mod environment;
 mod evacuation;
