Count the unread answers of a caller beside its next request

A caller that reads slowly and pipelines lost its connection, with the answers that it had not read, when the router's memory for requests ran out by its next request; that request was sent to a runner all the same.

Cause: make_room took what the connection held in all, unread answers included, for the body of the request that it makes room for. So a request was admitted above the limit, and enforce_memory then disconnected the caller, which had stalled longest, in the same event. Change: the connection is charged again first, and room is made for all of the request; what is not there is refused with 503 before anything is sent.

--- a/crates/edge/src/edge/memory.rs
+++ b/crates/edge/src/edge/memory.rs
@@ -75,14 +75,10 @@
     /// Makes room for a request that is complete and has `memory` bytes; other callers give
     /// way. Returns whether there is enough and the connection of the request is open.
     pub(super) fn make_room(&mut self, now: Time, index: usize, memory: usize) -> bool {
-        let charged = match self.slots.get(index) {
-            Some(Slot::Caller(connection)) => connection.charged,
-            _ => 0,
-        };
-        // The connection counts for the request until it is charged again.
-        let more = memory.saturating_sub(charged);
-        self.displace_stalled(now, more, Some(index));
-        self.account.excess(more) == 0 && self.slots.contains(index)
+        // The body counts for the request now, and unread answers still for the connection.
+        self.charge(index);
+        self.displace_stalled(now, memory, Some(index));
+        self.account.excess(memory) == 0 && self.slots.contains(index)
     }
 
     /// Lets callers give way if they make the router hold too much.
--- a/tests/all/edge/displaced.rs
+++ b/tests/all/edge/displaced.rs
@@ -172,3 +172,8 @@
 fn an_answer_does_not_go_to_the_caller_accepted_after_its_own_gave_way() {
     check(24_500);
 }
+
+#[test]
+fn a_caller_is_not_disconnected_for_a_request_that_its_unread_answers_leave_no_memory_for() {
+    check(15_500);
+}
