Take the version of a silent runner for unknown where runners name their start

Cause: a runner of which this router knew nothing yet, and which sent no report within 250 ms, was taken for one that does not name its start, and the version of its entry for that of its process. One that had named its start before and was silent now began streams by its entry as well. Change: once a runner of the service has named its start to this router, silence leaves the process unknown: streams are sent there as before, after the same 250 ms, but their origin is unknown, and none goes on there. The version is dropped when the request is written, since the silence may be forgotten before the first event.

What callers lose: a stream that such a runner begins and breaks off is cut off, also if its process is the listed one. Where no runner names its start, nothing changes (edge::restarts::a_report_that_comes_late_is_not_taken_for_the_answer_of_a_stream).

--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -155,6 +155,8 @@
     names_start: Option<bool>,
     /// Time until which the process is not asked for its start, since it did not answer.
     silent_until: Option<Time>,
+    /// Whether a runner of the service had named its start when the process did not answer.
+    is_name_expected: bool,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     peer_sum: PeerSum,
     health: Health,
@@ -177,6 +179,7 @@
             lost_at: None,
             names_start: None,
             silent_until: None,
+            is_name_expected: false,
             peer_loads: BTreeMap::new(),
             peer_sum: PeerSum::default(),
             health: Health::default(),
@@ -273,9 +276,11 @@
         self.refused_at.is_some()
     }
 
-    /// Records that no report came in time over a new connection.
-    pub fn record_silence(&mut self, now: Time) {
+    /// Records that no report came in time over a new connection. `is_name_expected` tells
+    /// whether a runner of the service has named its start.
+    pub fn record_silence(&mut self, now: Time, is_name_expected: bool) {
         self.silent_until = Some(now + SILENCE_TIME);
+        self.is_name_expected = is_name_expected;
     }
 
     /// Lets the process be asked again for its start.
@@ -288,6 +293,7 @@
     pub fn naming(&self) -> Naming {
         match (self.names_start, self.silent_until) {
             (Some(true), Some(_)) => Naming::Silent,
+            (None, Some(_)) if self.is_name_expected => Naming::Silent,
             (Some(true), None) => Naming::Named,
             (Some(false), _) | (None, Some(_)) => Naming::Unnamed,
             (None, None) => Naming::Unknown,
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -24,6 +24,7 @@
 use crate::parts::Parts;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
+use crate::process::Naming;
 use crate::queue::{Flow, Queue, flow};
 use crate::rate::Rates;
 use crate::request::Request;
@@ -83,6 +84,8 @@
     /// Cold starts of the services whose runners are protected after a start.
     cold_starts: BTreeMap<Service, ColdStart>,
     streams: Streams,
+    // Services of which a runner has named the start of its process.
+    naming_services: BTreeSet<Service>,
     router_count: u32,
     /// Home runners of prompt prefixes, for the present set of runners.
     homes: Homes,
@@ -125,6 +128,7 @@
             colds: Colds::new(Bound::default()),
             cold_starts: BTreeMap::new(),
             streams: Streams::new(),
+            naming_services: BTreeSet::new(),
             router_count: 1,
             homes: Homes::default(),
             settled: BTreeMap::new(),
@@ -349,7 +353,8 @@
         }
     }
 
-    /// Records that bytes of the request may have reached its runner.
+    /// Records that bytes of the request may have reached its runner. The version of a process
+    /// that should have named its start, and did not, is unknown.
     pub fn record_write(&mut self, id: Id) {
         if let Some(Pending {
             stage: Stage::Dispatched(dispatch),
@@ -357,6 +362,11 @@
         }) = self.pending.get_mut(&id)
         {
             dispatch.written = true;
+            let target = self.targets.get(&dispatch.runner);
+            let is_silent = target.is_some_and(|target| target.naming() == Naming::Silent);
+            if is_silent && !dispatch.is_verified {
+                dispatch.software = Software::unknown();
+            }
         }
     }
 
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -44,14 +44,17 @@
 
     /// Records which process a new connection for a request leads to.
     pub fn record_process(&mut self, now: Time, id: Id, process: Process) {
-        let Some(Pending {
-            stage: Stage::Dispatched(dispatch),
-            ..
-        }) = self.pending.get_mut(&id)
-        else {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        let Stage::Dispatched(dispatch) = &mut pending.stage else {
             return;
         };
         self.settled.clear();
+        let service = &pending.request.service;
+        if process != Process::Unnamed && !self.naming_services.contains(service) {
+            self.naming_services.insert(service.clone());
+        }
         let target = self.targets.get_mut(&dispatch.runner);
         let is_listed = target.is_some();
         if let Some(target) = target {
@@ -68,11 +71,13 @@
         }
     }
 
-    /// Records that a runner sent no report in time over a new connection.
+    /// Records that a runner sent no report in time over a new connection. If runners of its
+    /// service name their start, its process is unknown until it does.
     pub fn record_silence(&mut self, now: Time, runner: &Runner) {
         self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
-            target.record_silence(now);
+            let is_name_expected = self.naming_services.contains(&target.entry.service);
+            target.record_silence(now, is_name_expected);
         }
     }
 
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -295,6 +295,31 @@
     }
 }
 
+/// The silent process may be the next one of the runner, at another version.
+#[test]
+fn a_stream_that_a_silent_runner_begins_is_of_unknown_version_if_a_runner_has_named_its_start() {
+    for (named_by, taken_up) in [(Some("x"), false), (Some("z"), false), (None, true)] {
+        let mut scheduler = scheduler(100);
+        if let Some(name) = named_by {
+            scheduler.set_runner(NOW, versioned(name, "old", 1));
+            submit(&mut scheduler, NOW, 3, begin(3));
+            scheduler.record_process(NOW, 3, Process::new(1, Some(1)));
+            scheduler.cancel(NOW, 3);
+        }
+        scheduler.remove_runner(&runner("z"));
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+        submit(&mut scheduler, NOW, 1, begin(1));
+        scheduler.record_silence(NOW - Span(4950), &runner("x"));
+        assert!(!scheduler.needs_process(1));
+        assert!(scheduler.may_send(NOW, 1));
+        scheduler.record_write(1);
+        // Before the first event the silence is forgotten, and the runner may be asked again.
+        scheduler.tick(NOW + Span(100));
+        assert!(scheduler.needs_process(1));
+        assert_eq!(is_taken_up_at_y(&mut scheduler), taken_up, "{named_by:?}");
+    }
+}
+
 #[test]
 fn a_stream_that_an_unknown_process_begins_at_a_runner_that_left_the_list_is_of_unknown_version() {
     for (named, taken_up) in [(None, false), (Some(2), false), (Some(1), true)] {
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -198,6 +198,35 @@
     assert!(response.contains("id: 5\n"), "{response}");
 }
 
+/// The process may be the next one of the runner, which has not checked in.
+#[test]
+fn a_stream_that_a_runner_begins_before_its_late_report_is_not_continued_at_the_version_listed() {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let breaks = Arc::new(AtomicBool::new(false));
+    let (late, other) = (runner(&breaks), runner(&breaks));
+    late.set_born(LATE);
+    other.set_born(1);
+    list(&store, "i-1", &other, "v1", 1);
+    let routers = start_routers(&store, 1);
+    let is_logged = |text: &str| routers[0].log().contains(text);
+    let _named = begin(&routers[0], "q1");
+    store.put("servers", "i-1", None);
+    list(&store, "i-0", &late, "v1", 1);
+    wait_until("the entries are listed", || {
+        is_logged("runner=i-0 ") && is_logged("event=runner_gone")
+    });
+    let (mut caller, mut response) = begin(&routers[0], "q2");
+    list(&store, "i-1", &other, "v1", 1);
+    thread::sleep(SPREAD_TIME);
+    breaks.store(true, Ordering::SeqCst);
+    let _ = caller.read_to_string(&mut response);
+    assert!(!response.contains("id: 3\n"), "{response}");
+    let taken_up = request("q3", "Last-Event-Id: 2\r\nResumes: q2\r\n");
+    let response = send_raw(routers[0].callers, &taken_up);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
+
 #[test]
 fn a_runner_that_closes_connections_on_a_request_for_its_report_serves_streams() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
