--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -127,7 +127,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Ending {
     pub id: Id,
-    /// Slab index of the connection that has ended.
+    /// Index of the connection that has ended.
     pub index: usize,
     pub ended_at: Time,
     /// Time after which the end arrived, unless reading was paused.
@@ -142,9 +142,9 @@
     pub is_upload: bool,
     pub runner: Runner,
     pub address: SocketAddr,
-    /// Slab index of the connection made after the end.
+    /// Index of the connection made after the end.
     pub contact_index: usize,
-    /// Slab index of the connection over which the runner's report is asked for.
+    /// Index of the connection over which the runner's report is asked for.
     pub asked_index: Option<usize>,
     /// Start of the process that was listed when the answer's connection was made.
     pub started_at: u64,
@@ -192,7 +192,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Endings {
     pub waiting: Vec<Ending>,
-    /// Slab index of the witness at each address at which an answer may end with its
+    /// Index of the witness at each address at which an answer may end with its
     /// connection; `None` if the runner has closed it.
     pub witnesses: HashMap<SocketAddr, Option<usize>>,
     losses: HashMap<SocketAddr, Time>,
