Order breaks of a runner's connections without the clock

What callers saw: a stream was cut off right after its runner broke it off, though another runner of its version could go on. Cause: an attempt that was sent after a connection to its runner broke, but in the same millisecond, counted as open at that break. When it broke as well, two connections seemed to have ended together, the process was taken for lost, and a stream that it began was of unknown version and went on nowhere. Ruled out: a strict comparison of the times, since it misses two attempts that begin and break together within a millisecond. Change: the router counts the breaks that it records; an attempt notes the count when it is sent, and was open at the last break if that has a higher number. The end of an idle connection still has only the time of its establishment, and a break in the same millisecond counts as later, as before.

--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -20,6 +20,9 @@
 pub(crate) struct Dispatch {
     pub runner: Runner,
     pub sent_at: Time,
+    /// Number of breaks that the router had recorded when it was sent: the clock does not order
+    /// events of one millisecond.
+    pub breaks: u64,
     /// Expected time until the first event of the answer.
     pub estimate: Span,
     /// Prompt tokens that count as not yet prefilled in the runner's load; zero
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -78,6 +78,23 @@
     }
 }
 
+/// Time from which a connection was in use, compared with the breaks of other connections.
+#[derive(Clone, Copy, Debug)]
+pub enum Start {
+    /// After the router had recorded this number of breaks.
+    AfterBreaks(u64),
+    /// At this time. A break in the same millisecond counts as later.
+    At(Time),
+}
+
+/// Break of a connection to the runner.
+#[derive(Clone, Copy, Debug)]
+struct Break {
+    at: Time,
+    /// Number of breaks that the router had recorded with it.
+    number: u64,
+}
+
 /// Attempt whose connection to the runner broke.
 #[derive(Clone, Debug)]
 pub struct Disconnect {
@@ -144,8 +161,8 @@
     /// Time of the last connection that the runner refused, while the process that is listed
     /// may be gone.
     refused_at: Option<Time>,
-    /// Time at which a connection last broke.
-    broken_at: Option<Time>,
+    /// Last connection that broke.
+    last_break: Option<Break>,
     /// Whether no connection that was open beside that one shows that its process lives.
     is_suspected: bool,
     /// Time at which connections last broke that were open at the same time, unless another one
@@ -172,7 +189,7 @@
             disconnects: SmallVec::new(),
             is_probed: true,
             refused_at: None,
-            broken_at: None,
+            last_break: None,
             is_suspected: false,
             lost_at: None,
             names_start: None,
@@ -208,15 +225,21 @@
         self.refused_at = Some(now);
     }
 
-    /// Records that a connection, in use since `opened_at`, ended as it does when the process
-    /// ends. Two that were open at the same time break together if it does.
-    pub fn record_break(&mut self, now: Time, opened_at: Time) {
-        let was_open =
-            |broken_at: Time| opened_at <= broken_at && now.since(broken_at) < CRASH_WINDOW;
-        if self.broken_at.is_some_and(was_open) {
+    /// Records that a connection, in use since `start`, ended as it does when the process ends;
+    /// `number` is the number of breaks that the router has recorded with it. Two that were open
+    /// at the same time break together if the process ends.
+    pub fn record_break(&mut self, now: Time, number: u64, start: Start) {
+        let was_open = |last: Break| match start {
+            Start::AfterBreaks(breaks) => breaks < last.number,
+            Start::At(opened_at) => opened_at <= last.at,
+        };
+        let last = self
+            .last_break
+            .filter(|last| now.since(last.at) < CRASH_WINDOW);
+        if last.is_some_and(was_open) {
             self.lost_at = Some(now);
         }
-        self.broken_at = Some(now);
+        self.last_break = Some(Break { at: now, number });
         self.is_suspected = true;
     }
 
@@ -247,10 +270,11 @@
     /// Ends the doubt about the listed process if it is still listed long after the last
     /// refusal or break, by a list that was confirmed at `confirmed_at`.
     pub fn confirm_process(&mut self, confirmed_at: Time) {
-        let is_outdated = |at: &mut Time| confirmed_at >= *at + REFUSAL_TIME;
-        self.refused_at.take_if(is_outdated);
-        self.lost_at.take_if(is_outdated);
-        if self.broken_at.take_if(is_outdated).is_some() {
+        let is_outdated = |at: Time| confirmed_at >= at + REFUSAL_TIME;
+        self.refused_at.take_if(|at| is_outdated(*at));
+        self.lost_at.take_if(|at| is_outdated(*at));
+        let outdated = self.last_break.take_if(|last| is_outdated(last.at));
+        if outdated.is_some() {
             self.is_suspected = false;
         }
     }
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -8,7 +8,7 @@
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
 use crate::request::Request;
-use crate::runner::Disconnect;
+use crate::runner::{Disconnect, Start};
 use crate::scheduler::Scheduler;
 
 /// Divisor of the latency target that yields the wait of requests beyond their
@@ -77,7 +77,9 @@
             }
             End::Broke => {
                 target.record_failure(now);
-                target.record_break(now, dispatch.sent_at);
+                self.breaks += 1;
+                let start = Start::AfterBreaks(dispatch.breaks);
+                target.record_break(now, self.breaks, start);
                 let entry = &target.entry;
                 let prefix = &self.settings.attempt_prefix;
                 let attempt = Attempt::new(&format!("{prefix}.{id}.{attempt_number}"));
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -378,6 +378,7 @@
         pending.stage = Stage::Dispatched(Dispatch {
             runner: runner.clone(),
             sent_at: now,
+            breaks: self.breaks,
             estimate: rationale.first_event_estimate,
             prefill_tokens: rationale.prefill_tokens,
             kv_tokens,
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -74,6 +74,8 @@
     breakdown: Breakdown,
     budget: Budget,
     crash_suspects: Registry,
+    /// Breaks of connections to runners that were recorded.
+    breaks: u64,
     parts: Parts,
     notices: Notices,
     // Failure domains whose runners get no new attempts.
@@ -118,6 +120,7 @@
             breakdown,
             budget,
             crash_suspects: Registry::new(suspect::Settings::default()),
+            breaks: 0,
             parts,
             notices: Notices::new(),
             evacuated: BTreeSet::new(),
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -6,7 +6,7 @@
 use crate::action::{Action, Failure, Id};
 use crate::pending::{Pending, Stage};
 use crate::process::{Naming, Process};
-use crate::runner::Target;
+use crate::runner::{Start, Target};
 use crate::scheduler::Scheduler;
 use crate::stream::Basis;
 
@@ -99,7 +99,8 @@
     pub fn record_early_end(&mut self, now: Time, runner: &Runner, opened_at: Time) {
         self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
-            target.record_break(now, opened_at);
+            self.breaks += 1;
+            target.record_break(now, self.breaks, Start::At(opened_at));
         }
     }
 
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -247,6 +247,33 @@
     assert_eq!(sent, [(2, "v".to_owned())]);
 }
 
+/// Begins three streams at `x`, each of which breaks before the next one begins.
+#[test]
+fn a_stream_that_begins_after_a_break_in_the_same_millisecond_is_not_taken_for_open_at_it() {
+    let mut scheduler = scheduler(100);
+    for id in 1..=3 {
+        begun_at_x(&mut scheduler, NOW, id);
+        assert_eq!(breaks(&mut scheduler, NOW, id), [(id, "y".to_owned())]);
+        scheduler.cancel(NOW, id);
+        scheduler.remove_runner(&runner("y"));
+    }
+}
+
+#[test]
+fn streams_that_begin_and_break_together_in_a_millisecond_leave_their_process_in_doubt() {
+    let mut scheduler = scheduler(100);
+    begun_at_x(&mut scheduler, NOW, 1);
+    scheduler.remove_runner(&runner("y"));
+    begun_at_x(&mut scheduler, NOW, 2);
+    for id in [1, 2] {
+        assert_eq!(breaks(&mut scheduler, NOW, id), [(id, "y".to_owned())]);
+        scheduler.cancel(NOW, id);
+    }
+    scheduler.remove_runner(&runner("y"));
+    begun_at_x(&mut scheduler, NOW, 3);
+    assert_eq!(breaks(&mut scheduler, NOW, 3), []);
+}
+
 /// Nothing was sent to the other process, so the retry budget is left to failures.
 #[test]
 fn a_stream_that_finds_another_process_than_is_listed_goes_elsewhere_without_retry_budget() {
