Count a crash once for equal requests that it breaks off

Cause: crashes of a request were counted by attempt, so that two equal requests made the two crashes of a refusal out of one. Prompt parts were counted by process, but by the listed one: a runner that starts again under its id and crashes before its new entry arrives counted once for all of its processes.

Change: crashes of both are counted by the name of the process that ended: the runner, the start of its listed process and, after a crash that this router saw, the number of such crashes since the entry arrived. An attempt that was sent before that crash belongs to the earlier process, also if its break is read after the refused connection. Records in the store and in reports keep their form: a name of a process takes the place of the id of an attempt, as in those of parts. BUDGET: a request is still refused from the second process that it crashed, before the third. Copies that come after the first crash go to runners apart from each other, as after a crash of a single one before.

Not changed: a router that did not see the first of two crashes before the new entry arrives gives the second process another name than one that did, so that an equal request at both counts twice. The dispatcher of the native interface counts attempts still, as its slots do not name the process of a runner.

--- a/crates/claim/src/suspect.rs
+++ b/crates/claim/src/suspect.rs
@@ -85,12 +85,13 @@
         }
     }
 
-    /// Records that a target crashed while it ran `attempt`.
-    pub fn record_crash(&mut self, now: Time, fingerprint: u128, attempt: &Attempt) {
+    /// Records that a target crashed while it ran a request with this fingerprint. Crashes of
+    /// the same name, that of the attempt or of the process that crashed, count as one.
+    pub fn record_crash(&mut self, now: Time, fingerprint: u128, crash: &Attempt) {
         let entry = self.entries.get(&fingerprint);
         let suspect = Suspect {
             fingerprint,
-            crashes: vec![attempt.clone()],
+            crashes: vec![crash.clone()],
             releases: entry.map_or(0, |entry| entry.suspect.releases),
         };
         self.merge(now, &suspect);
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -20,8 +20,8 @@
 pub(crate) struct Dispatch {
     pub runner: Runner,
     pub sent_at: Time,
-    /// Number of breaks that the router had recorded when it was sent: the clock does not order
-    /// events of one millisecond.
+    /// Number of breaks and refusals that the router had recorded when it was sent: the clock
+    /// does not order events of one millisecond.
     pub breaks: u64,
     /// Expected time until the first event of the answer.
     pub estimate: Span,
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -102,11 +102,9 @@
     pub broken_at: Time,
     /// Fingerprint of the request, which identifies it across retries.
     pub fingerprint: u128,
-    /// Id of the attempt that was under way.
-    pub attempt: Attempt,
     /// Digests of the shareable prompt parts, empty if the answer had begun.
     pub part_keys: Keys,
-    /// Process of the runner that the connection led to.
+    /// Process of the runner that the connection led to; see [`Target::process`].
     pub process: Attempt,
 }
 
@@ -168,6 +166,11 @@
     /// Time at which connections last broke that were open at the same time, unless another one
     /// shows that their process lives.
     lost_at: Option<Time>,
+    /// Number of crashes that this router saw since the entry arrived. A runner may start again
+    /// under its id and crash before the entry of the next process arrives.
+    crashes: u32,
+    /// Number of breaks that the router had recorded with the last of them.
+    breaks_at_crash: u64,
     /// Whether the process names its start, if that is known.
     names_start: Option<bool>,
     /// Time until which the process is not asked for its start, since it did not answer.
@@ -192,6 +195,8 @@
             last_break: None,
             is_suspected: false,
             lost_at: None,
+            crashes: 0,
+            breaks_at_crash: 0,
             names_start: None,
             silent_until: None,
             peer_loads: BTreeMap::new(),
@@ -214,15 +219,46 @@
         if !is_same(&self.entry) {
             self.refused_at = None;
             self.record_alive();
+            self.crashes = 0;
             self.names_start = None;
             self.silent_until = None;
         }
         self.entry = entry;
     }
 
-    /// Records that the runner refused a connection: the process that is listed is gone.
-    pub fn record_refusal(&mut self, now: Time) {
+    /// Records that the runner refused a connection: the process that is listed is gone. Returns
+    /// the attempts that were in flight when it crashed, by their connections, which broke within
+    /// the crash window. `breaks` is the number of breaks that the router has recorded with this
+    /// refusal.
+    pub fn record_refusal(&mut self, now: Time, breaks: u64) -> SmallVec<[Disconnect; 4]> {
         self.refused_at = Some(now);
+        let mut disconnects = std::mem::take(&mut self.disconnects);
+        disconnects.retain(|disconnect| now.since(disconnect.broken_at) < CRASH_WINDOW);
+        let process = self.process(breaks);
+        let mut names = disconnects.iter().map(|disconnect| &disconnect.process);
+        if names.any(|name| process.as_ref() == Some(name)) {
+            self.crashes += 1;
+            self.breaks_at_crash = breaks;
+        }
+        disconnects
+    }
+
+    /// Returns the name of the process that an attempt reaches which is sent after `breaks`
+    /// recorded breaks: the runner and the start of the listed process, with the number of
+    /// crashes since then that this router saw. All routers give a listed process the same name.
+    /// `None` if the name is too long.
+    #[must_use]
+    pub fn process(&self, breaks: u64) -> Option<Attempt> {
+        let crashes = match breaks < self.breaks_at_crash {
+            true => self.crashes.saturating_sub(1),
+            false => self.crashes,
+        };
+        let (runner, started_at) = (&self.entry.runner, self.entry.started_at);
+        let name = match crashes {
+            0 => format!("{runner}.{started_at}"),
+            crashes => format!("{runner}.{started_at}-{crashes}"),
+        };
+        Attempt::new(&name).ok()
     }
 
     /// Records that a connection, in use since `start`, ended as it does when the process ends;
@@ -256,6 +292,7 @@
                 self.names_start = Some(true);
                 self.refused_at = None;
                 self.record_alive();
+                self.crashes = 0;
             }
             Process::Other => {
                 self.names_start = Some(true);
@@ -450,13 +487,4 @@
         self.is_probed = true;
         true
     }
-
-    /// Removes and returns the attempts whose connections broke within the
-    /// crash window. After a refused connection, these were in flight when the
-    /// runner crashed.
-    pub fn take_recent_disconnects(&mut self, now: Time) -> SmallVec<[Disconnect; 4]> {
-        let mut disconnects = std::mem::take(&mut self.disconnects);
-        disconnects.retain(|disconnect| now.since(disconnect.broken_at) < CRASH_WINDOW);
-        disconnects
-    }
 }
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -48,7 +48,6 @@
     pub(super) fn record_outcome(&mut self, now: Time, id: Id, dispatch: &Dispatch, end: End) {
         let pending = &self.pending[&id];
         let fingerprint = pending.request.fingerprint;
-        let attempt_number = pending.tried.len();
         let part_keys = match dispatch.events {
             0 => pending.part_keys.clone(),
             _ => Keys::new(),
@@ -70,8 +69,8 @@
             End::NoConnection { refused } => {
                 target.eject(now);
                 if refused {
-                    target.record_refusal(now);
-                    let disconnects = target.take_recent_disconnects(now);
+                    self.breaks += 1;
+                    let disconnects = target.record_refusal(now, self.breaks);
                     self.record_crash(now, &disconnects);
                 }
             }
@@ -80,15 +79,11 @@
                 self.breaks += 1;
                 let start = Start::AfterBreaks(dispatch.breaks);
                 target.record_break(now, self.breaks, start);
-                let entry = &target.entry;
-                let prefix = &self.settings.attempt_prefix;
-                let attempt = Attempt::new(&format!("{prefix}.{id}.{attempt_number}"));
-                let process = Attempt::new(&format!("{}.{}", entry.runner, entry.started_at));
-                if let (true, Ok(attempt), Ok(process)) = (dispatch.written, attempt, process) {
+                let process = target.process(dispatch.breaks);
+                if let (true, Some(process)) = (dispatch.written, process) {
                     target.record_disconnect(Disconnect {
                         broken_at: now,
                         fingerprint,
-                        attempt,
                         part_keys,
                         process,
                     });
@@ -101,7 +96,7 @@
     pub(super) fn record_crash(&mut self, now: Time, disconnects: &[Disconnect]) {
         for disconnect in disconnects {
             self.crash_suspects
-                .record_crash(now, disconnect.fingerprint, &disconnect.attempt);
+                .record_crash(now, disconnect.fingerprint, &disconnect.process);
             for &part in &disconnect.part_keys {
                 if let Some(crashes) = self.parts.record_crash(now, part, &disconnect.process) {
                     self.actions.push(Action::Blame { part, crashes });
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -42,8 +42,7 @@
 /// Parameters of the scheduler, fixed for the life of the process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Prefix of attempt ids. It must be unique among all router processes that
-    /// ever ran, restarts included.
+    /// Name of the router process, unique among all that ever ran, restarts included.
     pub attempt_prefix: String,
     /// Failure domain that the router runs in.
     pub domain: String,
@@ -74,7 +73,7 @@
     breakdown: Breakdown,
     budget: Budget,
     crash_suspects: Registry,
-    /// Breaks of connections to runners that were recorded.
+    /// Connections to runners that broke or were refused, as far as recorded.
     breaks: u64,
     parts: Parts,
     notices: Notices,
@@ -273,8 +272,8 @@
         self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
             target.eject(now);
-            target.record_refusal(now);
-            let disconnects = target.take_recent_disconnects(now);
+            self.breaks += 1;
+            let disconnects = target.record_refusal(now, self.breaks);
             self.record_crash(now, &disconnects);
             self.record_cold_refusal(now, runner);
         }
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -98,7 +98,8 @@
 pub struct Suspect {
     /// Digest of workspace, service and body, independent of request id and key.
     pub fingerprint: u128,
-    /// Ids of the attempts during which the target crashed.
+    /// Ids of the attempts during which the target crashed, or names of the processes that
+    /// crashed.
     pub crashes: Vec<Attempt>,
     /// Number of times that the crashes were voided, for example by an operator.
     /// Of two entries, the one with more releases replaces the other.
