--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -78,6 +78,23 @@
     }
 }
 
+/// Time from which a connection was in use, compared with the breaks of other connections.
+#[derive(Clone, Copy, Debug)]
+pub enum Start {
+    /// After the router had recorded this number of breaks.
+    AfterBreaks(u64),
+    /// At this time. A break in the same millisecond counts as later.
+    At(Time),
+}
+
+/// Break of a connection to the runner.
+#[derive(Clone, Copy, Debug)]
+struct Break {
+    at: Time,
+    /// Number of breaks that the router had recorded with it.
+    number: u64,
+}
+
 /// Attempt whose connection to the runner broke.
 #[derive(Clone, Debug)]
 pub struct Disconnect {
@@ -85,11 +102,9 @@
     pub broken_at: Time,
     /// Fingerprint of the request, which identifies it across retries.
     pub fingerprint: u128,
-    /// Id of the attempt that was under way.
-    pub attempt: Attempt,
     /// Digests of the shareable prompt parts, empty if the answer had begun.
     pub part_keys: Keys,
-    /// Process of the runner that the connection led to.
+    /// Process of the runner that the connection led to; see [`Target::process`].
     pub process: Attempt,
 }
 
@@ -144,13 +159,18 @@
     /// Time of the last connection that the runner refused, while the process that is listed
     /// may be gone.
     refused_at: Option<Time>,
-    /// Time at which a connection last broke.
-    broken_at: Option<Time>,
+    /// Last connection that broke.
+    last_break: Option<Break>,
     /// Whether no connection that was open beside that one shows that its process lives.
     is_suspected: bool,
     /// Time at which connections last broke that were open at the same time, unless another one
     /// shows that their process lives.
     lost_at: Option<Time>,
+    /// Number of crashes that this router saw since the entry arrived. A runner may start again
+    /// under its id and crash before the entry of the next process arrives.
+    crashes: u32,
+    /// Number of breaks that the router had recorded with the last of them.
+    breaks_at_crash: u64,
     /// Whether the process names its start, if that is known.
     names_start: Option<bool>,
     /// Time until which the process is not asked for its start, since it did not answer.
@@ -174,9 +194,11 @@
             disconnects: SmallVec::new(),
             is_probed: true,
             refused_at: None,
-            broken_at: None,
+            last_break: None,
             is_suspected: false,
             lost_at: None,
+            crashes: 0,
+            breaks_at_crash: 0,
             names_start: None,
             silent_until: None,
             is_name_expected: false,
@@ -200,26 +222,63 @@
         if !is_same(&self.entry) {
             self.refused_at = None;
             self.record_alive();
+            self.crashes = 0;
             self.names_start = None;
             self.silent_until = None;
         }
         self.entry = entry;
     }
 
-    /// Records that the runner refused a connection: the process that is listed is gone.
-    pub fn record_refusal(&mut self, now: Time) {
+    /// Records that the runner refused a connection: the process that is listed is gone. Returns
+    /// the attempts that were in flight when it crashed, by their connections, which broke within
+    /// the crash window. `breaks` is the number of breaks that the router has recorded with this
+    /// refusal.
+    pub fn record_refusal(&mut self, now: Time, breaks: u64) -> SmallVec<[Disconnect; 4]> {
         self.refused_at = Some(now);
+        let mut disconnects = std::mem::take(&mut self.disconnects);
+        disconnects.retain(|disconnect| now.since(disconnect.broken_at) < CRASH_WINDOW);
+        let process = self.process(breaks);
+        let mut names = disconnects.iter().map(|disconnect| &disconnect.process);
+        if names.any(|name| process.as_ref() == Some(name)) {
+            self.crashes += 1;
+            self.breaks_at_crash = breaks;
+        }
+        disconnects
     }
 
-    /// Records that a connection, in use since `opened_at`, ended as it does when the process
-    /// ends. Two that were open at the same time break together if it does.
-    pub fn record_break(&mut self, now: Time, opened_at: Time) {
-        let was_open =
-            |broken_at: Time| opened_at <= broken_at && now.since(broken_at) < CRASH_WINDOW;
-        if self.broken_at.is_some_and(was_open) {
+    /// Returns the name of the process that an attempt reaches which is sent after `breaks`
+    /// recorded breaks: the runner and the start of the listed process, with the number of
+    /// crashes since then that this router saw. All routers give a listed process the same name.
+    /// `None` if the name is too long.
+    #[must_use]
+    pub fn process(&self, breaks: u64) -> Option<Attempt> {
+        let crashes = match breaks < self.breaks_at_crash {
+            true => self.crashes.saturating_sub(1),
+            false => self.crashes,
+        };
+        let (runner, started_at) = (&self.entry.runner, self.entry.started_at);
+        let name = match crashes {
+            0 => format!("{runner}.{started_at}"),
+            crashes => format!("{runner}.{started_at}-{crashes}"),
+        };
+        Attempt::new(&name).ok()
+    }
+
+    /// Records that a connection, in use since `start`, ended as it does when the process ends;
+    /// `number` is the number of breaks that the router has recorded with it. Two that were open
+    /// at the same time break together if the process ends.
+    pub fn record_break(&mut self, now: Time, number: u64, start: Start) {
+        let was_open = |last: Break| match start {
+            Start::AfterBreaks(breaks) => breaks < last.number,
+            Start::At(opened_at) => opened_at <= last.at,
+        };
+        let last = self
+            .last_break
+            .filter(|last| now.since(last.at) < CRASH_WINDOW);
+        if last.is_some_and(was_open) {
             self.lost_at = Some(now);
         }
-        self.broken_at = Some(now);
+        self.last_break = Some(Break { at: now, number });
         self.is_suspected = true;
     }
 
@@ -236,6 +295,7 @@
                 self.names_start = Some(true);
                 self.refused_at = None;
                 self.record_alive();
+                self.crashes = 0;
             }
             Process::Other => {
                 self.names_start = Some(true);
@@ -250,10 +310,11 @@
     /// Ends the doubt about the listed process if it is still listed long after the last
     /// refusal or break, by a list that was confirmed at `confirmed_at`.
     pub fn confirm_process(&mut self, confirmed_at: Time) {
-        let is_outdated = |at: &mut Time| confirmed_at >= *at + REFUSAL_TIME;
-        self.refused_at.take_if(is_outdated);
-        self.lost_at.take_if(is_outdated);
-        if self.broken_at.take_if(is_outdated).is_some() {
+        let is_outdated = |at: Time| confirmed_at >= at + REFUSAL_TIME;
+        self.refused_at.take_if(|at| is_outdated(*at));
+        self.lost_at.take_if(|at| is_outdated(*at));
+        let outdated = self.last_break.take_if(|last| is_outdated(last.at));
+        if outdated.is_some() {
             self.is_suspected = false;
         }
     }
@@ -432,13 +493,4 @@
         self.is_probed = true;
         true
     }
-
-    /// Removes and returns the attempts whose connections broke within the
-    /// crash window. After a refused connection, these were in flight when the
-    /// runner crashed.
-    pub fn take_recent_disconnects(&mut self, now: Time) -> SmallVec<[Disconnect; 4]> {
-        let mut disconnects = std::mem::take(&mut self.disconnects);
-        disconnects.retain(|disconnect| now.since(disconnect.broken_at) < CRASH_WINDOW);
-        disconnects
-    }
 }
