Name the process name of a scheduler by what it is

Cause: crashes are named by runners' processes now, so attempt_prefix prefixes no attempts. Change: the field is process_name. Result: builds; no logic changed.

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -190,7 +190,7 @@
     ) -> Result<Self, Error> {
         let now = clock.now();
         let scheduler = Scheduler::new(scheduler::Settings {
-            attempt_prefix: format!("{}.{}", settings.instance, clock.start().0),
+            process_name: format!("{}.{}", settings.instance, clock.start().0),
             domain: settings.domain.clone(),
             share_window: settings.bounds.share_window,
             retry_ratio: settings.bounds.retry_ratio,
--- a/crates/schedule/benches/admission.rs
+++ b/crates/schedule/benches/admission.rs
@@ -53,7 +53,7 @@
 /// Creates a scheduler with full runners and waiting requests.
 fn saturated_scheduler(size: Size) -> Scheduler {
     let mut scheduler = Scheduler::new(Settings {
-        attempt_prefix: "r1.1".to_owned(),
+        process_name: "r1.1".to_owned(),
         domain: "a".to_owned(),
         share_window: Span(4000),
         retry_ratio: 0.2,
--- a/crates/schedule/benches/flood.rs
+++ b/crates/schedule/benches/flood.rs
@@ -99,7 +99,7 @@
 /// the requests in progress.
 fn flooded_scheduler(runners: u64) -> (Scheduler, Vec<Id>) {
     let mut scheduler = Scheduler::new(Settings {
-        attempt_prefix: "r1.1".to_owned(),
+        process_name: "r1.1".to_owned(),
         domain: "a".to_owned(),
         share_window: Span(4000),
         retry_ratio: 0.2,
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the router process, unique among all that ever ran, restarts included.
-    pub attempt_prefix: String,
+    pub process_name: String,
     /// Failure domain that the router runs in.
     pub domain: String,
     /// Window in which each workspace gets its fair share. Usage by workspace
@@ -109,8 +109,8 @@
             settings.retry_window,
         );
         let breakdown = Breakdown::new(settings.share_window);
-        let parts = Parts::new(&settings.attempt_prefix);
-        let rates = Rates::new(&settings.attempt_prefix);
+        let parts = Parts::new(&settings.process_name);
+        let rates = Rates::new(&settings.process_name);
         Scheduler {
             settings,
             pending: IndexMap::default(),
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -49,7 +49,7 @@
 /// Creates a scheduler of the router process with this name.
 pub fn named_scheduler(name: &str, retry_slack: u32) -> Scheduler {
     let mut scheduler = Scheduler::new(Settings {
-        attempt_prefix: name.to_owned(),
+        process_name: name.to_owned(),
         domain: "a".to_owned(),
         share_window: Span(4000),
         retry_ratio: 0.2,
