Fetch cache states and send orders on connections of their own

What could happen: the late second copy of an exported cache state was taken for the state of another prefix. Cause: export, import and orders used the pool of control calls, whose responses have nothing that names the call. Change: a new connection for each, as for callers' requests. Load reports and event lists keep the pool.

--- a/crates/target/src/dial.rs
+++ b/crates/target/src/dial.rs
@@ -50,9 +50,11 @@
 /// HTTP agents of a client.
 #[derive(Clone, Debug)]
 pub struct Agents {
-    /// Agent of control calls, which keeps idle connections for later ones.
+    /// Agent of load reports, event lists and cancellations, which keeps idle connections for
+    /// later ones.
     pub control: Agent,
-    /// Agent of callers' requests, which opens a new connection for each.
+    /// Agent of callers' requests, orders and cache states, which opens a new connection for
+    /// each.
     ///
     /// A target may send a second copy of an answer, which on a pooled connection would
     /// answer the next request. If it closes a pooled connection, the error is the same as
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -6,8 +6,8 @@
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use ureq::Body;
 use ureq::http::{Response, StatusCode};
+use ureq::{Agent, Body};
 
 use crate::dial::{self, Agents};
 use crate::error::Error;
@@ -150,7 +150,7 @@
     ///
     /// Returns an error if the engine does not answer or the report is malformed.
     pub fn load_report(&self, target: SocketAddr) -> Result<Report, Error> {
-        let response = self.get(&format!("http://{target}/load"))?;
+        let response = self.get(&self.agents.control, &format!("http://{target}/load"))?;
         parse_json(response)
     }
 
@@ -161,7 +161,10 @@
     ///
     /// Returns an error if the engine does not answer or the list is malformed.
     pub fn cache_events(&self, target: SocketAddr, after: u64) -> Result<Vec<CacheEvent>, Error> {
-        let response = self.get(&format!("http://{target}/events?after={after}"))?;
+        let response = self.get(
+            &self.agents.control,
+            &format!("http://{target}/events?after={after}"),
+        )?;
         parse_json::<EventList>(response).map(|list| list.events)
     }
 
@@ -180,7 +183,7 @@
             serde_json::to_vec(&FencedOrder { fence, order }).expect("an order encodes as JSON");
         let request = self
             .agents
-            .control
+            .requests
             .post(format!("http://{target}/order"))
             .config();
         let request = request.timeout_global(Some(self.settings.control_timeout.into()));
@@ -206,7 +209,7 @@
     /// Returns [`Error::ErrorResponse`] if the engine has no state of the prefix, and
     /// [`Error::Malformed`] if the state may be incomplete.
     pub fn export(&self, target: SocketAddr, prefix: &str) -> Result<Vec<u8>, Error> {
-        let response = self.get(&cache_url(target, prefix))?;
+        let response = self.get(&self.agents.requests, &cache_url(target, prefix))?;
         match response.status() {
             StatusCode::OK if balsamchute_transport::announces_end(&response) => {
                 read_body(response, MAX_CACHE_STATE_BYTES)
@@ -224,7 +227,7 @@
     ///
     /// Returns an error if the engine does not confirm the import.
     pub fn import(&self, target: SocketAddr, prefix: &str, state: &[u8]) -> Result<(), Error> {
-        let request = self.agents.control.put(cache_url(target, prefix));
+        let request = self.agents.requests.put(cache_url(target, prefix));
         let response = request
             .send(state)
             .map_err(|error| dial::transport_error(&error))?;
@@ -234,8 +237,8 @@
         }
     }
 
-    fn get(&self, url: &str) -> Result<Response<Body>, Error> {
-        let request = self.agents.control.get(url).config();
+    fn get(&self, agent: &Agent, url: &str) -> Result<Response<Body>, Error> {
+        let request = agent.get(url).config();
         let request = request.timeout_global(Some(self.settings.control_timeout.into()));
         let response = request.build().call();
         response.map_err(|error| dial::transport_error(&error))
--- a/crates/target/tests/pooled.rs
+++ b/crates/target/tests/pooled.rs
@@ -134,3 +134,46 @@
         assert_eq!(stream.count(), 1);
     }
 }
+
+/// Answers each cache state request with its own path. Before a further answer of a
+/// connection, it repeats its last answer.
+fn start_cache_stutterer() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for connection in listener.incoming() {
+            thread::spawn(move || {
+                let connection = connection.unwrap();
+                let mut reader = BufReader::new(&connection);
+                let mut last = String::new();
+                loop {
+                    let mut line = String::new();
+                    if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                        return;
+                    }
+                    let path = line.split(' ').nth(1).unwrap().to_owned();
+                    read_request(&mut reader);
+                    let response = format!(
+                        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}",
+                        path.len()
+                    );
+                    (&connection)
+                        .write_all((last + &response).as_bytes())
+                        .unwrap();
+                    last = response;
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn a_late_second_cache_state_is_not_taken_for_that_of_another_prefix() {
+    let target = start_cache_stutterer();
+    let client = engine::Client::new(Settings::default());
+    for prefix in ["p1", "p2", "p3"] {
+        let state = String::from_utf8(client.export(target, prefix).unwrap()).unwrap();
+        assert!(state.ends_with(prefix), "state of {prefix:?}: {state:?}");
+    }
+}
