Do not send a request on a connection whose end waits to be read

What callers saw: 502 runner_broke for requests that no runner got. Cause: an idle connection was taken from the pool without a look at it. Its end may have come in the event with the report that was read from it, so that no other event announces it, or its event may come later in the same turn. Change: a connection that is not open is read to its end instead of used.

--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -251,11 +251,15 @@
                     Phase::Idle(deadline)
                         if now < deadline && started_at == Some(connection.started_at) =>
                     {
-                        if !needs_process || connection.is_verified {
+                        if !connection.socket.is_open() {
+                            // Its event is not handled yet, or came with bytes that were read.
+                            self.read_upstream(index, true);
+                        } else if !needs_process || connection.is_verified {
                             found = Some(index);
                             break;
+                        } else {
+                            unverified.push(index);
                         }
-                        unverified.push(index);
                     }
                     _ => self.close(index),
                 },
--- a/tests/all/edge/resets.rs
+++ b/tests/all/edge/resets.rs
@@ -12,7 +12,8 @@
 
 use super::ends::plain_events;
 use super::environment::{
-    Router, Runner, Store, asks_for_report, connect, read_head, report, respond, send_raw,
+    Router, Runner, Store, asks_for_report, connect, read_head, report, respond, respond_with_body,
+    send_raw,
 };
 use super::{decode_chunks, entry, manifest, request, start_router};
 
@@ -277,3 +278,79 @@
         assert!(is_whole, "{response}\n{}", router.log());
     }
 }
+
+/// The end arrives with the report, and no other event announces it.
+#[test]
+fn a_connection_that_ends_with_its_report_carries_no_request() {
+    for is_reset in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                thread::spawn(move || {
+                    let Some(head) = read_head(&mut stream) else {
+                        return;
+                    };
+                    if asks_for_report(&head) {
+                        report(&mut stream, 0);
+                    } else {
+                        respond(&mut stream, &head, 200, "", "body");
+                        return;
+                    }
+                    if is_reset {
+                        reset_on_close(&stream);
+                    }
+                });
+            }
+        });
+        let store = Store::start();
+        store.put("config", "main", manifest(1, &["k1"]));
+        store.put("servers", "i-0", entry(address, "s"));
+        let router = Router::start("r1", store.address);
+        router.wait_ready();
+        for _ in 0..20 {
+            let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+            assert!(
+                response.ends_with("\r\n\r\nbody"),
+                "{is_reset} {response}\n{}",
+                router.log()
+            );
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+}
+
+/// The router handles the event of the caller first.
+#[test]
+fn a_connection_whose_end_waits_to_be_read_carries_no_request() {
+    let (sender, streams) = channel();
+    let sender = Mutex::new(sender);
+    let runner = Runner::start(move |head, stream| {
+        let copy = stream.try_clone().expect("a descriptor");
+        let sent = sender.lock().expect("no thread panicked").send(copy);
+        sent.expect("the test goes on");
+        respond_with_body(stream, head, "body")
+    });
+    let (_store, router) = start_router(&[&runner]);
+    let text = request("POST", "/once/x", "", "");
+    send_raw(router.callers, &text);
+    let kept: TcpStream = streams.recv().expect("the runner gets the request");
+    let mut caller = connect(router.callers);
+    thread::sleep(Duration::from_millis(20));
+    router.signal(Signal::SIGSTOP);
+    thread::sleep(Duration::from_millis(5));
+    caller
+        .write_all(text.as_bytes())
+        .expect("an open connection");
+    thread::sleep(Duration::from_millis(5));
+    kept.shutdown(Shutdown::Both).expect("an open connection");
+    thread::sleep(Duration::from_millis(5));
+    router.signal(Signal::SIGCONT);
+    let mut response = String::new();
+    let _ = caller.read_to_string(&mut response);
+    assert!(
+        response.ends_with("\r\n\r\nbody"),
+        "{response}\n{}",
+        router.log()
+    );
+}
