Judge the end of an answer to an upload before the deadline

What callers saw: 504 for a whole answer that ended less than 50 ms before the deadline of a request above 16 KiB. Cause: the 50 ms for which the judgement waits passed the deadline. Change: it is judged 10 ms before the deadline at the latest, or at once if it ended later.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -127,6 +127,7 @@
         let arrived_after = self.arrived_after;
         let request = self.transactions.get(&id);
         let is_upload = request.is_some_and(|request| request.body.len() > MAX_COPIED_BYTES);
+        let deadline = request.map_or(now, |request| request.deadline);
         match self.connect(now, Phase::Confirming(id), &runner, address) {
             Ok(contact_index) => self.endings.waiting.push(Ending {
                 id,
@@ -136,6 +137,7 @@
                 open_at,
                 is_brief: now.since(answered_after) < SETTLE_TIME,
                 is_upload,
+                deadline,
                 runner,
                 address,
                 contact_index,
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -140,6 +140,8 @@
     /// Whether the request is long, so that the runner may have left a part of it unread. It then
     /// resets the connection after the end.
     pub is_upload: bool,
+    /// Deadline of the request, at which it fails without an answer.
+    pub deadline: Time,
     pub runner: Runner,
     pub address: SocketAddr,
     /// Index of the connection made after the end.
@@ -158,7 +160,10 @@
     /// Returns the time at which the answer is judged, if its contact is known by then.
     pub fn due_at(&self) -> Time {
         match (self.reported, self.asked_index) {
-            (Some(_), _) if self.is_upload => self.ended_at + SETTLE_TIME,
+            (Some(_), _) if self.is_upload => {
+                let latest = self.deadline - DEADLINE_MARGIN;
+                (self.ended_at + SETTLE_TIME).min(latest.max(self.ended_at))
+            }
             (Some(_), _) => self.ended_at,
             (None, Some(_)) => self.ended_at + REPORT_TIMEOUT,
             (None, None) if self.is_brief => self.ended_at + BRIEF_SETTLE_TIME,
--- a/tests/all/edge/resets.rs
+++ b/tests/all/edge/resets.rs
@@ -12,8 +12,8 @@
 
 use super::ends::plain_events;
 use super::environment::{
-    Router, Runner, Store, asks_for_report, connect, read_head, report, respond, respond_with_body,
-    send_raw,
+    Router, Runner, Store, asks_for_report, connect, header, read_head, report, respond,
+    respond_with_body, send_raw,
 };
 use super::{decode_chunks, entry, manifest, request, start_router};
 
@@ -354,3 +354,24 @@
         router.log()
     );
 }
+
+#[test]
+fn a_whole_answer_to_an_upload_shortly_before_the_deadline_is_delivered() {
+    let runner = Runner::start(|head, stream| {
+        let left = header(head, "x-deadline-ms").expect("a deadline");
+        let left: u64 = left.parse().expect("a number");
+        thread::sleep(Duration::from_millis(left.saturating_sub(30)));
+        respond(stream, head, 200, "", "body");
+        false
+    });
+    let (_store, router) = start_for_uploads(&runner);
+    let body = "b".repeat(60_000);
+    let text = request("POST", "/once/x", "Content-Length: 60000\r\n", &body)
+        .replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: 400");
+    let response = send_raw(router.callers, &text);
+    assert!(
+        response.ends_with("\r\n\r\nbody"),
+        "{response}\n{}",
+        router.log()
+    );
+}
