Accept blanks between the size of a chunk and its extensions

What callers saw: 502 for a sound answer whose chunk sizes have a blank before the semicolon. Change: blanks there are skipped. Result: sound_trailers_and_extensions_are_ignored_wherever_they_are_split failed with such a chunk before and passes.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -179,10 +179,13 @@
 }
 
 /// Parses the size of a chunk, ignoring its extensions. The size must be a hexadecimal
-/// number that fits a `u64`, without blanks around it, and the extensions must not contain
-/// control characters other than tab.
+/// number that fits a `u64`, with blanks only before an extension (RFC 9112, section 7.1.1),
+/// and the extensions must not contain control characters other than tab.
 fn chunk_size(line: &[u8]) -> Result<u64, Error> {
-    let digits = line.split(|&b| b == b';').next().unwrap_or_default();
+    let digits = match memchr::memchr(b';', line) {
+        Some(end) => line[..end].trim_ascii_end(),
+        None => line,
+    };
     let text = std::str::from_utf8(digits).unwrap_or_default();
     if text.is_empty() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
         return Err(Error::Chunk("size is not a hexadecimal number"));
--- a/crates/http/tests/body.rs
+++ b/crates/http/tests/body.rs
@@ -84,7 +84,7 @@
 
 #[test]
 fn sound_trailers_and_extensions_are_ignored_wherever_they_are_split() {
-    let text = "2;a;b=c;d=\"e\tf; \\\" g\"\r\nab\r\n2;h\r\ncd\r\n0;i=j\r\nK: l\tm \r\nN:\r\n\
+    let text = "2;a;b=c;d=\"e\tf; \\\" g\"\r\nab\r\n2 \t; h\r\ncd\r\n0;i=j\r\nK: l\tm \r\nN:\r\n\
                 O:\u{e4}\r\n!#$%&'*+-.^_`|~1: p: q\r\n\r\n";
     for cut in 0..=text.len() {
         let (start, end) = text.as_bytes().split_at(cut);
