Teach the soak answers of runners in trouble that live

Its only reset of a runner that lives ends each stream after its own pause (processes), or every connection of the runner at once (links of threads), so that no connection is left that shows that the process lives. One plain answer in a hundred had no length, and it came whole; no caller uploaded; nothing but the id of an answer's head was checked.

Change: seeded steps of their own let a runner process hold answers without a length and reset all or half of them at one moment, in series, also while one router or all are stopped, and let runners send malformed statuses, fields, trailers, ids and versions, and late copies. Callers upload 50 KB to 8 MB; four uploads in ten at processes are answered early in part and reset, with an end in good order before or without, three are answered early and whole. The manifest allows 8 MB. A success that is not the runner's whole answer counts as mixed with its cause, and needs one id and the signature. Sound answers by length, in chunks with extensions and trailers, by close, after interim answers, without a reason phrase and before the upload is read are counted on the calm stretch and must arrive. The other steps and callers of a seed draw the same numbers as before.

--- a/tests/soak/answer.rs
+++ b/tests/soak/answer.rs
@@ -7,8 +7,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::early::{Early, send_early};
 use crate::environment::{header, respond};
 use crate::event::{self, Run, digest, event_of};
+use crate::framing::{UNNAMED_CLOSE, framing_of, send_framed};
+use crate::trouble::{self, Malformation, Trouble, set_reset_on_close};
 
 /// Requests that wait at a runner without a free slot; further ones are turned away.
 const QUEUE: usize = 4;
@@ -120,6 +123,8 @@
     /// Requests per second that the runner names; 0 for none.
     pub limit: AtomicU64,
     pub resets: AtomicU64,
+    /// What the runner does wrong beside that.
+    pub trouble: Trouble,
 }
 
 impl Notices {
@@ -159,7 +164,19 @@
         event: u64,
     },
     /// A request whose prompt part ends the runner arrived.
-    Crash { part: u64 },
+    Crash { part: u64, runner: usize },
+    /// The answer to a request may be spoilt, for this cause.
+    Trouble { id: String, cause: String },
+    /// A sound answer was sent in this framing.
+    Sound {
+        id: String,
+        runner: usize,
+        framing: String,
+    },
+    /// A request brought other bytes than its caller sent.
+    Foreign { id: String },
+    /// A runner is about to break off an answer.
+    Break { runner: usize },
 }
 
 impl Report {
@@ -178,7 +195,15 @@
                 expected,
             } => format!("astray {id} {runner} {expected}"),
             Report::Stop { id, runner, event } => format!("stop {id} {runner} {event}"),
-            Report::Crash { part } => format!("crash {part}"),
+            Report::Crash { part, runner } => format!("crash {part} {runner}"),
+            Report::Trouble { id, cause } => format!("trouble {id} {cause}"),
+            Report::Sound {
+                id,
+                runner,
+                framing,
+            } => format!("sound {id} {runner} {framing}"),
+            Report::Foreign { id } => format!("foreign {id}"),
+            Report::Break { runner } => format!("break {runner}"),
         }
     }
 
@@ -202,9 +227,23 @@
                 runner: runner.parse().ok()?,
                 event: event.parse().ok()?,
             }),
-            ["crash", part] => Some(Report::Crash {
+            ["crash", part, runner] => Some(Report::Crash {
                 part: part.parse().ok()?,
+                runner: runner.parse().ok()?,
+            }),
+            ["trouble", id, cause] => Some(Report::Trouble {
+                id: id.to_owned(),
+                cause: cause.to_owned(),
             }),
+            ["sound", id, runner, framing] => Some(Report::Sound {
+                id: id.to_owned(),
+                runner: runner.parse().ok()?,
+                framing: framing.to_owned(),
+            }),
+            ["break", runner] => Some(Report::Break {
+                runner: runner.parse().ok()?,
+            }),
+            ["foreign", id] => Some(Report::Foreign { id: id.to_owned() }),
             _ => None,
         }
     }
@@ -216,6 +255,8 @@
     pub number: usize,
     pub born: u64,
     pub version: usize,
+    /// Whether the runner's report names the start.
+    pub is_named: bool,
     /// Runners that had the address before.
     pub former: Vec<usize>,
     /// Number of runs so far.
@@ -307,6 +348,15 @@
         return true;
     }
     thread::sleep(Duration::from_millis(digest(&id) % 40));
+    let malformation = notices.trouble.malformation(&id);
+    if let Some(kind) = malformation.filter(|kind| *kind != Malformation::Copy) {
+        let is_stream = header(head, "x-stream").is_some();
+        // The events of a stream arrive before its trailer, so only its end would be spoilt.
+        if !is_stream || !matches!(kind, Malformation::Trailer(_)) {
+            trouble::send_malformed(kind, &id, is_stream, stream, report);
+            return true;
+        }
+    }
     if let Some(name) = header(head, "x-stream") {
         let run = Run {
             request: id.clone(),
@@ -323,32 +373,105 @@
                 event,
             });
         };
-        return send_stream(name, &run, notices, (deadline, &stopped), head, stream);
+        let limits = (deadline, &stopped as &dyn Fn(u64));
+        let sent = send_stream(name, &run, notices, limits, head, stream, report);
+        if sent.is_none() {
+            report(Report::Break {
+                runner: life.number,
+            });
+        }
+        return sent == Some(true);
     }
     let body = body_of(&id);
-    let fields_without_length = fields.clone();
+    if let Some(until) = notices.trouble.held_until() {
+        let parts = (fields.as_str(), body.as_str());
+        trouble::send_held(&notices.trouble, until, head, parts, stream, report);
+        return false;
+    }
+    if let Some(framing) = framing_of(choice) {
+        let is_kept = send_framed(framing, head, (&fields, &body), stream);
+        let framing = match is_kept || life.is_named {
+            true => framing.to_owned(),
+            false => UNNAMED_CLOSE.to_owned(),
+        };
+        report(Report::Sound {
+            id,
+            runner: life.number,
+            framing,
+        });
+        return is_kept;
+    }
     let fields = format!("{fields}Content-Length: {}\r\n", body.len());
     match choice {
         // The answer is lost.
-        3 => return false,
+        3 => {
+            report(Report::Break {
+                runner: life.number,
+            });
+            return false;
+        }
         // It breaks off.
         4 => {
+            report(Report::Break {
+                runner: life.number,
+            });
             respond(stream, head, 200, &fields, &body[..body.len() / 2]);
             return false;
         }
         // It comes twice.
         5..=6 => respond(stream, head, 200, &fields, &body),
-        // It has no length and ends with the connection.
-        7 => {
-            respond(stream, head, 200, &fields_without_length, &body);
-            return false;
-        }
         _ => {}
     }
     respond(stream, head, 200, &fields, &body);
+    if malformation == Some(Malformation::Copy) {
+        trouble::send_copy(head, &fields, &body, stream, report);
+    }
     true
 }
 
+/// Returns whether a request is for the runner that the life is of.
+pub fn is_for(life: &Life, head: &str) -> bool {
+    header(head, "x-expect-instance") == Some(&format!("i-{}", life.number))
+}
+
+/// Answers an upload that was not read yet; returns whether the connection stays open.
+pub fn answer_early(
+    early: Early,
+    (life, notices): (&Life, &Notices),
+    head: &str,
+    stream: &mut TcpStream,
+    report: &dyn Fn(Report),
+) -> bool {
+    let id = header(head, "x-request-id").unwrap_or("-");
+    report(Report::Arrival {
+        id: id.to_owned(),
+        runner: life.number,
+        runs: true,
+        after: 0,
+    });
+    let sender = (life.number, report);
+    let fields = notices.fields() + &life.slots.fields();
+    let Some(name) = header(head, "x-stream") else {
+        let body = body_of(id);
+        let parts = (fields.as_str(), &body[..body.len() / 2], body.as_str());
+        return send_early(early, head, parts, stream, sender);
+    };
+    let run = Run {
+        request: id.to_owned(),
+        runner: life.number,
+        born: life.born,
+        count: life.runs.fetch_add(1, Ordering::SeqCst),
+        version: life.version,
+        after: 0,
+    };
+    let total = event::total_of(name);
+    let text =
+        |events: u64| -> String { (1..=events).map(|at| event_of(name, at, &run)).collect() };
+    let (part, body) = (text(total / 2), text(total));
+    let fields = fields + "Content-Type: text/event-stream\r\n";
+    send_early(early, head, (&fields, &part, &body), stream, sender)
+}
+
 /// Event at which a run breaks off, and whether inside it.
 fn cut_of(name: &str, run: &Run, is_chunked: bool) -> Option<(u64, bool)> {
     let choice = digest(&format!("{}/{}", run.request, run.after));
@@ -362,6 +485,8 @@
     Some((event, is_inside))
 }
 
+/// Sends a stream; returns whether the connection stays open, or `None` if the stream is broken
+/// off.
 fn send_stream(
     name: &str,
     run: &Run,
@@ -369,11 +494,17 @@
     (deadline, stopped): (Instant, &dyn Fn(u64)),
     head: &str,
     stream: &mut TcpStream,
-) -> bool {
+    report: &dyn Fn(Report),
+) -> Option<bool> {
     let resets = notices.resets.load(Ordering::SeqCst);
+    let mut common_resets = notices.trouble.resets();
     let choice = digest(&run.request) / 7 % 100;
     // Some answers have no length and end with the connection.
-    let is_chunked = !choice.is_multiple_of(4);
+    let is_held = notices.trouble.held_until().is_some();
+    let is_chunked = !choice.is_multiple_of(4) && !is_held;
+    if is_held {
+        trouble::report_trouble(&run.request, "reset", report);
+    }
     let framing = match is_chunked {
         true => "Transfer-Encoding: chunked\r\n",
         false => "",
@@ -383,14 +514,14 @@
     respond(stream, head, 200, &fields, "");
     // The first run of some breaks off before its first event.
     if run.after == 0 && choice == 12 {
-        return false;
+        return None;
     }
     let cut = cut_of(name, run, is_chunked);
     let gap = Duration::from_millis(event::gap_of(name));
     for event in run.after + 1..=event::total_of(name) {
         if Instant::now() >= deadline {
             stopped(event);
-            return false;
+            return None;
         }
         let text = event_of(name, event, run);
         let is_cut = cut.is_some_and(|(at, _)| at == event);
@@ -409,21 +540,29 @@
         let is_split = digest(part).is_multiple_of(4);
         let middle = chunk.len() / 2 * usize::from(is_split);
         if stream.write_all(&chunk.as_bytes()[..middle]).is_err() {
-            return false;
+            return None;
         }
         if is_split {
             thread::sleep(Duration::from_millis(3));
         }
         if stream.write_all(&chunk.as_bytes()[middle..]).is_err() || is_cut {
-            return false;
+            return None;
+        }
+        let due = Instant::now() + gap;
+        if is_chunked {
+            thread::sleep(gap);
+        } else if notices.trouble.wait(&run.request, &mut common_resets, due) {
+            if !is_held {
+                trouble::report_trouble(&run.request, "reset", report);
+            }
+            set_reset_on_close(stream);
+            return None;
         }
-        thread::sleep(gap);
         if notices.resets.load(Ordering::SeqCst) != resets {
-            let socket = socket2::SockRef::from(&*stream);
             // Without it, the connection ends in order.
-            let _ = socket.set_linger(Some(Duration::ZERO));
-            return false;
+            set_reset_on_close(stream);
+            return None;
         }
     }
-    is_chunked && stream.write_all(b"0\r\n\r\n").is_ok()
+    Some(is_chunked && stream.write_all(b"0\r\n\r\n").is_ok())
 }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -11,11 +11,13 @@
 
 use crate::answer::body_of;
 use crate::connection::Connection;
+use crate::early::{UPLOAD, upload_of};
 use crate::environment::header;
 use crate::fleet::{current_key, some_key};
 use crate::judge::{Judge, Kind, Outcome};
 use crate::shape::Shape;
 use crate::streams::stream_until_stopped;
+use crate::trouble::SPOILT_SIGNATURE;
 
 /// Time after which a caller gives up, in the deadline header too.
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -93,6 +95,16 @@
     }
 }
 
+/// Sends one upload on a connection of its own and records its outcome.
+pub fn upload(router: SocketAddr, id: &str, length: usize, key: &str, judge: &Judge) {
+    let sent = Instant::now();
+    judge.record_sent(id, Kind::Once, 0);
+    let body = upload_of(id, length);
+    let exchanged = exchange(router, None, id, Kind::Once, (key, &body), judge);
+    let outcome = exchanged.map_or(Outcome::Unknown, |(outcome, _)| outcome);
+    judge.record_outcome(id, outcome, key, sent);
+}
+
 /// Sends one request and records its outcome. Returns the connection if it can be used
 /// again.
 fn call(
@@ -106,7 +118,7 @@
     let sent = Instant::now();
     judge.record_sent(id, kind, 0);
     let mut kept = None;
-    let outcome = match exchange(router, connection, id, kind, key, judge) {
+    let outcome = match exchange(router, connection, id, kind, (key, ""), judge) {
         Some((outcome, connection)) => {
             kept = connection;
             outcome
@@ -117,13 +129,14 @@
     (kept, outcome)
 }
 
-/// Returns the outcome, or `None` if the connection broke before the end of the answer.
+/// Sends a request with an upload, or without one if that is empty. Returns the outcome, or
+/// `None` if the connection broke before the end of the answer.
 fn exchange(
     router: SocketAddr,
     connection: Option<Connection>,
     id: &str,
     kind: Kind,
-    key: &str,
+    (key, upload): (&str, &str),
     judge: &Judge,
 ) -> Option<(Outcome, Option<Connection>)> {
     let mut connection = match connection {
@@ -135,19 +148,25 @@
         Kind::Idempotent => "safe",
         _ => "once",
     };
+    let (field, body) = match upload {
+        "" => ("", id),
+        _ => (UPLOAD, upload),
+    };
     let request = format!(
         "POST /{path}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
-         Authorization: Token {key}\r\nContent-Length: {}\r\n\r\n{id}",
+         Authorization: Token {key}\r\n{field}Content-Length: {}\r\n\r\n{body}",
         DEADLINE.as_millis(),
-        id.len()
+        body.len()
     );
-    connection.send(&request)?;
+    // An early answer may arrive though the router reads no more of the request.
+    let _ = connection.send(&request);
     let head = connection.read_head()?;
     let body = connection.read_body(&head)?;
     let outcome = outcome(&head, id, judge);
     if outcome == Outcome::Complete && body != body_of(id).into_bytes() {
-        let text = String::from_utf8_lossy(&body).into_owned();
-        judge.report("whole answer", &format!("{id} got {text:?}"));
+        let text: String = String::from_utf8_lossy(&body).chars().take(40).collect();
+        let length = body.len();
+        judge.report_spoilt(id, &format!("got {length} bytes as whole, {text:?}"));
     }
     Some((outcome, is_kept(&head).then_some(connection)))
 }
@@ -164,11 +183,34 @@
     {
         judge.report("own answer", &format!("{id} got the answer to {answered}"));
     }
-    match head.get(9..12).unwrap_or_default() {
-        "200" => Outcome::Complete,
+    let status = head.get(9..12).unwrap_or_default();
+    let is_spoilt = header(head, "x-answer-signature") == Some(SPOILT_SIGNATURE);
+    if is_spoilt {
+        let line = head.lines().next().unwrap_or_default();
+        judge.report_spoilt(id, &format!("got a malformed answer, {line:?}"));
+    }
+    match status {
+        "200" if !is_spoilt => {
+            let count = |name| {
+                let names = head.lines().filter_map(|line| line.split_once(':'));
+                names
+                    .filter(|(field, _)| field.eq_ignore_ascii_case(name))
+                    .count()
+            };
+            if count("x-request-id") != 1 || header(head, "x-answer-signature") != Some("s") {
+                judge.report_spoilt(id, &format!("got a success without its receipt, {head:?}"));
+            }
+            Outcome::Complete
+        }
         "408" | "421" | "429" | "503" => Outcome::NotRun,
         "401" => Outcome::Unauthorized,
         "502" | "504" => Outcome::Unknown,
+        // Every manifest of a run allows the longest upload.
+        "413" => {
+            judge.report("denied", &format!("{id} got status 413"));
+            Outcome::NotRun
+        }
+        _ if is_spoilt => Outcome::Unknown,
         other => {
             judge.report("proper answer", &format!("{id} got status {other}"));
             Outcome::Unknown
--- a/tests/soak/connection.rs
+++ b/tests/soak/connection.rs
@@ -50,12 +50,13 @@
         Some(Connection(BufReader::new(Paced { stream, pause })))
     }
 
-    /// Limits the time without a byte.
+    /// Limits the time without a byte, in both directions.
     pub fn set_patience(&self, patience: Duration) {
         let patience = patience.max(Duration::from_millis(1));
         let stream = &self.0.get_ref().stream;
         stream
             .set_read_timeout(Some(patience))
+            .and_then(|()| stream.set_write_timeout(Some(patience)))
             .expect("the time is not zero");
     }
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -10,6 +10,7 @@
 use balsamchute_standin::link::Link;
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt};
+use serde_json::json;
 
 use crate::environment::{self, Copy, Route, Router, Store};
 use crate::event::digest;
@@ -17,6 +18,8 @@
 use crate::plan::{Change, Cycle, Fault};
 use crate::server::{Host, Server, Spec, now_ms};
 use crate::shape::Shape;
+use crate::trouble::Instruction;
+use crate::uploads::MAX_BYTES;
 
 /// Copies of the store that are kept, one for each change.
 const MAX_COPIES: usize = 6;
@@ -149,7 +152,8 @@
             Route::new("safe", "idempotent", 4000),
         ];
         let key = current_key();
-        let manifest = environment::manifest(self.manifest_version, &routes, &[&key]);
+        let mut manifest = environment::manifest(self.manifest_version, &routes, &[&key]);
+        manifest["limits"]["max_body_bytes"] = json!(MAX_BYTES);
         self.keep_copy();
         self.store.put("config", "main", Some(manifest));
     }
@@ -251,6 +255,15 @@
                 down,
                 change,
             } => self.restart_runner(*place, *down, *change, judge),
+            Fault::HoldAnswers(place, time) => {
+                self.server(*place).instruct(Instruction::Hold(*time));
+            }
+            Fault::ResetAnswers { place, share } => {
+                self.server(*place).instruct(Instruction::Reset(*share));
+            }
+            Fault::MalformAnswers(place, time) => {
+                self.server(*place).instruct(Instruction::Malform(*time));
+            }
             Fault::Release => self.newest_version += 1,
             Fault::UpgradeRunner(place, time) => {
                 let old = self.server(*place);
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::answer::Report;
+use crate::framing::UNNAMED_CLOSE;
 use crate::server::now_ms;
 use crate::shape::Shape;
 
@@ -40,6 +41,11 @@
 /// Time before a violation for which late wake-ups are told with it.
 const WAKEUP_WINDOW: Duration = Duration::from_millis(3000);
 
+/// Time between an answer that ends with its connection and one that its runner breaks off,
+/// within which the end of the first may count as a break: for that time the routers remember a
+/// lost connection.
+const BREAK_TIME: Duration = Duration::from_millis(1100);
+
 /// Ratio, slack and window of the retry budget in the settings of the routers.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 54.0;
@@ -85,6 +91,12 @@
     arrivals: usize,
     // `Last-Event-Id` that the caller sent, or 0.
     after: u64,
+    // Cause for which a runner may have spoilt the answer.
+    trouble: Option<String>,
+    // Runner that sent a sound answer, the framing and the time.
+    sound: Option<(usize, String, Instant)>,
+    // Whether the request was sent in the calm stretch.
+    is_calm: bool,
 }
 
 /// Counts of streams.
@@ -120,6 +132,14 @@
     // Runners that name a limit, since when, and the requests that reached them.
     limited: BTreeMap<usize, (u64, Instant, Vec<Instant>)>,
     streams: Streams,
+    // Requests whose callers got something else than a whole answer as one, and what.
+    spoilt: Vec<(String, String)>,
+    // Times at which runners broke off answers.
+    breaks: BTreeMap<usize, Vec<Instant>>,
+    // Same, at which they crashed.
+    crashes: BTreeMap<usize, Vec<Instant>>,
+    // Whether nothing disturbs the runners.
+    is_calm: bool,
     arrivals: usize,
     runner_kills: usize,
     notes: Vec<String>,
@@ -128,6 +148,25 @@
     violations: Vec<String>,
 }
 
+impl State {
+    /// Returns the sound answer to a request that nothing disturbed: its runner, framing and
+    /// time.
+    fn undisturbed<'a>(&self, record: &'a Record) -> Option<&'a (usize, String, Instant)> {
+        let (runner, framing, at) = record.sound.as_ref().filter(|_| record.is_calm)?;
+        let is_near = |times: &BTreeMap<usize, Vec<Instant>>| {
+            let times = times.get(runner).map_or(&[][..], Vec::as_slice);
+            let mut near = times.iter();
+            near.any(|time| *time < *at + BREAK_TIME && *at < *time + BREAK_TIME)
+        };
+        // A runner that loses a connection at the end of such an answer may have ended.
+        let leaving = self.leaving.get(runner);
+        let is_disturbed = leaving.is_some_and(|since| *at > *since + CHANGE_BOUND)
+            || is_near(&self.crashes)
+            || (framing == UNNAMED_CLOSE && is_near(&self.breaks));
+        record.sound.as_ref().filter(|_| !is_disturbed)
+    }
+}
+
 /// Shared record of a run.
 #[derive(Clone, Debug)]
 pub struct Judge {
@@ -169,6 +208,18 @@
         self.state().violations.push(format!("{promise}: {detail}"));
     }
 
+    /// Records that the caller of request `id` got something else than a whole answer as one.
+    pub fn report_spoilt(&self, id: &str, detail: &str) {
+        self.note(&format!("violation of {id}: {detail}"));
+        let spoilt = (id.to_owned(), detail.to_owned());
+        self.state().spoilt.push(spoilt);
+    }
+
+    /// Records that nothing disturbs the runners from now on, or that something does.
+    pub fn set_calm(&self, is_calm: bool) {
+        self.state().is_calm = is_calm;
+    }
+
     /// Records what happens at this moment, for traces.
     pub fn note(&self, text: &str) {
         let ms = now_ms() % 86_400_000;
@@ -188,8 +239,10 @@
     pub fn record_sent(&self, id: &str, kind: Kind, after: u64) {
         let mut state = self.state();
         state.sent.push(Instant::now());
+        let is_calm = state.is_calm;
         let record = state.requests.entry(id.to_owned()).or_default();
         (record.kind, record.after) = (Some(kind), after);
+        record.is_calm = is_calm;
     }
 
     /// Changes the counts of streams.
@@ -239,7 +292,32 @@
                     "{id} is stopped by i-{runner} before event {event}"
                 ));
             }
-            Report::Crash { part } => self.record_crashing(part),
+            Report::Crash { part, runner } => self.record_crashing(part, runner),
+            Report::Trouble { id, cause } => {
+                self.note(&format!("{id} may be spoilt: {cause}"));
+                let mut state = self.state();
+                state.requests.entry(id).or_default().trouble = Some(cause);
+            }
+            Report::Sound {
+                id,
+                runner,
+                framing,
+            } => {
+                self.note(&format!("{id} is answered by i-{runner}, {framing}"));
+                let mut state = self.state();
+                state.requests.entry(id).or_default().sound =
+                    Some((runner, framing, Instant::now()));
+            }
+            Report::Break { runner } => {
+                let mut state = self.state();
+                state.breaks.entry(runner).or_default().push(Instant::now());
+            }
+            Report::Foreign { id } => {
+                self.report(
+                    "unasked",
+                    &format!("{id} brought bytes that its caller did not send"),
+                );
+            }
         }
     }
 
@@ -309,8 +387,13 @@
     }
 
     /// Records that a prompt with a part that crashes runners reached one.
-    fn record_crashing(&self, part: u64) {
+    fn record_crashing(&self, part: u64, runner: usize) {
         let mut state = self.state();
+        state
+            .crashes
+            .entry(runner)
+            .or_default()
+            .push(Instant::now());
         state.crashing.entry(part).or_default().push(Instant::now());
     }
 
@@ -349,7 +432,25 @@
     pub fn violations(&self) -> Vec<String> {
         let state = self.state();
         let mut violations = state.violations.clone();
+        for (id, detail) in &state.spoilt {
+            let cause = state
+                .requests
+                .get(id)
+                .and_then(|record| record.trouble.as_ref());
+            let promise = match cause {
+                Some(cause) => format!("mixed: {cause}"),
+                None => "whole answer".to_owned(),
+            };
+            violations.push(format!("{promise}: {id} {detail}"));
+        }
         for (id, record) in &state.requests {
+            if let Some((runner, framing, _)) = state.undisturbed(record)
+                && record.outcome == Some(Outcome::Unknown)
+            {
+                violations.push(format!(
+                    "sound answer: {framing}: {id} did not get that of i-{runner}"
+                ));
+            }
             let is_once = record.kind.is_some_and(Kind::is_once);
             if record.kind.is_none() {
                 violations.push(format!("unasked: {id} reached a runner"));
@@ -423,6 +524,32 @@
         )
     }
 
+    /// Returns counts of the answers of runners in trouble and of the sound ones, and of what
+    /// callers got.
+    pub fn answer_summary(&self) -> String {
+        let violations = self.violations();
+        let state = self.state();
+        let mut causes: BTreeMap<&str, usize> = BTreeMap::new();
+        // Those of the calm stretch, and those of them that arrived.
+        let mut sound: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for record in state.requests.values() {
+            if let Some(cause) = &record.trouble {
+                *causes.entry(cause).or_default() += 1;
+            }
+            if let Some((_, framing, _)) = state.undisturbed(record) {
+                let (sent, complete) = sound.entry(framing).or_default();
+                *sent += 1;
+                *complete += usize::from(record.outcome == Some(Outcome::Complete));
+            }
+        }
+        let mixed = violations.iter().filter(|text| text.starts_with("mixed: "));
+        let mut delivered: BTreeMap<&str, usize> = BTreeMap::new();
+        for cause in mixed.filter_map(|text| text.split(": ").nth(1)) {
+            *delivered.entry(cause).or_default() += 1;
+        }
+        format!("answers troubled={causes:?} mixed={delivered:?} calm_sound={sound:?}")
+    }
+
     /// Returns counts of the run.
     pub fn summary(&self) -> String {
         let state = self.state();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -21,10 +21,11 @@
 mod answer;
 mod callers;
 mod connection;
+mod early;
 mod event;
 mod fleet;
+mod framing;
 mod hostile;
-
 mod judge;
 mod order;
 mod plan;
@@ -32,6 +33,8 @@
 mod server;
 mod shape;
 mod streams;
+mod trouble;
+mod uploads;
 
 use std::collections::BTreeSet;
 use std::process::ExitCode;
@@ -45,6 +48,7 @@
 use crate::judge::Judge;
 use crate::plan::Plan;
 use crate::shape::Shape;
+use crate::uploads::Uploaders;
 
 /// Time after the last fault within which the fleet must serve everything again.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
@@ -114,6 +118,7 @@
     let violations = judge.violations();
     println!("soak seed={} {}", options.seed, judge.summary());
     println!("soak seed={} {}", options.seed, judge.stream_summary());
+    println!("soak seed={} {}", options.seed, judge.answer_summary());
     let taken_up = judge.streams().taken_up;
     if options.seconds >= 20 && taken_up < MIN_TAKEN_UP {
         println!("warning: callers took up {taken_up} streams, fewer than {MIN_TAKEN_UP}");
@@ -137,7 +142,9 @@
 fn promise_of(violation: &str) -> String {
     let mut parts = violation.split(": ");
     let name = match (parts.next(), parts.next()) {
-        (Some("order"), Some(part)) => format!("order::{part}"),
+        (Some(group @ ("order" | "mixed" | "sound answer")), Some(part)) => {
+            format!("{group}::{part}")
+        }
         (name, _) => name.unwrap_or_default().to_owned(),
     };
     name.replace(' ', "_")
@@ -152,6 +159,7 @@
     let mut fleet = Fleet::start(shape, &judge);
     let callers = Callers::start(options.seed, &shape, fleet.router_addresses(), &judge);
     let hostile = Clients::start(options.seed, &shape, &fleet.router_addresses());
+    let uploaders = Uploaders::start(options.seed, &fleet.router_addresses(), &judge);
     let begin = Instant::now();
     for step in &plan.steps {
         let due = begin + step.at;
@@ -161,6 +169,7 @@
     fleet.heal(&judge);
     // Without a fault for a while, every router must follow every change in time.
     std::thread::sleep(judge::CALM_TIME);
+    judge.set_calm(true);
     fleet.limit_runners(LIMIT, &judge);
     std::thread::sleep(LIMIT_TIME);
     fleet.limit_runners(0, &judge);
@@ -169,7 +178,9 @@
     if options.routers >= HUB_ROUTERS {
         fleet.replace_runners_without_hub(&judge);
     }
+    judge.set_calm(false);
     callers.stop();
+    uploaders.stop();
     hostile.stop();
     let deadline = Instant::now() + RECOVERY_TIME;
     std::thread::scope(|scope| {
--- a/tests/soak/order.rs
+++ b/tests/soak/order.rs
@@ -40,8 +40,8 @@
             let end = rest.find("\n\n").map_or(rest.len(), |at| at + 2);
             let Some((number, run)) = event::decode(&self.stream, &rest[..end]) else {
                 let start: String = rest.chars().take(200).collect();
-                let text = format!("{id} got {start:?} after event {}", self.events);
-                judge.report("whole answer", &text);
+                let text = format!("got {start:?} after event {}", self.events);
+                judge.report_spoilt(id, &text);
                 return;
             };
             if run.request != id {
@@ -91,6 +91,8 @@
             let events = self.events;
             let text = format!("{id} ended after event {events} of {total}, the last of [{last}]");
             judge.report("order: ended early", &text);
+            let text = format!("got a stream as whole after event {events} of {total}");
+            judge.report_spoilt(id, &text);
         }
     }
 
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -56,6 +56,23 @@
 /// Most runners of a large fleet that end at once.
 const MAX_ENDED: usize = 10;
 
+/// Stream of random numbers that the trouble of runners is drawn from.
+const TROUBLE_STREAM: u64 = 1 << 32;
+
+/// Shortest and longest time for which a runner gathers answers that it resets together, from
+/// one such reset to the next of a series, and for which it sends malformed answers.
+const GATHER_MS: std::ops::Range<u64> = 200..800;
+const RESET_INTERVAL_MS: std::ops::Range<u64> = 10..400;
+const MALFORM_MS: std::ops::Range<u64> = 200..2000;
+
+/// Longest series of such resets.
+const MAX_RESETS: u64 = 3;
+
+/// Time from which on a router is stopped before answers are reset, and the shortest and
+/// longest time for which it is.
+const STOP_LEAD: Duration = Duration::from_millis(20);
+const STOP_MS: std::ops::Range<u64> = 40..250;
+
 /// Fault or planned change.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -111,6 +128,13 @@
     WithdrawKey,
     /// A prompt part begins to crash each runner that begins to answer it.
     SpoilPart,
+    /// The answers of a runner that begin within a time have no length, and plain ones are held
+    /// in the middle.
+    HoldAnswers(usize, Duration),
+    /// A runner resets this share in percent of its answers without a length at one moment.
+    ResetAnswers { place: usize, share: u64 },
+    /// Some answers of a runner that begin within a time are malformed.
+    MalformAnswers(usize, Duration),
 }
 
 /// Times for which a router that has a small part of a core runs and waits in turn.
@@ -168,6 +192,9 @@
             false => runner_steps(&mut random, length, shape),
             true => large_steps(&mut random, length, shape),
         });
+        // The other steps of a seed stay as they are.
+        random.set_stream(TROUBLE_STREAM);
+        steps.extend(trouble_steps(&mut random, length, shape));
         steps.sort_by_key(|step| step.at);
         Plan { steps }
     }
@@ -226,6 +253,50 @@
     steps
 }
 
+/// Returns the steps in which runners that live spoil their answers.
+fn trouble_steps(random: &mut impl Rng, length: Duration, shape: &Shape) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = Duration::from_secs(1);
+    while at < length {
+        match random.random_range(0..3) {
+            0 => {
+                let place = random.random_range(0..shape.places);
+                let fault = Fault::MalformAnswers(place, random_ms(random, MALFORM_MS));
+                steps.push(Step { at, fault });
+            }
+            _ => reset_together(random, at, shape, &mut steps),
+        }
+        at += random_ms(random, RUNNER_STEP_MS);
+    }
+    steps
+}
+
+/// Adds a series of resets of all or half of the answers without a length of a runner, some
+/// while a router is stopped or all are.
+fn reset_together(random: &mut impl Rng, mut at: Duration, shape: &Shape, steps: &mut Vec<Step>) {
+    let place = random_process(random, shape);
+    for _ in 0..random.random_range(1..=MAX_RESETS) {
+        let gather = random_ms(random, GATHER_MS);
+        let fault = Fault::HoldAnswers(place, gather + Duration::from_millis(MAX_FAULT_MS));
+        steps.push(Step { at, fault });
+        at += gather;
+        let stopped = match random.random_range(0..6) {
+            0..=2 => (0..shape.routers).collect(),
+            3 => vec![random.random_range(0..shape.routers)],
+            _ => Vec::new(),
+        };
+        for index in stopped {
+            let fault = Fault::PauseRouter(index, random_ms(random, STOP_MS));
+            let at = at.saturating_sub(STOP_LEAD);
+            steps.push(Step { at, fault });
+        }
+        let share = 50 * random.random_range(1..=2);
+        let fault = Fault::ResetAnswers { place, share };
+        steps.push(Step { at, fault });
+        at += random_ms(random, RESET_INTERVAL_MS);
+    }
+}
+
 /// Adds a release at all places or at half of them. During one in three, all routers are
 /// killed.
 fn release(random: &mut impl Rng, mut at: Duration, shape: &Shape, steps: &mut Vec<Step>) {
@@ -344,8 +415,7 @@
 }
 
 fn restart(random: &mut impl Rng, shape: &Shape) -> Fault {
-    let place = random.random_range(0..shape.places);
-    let place = place + usize::from(!shape.is_process(place));
+    let place = random_process(random, shape);
     let change = match random.random_range(0..6) {
         0..=2 => Change::Life,
         3 => Change::Id(random_ms(random, 0..MAX_FAULT_MS)),
@@ -363,6 +433,12 @@
     }
 }
 
+/// Returns a place whose runner is a process.
+fn random_process(random: &mut impl Rng, shape: &Shape) -> usize {
+    let place = random.random_range(0..shape.places);
+    place + usize::from(!shape.is_process(place))
+}
+
 fn random_ms(random: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range))
 }
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -11,11 +11,15 @@
 
 use nix::sys::signal::Signal;
 
-use crate::answer::{IDLE_TIME, Life, Notices, Report, Slots, answer, bad_part};
+use crate::answer::{
+    IDLE_TIME, Life, Notices, Report, Slots, answer, answer_early, bad_part, is_for,
+};
 use crate::command::unused_loopback_ip;
-use crate::environment::{self, asks_for_report, read_message};
+use crate::early::{Early, read_upload};
+use crate::environment::{self, asks_for_report, read_head};
 use crate::judge::Judge;
 use crate::server::{CRASH_TIME, Listing, now_ms};
+use crate::trouble::Instruction;
 
 /// First argument of the hidden mode.
 pub const MODE: &str = "--runner";
@@ -197,6 +201,11 @@
     pub fn send_notices(&self) {
         send_notices(&mut self.state(), &self.notices);
     }
+
+    /// Lets the process carry out an instruction, if it runs.
+    pub fn send_instruction(&self, instruction: Instruction) {
+        send_line(&mut self.state(), &instruction.encode());
+    }
 }
 
 impl Drop for Process {
@@ -206,17 +215,21 @@
 }
 
 fn send_notices(state: &mut State, notices: &Notices) {
-    let Some(input) = state.child.as_mut().and_then(|child| child.stdin.as_mut()) else {
-        return;
-    };
     let line = format!(
-        "{} {} {}\n",
+        "{} {} {}",
         u64::from(notices.is_leaving.load(Ordering::SeqCst)),
         notices.limit.load(Ordering::SeqCst),
         notices.resets.load(Ordering::SeqCst)
     );
+    send_line(state, &line);
+}
+
+fn send_line(state: &mut State, line: &str) {
+    let Some(input) = state.child.as_mut().and_then(|child| child.stdin.as_mut()) else {
+        return;
+    };
     // The process may have ended by itself.
-    let _ = input.write_all(line.as_bytes());
+    let _ = input.write_all(format!("{line}\n").as_bytes());
 }
 
 /// Serves as a runner until the process ends, or the soak does. `args` are the address, the
@@ -228,6 +241,7 @@
         number: parse(&args[1]),
         born: parse(&args[2]),
         version: parse(&args[3]),
+        is_named: true,
         former: args[5..].iter().map(parse).collect(),
         runs: AtomicU64::new(0),
         slots: Arc::new(Slots::new(Some(parse(&args[4])).filter(|slots| *slots > 0))),
@@ -236,6 +250,10 @@
     let heard = notices.clone();
     thread::spawn(move || {
         for line in std::io::stdin().lines().map_while(Result::ok) {
+            if let Some(instruction) = Instruction::decode(&line) {
+                heard.trouble.apply(instruction);
+                continue;
+            }
             let values: Vec<u64> = line.split(' ').map(parse).collect();
             heard.is_leaving.store(values[0] > 0, Ordering::SeqCst);
             heard.limit.store(values[1], Ordering::SeqCst);
@@ -259,13 +277,28 @@
         // The connection may have ended.
         let _ = stream.set_read_timeout(Some(IDLE_TIME));
     }
-    while let Some((head, _)) = read_message(&mut stream) {
+    while let Some(head) = read_head(&mut stream) {
         if asks_for_report(&head) {
             environment::report(&mut stream, life.born);
             continue;
         }
+        if let Some(early) = Early::of(&head)
+            && is_for(life, &head)
+            && bad_part(&head).is_none()
+        {
+            if !answer_early(early, (life, notices), &head, &mut stream, &report) {
+                return;
+            }
+            continue;
+        }
+        if !read_upload(&head, &[], &mut stream, &report) {
+            return;
+        }
         if let Some(part) = bad_part(&head) {
-            report(Report::Crash { part });
+            report(Report::Crash {
+                part,
+                runner: life.number,
+            });
             std::process::exit(CRASH_CODE);
         }
         if !answer(life, notices, &head, &mut stream, &report) {
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -14,6 +14,7 @@
 use crate::environment::{self, Runner, Store};
 use crate::judge::Judge;
 use crate::process::Process;
+use crate::trouble::Instruction;
 
 /// Time after which a runner that crashed is back.
 pub const CRASH_TIME: Duration = Duration::from_millis(1500);
@@ -155,11 +156,20 @@
         let link: Arc<OnceLock<Arc<Link>>> = Arc::default();
         let born: Arc<AtomicU64> = Arc::default();
         let runs = AtomicU64::new(0);
+        let received: Arc<OnceLock<Arc<Mutex<Vec<String>>>>> = Arc::default();
+        let own_received = received.clone();
         let (judge, own_notices) = (judge.clone(), notices.clone());
         let (own_link, own_listing) = (link.clone(), listing.clone());
         let runner = Runner::start(move |head, stream| {
+            // The uploads of a long run would fill the memory.
+            if let Some(received) = own_received.get() {
+                received.lock().expect("no thread panicked").clear();
+            }
             if let Some(part) = bad_part(head) {
-                judge.record_report(Report::Crash { part });
+                judge.record_report(Report::Crash {
+                    part,
+                    runner: number,
+                });
                 let link = own_link.get().expect("the link is set").clone();
                 crash(link, born.clone(), own_listing.clone(), version);
                 return false;
@@ -168,6 +178,7 @@
                 number,
                 born: born.load(Ordering::SeqCst),
                 version,
+                is_named: false,
                 former: Vec::new(),
                 runs: AtomicU64::new(runs.fetch_add(1, Ordering::SeqCst)),
                 slots: slots.clone(),
@@ -175,6 +186,7 @@
             let report = |report| judge.record_report(report);
             answer(&life, &own_notices, head, stream, &report)
         });
+        received.set(runner.received.clone()).expect("set once");
         let started = Link::start(([127, 0, 0, 1], 0).into(), runner.address);
         let started = Arc::new(started.expect("the link starts"));
         listing.address.set(started.address()).expect("set once");
@@ -253,6 +265,15 @@
         }
     }
 
+    /// Lets the runner do something wrong. Resets are for processes: the link of a thread ends
+    /// a connection in order that the thread resets.
+    pub fn instruct(&self, instruction: Instruction) {
+        match &self.host {
+            Host::Thread { .. } => self.notices.trouble.apply(instruction),
+            Host::Process(process) => process.send_instruction(instruction),
+        }
+    }
+
     /// Lets the runner hold back all bytes, or continue.
     pub fn set_silent(&self, is_silent: bool) {
         match &self.host {
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -10,6 +10,7 @@
 
 use crate::callers::{draw_key, is_kept, outcome};
 use crate::connection::{Connection, is_chunked};
+use crate::early::{UPLOAD, upload_of};
 use crate::environment::header;
 use crate::event::digest;
 use crate::fleet::{STREAM_TIMEOUT_MS, part_of};
@@ -27,6 +28,10 @@
 const LONG_DEADLINE: Duration = Duration::from_millis(12_000);
 const SHORT_DEADLINE: Duration = Duration::from_millis(3000);
 
+/// Number of streams of which one has an upload, and the length of that in bytes.
+const UPLOAD_DIVISOR: u64 = 24;
+const UPLOAD_BYTES: usize = 1_500_000;
+
 /// Remaining time below which a caller sends no further request.
 const MIN_TIME: Duration = Duration::from_millis(500);
 
@@ -236,7 +241,9 @@
         };
         self.reason.clear();
         let request = self.request(id);
-        connection.send(&request)?;
+        connection.set_patience(self.left());
+        // An early answer may arrive though the router reads no more of the request.
+        let _ = connection.send(&request);
         self.wait(&connection, manner.patience)?;
         let head = connection.read_head()?;
         let outcome = outcome(&head, id, self.judge);
@@ -269,6 +276,11 @@
         Some((outcome, is_kept(&head).then_some(connection)))
     }
 
+    /// Returns the time until the deadline.
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Limits the wait for the next bytes; `None` if no time is left.
     fn wait(&self, connection: &Connection, patience: Duration) -> Option<()> {
         let left = self.deadline.checked_duration_since(Instant::now())?;
@@ -282,17 +294,21 @@
             _ => "stream",
         };
         let stream = &self.stream;
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let (field, body) = match digest(stream).is_multiple_of(UPLOAD_DIVISOR) {
+            true => (UPLOAD, upload_of(id, UPLOAD_BYTES)),
+            false => ("", stream.clone()),
+        };
+        let left = self.left();
         format!(
             "POST /{path}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
              Authorization: Token {}\r\nX-Stream: {stream}\r\nX-Token-Usage: 600,40\r\n\
-             X-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n{}Content-Length: {}\r\n\r\n{stream}",
+             X-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n{}{field}Content-Length: {}\r\n\r\n{body}",
             left.as_millis(),
             self.key,
             part_of(stream),
             digest(stream),
             self.progress.headers(self.names_origin),
-            stream.len()
+            body.len()
         )
     }
 }
