Answer 503 to a request above the default limits before the first manifest

The soak found it with its uploads. Cause: the default limits were taken for those in force. Change: such a request gets the 503 of a router that is starting. Result: a_request_above_the_default_limits_is_answered_503_before_the_first_manifest failed before (413) and passes.

--- a/crates/edge/src/edge/callers.rs
+++ b/crates/edge/src/edge/callers.rs
@@ -117,8 +117,8 @@
                     return;
                 }
                 Err(fault) => {
-                    let (status, reason) = status_and_reason(&fault);
-                    self.reject_unread(index, None, &Rejection::new(status, reason));
+                    let rejection = self.rejection_of(now, &fault);
+                    self.reject_unread(index, None, &rejection);
                     return;
                 }
             }
@@ -150,6 +150,20 @@
         manifest.map_or_else(Limits::default, |manifest| manifest.limits)
     }
 
+    /// Returns the rejection of a request that was not read whole. Whether it exceeds the limits
+    /// is not known without a manifest.
+    fn rejection_of(&self, now: Time, fault: &Fault) -> Rejection {
+        let (status, reason) = match fault {
+            Fault::Malformed(error) => return Rejection::new(400, error.to_string()),
+            Fault::HeadTooLong => (431, "the head is larger than the limit"),
+            Fault::BodyTooLong => (413, "the body is larger than the limit"),
+        };
+        match self.usable_manifest(now) {
+            Ok(_) => Rejection::new(status, reason),
+            Err(rejection) => rejection,
+        }
+    }
+
     /// Rejects a request and continues with the next one of the connection.
     pub(super) fn reject(
         &mut self,
@@ -301,11 +315,3 @@
         }
     }
 }
-
-fn status_and_reason(fault: &Fault) -> (u16, String) {
-    match fault {
-        Fault::Malformed(error) => (400, error.to_string()),
-        Fault::HeadTooLong => (431, "the head is larger than the limit".to_owned()),
-        Fault::BodyTooLong => (413, "the body is larger than the limit".to_owned()),
-    }
-}
--- a/crates/edge/src/edge/requests.rs
+++ b/crates/edge/src/edge/requests.rs
@@ -293,7 +293,7 @@
         }
     }
 
-    fn usable_manifest(&self, now: Time) -> Result<Arc<Manifest>, Rejection> {
+    pub(super) fn usable_manifest(&self, now: Time) -> Result<Arc<Manifest>, Rejection> {
         let leaving = self
             .leaving_since
             .is_some_and(|since| now.since(since) >= LEAVING_ACCEPT_TIME);
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -154,6 +154,22 @@
     assert!(answer.starts_with("HTTP/1.1 200 "), "{responses}");
 }
 
+/// The limits that are in force are not known then, so the request may be sound.
+#[test]
+fn a_request_above_the_default_limits_is_answered_503_before_the_first_manifest() {
+    let store = Store::start();
+    let router = Router::start("r1", store.address);
+    wait_until("the router listens", || {
+        TcpStream::connect(router.callers).is_ok()
+    });
+    let long_head = format!("A: {}\r\n", "x".repeat(20_000));
+    for fields in ["Content-Length: 5000000\r\n", &long_head] {
+        let response = send_raw(router.callers, &request("POST", "/once/x", fields, ""));
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+        assert!(header(&response, "retry-after").is_some(), "{response}");
+    }
+}
+
 /// Invalid, unauthorized and oversized requests must not use capacity of a runner. The
 /// one with both `Content-Length` and `Transfer-Encoding` could smuggle a request.
 #[test]
