--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -10,9 +10,9 @@
 use stakker::CX;
 
 use crate::edge::responses::Advance;
-use crate::edge::runners::{CONNECT_TIMEOUT, MAX_COPIED_BYTES};
+use crate::edge::runners::CONNECT_TIMEOUT;
 use crate::edge::{Edge, Slot};
-use crate::ending::{Contact, Ending, Evidence, SETTLE_TIME};
+use crate::ending::{Contact, Ending, Evidence, MAX_SHORT_BYTES, SETTLE_TIME};
 use crate::identity::Identity;
 use crate::socket::Input;
 use crate::upstream::Phase;
@@ -126,7 +126,7 @@
         let (open_at, started_at) = (connection.open_at, connection.started_at);
         let arrived_after = self.arrived_after;
         let request = self.transactions.get(&id);
-        let is_upload = request.is_some_and(|request| request.body.len() > MAX_COPIED_BYTES);
+        let is_upload = request.is_some_and(|request| request.body.len() > MAX_SHORT_BYTES);
         let deadline = request.map_or(now, |request| request.deadline);
         match self.connect(now, Phase::Confirming(id), &runner, address) {
             Ok(contact_index) => self.endings.waiting.push(Ending {
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -20,7 +20,7 @@
 pub(super) const CONNECT_TIMEOUT: Span = Span(300);
 
 /// Bodies up to this length are copied behind the head, so that one write sends both.
-pub(super) const MAX_COPIED_BYTES: usize = 16 * 1024;
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 
 impl Edge {
     /// Carries out the pending actions of the scheduler.
@@ -542,7 +542,7 @@
             }
             Phase::Busy(id) => id,
         };
-        // A runner that lives may end an answer before it has read the request, in trouble.
+        // A runner in trouble may end an answer before it has read the request, and live on.
         let is_sent = connection.socket.unsent() == 0;
         match connection.ends_by_close() && is_sent && !is_reset {
             true => self.confirm_end(now, index, id),
--- a/crates/edge/src/edge/store.rs
+++ b/crates/edge/src/edge/store.rs
@@ -169,7 +169,7 @@
                     let Some(Slot::Client(connection)) = self.slots.get_mut(index) else {
                         return;
                     };
-                    // A late response to an earlier call would be taken for that to the next one.
+                    // A late response would be taken for the response to the next call.
                     if connection.deadline.is_none() {
                         let target = connection.purpose.log_target();
                         log::warn!(target: target, "event=surplus_bytes bytes={length}");
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -8,6 +8,9 @@
 //! start of the process that was listed before the answer. That a connection is still open shows
 //! less: a process that exits closes its connections one after another, and may wait for the
 //! processor meanwhile.
+//!
+//! None of this shows that the runner has read the request, or meant the end. An answer that ends
+//! before its request was sent, or whose connection is reset after the end, is not complete.
 
 use std::collections::HashMap;
 use std::io;
@@ -30,8 +33,12 @@
 /// is short against the time of a plain request.
 const BRIEF_SETTLE_TIME: Span = Span(10);
 
-/// Time from the end of an answer to a long request to the decision. A runner that has left a part
-/// of the request unread resets the connection within it.
+/// Length of a body up to which a runner that answers has probably read it: it arrives with the
+/// head.
+pub(crate) const MAX_SHORT_BYTES: usize = 16 * 1024;
+
+/// Time from the end of an answer to the decision if the request is longer than
+/// [`MAX_SHORT_BYTES`]. A runner that has left a part of it unread resets the connection.
 const UPLOAD_SETTLE_TIME: Span = Span(100);
 
 /// Time for which a report is awaited. A runner that has not answered by then is judged by
@@ -140,8 +147,7 @@
     pub open_at: Time,
     /// Whether all of the answer arrived within [`SETTLE_TIME`].
     pub is_brief: bool,
-    /// Whether the request is long, so that the runner may have left a part of it unread. It then
-    /// resets the connection after the end.
+    /// Whether the request is longer than [`MAX_SHORT_BYTES`].
     pub is_upload: bool,
     /// Deadline of the request, at which it fails without an answer.
     pub deadline: Time,
