Let the events of the front benchmark have rising ids

Cause: its runner sent the id 1 in every event, which routers have refused as repeated since they check the order of streams. Change: rising ids.

--- a/benches/front.rs
+++ b/benches/front.rs
@@ -41,8 +41,11 @@
 /// Size of a memory page, the unit of `/proc/PID/statm`.
 const PAGE_BYTES: u64 = 4096;
 
-/// HTTP chunk with one event of 27 (hexadecimal 1b) bytes.
-const EVENT: &[u8] = b"1b\r\nid: 1\ndata: some tokens..\n\n\r\n";
+/// Returns a chunk with the event of this id. Ids have to rise within a stream.
+fn event(id: usize) -> Vec<u8> {
+    let event = format!("id: {id}\ndata: some tokens..\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
+}
 
 fn request(path: &str, id: usize) -> String {
     format!(
@@ -129,7 +132,7 @@
         self.next += 1;
         let mut runner_connections = self.runner_connections.lock().expect("no thread panicked");
         runner_connections[index]
-            .write_all(EVENT)
+            .write_all(&event(self.next))
             .expect("the router reads");
         let mut buffer = [0; 1024];
         loop {
