Log the version at which a stream counts as begun, and those that a router knows

No line told what is recorded with the first event of a stream, nor which versions a router knew when it inferred the sole one, so the hypotheses could not be told apart.

Adds event=stream_origin, versions= in event=taken_up and the reasons begun{known,unknown}. Decides nothing.

--- a/crates/edge/src/edge/deliver.rs
+++ b/crates/edge/src/edge/deliver.rs
@@ -8,6 +8,7 @@
 use balsamchute_schedule::action::{Failure, Id, Rationale, Refusal};
 use balsamchute_wire::record::Outcome;
 
+use crate::edge::requests::stream_digest;
 use crate::edge::{Edge, Slot};
 use crate::transaction::{Delivery, Transaction};
 
@@ -92,13 +93,43 @@
         let is_resumable = transaction.route.stream && transaction.splitter.is_resumable();
         // Comments of a stream are no progress.
         if events > 0 {
+            let is_first = transaction.splitter.event_count() == events;
             self.scheduler.record_events(now, id, events);
             self.scheduler.set_resumable(id, is_resumable);
+            if is_first {
+                self.log_origin(index, id);
+            }
         }
         self.flush_caller(caller);
         self.transactions.contains_key(&id)
     }
 
+    /// Logs and counts what is recorded of a resumable stream with its first event.
+    fn log_origin(&self, index: usize, id: Id) {
+        let (Some(Slot::Upstream(connection)), Some(transaction)) =
+            (self.slots.get(index), self.transactions.get(&id))
+        else {
+            return;
+        };
+        let stream = stream_digest(&transaction.request_id);
+        let Some(origin) = self.scheduler.origin(stream) else {
+            return;
+        };
+        log::info!(
+            target: "request",
+            "event=stream_origin request={} after={} runner={} software={:?} verified={} started_at={}",
+            transaction.request_id,
+            transaction.last_event.unwrap_or(0),
+            connection.runner,
+            origin.software.to_string(),
+            connection.is_verified,
+            connection.started_at
+        );
+        if transaction.last_event.is_none() {
+            self.stats.count_beginning(origin);
+        }
+    }
+
     /// Delivers the end of a response, or all of one that was buffered.
     pub(super) fn deliver(&mut self, now: Time, id: Id, head: Response, body: Vec<u8>) {
         let leaving = self.leaving_since.is_some();
--- a/crates/edge/src/edge/requests.rs
+++ b/crates/edge/src/edge/requests.rs
@@ -186,10 +186,22 @@
             max_age: self.route_changes.max_stream_age() + unread,
             is_sole_service: self.route_changes.is_sole(arrived_after, &route),
         });
+        let origin = resumed.and_then(|resumed| self.scheduler.origin(resumed.stream?));
+        // A stream goes on at the service that began it, if the route still leads there.
+        let origin = origin.filter(|origin| route.leads_to(&origin.service));
+        // 2^64 divided by the golden ratio spreads consecutive ids evenly (Fibonacci
+        // hashing).
+        let pick = id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+        let service = origin.map_or_else(|| route.select_service(pick), |origin| &origin.service);
         if let Some(resumed) = resumed {
+            let versions = self.scheduler.origins().versions();
+            let served: Vec<String> = versions
+                .within(now, service, resumed.max_age)
+                .map(ToString::to_string)
+                .collect();
             log::info!(
                 target: "request",
-                "event=taken_up request={request_id} resumes={:?} after={} time_left_ms={} timeout_ms={} max_age_ms={} unread_ms={} sole_service={}",
+                "event=taken_up request={request_id} resumes={:?} after={} time_left_ms={} timeout_ms={} max_age_ms={} unread_ms={} sole_service={} versions={:?}",
                 caller.resumes.unwrap_or("-"),
                 caller.last_event_id.unwrap_or(0),
                 caller
@@ -198,16 +210,10 @@
                 route.timeout.0,
                 resumed.max_age.0,
                 unread.0,
-                resumed.is_sole_service
+                resumed.is_sole_service,
+                served.join(" ")
             );
         }
-        let origin = resumed.and_then(|resumed| self.scheduler.origin(resumed.stream?));
-        // A stream goes on at the service that began it, if the route still leads there.
-        let origin = origin.filter(|origin| route.leads_to(&origin.service));
-        // 2^64 divided by the golden ratio spreads consecutive ids evenly (Fibonacci
-        // hashing).
-        let pick = id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
-        let service = origin.map_or_else(|| route.select_service(pick), |origin| &origin.service);
         let scheduled = Scheduled {
             service: service.clone(),
             route: route.name.clone(),
@@ -344,7 +350,7 @@
 }
 
 /// Returns the digest under which routers know the stream that a request begins.
-fn stream_digest(request_id: &str) -> u64 {
+pub(super) fn stream_digest(request_id: &str) -> u64 {
     let mut hasher = Hasher::new();
     hasher.update(request_id.as_bytes());
     hasher.digest().0 as u64
--- a/crates/edge/src/stats.rs
+++ b/crates/edge/src/stats.rs
@@ -7,7 +7,7 @@
 use balsamchute_metrics::metrics::{Labels, Metrics};
 use balsamchute_model::prelude::*;
 use balsamchute_schedule::process::Process;
-use balsamchute_schedule::stream::Basis;
+use balsamchute_schedule::stream::{Basis, Origin};
 use balsamchute_wire::record::Outcome;
 use nix::sys::resource::{UsageWho, getrusage};
 
@@ -124,6 +124,15 @@
         self.metrics.count_reason("resumed", basis.as_str());
     }
 
+    /// Counts a resumable stream that began, by whether its version is known.
+    pub fn count_beginning(&self, origin: &Origin) {
+        let reason = match origin.software.is_unknown() {
+            true => "unknown",
+            false => "known",
+        };
+        self.metrics.count_reason("begun", reason);
+    }
+
     /// Counts a runner that was asked which of its processes answers.
     pub fn count_process(&self, process: Process) {
         self.metrics.count_reason("process", process.as_str());
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -256,7 +256,13 @@
         versions.next().filter(|_| versions.next().is_none())
     }
 
-    fn within(&self, now: Time, service: &Service, age: Span) -> impl Iterator<Item = &Software> {
+    /// Returns the versions of a service that served in this time up to now, as far as known.
+    pub fn within(
+        &self,
+        now: Time,
+        service: &Service,
+        age: Span,
+    ) -> impl Iterator<Item = &Software> {
         let versions = self.served.get(service).into_iter().flatten();
         versions
             .filter(move |(_, listing)| now.since(listing.until) <= age)
