Add failing tests of streams taken up by Last-Event-Id alone at another process

The tests of `edge::restarts` take streams up with `Resumes`, those of `edge::versions` without it, but only at listed versions. So no test has a process of unknown version and a caller that names no request, as the platform's callers do.

Change: `edge::unnamed` begins streams at a process that is not the listed one (another start, or no report in time) and takes them up by `Last-Event-Id` alone at both routers, 0.1 and 0.6 s after they broke off. Where a runner of a known process has room, streams must begin there within 1 s and be taken up to the end. One test has only listed processes.

Not shown: a process that names no start in time before any runner of the service named one is listed as a limit in docs/design/resumed-streams.md; its test is the invariant, and whether it can be kept is open.

--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -16,7 +16,7 @@
 pub const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time after which a caller gives up waiting for bytes.
-const READ_TIMEOUT: Duration = Duration::from_secs(30);
+pub const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 // Ports of a router, below the ephemeral port range of the system. Each router has a
 // loopback address of its own.
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -16,6 +16,8 @@
 mod restarts;
 mod restore;
 mod store;
+mod streams;
+mod unnamed;
 mod versions;
 
 use std::io::{Read, Write};
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -1,73 +1,25 @@
 //! Streams of runners that restart in place, under their id and address, at another version.
 
 use std::io::Read;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use serde_json::json;
-
 use super::environment::{
-    LATE, Runner, Store, asks_for_report, connect, header, read_message, respond, send_raw,
-    wait_until,
+    LATE, Store, asks_for_report, read_message, respond, send_raw, wait_until,
 };
+use super::streams::{SPREAD_TIME, begin, list, request, runner};
 use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, start_routers};
 
-/// Time in which routers tell each other of a stream.
-const SPREAD_TIME: Duration = Duration::from_millis(600);
-
-/// Runner that begins streams with two events, which break off once `breaks` is set, and
-/// continues others to their end.
-fn runner(breaks: &Arc<AtomicBool>) -> Runner {
-    let breaks = breaks.clone();
-    Runner::start(move |head: &str, stream: &mut TcpStream| {
-        if header(head, "last-event-id").is_some() {
-            let body = format!("{}0\r\n\r\n", events(3, 5));
-            respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
-            return true;
-        }
-        respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 2));
-        wait_until("the stream breaks", || breaks.load(Ordering::SeqCst));
-        false
-    })
-}
-
-fn list(store: &Store, name: &str, runner: &Runner, version: &str, started_at: u64) {
-    let mut value = entry(runner.address, "s").expect("an entry");
-    value["version"] = json!(version);
-    value["born"] = json!(started_at);
-    store.put("servers", name, Some(value));
-}
-
-fn request(id: &str, fields: &str) -> String {
-    format!(
-        "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
-         Authorization: Token k1\r\nConnection: close\r\n{fields}Content-Length: 0\r\n\r\n"
-    )
-}
-
-/// Begins a stream and returns its connection with the response up to the second event.
-fn begin(router: &Router, id: &str) -> (TcpStream, String) {
-    let mut caller = connect(router.callers);
-    std::io::Write::write_all(&mut caller, request(id, "").as_bytes()).expect("a request");
-    let mut response = String::new();
-    while !response.contains("id: 2\n") {
-        let mut bytes = [0; 512];
-        let length = caller.read(&mut bytes).expect("the stream goes on");
-        response.push_str(&String::from_utf8_lossy(&bytes[..length]));
-    }
-    (caller, response)
-}
-
 /// The stream begins before the entry of the process that sends it arrives.
 #[test]
 fn a_stream_of_a_restarted_runner_is_not_continued_at_the_version_before() {
     let store = Store::start();
     store.put("config", "main", manifest(1, &["k1"]));
     let breaks = Arc::new(AtomicBool::new(false));
-    let (restarted, other) = (runner(&breaks), runner(&breaks));
+    let (restarted, other) = (runner("i-0", &breaks), runner("i-1", &breaks));
     list(&store, "i-0", &restarted, "v1", 1);
     let routers = start_routers(&store, 2);
     let (mut caller, mut response) = begin(&routers[0], "q1");
@@ -99,7 +51,7 @@
     let store = Store::start();
     store.put("config", "main", manifest(1, &["k1"]));
     let (first_breaks, other_breaks) = <(Arc<AtomicBool>, Arc<AtomicBool>)>::default();
-    let (first, other) = (runner(&first_breaks), runner(&other_breaks));
+    let (first, other) = (runner("i-0", &first_breaks), runner("i-1", &other_breaks));
     list(&store, "i-0", &first, "v1", 1);
     let routers = start_routers(&store, 1);
     let (mut caller, mut response) = begin(&routers[0], "q1");
@@ -132,7 +84,7 @@
 fn break_off(store: &Store, starts: [u64; 2], fails_store: bool) -> (String, Vec<Router>) {
     let breaks = Arc::new(AtomicBool::new(false));
     let runners = starts.map(|start| {
-        let runner = runner(&breaks);
+        let runner = runner("i", &breaks);
         runner.set_born(start);
         runner
     });
@@ -204,7 +156,7 @@
     let store = Store::start();
     store.put("config", "main", manifest(1, &["k1"]));
     let breaks = Arc::new(AtomicBool::new(false));
-    let (late, other) = (runner(&breaks), runner(&breaks));
+    let (late, other) = (runner("i-0", &breaks), runner("i-1", &breaks));
     late.set_born(LATE);
     other.set_born(1);
     list(&store, "i-1", &other, "v1", 1);
--- /dev/null
+++ b/tests/all/edge/streams.rs
@@ -0,0 +1,95 @@
+//! Streams of the resumable route: runners that begin and continue them, and their callers.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::environment::{
+    READ_TIMEOUT, Runner, Store, connect, header, respond, send_raw, wait_until,
+};
+use super::{EVENT_STREAM_FIELDS, Router, entry};
+
+/// Time in which routers tell each other of a stream.
+pub const SPREAD_TIME: Duration = Duration::from_millis(600);
+
+/// Encodes the events `from` to `to` with `data` as HTTP chunks, without the final chunk.
+pub fn events_with(data: &str, from: u64, to: u64) -> String {
+    let events = (from..=to).map(|id| format!("id: {id}\ndata: {data}\n\n"));
+    events
+        .map(|event| format!("{:x}\r\n{event}\r\n", event.len()))
+        .collect()
+}
+
+/// Runner that begins streams with two events, which break off once `breaks` is set, and
+/// continues others to their fifth event. The data of its events is `name`.
+pub fn runner(name: &'static str, breaks: &Arc<AtomicBool>) -> Runner {
+    let breaks = breaks.clone();
+    Runner::start(move |head: &str, stream: &mut TcpStream| {
+        if header(head, "last-event-id").is_some() {
+            let body = format!("{}0\r\n\r\n", events_with(name, 3, 5));
+            respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+            return true;
+        }
+        let body = events_with(name, 1, 2);
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
+        wait_until("the stream breaks", || breaks.load(Ordering::SeqCst));
+        false
+    })
+}
+
+/// Writes the entry of a runner's process.
+pub fn list(store: &Store, name: &str, runner: &Runner, version: &str, started_at: u64) {
+    let mut value = entry(runner.address, "s").expect("an entry");
+    value["version"] = json!(version);
+    value["born"] = json!(started_at);
+    store.put("servers", name, Some(value));
+}
+
+pub fn request(id: &str, fields: &str) -> String {
+    format!(
+        "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
+         Authorization: Token k1\r\nConnection: close\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
+}
+
+/// Requests a stream and returns its connection with the response up to the second event, or
+/// less of it if it ends or `time` passes before.
+pub fn try_begin(router: &Router, id: &str, time: Duration) -> (TcpStream, String) {
+    let deadline = Instant::now() + time;
+    let mut caller = connect(router.callers);
+    let text = request(id, "");
+    caller.write_all(text.as_bytes()).expect("a request");
+    let mut response = String::new();
+    while !response.contains("id: 2\n") {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        // A timeout of zero is an error.
+        let remaining = remaining.max(Duration::from_millis(1));
+        caller.set_read_timeout(Some(remaining)).expect("a timeout");
+        let mut bytes = [0; 512];
+        match caller.read(&mut bytes) {
+            Ok(0) | Err(_) => break,
+            Ok(length) => response.push_str(&String::from_utf8_lossy(&bytes[..length])),
+        }
+    }
+    let timeout = Some(READ_TIMEOUT);
+    caller.set_read_timeout(timeout).expect("a timeout");
+    (caller, response)
+}
+
+/// Begins a stream and returns its connection with the response up to the second event.
+pub fn begin(router: &Router, id: &str) -> (TcpStream, String) {
+    let (caller, response) = try_begin(router, id, READ_TIMEOUT);
+    assert!(response.contains("id: 2\n"), "{response}");
+    (caller, response)
+}
+
+/// Takes a stream up shortly after it began, as a caller that names only its last event.
+pub fn take_up(router: &Router, id: &str) -> String {
+    let request = request(id, "Last-Event-Id: 2\r\n");
+    let request = request.replace("Deadline-Ms: 8000", "Deadline-Ms: 7000");
+    send_raw(router.callers, &request)
+}
--- a/tests/all/edge/versions.rs
+++ b/tests/all/edge/versions.rs
@@ -10,33 +10,24 @@
 use serde_json::{Value, json};
 
 use super::environment::{Runner, Store, connect, header, respond, send_raw, wait_until};
+use super::streams::{SPREAD_TIME, begin, events_with, request, take_up};
 use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, manifest, start_routers};
 
-/// Time in which routers tell each other of a stream that began.
-const SPREAD_TIME: Duration = Duration::from_millis(600);
-
 /// Events of a whole stream, and those after which its first runner stops.
 const EVENTS: u64 = 5;
 const FIRST_EVENTS: u64 = 2;
 
-fn chunks(version: &str, from: u64, to: u64) -> String {
-    let events = (from..=to).map(|id| format!("id: {id}\ndata: {version}\n\n"));
-    events
-        .map(|event| format!("{:x}\r\n{event}\r\n", event.len()))
-        .collect()
-}
-
 /// Returns a runner whose streams stop after the first events: they break off, or hang if
 /// `hangs`. A stream that is resumed goes on to its end.
 fn runner(version: &'static str, hangs: bool) -> Runner {
     Runner::start(move |head: &str, stream: &mut TcpStream| {
         if let Some(last) = header(head, "last-event-id") {
             let last: u64 = last.parse().expect("a number");
-            let body = format!("{}0\r\n\r\n", chunks(version, last + 1, EVENTS));
+            let body = format!("{}0\r\n\r\n", events_with(version, last + 1, EVENTS));
             respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
             return true;
         }
-        let body = chunks(version, 1, FIRST_EVENTS);
+        let body = events_with(version, 1, FIRST_EVENTS);
         respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
         if hangs {
             let _ = stream.read(&mut [0]);
@@ -95,27 +86,11 @@
     }
 }
 
-fn stream_request(id: &str, fields: &str) -> String {
-    format!(
-        "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
-         Authorization: Token k1\r\nConnection: close\r\n{fields}Content-Length: 0\r\n\r\n"
-    )
-}
-
 /// Begins streams at a router; returns their request ids, versions and open connections.
 fn begin_streams(router: &Router, count: usize) -> Vec<(String, &'static str, TcpStream)> {
-    let begin = |number| {
+    let begin_stream = |number| {
         let id = format!("q{number}");
-        let mut stream = connect(router.callers);
-        stream
-            .write_all(stream_request(&id, "").as_bytes())
-            .expect("the router reads");
-        let mut text = String::new();
-        while !text.contains("id: 2\n") {
-            let mut bytes = [0; 512];
-            let length = stream.read(&mut bytes).expect("the stream goes on");
-            text.push_str(&String::from_utf8_lossy(&bytes[..length]));
-        }
+        let (stream, text) = begin(router, &id);
         let version = if text.contains("data: v1") {
             "v1"
         } else {
@@ -123,13 +98,13 @@
         };
         (id, version, stream)
     };
-    (0..count).map(begin).collect()
+    (0..count).map(begin_stream).collect()
 }
 
 /// Resumes a stream that began 4 s before at most, as the remaining time shows.
 fn resume(router: &Router, number: usize, id: &str) -> String {
     let fields = format!("Last-Event-Id: 2\r\nResumes: {id}\r\n");
-    let request = stream_request(&format!("t{number}"), &fields);
+    let request = request(&format!("t{number}"), &fields);
     let request = request.replace("Deadline-Ms: 8000", "Deadline-Ms: 4000");
     send_raw(router.callers, &request)
 }
@@ -147,7 +122,7 @@
 fn a_stream_goes_on_in_its_answer_only_at_the_version_that_began_it() {
     let fleet = Fleet::start(&["v1", "v1", "v2", "v2"], false, 1);
     for number in 0..8 {
-        let request = stream_request(&format!("q{number}"), "");
+        let request = request(&format!("q{number}"), "");
         let response = send_raw(fleet.routers[0].callers, &request);
         let (body, is_whole) = decode_chunks(&response);
         assert_eq!(versions_of(&response).len(), 1, "{body}");
@@ -159,7 +134,7 @@
 #[test]
 fn a_stream_whose_version_no_other_runner_has_is_cut_off_at_once() {
     let fleet = Fleet::start(&["v1", "v2"], false, 1);
-    let response = send_raw(fleet.routers[0].callers, &stream_request("q1", ""));
+    let response = send_raw(fleet.routers[0].callers, &request("q1", ""));
     let (body, is_whole) = decode_chunks(&response);
     assert!(!is_whole && versions_of(&response).len() == 1, "{body}");
     assert_eq!(fleet.received(), 1);
@@ -177,7 +152,7 @@
     fleet.routers[0].wait_ready();
     for (number, (id, version, _)) in begun.iter().enumerate() {
         let fields = format!("Last-Event-Id: 2\r\nResumes: {id}\r\n");
-        let request = stream_request(&format!("t{number}"), &fields);
+        let request = request(&format!("t{number}"), &fields);
         let response = send_raw(fleet.routers[1 - number % 2].callers, &request);
         assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
         assert_eq!(versions_of(&response), [*version], "{id}");
@@ -188,12 +163,12 @@
 fn a_stream_of_unknown_version_is_refused_while_two_versions_serve() {
     let fields = "Last-Event-Id: 2\r\nResumes: unknown\r\n";
     let mixed = Fleet::start(&["v1", "v2"], false, 1);
-    let response = send_raw(mixed.routers[0].callers, &stream_request("q1", fields));
+    let response = send_raw(mixed.routers[0].callers, &request("q1", fields));
     assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
     assert!(header(&response, "retry-after").is_some(), "{response}");
     assert_eq!(mixed.received(), 0);
     let uniform = Fleet::start(&["v1", "v1"], false, 1);
-    let response = send_raw(uniform.routers[0].callers, &stream_request("q1", fields));
+    let response = send_raw(uniform.routers[0].callers, &request("q1", fields));
     assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
 }
 
@@ -332,7 +307,7 @@
         router.signal(Signal::SIGSTOP);
     }
     let mut stream = connect(router.callers);
-    let request = stream_request("t1", "Last-Event-Id: 2\r\n");
+    let request = request("t1", "Last-Event-Id: 2\r\n");
     let request = request.replace("Deadline-Ms: 8000", &format!("Deadline-Ms: {time_left_ms}"));
     stream
         .write_all(request.as_bytes())
@@ -380,7 +355,7 @@
     let fleet = Fleet::start(&["v1"], true, 1);
     let begin = Instant::now();
     let mut stream = connect(fleet.routers[0].callers);
-    let request = stream_request("t1", "Last-Event-Id: 2\r\n");
+    let request = request("t1", "Last-Event-Id: 2\r\n");
     let request = request.replace("Content-Length: 0", "Content-Length: 2");
     for part in [request.as_str(), "a", "b"] {
         stream.write_all(part.as_bytes()).expect("the router reads");
@@ -392,15 +367,6 @@
     assert!((1200..=elapsed + 100).contains(&unread_ms(&log)), "{log}");
 }
 
-/// Takes a stream up shortly after it began, as a caller that names only its last event.
-fn take_up(router: &Router) -> String {
-    let request = stream_request("t0", "Last-Event-Id: 2\r\n");
-    send_raw(
-        router.callers,
-        &request.replace("Deadline-Ms: 8000", "Deadline-Ms: 7000"),
-    )
-}
-
 #[test]
 fn a_stream_of_a_new_version_is_refused_at_a_router_whose_store_went_silent_before() {
     let store = Store::start();
@@ -424,7 +390,7 @@
     });
     let begun = begin_streams(&ahead, 1);
     assert_eq!(begun[0].1, "v2");
-    let response = take_up(&behind);
+    let response = take_up(&behind, "t0");
     assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
 }
 
