Add tests of take-ups around an entry that arrives late or never, and of a new version

Sound cases are among them, so that a fix that refuses too much fails.

Change: six more tests in `edge::unnamed`; its fleet moves to `edge::streams`, and its second router reaches the store over a link that can be stalled.

New among them: - a process that is never listed: 5 of 5 take-ups are answered by `i-1`, which is listed 1 s after the break, also by a router that was killed and started again; - a process that was late before another runner of the service named its start: a router that has heard that start takes a stream of a listed process up at the late one. By reading, the naming of a runner is judged when it is silent, and not again when its service is found to name starts (`record_silence`).

Not shown: a stream of a new version whose report is lost or whose hub is away; the tests can't drop datagrams.

--- a/tests/all/edge/streams.rs
+++ b/tests/all/edge/streams.rs
@@ -1,4 +1,5 @@
-//! Streams of the resumable route: runners that begin and continue them, and their callers.
+//! Streams of the resumable route: runners that begin and continue them, fleets that serve them,
+//! and their callers.
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -6,16 +7,20 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use balsamchute_standin::link::Link;
 use serde_json::json;
 
 use super::environment::{
     READ_TIMEOUT, Runner, Store, connect, header, respond, send_raw, wait_until,
 };
-use super::{EVENT_STREAM_FIELDS, Router, entry};
+use super::{EVENT_STREAM_FIELDS, Router, entry, manifest};
 
 /// Time in which routers tell each other of a stream.
 pub const SPREAD_TIME: Duration = Duration::from_millis(600);
 
+/// Start that the entries of a [`Fleet`] name.
+pub const LISTED: u64 = 1;
+
 /// Encodes the events `from` to `to` with `data` as HTTP chunks, without the final chunk.
 pub fn events_with(data: &str, from: u64, to: u64) -> String {
     let events = (from..=to).map(|id| format!("id: {id}\ndata: {data}\n\n"));
@@ -49,6 +54,58 @@
     store.put("servers", name, Some(value));
 }
 
+/// Two routers, and runners that are listed at version `v1`.
+pub struct Fleet {
+    pub store: Store,
+    /// Connections of the second router to the store.
+    pub link: Link,
+    pub routers: Vec<Router>,
+    pub runners: Vec<(&'static str, Runner)>,
+    /// Whether streams break off after their second event.
+    pub breaks: Arc<AtomicBool>,
+}
+
+impl Fleet {
+    /// Starts the routers, and runners whose processes name these starts.
+    pub fn start(starts: &[(&'static str, u64)]) -> Self {
+        let store = Store::start();
+        store.put("config", "main", manifest(1, &["k1"]));
+        let link = Link::start(([127, 0, 0, 1], 0).into(), store.address);
+        let mut fleet = Fleet {
+            store,
+            link: link.expect("the link starts"),
+            routers: Vec::new(),
+            runners: Vec::new(),
+            breaks: Arc::default(),
+        };
+        for (name, start) in starts {
+            fleet.add(name, *start);
+        }
+        let first = Router::start("r0", fleet.store.address);
+        let second = Router::start_with_seeds("r1", fleet.link.address(), &[first.peers]);
+        fleet.routers = vec![first, second];
+        for router in &fleet.routers {
+            router.wait_ready();
+        }
+        fleet
+    }
+
+    /// Adds a runner, whose process names this start, and waits until it is listed.
+    pub fn add(&mut self, name: &'static str, start: u64) {
+        let runner = runner(name, &self.breaks);
+        runner.set_born(start);
+        list(&self.store, name, &runner, "v1", LISTED);
+        self.runners.push((name, runner));
+        self.wait_logged(&format!("event=runner_listed runner={name} "));
+    }
+
+    /// Waits until the logs of all routers contain a text.
+    pub fn wait_logged(&self, text: &str) {
+        let is_logged = |router: &Router| router.log().contains(text);
+        wait_until(text, || self.routers.iter().all(is_logged));
+    }
+}
+
 pub fn request(id: &str, fields: &str) -> String {
     format!(
         "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
