Begin streams at processes of known version, and tell of those that can't

A runner restarts in place at another version. Until its entry arrives, its process names another start than is listed, or answers no report; a stream that begins there is of unknown version. That was kept under the stream's id alone. Callers name only the last event that they have, so every router went on to infer the one version that is listed, and another runner of that version went on.

Ruled out: to report such a stream alone. Other routers would infer until the report arrives, and callers have no name that it could be matched with.

Now a stream that other runners may continue begins at a runner of unknown version only if no runner of known version accepts requests. That needs no message: each router asks on its own connection. If there is none, requests wait, or are refused at once where they can't begin in time (unknown_process). After 2 s without an entry the unknown version is announced like one that is listed, in reports and in the record of the store, which ends the inference everywhere; 2 s later, when each router has heard of it or hears nothing and infers nothing, streams begin there.

The same rule for a version that is listed: for want of room, streams begin at it 2 s after it was listed, not at once.

Silence of a runner counts once another one of its service names its start, also if it came first; streams that began there meanwhile become unknown.

Tests that expected a stream to be sent to such a process at once now expect that it is not, and that it is of unknown version once it may begin there; streams_begin_at_a_version_that_all_routers_know_... also checks that it begins at the new version from 2,000 ms on and not at 1,999.

--- a/crates/schedule/src/action.rs
+++ b/crates/schedule/src/action.rs
@@ -28,6 +28,8 @@
     NoRunnerOfVersion,
     /// Several software versions serve, and the one that began the stream is not known.
     UnknownVersion,
+    /// The runners that accept requests run processes of unknown software version.
+    UnknownProcess,
     /// All runners asked this router for a pause that is longer than the request may
     /// wait.
     Paused,
@@ -45,6 +47,7 @@
             Refusal::Rejected => "rejected",
             Refusal::NoRunnerOfVersion => "no_runner_of_version",
             Refusal::UnknownVersion => "unknown_version",
+            Refusal::UnknownProcess => "unknown_process",
             Refusal::Paused => "runners_paused",
         }
     }
--- /dev/null
+++ b/crates/schedule/src/doubt.rs
@@ -0,0 +1,93 @@
+//! Services of which only processes of unknown version accept requests.
+//!
+//! Responds to runners that restart in place, all of a service at once: until their entries
+//! arrive, nobody knows at which version a stream begins. A caller may take the stream up at any
+//! router without a name for it, so all routers must hear that versions serve which are not
+//! listed, before the first such stream begins.
+
+use std::collections::BTreeMap;
+
+use balsamchute_model::prelude::*;
+
+use crate::version::ANNOUNCE_TIME;
+
+/// Time for which requests wait for an entry before the doubt is announced, which ends the
+/// inference of a sole version for longer than a stream may last. Entries usually follow within
+/// this time of the start.
+const ENTRY_TIME: Span = Span(2000);
+
+/// Time without a request after which the doubt about a service is forgotten.
+const FORGET_TIME: Span = Span(5000);
+
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    /// Time of the first request that found no process of known version, and of the last one.
+    since: Time,
+    wanted_at: Time,
+    announced_at: Option<Time>,
+}
+
+/// Services of which requests for streams found only processes of unknown version.
+#[derive(Clone, Debug, Default)]
+pub struct Doubts {
+    services: BTreeMap<Service, Doubt>,
+}
+
+impl Doubts {
+    /// Records that a request for a stream found no process of known version. Returns whether
+    /// other routers are to be told, now and for as long as this is called.
+    pub fn record(&mut self, now: Time, service: &Service) -> bool {
+        let new = Doubt {
+            since: now,
+            wanted_at: now,
+            announced_at: None,
+        };
+        let doubt = self.services.entry(service.clone()).or_insert(new);
+        if now.since(doubt.wanted_at) > FORGET_TIME {
+            *doubt = new;
+        }
+        doubt.wanted_at = now;
+        if now.since(doubt.since) >= ENTRY_TIME {
+            doubt.announced_at.get_or_insert(now);
+        }
+        doubt.announced_at.is_some()
+    }
+
+    /// Records that a process of known version accepts requests. An announcement stays in force.
+    pub fn end(&mut self, service: &Service) {
+        if let Some(doubt) = self.services.get(service)
+            && doubt.announced_at.is_none()
+        {
+            self.services.remove(service);
+        }
+    }
+
+    /// Returns the time from which on streams may begin at processes of unknown version, if the
+    /// doubt about the service lasts.
+    #[must_use]
+    pub fn begins_at(&self, service: &Service) -> Option<Time> {
+        let doubt = self.services.get(service)?;
+        let announced_at = doubt.announced_at.unwrap_or(doubt.since + ENTRY_TIME);
+        Some(announced_at + ANNOUNCE_TIME)
+    }
+
+    /// Returns whether streams may begin at processes of unknown version.
+    #[must_use]
+    pub fn may_begin(&self, now: Time, service: &Service) -> bool {
+        let doubt = self.services.get(service);
+        doubt.is_some_and(|doubt| {
+            let announced_at = doubt.announced_at;
+            announced_at.is_some_and(|at| now.since(at) >= ANNOUNCE_TIME)
+                && now.since(doubt.wanted_at) <= FORGET_TIME
+        })
+    }
+
+    /// Returns the services of which other routers are to be told.
+    pub fn announced(&self, now: Time) -> impl Iterator<Item = &Service> {
+        let services = self.services.iter();
+        let announced = services.filter(move |(_, doubt)| {
+            doubt.announced_at.is_some() && now.since(doubt.wanted_at) <= FORGET_TIME
+        });
+        announced.map(|(service, _)| service)
+    }
+}
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -8,7 +8,8 @@
 //! has cached), [`notice`] and [`rate`] (what runners say of themselves in
 //! answers), [`cold`] (runners that started a short time ago), [`stream`], [`version`] and
 //! [`route`] (software versions at which streams began, and services that may have begun
-//! them), [`process`] (which process of a runner answers), [`record`] (when these are written
+//! them), [`process`] (which process of a runner answers), [`doubt`] (services of which only
+//! processes of unknown version answer), [`record`] (when these are written
 //! to the store) and [`budget`] (retry budget, split over all routers);
 //! [`scheduler::Scheduler`] combines them. [`evacuation`] holds the failure domains whose
 //! runners get no new attempts. [`directory`] chooses the routers that a caller is told to use,
@@ -21,6 +22,7 @@
 pub mod cache;
 pub mod cold;
 pub mod directory;
+pub mod doubt;
 pub mod evacuation;
 mod hash;
 mod home;
--- a/crates/schedule/src/pending.rs
+++ b/crates/schedule/src/pending.rs
@@ -42,6 +42,8 @@
     pub is_read_paused: bool,
     /// Whether the connection is known to lead to the process of that version.
     pub is_verified: bool,
+    /// Whether a stream may begin though its version is unknown.
+    pub may_be_unknown: bool,
 }
 
 impl Dispatch {
@@ -149,6 +151,11 @@
         self.software.is_none() || (self.fits(&target.entry.software) && may_be_listed)
     }
 
+    /// Returns whether the request begins a stream that another runner may continue.
+    pub fn begins_resumable(&self) -> bool {
+        self.software.is_none() && self.request.is_resumable()
+    }
+
     /// Returns whether any runner of the service may take the request: it was sent to none
     /// and is bound to no software version.
     pub fn is_unbound(&self) -> bool {
--- a/crates/schedule/src/place.rs
+++ b/crates/schedule/src/place.rs
@@ -214,6 +214,7 @@
     pub fn round<'b>(&'b self, service: &'b Service) -> Round {
         let mut stable_until = Time(u64::MAX);
         let mut has_any_room = (false, false);
+        let mut has_process = (false, false);
         let mut open = Vec::with_capacity(self.targets.len());
         let mut service = service;
         for (index, target) in self.targets.values().enumerate() {
@@ -227,6 +228,8 @@
             let load = target.load(self.now);
             has_any_room.0 |= load.running < target.entry.slots;
             has_any_room.1 |= Priority::WithinShare.admits(target.entry.slots, &load);
+            has_process.0 |= target.has_unknown_version();
+            has_process.1 |= self.has_known_version(target);
             if self.is_open(target) {
                 open.push(Candidate { index, load });
             }
@@ -238,6 +241,7 @@
             has_any_room,
             stable_until,
         )
+        .with_processes(has_process.0, has_process.1)
     }
 
     /// Returns the runners that may take a request, in the order of the list.
@@ -301,6 +305,15 @@
         }
     }
 
+    /// Returns whether a runner accepts requests and runs a process of known version, as far as
+    /// this router can tell.
+    pub fn has_known_version(&self, target: &Target) -> bool {
+        is_available(target, self.notices, self.evacuated)
+            && !target.has_unknown_version()
+            && !target.is_gone()
+            && !target.is_ejected(self.now)
+    }
+
     /// Returns whether a runner accepts requests of this router now.
     fn is_open(&self, target: &Target) -> bool {
         is_available(target, self.notices, self.evacuated)
--- a/crates/schedule/src/round.rs
+++ b/crates/schedule/src/round.rs
@@ -31,6 +31,9 @@
     has_plain_room: bool,
     /// Whether a runner, candidate or not, has room for a plain request, and for a prompt.
     has_any_room: (bool, bool),
+    /// Whether a runner, candidate or not, has a process of unknown version, and whether one
+    /// that accepts requests has a process of known version.
+    has_process: (bool, bool),
     /// Smallest size in tokens of a prompt that found no room, by priority.
     full_sizes: [u64; Priority::COUNT],
     stable_until: Time,
@@ -54,6 +57,7 @@
             has_room: [false; Priority::COUNT],
             has_plain_room: false,
             has_any_room,
+            has_process: (false, true),
             full_sizes: [u64::MAX; Priority::COUNT],
             stable_until,
         };
@@ -70,6 +74,26 @@
         round
     }
 
+    /// Sets whether a runner has a process of unknown version, and whether one that accepts
+    /// requests has a process of known version.
+    #[must_use]
+    pub fn with_processes(self, has_unknown: bool, has_known: bool) -> Self {
+        Round {
+            has_process: (has_unknown, has_known),
+            ..self
+        }
+    }
+
+    /// Returns whether a runner has a process of unknown version.
+    pub fn has_unknown_process(&self) -> bool {
+        self.has_process.0
+    }
+
+    /// Returns whether a runner that accepts requests has a process of known version.
+    pub fn has_known_process(&self) -> bool {
+        self.has_process.1
+    }
+
     /// Returns whether a runner may have room for a prompt, or for a plain request if there
     /// is one.
     pub fn has_any_room(&self, has_plain: bool) -> bool {
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -159,6 +159,8 @@
     /// Time of the last connection that the runner refused, while the process that is listed
     /// may be gone.
     refused_at: Option<Time>,
+    /// Time at which a connection led to another process than the one that is listed.
+    replaced_at: Option<Time>,
     /// Last connection that broke.
     last_break: Option<Break>,
     /// Whether no connection that was open beside that one shows that its process lives.
@@ -175,7 +177,9 @@
     names_start: Option<bool>,
     /// Time until which the process is not asked for its start, since it did not answer.
     silent_until: Option<Time>,
-    /// Whether a runner of the service had named its start when the process did not answer.
+    /// Whether the process once did not answer.
+    was_silent: bool,
+    /// Whether a runner of the service has named its start.
     is_name_expected: bool,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     peer_sum: PeerSum,
@@ -194,6 +198,7 @@
             disconnects: SmallVec::new(),
             is_probed: true,
             refused_at: None,
+            replaced_at: None,
             last_break: None,
             is_suspected: false,
             lost_at: None,
@@ -201,6 +206,7 @@
             breaks_at_crash: 0,
             names_start: None,
             silent_until: None,
+            was_silent: false,
             is_name_expected: false,
             peer_loads: BTreeMap::new(),
             peer_sum: PeerSum::default(),
@@ -221,10 +227,12 @@
         };
         if !is_same(&self.entry) {
             self.refused_at = None;
+            self.replaced_at = None;
             self.record_alive();
             self.crashes = 0;
             self.names_start = None;
             self.silent_until = None;
+            self.was_silent = false;
         }
         self.entry = entry;
     }
@@ -294,12 +302,14 @@
             Process::Listed => {
                 self.names_start = Some(true);
                 self.refused_at = None;
+                self.replaced_at = None;
                 self.record_alive();
                 self.crashes = 0;
             }
             Process::Other => {
                 self.names_start = Some(true);
                 self.refused_at = Some(now);
+                self.replaced_at = Some(now);
             }
             Process::Unnamed => {
                 self.names_start.get_or_insert(false);
@@ -312,6 +322,7 @@
     pub fn confirm_process(&mut self, confirmed_at: Time) {
         let is_outdated = |at: Time| confirmed_at >= at + REFUSAL_TIME;
         self.refused_at.take_if(|at| is_outdated(*at));
+        self.replaced_at.take_if(|at| is_outdated(*at));
         self.lost_at.take_if(|at| is_outdated(*at));
         let outdated = self.last_break.take_if(|last| is_outdated(last.at));
         if outdated.is_some() {
@@ -325,6 +336,23 @@
         self.is_gone() || self.lost_at.is_some()
     }
 
+    /// Returns whether the process that answers is known to be another one than is listed.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.replaced_at.is_some()
+    }
+
+    /// Returns whether a stream that begins at the runner now is of unknown version: its process
+    /// is another one than is listed, or does not tell which one it is.
+    #[must_use]
+    pub fn has_unknown_version(&self) -> bool {
+        match self.naming() {
+            Naming::Unknown | Naming::Named => self.is_replaced(),
+            Naming::Unnamed => self.is_in_doubt() || self.silent_until.is_some(),
+            Naming::Silent => true,
+        }
+    }
+
     /// Returns whether a connection broke and nothing shows that its process lives.
     #[must_use]
     pub fn is_suspected(&self) -> bool {
@@ -341,9 +369,17 @@
     /// whether a runner of the service has named its start.
     pub fn record_silence(&mut self, now: Time, is_name_expected: bool) {
         self.silent_until = Some(now + SILENCE_TIME);
+        self.was_silent = true;
         self.is_name_expected = is_name_expected;
     }
 
+    /// Records that a runner of the service has named its start. Returns whether this one was
+    /// asked and has never answered.
+    pub fn expect_name(&mut self) -> bool {
+        self.is_name_expected = true;
+        self.names_start.is_none() && self.was_silent
+    }
+
     /// Lets the process be asked again for its start.
     pub fn expire_silence(&mut self, now: Time) {
         self.silent_until.take_if(|until| now >= *until);
--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -198,8 +198,13 @@
             self.requeue(now, id);
             return;
         }
-        match self.pending[&id].possible_runs {
-            0 => self.refuse(id, Refusal::NoRunnerOfVersion),
+        let pending = &self.pending[&id];
+        let refusal = match pending.software {
+            Some(_) => Refusal::NoRunnerOfVersion,
+            None => Refusal::UnknownProcess,
+        };
+        match pending.possible_runs {
+            0 => self.refuse(id, refusal),
             _ => self.actions.push(Action::Fail {
                 id,
                 failure: Failure::RunnerBroke,
@@ -283,6 +288,11 @@
             self.cancel(now, id);
             return;
         }
+        if self.refuse_doubtful(now, id, wait_end) {
+            return;
+        }
+        let pending = &self.pending[&id];
+        let request = &pending.request;
         let opening = self.next_opening(now, &request.service);
         if let (Opening::At(opens_at), 0) = (opening, pending.possible_runs)
             && opens_at >= wait_end
@@ -380,7 +390,9 @@
     pub(super) fn refuse(&mut self, id: Id, refusal: Refusal) {
         let retry_after = match refusal {
             Refusal::NoRunner => RETRY_AFTER_NO_RUNNER,
-            Refusal::Saturated | Refusal::Rejected => RETRY_AFTER_SATURATED,
+            Refusal::Saturated | Refusal::Rejected | Refusal::UnknownProcess => {
+                RETRY_AFTER_SATURATED
+            }
             Refusal::OverShare => RETRY_AFTER_OVER_SHARE,
             Refusal::CrashesRunners => RETRY_AFTER_CRASHES,
             Refusal::NoRunnerOfVersion => RETRY_AFTER_NO_RUNNER,
@@ -390,7 +402,7 @@
         self.refuse_for(id, refusal, retry_after);
     }
 
-    fn refuse_for(&mut self, id: Id, refusal: Refusal, retry_after: Span) {
+    pub(super) fn refuse_for(&mut self, id: Id, refusal: Refusal, retry_after: Span) {
         let rationale = self
             .pending
             .get(&id)
--- a/crates/schedule/src/scheduler/dispatch.rs
+++ b/crates/schedule/src/scheduler/dispatch.rs
@@ -5,7 +5,6 @@
 use balsamchute_model::prelude::*;
 
 use crate::action::{Action, Id, Rationale};
-use crate::home::Homes;
 use crate::parts::Verdict;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::{Choice, Priority, Selector, needed_tokens};
@@ -254,7 +253,7 @@
         }
     }
 
-    fn selector(&self, now: Time, service: &Service) -> Selector<'_> {
+    pub(super) fn selector(&self, now: Time, service: &Service) -> Selector<'_> {
         Selector {
             now,
             domain: &self.settings.domain,
@@ -280,11 +279,15 @@
             Verdict::Suspected | Verdict::OnTrial => self.suspected_runners(now),
             Verdict::Refused => return Choice::NoRunner,
         };
+        self.record_doubt(now, id, round);
         let mut homes = std::mem::take(&mut self.homes);
         let pending = &self.pending[&id];
         let selector = self.selector(now, &pending.request.service);
         let is_usable = |target: &Target| !excluded.contains(&target.entry.runner);
-        let choice = self.choose_settled(now, pending, priority, round, &mut homes, is_usable);
+        let choice = match pending.begins_resumable() {
+            true => self.choose_beginning(now, pending, priority, round, &mut homes, is_usable),
+            false => None,
+        };
         if let Some(choice) = choice {
             self.homes = homes;
             return choice;
@@ -301,44 +304,6 @@
         choice
     }
 
-    /// Chooses the runner at which a stream begins among those whose version all routers know:
-    /// one that has not heard of a new version may take another for the origin of its streams.
-    /// Returns `None` if no version is new or no such runner has room.
-    fn choose_settled<F>(
-        &self,
-        now: Time,
-        pending: &Pending,
-        priority: Priority,
-        round: &Round,
-        homes: &mut Homes,
-        is_usable: F,
-    ) -> Option<Choice>
-    where
-        F: Fn(&Target) -> bool,
-    {
-        if pending.software.is_some() || !pending.request.is_resumable() {
-            return None;
-        }
-        let service = &pending.request.service;
-        let unsettled = self.streams.versions().unsettled(now, service);
-        let size = pending.request.prompt.as_ref().map(needed_tokens);
-        if unsettled.is_empty() || !round.may_have_room(priority, size) {
-            return None;
-        }
-        let selector = self.selector(now, service);
-        let choice = selector.choose(
-            pending,
-            priority,
-            (!self.recomputes).then_some(homes),
-            |target| {
-                is_usable(target)
-                    && !unsettled.contains(&&target.entry.software)
-                    && !target.is_ejected(now)
-            },
-        );
-        Some(choice).filter(|choice| matches!(choice, Choice::Runner { .. }))
-    }
-
     /// Returns the runners that run a suspected request of this router. Suspected parts
     /// count until the answer begins.
     fn suspected_runners(&self, now: Time) -> BTreeSet<Runner> {
@@ -373,6 +338,7 @@
         }
         let address = target.entry.address;
         let software = target.entry.software.clone();
+        let may_be_unknown = self.doubts.may_begin(now, &pending.request.service);
         self.rates.record_send(now, runner);
         pending.tried.push(runner.clone());
         pending.stage = Stage::Dispatched(Dispatch {
@@ -388,6 +354,7 @@
             written: false,
             is_read_paused: false,
             is_verified: false,
+            may_be_unknown,
         });
         self.charge(id, 1.0);
         self.actions.push(Action::Send {
--- a/crates/schedule/src/scheduler/exchange.rs
+++ b/crates/schedule/src/scheduler/exchange.rs
@@ -45,9 +45,11 @@
             part_suspects: self.parts.suspects(MAX_REPORT_SUSPECTS),
             limits: self.rates.limits(now).collect(),
             demand: self.rates.demand().collect(),
-            streams: self
-                .streams
-                .recent(now, self.targets.values().map(|target| &target.entry)),
+            streams: self.streams.recent(
+                now,
+                self.targets.values().map(|target| &target.entry),
+                self.doubts.announced(now),
+            ),
             cold: self.cold_report(now),
         }
     }
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 //! budget.
 
 mod attempt;
+mod begin;
 mod cold;
 mod dispatch;
 mod evacuate;
@@ -18,6 +19,7 @@
 use crate::action::{Action, End, Failure, Id, Refusal};
 use crate::budget::Budget;
 use crate::cold::{Bound, Colds};
+use crate::doubt::Doubts;
 use crate::hash::NumberState;
 use crate::home::Homes;
 use crate::notice::Notices;
@@ -85,6 +87,7 @@
     /// Cold starts of the services whose runners are protected after a start.
     cold_starts: BTreeMap<Service, ColdStart>,
     streams: Streams,
+    doubts: Doubts,
     // Services of which a runner has named the start of its process.
     naming_services: BTreeSet<Service>,
     router_count: u32,
@@ -130,6 +133,7 @@
             colds: Colds::new(Bound::default()),
             cold_starts: BTreeMap::new(),
             streams: Streams::new(),
+            doubts: Doubts::default(),
             naming_services: BTreeSet::new(),
             router_count: 1,
             homes: Homes::default(),
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -2,13 +2,15 @@
 //! has begun to answer.
 
 use balsamchute_model::prelude::*;
+use indexmap::IndexMap;
 
 use crate::action::{Action, Failure, Id};
+use crate::hash::NumberState;
 use crate::pending::{Pending, Stage};
 use crate::process::{Naming, Process};
 use crate::runner::{Start, Target};
 use crate::scheduler::Scheduler;
-use crate::stream::Basis;
+use crate::stream::{Basis, Digest};
 
 impl Scheduler {
     /// Returns whether the list of runners is confirmed as far as this router has one.
@@ -27,8 +29,12 @@
             return false;
         };
         let naming = self.targets.get(&dispatch.runner).map(Target::naming);
-        let naming = naming.unwrap_or(Naming::Unknown);
-        pending.request.is_resumable() && matches!(naming, Naming::Unknown | Naming::Named)
+        let is_asked = match naming.unwrap_or(Naming::Unknown) {
+            Naming::Unknown | Naming::Named => true,
+            Naming::Unnamed => false,
+            Naming::Silent => pending.begins_resumable() && !dispatch.may_be_unknown,
+        };
+        pending.request.is_resumable() && is_asked
     }
 
     /// Records that the connection for a request is known to lead to the listed process.
@@ -52,9 +58,8 @@
         };
         self.settled.clear();
         let service = &pending.request.service;
-        if process != Process::Unnamed && !self.naming_services.contains(service) {
-            self.naming_services.insert(service.clone());
-        }
+        let names_first = process != Process::Unnamed && !self.naming_services.contains(service);
+        let named_service = names_first.then(|| service.clone());
         let target = self.targets.get_mut(&dispatch.runner);
         let is_listed = target.is_some();
         if let Some(target) = target {
@@ -69,6 +74,21 @@
             Process::Unnamed if is_listed => {}
             Process::Other | Process::Unnamed => dispatch.software = Software::unknown(),
         }
+        if let Some(service) = named_service {
+            self.expect_names(now, service);
+        }
+    }
+
+    /// Records that runners of a service name their start. Of those that have not answered, any
+    /// process may have begun the streams that count as begun at the listed version.
+    fn expect_names(&mut self, now: Time, service: Service) {
+        for target in self.targets.values_mut() {
+            if target.entry.service == service && target.expect_name() {
+                let doubtful = self.streams.doubt(now, &target.entry.runner);
+                forget_answers(&mut self.pending, &doubtful);
+            }
+        }
+        self.naming_services.insert(service);
     }
 
     /// Records that a runner sent no report in time over a new connection. If runners of its
@@ -82,7 +102,8 @@
     }
 
     /// Returns whether a request may be sent over its connection: a stream goes on only at the
-    /// version that began it. A runner that is no longer listed must have named its start.
+    /// version that began it, and begins at a process of unknown version only if there is no
+    /// other. A runner that is no longer listed must have named its start.
     #[must_use]
     pub fn may_send(&self, now: Time, id: Id) -> bool {
         let Some(pending) = self.pending.get(&id) else {
@@ -91,6 +112,9 @@
         let Stage::Dispatched(dispatch) = &pending.stage else {
             return false;
         };
+        if pending.begins_resumable() {
+            return self.may_begin_over(now, pending, dispatch);
+        }
         let listed = self.targets.get(&dispatch.runner);
         let is_silent = listed.is_some_and(|target| target.naming() == Naming::Silent);
         let is_current = self.has_current_list(now) && !is_silent;
@@ -129,13 +153,7 @@
             return false;
         }
         let doubtful = self.streams.replace_process(now, entry);
-        for pending in self.pending.values_mut() {
-            if pending.basis == Some(Basis::Answer)
-                && doubtful.contains(&pending.request.stream_digest)
-            {
-                pending.software = Some(Software::unknown());
-            }
-        }
+        forget_answers(&mut self.pending, &doubtful);
         true
     }
 
@@ -172,3 +190,13 @@
         }
     }
 }
+
+/// Makes the version unknown at which answers may go on that began these streams.
+fn forget_answers(pending: &mut IndexMap<Id, Pending, NumberState>, streams: &[Digest]) {
+    for pending in pending.values_mut() {
+        if pending.basis == Some(Basis::Answer) && streams.contains(&pending.request.stream_digest)
+        {
+            pending.software = Some(Software::unknown());
+        }
+    }
+}
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -62,6 +62,8 @@
 pub enum Cause {
     /// The runner may have restarted at another version before the first event.
     Restart(Runner),
+    /// The runner did not tell which of its processes it was, though runners of its service do.
+    Silence(Runner),
     /// This source tells another origin than was known.
     Contradiction(Source),
 }
@@ -136,6 +138,9 @@
     /// Records that a stream began at this router.
     pub fn record(&mut self, now: Time, stream: Digest, origin: Origin) {
         self.begun += 1;
+        if origin.software.is_unknown() {
+            self.versions.record(now, &origin.service, &origin.software);
+        }
         self.insert(now, stream, origin, Source::Local);
     }
 
@@ -150,20 +155,38 @@
     /// version; their origin becomes unknown.
     pub fn replace_process(&mut self, now: Time, entry: &Entry) -> Vec<Digest> {
         let may_be_later = |begun_at: Time| begun_at + CLOCK_TOLERANCE >= Time(entry.started_at);
-        let is_doubtful = |stream: &Digest| {
-            let origin = self.origin(*stream);
+        let cause = Cause::Restart(entry.runner.clone());
+        self.forget_local(now, &entry.runner, cause, |begun_at, origin| {
+            may_be_later(begun_at) && origin.software != entry.software
+        })
+    }
+
+    /// Records that a runner did not tell which of its processes sent the first events of
+    /// streams. Returns the streams whose origin becomes unknown.
+    pub fn doubt(&mut self, now: Time, runner: &Runner) -> Vec<Digest> {
+        let cause = Cause::Silence(runner.clone());
+        self.forget_local(now, runner, cause, |_, _| true)
+    }
+
+    /// Makes the origins unknown of streams that began here at a runner, by the time of their
+    /// first event and their origin. Returns the streams.
+    fn forget_local(
+        &mut self,
+        now: Time,
+        runner: &Runner,
+        cause: Cause,
+        is_doubtful: impl Fn(Time, &Origin) -> bool,
+    ) -> Vec<Digest> {
+        let is_doubtful = |(begun_at, stream, other): &&(Time, Digest, Runner)| {
+            let origin = self.origin(*stream).filter(|_| other == runner);
             origin.is_some_and(|origin| {
-                origin.software != entry.software && !origin.software.is_unknown()
+                !origin.software.is_unknown() && is_doubtful(*begun_at, origin)
             })
         };
-        let local = self.local.iter();
-        let doubtful: Vec<Digest> = local
-            .filter(|(begun_at, _, runner)| *runner == entry.runner && may_be_later(*begun_at))
-            .map(|(_, stream, _)| *stream)
-            .filter(is_doubtful)
-            .collect();
+        let doubtful = self.local.iter().filter(is_doubtful);
+        let doubtful: Vec<Digest> = doubtful.map(|(_, stream, _)| *stream).collect();
         for &stream in &doubtful {
-            self.forget(now, stream, Cause::Restart(entry.runner.clone()));
+            self.forget(now, stream, cause.clone());
         }
         doubtful
     }
@@ -171,6 +194,10 @@
     /// Makes the origin of a stream unknown, and reports that.
     fn forget(&mut self, now: Time, stream: Digest, cause: Cause) {
         self.corrections.push(Correction { stream, cause });
+        if let Some((origin, _)) = self.origins.get(&stream) {
+            let service = origin.service.clone();
+            self.record_unknown(now, &service);
+        }
         if let Some((origin, source)) = self.origins.get_mut(&stream) {
             origin.software = Software::unknown();
             *source = Source::Local;
@@ -206,6 +233,9 @@
 
     fn merge_from(&mut self, now: Time, begun: &[Begun], source: Source) {
         for group in begun {
+            if group.software.is_unknown() {
+                self.record_unknown(now, &group.service);
+            }
             for &stream in &group.streams {
                 let origin = Origin {
                     service: group.service.clone(),
@@ -235,6 +265,11 @@
         std::mem::take(&mut self.corrections)
     }
 
+    /// Records that streams of a service may begin at processes of unknown version.
+    pub fn record_unknown(&mut self, now: Time, service: &Service) {
+        self.versions.record(now, service, &Software::unknown());
+    }
+
     /// Records that a listed runner has a version.
     pub fn record_version(&mut self, now: Time, entry: &Entry) {
         self.versions.record(now, &entry.service, &entry.software);
@@ -347,23 +382,27 @@
     }
 
     /// Returns the streams that began at this router a short time ago. Also names, perhaps
-    /// without streams, those of the `listed` versions that other routers may not list.
+    /// without streams, those of the `listed` versions that other routers may not list, and an
+    /// unknown version of the services in `doubtful`.
     #[must_use]
-    pub fn recent<'a, I>(&self, now: Time, listed: I) -> Vec<Begun>
+    pub fn recent<'a, I, D>(&self, now: Time, listed: I, doubtful: D) -> Vec<Begun>
     where
         I: Iterator<Item = &'a Entry>,
+        D: Iterator<Item = &'a Service>,
     {
         let newest_first = self.order.iter().rev();
         let recent = newest_first.take_while(|(at, ..)| now.since(*at) < REPORT_TIME);
         let local = recent.filter(|(.., source)| *source == Source::Local);
         let mut begun = self.group(local.map(|&(_, stream, _)| stream));
-        for entry in listed.filter(|entry| self.versions.is_changing(now, &entry.service)) {
-            let is_same =
-                |group: &Begun| group.service == entry.service && group.software == entry.software;
+        let changing = listed.filter(|entry| self.versions.is_changing(now, &entry.service));
+        let listed = changing.map(|entry| (&entry.service, &entry.software));
+        let unknown = Software::unknown();
+        for (service, software) in listed.chain(doubtful.map(|service| (service, &unknown))) {
+            let is_same = |group: &Begun| group.service == *service && group.software == *software;
             if !begun.iter().any(is_same) {
                 begun.push(Begun {
-                    service: entry.service.clone(),
-                    software: entry.software.clone(),
+                    service: service.clone(),
+                    software: software.clone(),
                     streams: Vec::new(),
                 });
             }
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -37,6 +37,11 @@
 /// streams that begin are reported.
 const SETTLE_TIME: Span = Span(5000);
 
+/// Time for which other routers are told of a version before streams begin at it that could as
+/// well begin elsewhere: afterwards, each has heard of it, or has heard no report for
+/// [`MAX_SILENCE`] and infers nothing.
+pub(crate) const ANNOUNCE_TIME: Span = Span(2000);
+
 /// Added to the greatest age of a stream, for the time that the request travels, and for the
 /// interval at which listed versions are recorded.
 const AGE_MARGIN: Span = Span(1000);
@@ -80,7 +85,8 @@
 }
 
 impl Versions {
-    /// Records that a runner that this or another router lists has a version.
+    /// Records that a runner that this or another router lists has a version, or that streams
+    /// of the service may begin at an unknown one.
     pub fn record(&mut self, now: Time, service: &Service, software: &Software) {
         let listing = Listing {
             since: now,
@@ -211,19 +217,28 @@
     #[must_use]
     pub fn unsettled(&self, now: Time, service: &Service) -> SmallVec<[&Software; 2]> {
         let is_settled = |listing: &Listing| now.since(listing.since) >= SETTLE_TIME;
-        let Some(versions) = self.served.get(service) else {
-            return SmallVec::new();
-        };
-        let mut listed = versions.values();
-        let has_settled =
-            listed.any(|listing| is_settled(listing) && now.since(listing.until) <= SETTLE_TIME);
-        let unsettled = versions.iter().filter(|(_, listing)| !is_settled(listing));
+        let versions = self.served.get(service).into_iter().flatten();
+        let listed: SmallVec<[(&Software, &Listing); 4]> = versions
+            .filter(|(software, _)| !software.is_unknown())
+            .collect();
+        let has_settled = listed
+            .iter()
+            .any(|(_, listing)| is_settled(listing) && now.since(listing.until) <= SETTLE_TIME);
+        let unsettled = listed.iter().filter(|(_, listing)| !is_settled(listing));
         match has_settled {
-            true => unsettled.map(|(software, _)| software).collect(),
+            true => unsettled.map(|(software, _)| *software).collect(),
             false => SmallVec::new(),
         }
     }
 
+    /// Returns whether a version was listed for so short a time that routers may infer another
+    /// one although they hear reports.
+    #[must_use]
+    pub fn is_unheard(&self, now: Time, service: &Service, software: &Software) -> bool {
+        let listed_for = self.listed_for(now, service, software);
+        listed_for.is_none_or(|listed_for| listed_for < ANNOUNCE_TIME)
+    }
+
     /// Records that no stream began before this router started.
     pub fn set_first(&mut self) {
         self.earlier = Earlier::NoStreams;
@@ -253,7 +268,8 @@
             return None;
         }
         let mut versions = self.within(now, service, max_age);
-        versions.next().filter(|_| versions.next().is_none())
+        let sole = versions.next().filter(|_| versions.next().is_none());
+        sole.filter(|software| !software.is_unknown())
     }
 
     /// Returns the versions of a service that served in this time up to now, as far as known.
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -183,15 +183,9 @@
     assert_eq!(sent, [(2, "z".to_owned())]);
 }
 
-fn is_refused(scheduler: &mut Scheduler, id: Id) -> bool {
-    let is_refusal =
-        |action: &Action| matches!(action, Action::Refuse { id: refused, .. } if *refused == id);
-    scheduler.take_actions().iter().any(is_refusal)
-}
-
 /// A router that has not heard of the new version infers the old one.
 #[test]
-fn streams_begin_at_a_version_that_all_routers_know_while_it_has_room() {
+fn streams_begin_at_a_new_version_for_want_of_room_once_all_routers_have_heard_of_it() {
     let mut scheduler = scheduler(100);
     scheduler.set_runner(
         NOW,
@@ -217,15 +211,24 @@
             sent.into_iter().map(|(_, runner)| runner)
         })
         .collect();
-    assert_eq!(first, ["x", "x", "x", "x", "z", "z"]);
-    assert!(!is_refused(&mut scheduler, 6));
+    assert_eq!(first, ["x", "x", "x", "x"]);
     let plain = Request {
         retry_policy: RetryPolicy::AtMostOnce,
         ..request(10)
     };
-    scheduler.cancel(release, 1);
-    scheduler.cancel(release, 2);
+    for id in 5..=6 {
+        scheduler.cancel(release, id);
+    }
     assert_eq!(submit(&mut scheduler, release, 10, plain)[0].1, "z");
+    for (ms, is_sent) in [(1999, false), (2000, true)] {
+        let now = release + Span(ms);
+        let sent = submit(&mut scheduler, now, 20 + ms, request(20 + ms));
+        assert_eq!(!sent.is_empty(), is_sent, "{ms}");
+        scheduler.cancel(now, 20 + ms);
+    }
+    for id in 1..=4 {
+        scheduler.cancel(release, id);
+    }
     let settled = release + Span(10_000);
     for at in (release.0..settled.0).step_by(1000) {
         scheduler.tick(Time(at));
@@ -310,11 +313,27 @@
     !submit(scheduler, NOW, 2, take_up(2, 1)).is_empty()
 }
 
+/// Asks for streams until they may begin at the only runner, whose version is unknown.
+fn announce(scheduler: &mut Scheduler) {
+    for (id, ms) in (1000..).zip((0..=4800).step_by(400)) {
+        let now = NOW - Span(4800 - ms);
+        submit(scheduler, now, id, begin(id));
+        scheduler.cancel(now, id);
+    }
+}
+
 #[test]
 fn a_stream_that_another_process_than_is_listed_begins_is_of_unknown_version() {
     for (named, taken_up) in [(None, true), (Some(1), true), (Some(2), false)] {
         let mut scheduler = scheduler(100);
         scheduler.set_runner(NOW, versioned("x", "old", 1));
+        if named == Some(2) {
+            submit(&mut scheduler, NOW, 3, begin(3));
+            scheduler.record_process(NOW, 3, Process::Other);
+            assert!(!scheduler.may_send(NOW, 3));
+            scheduler.cancel(NOW, 3);
+            announce(&mut scheduler);
+        }
         submit(&mut scheduler, NOW, 1, begin(1));
         scheduler.record_process(NOW, 1, Process::new(1, named));
         assert!(scheduler.may_send(NOW, 1));
@@ -335,6 +354,13 @@
         }
         scheduler.remove_runner(&runner("z"));
         scheduler.set_runner(NOW, versioned("x", "old", 1));
+        if named_by.is_some() {
+            submit(&mut scheduler, NOW, 4, begin(4));
+            scheduler.record_silence(NOW - Span(4950), &runner("x"));
+            assert!(scheduler.needs_process(4) && !scheduler.may_send(NOW, 4));
+            scheduler.cancel(NOW, 4);
+            announce(&mut scheduler);
+        }
         submit(&mut scheduler, NOW, 1, begin(1));
         scheduler.record_silence(NOW - Span(4950), &runner("x"));
         assert!(!scheduler.needs_process(1));
@@ -348,16 +374,16 @@
 }
 
 #[test]
-fn a_stream_that_an_unknown_process_begins_at_a_runner_that_left_the_list_is_of_unknown_version() {
-    for (named, taken_up) in [(None, false), (Some(2), false), (Some(1), true)] {
+fn a_stream_does_not_begin_at_an_unknown_process_of_a_runner_that_left_the_list() {
+    for (named, begins) in [(None, false), (Some(2), false), (Some(1), true)] {
         let mut scheduler = scheduler(100);
         scheduler.set_runner(NOW, versioned("x", "old", 1));
         submit(&mut scheduler, NOW, 1, begin(1));
         scheduler.remove_runner(&runner("x"));
         assert!(scheduler.needs_process(1));
         scheduler.record_process(NOW, 1, Process::new(1, named));
-        assert!(scheduler.may_send(NOW, 1));
-        assert_eq!(is_taken_up_at_y(&mut scheduler), taken_up, "{named:?}");
+        assert_eq!(scheduler.may_send(NOW, 1), begins, "{named:?}");
+        assert!(!begins || is_taken_up_at_y(&mut scheduler));
     }
 }
 
--- a/crates/schedule/tests/unnamed.rs
+++ b/crates/schedule/tests/unnamed.rs
@@ -85,16 +85,17 @@
     }
 }
 
-/// Takes a stream up that began `age` before, without a name for it.
+/// Takes a stream up, without a name for it if there is none.
 fn take_up(
     router: &mut Scheduler,
     now: Time,
     id: Id,
+    stream: Option<Id>,
     named: &[(&str, Option<u64>)],
 ) -> Option<String> {
     let request = Request {
         resumed: Some(Resumed {
-            stream: None,
+            stream,
             max_age: Span(60_000),
             is_sole_service: true,
         }),
@@ -104,15 +105,15 @@
 }
 
 /// Lets a caller ask the first router for a stream every 500 ms until one begins. Returns the
-/// time.
-fn begin_in_time(routers: &mut [Scheduler], named: &[(&str, Option<u64>)]) -> Time {
+/// time and the stream.
+fn begin_in_time(routers: &mut [Scheduler], named: &[(&str, Option<u64>)]) -> (Time, Id) {
     for ms in (0..MAX_WAIT.0).step_by(100) {
         let now = NOW + Span(ms);
         exchange(now, routers);
         let id = 100 + ms;
         let is_due = ms.is_multiple_of(500);
         if is_due && call(&mut routers[0], now, id, begin(now, id), named).is_some() {
-            return now;
+            return (now, id);
         }
         routers[0].cancel(now, id);
     }
@@ -127,13 +128,14 @@
         router.set_runner(NOW, listed("x", "old", 1));
     }
     let named = [("x", Some(2)), ("y", Some(1))];
-    let mut now = begin_in_time(&mut routers, &named);
+    let (mut now, stream) = begin_in_time(&mut routers, &named);
     for router in &mut routers {
         router.set_runner(now, listed("y", "old", 1));
     }
     for id in 1..50 {
         for router in &mut routers {
-            assert_eq!(take_up(router, now, id, &named), None, "{now:?}");
+            let name = (id % 2 == 0).then_some(stream);
+            assert_eq!(take_up(router, now, id, name, &named), None, "{now:?}");
         }
         now = now + Span(100);
         exchange(now, &mut routers);
@@ -156,7 +158,7 @@
         for (router, id) in routers.iter_mut().zip([4 * step, 4 * step + 2]) {
             let began = call(router, now, id, begin(now, id), &named);
             assert!(began.is_some_and(|runner| runner != "x"), "{step}");
-            let goes_on = take_up(router, now, id + 1, &named);
+            let goes_on = take_up(router, now, id + 1, None, &named);
             assert!(goes_on.is_some_and(|runner| runner != "x"), "{step}");
             router.cancel(now, id);
             router.cancel(now, id + 1);
@@ -170,7 +172,7 @@
     let mut routers: [Scheduler; 1] = routers();
     routers[0].set_runner(NOW, listed("x", "old", 1));
     let named = [("x", Some(2)), ("y", Some(1))];
-    let now = begin_in_time(&mut routers, &named);
+    let (now, _) = begin_in_time(&mut routers, &named);
     let record = routers[0].origins().record_versions(now);
     let mut started = scheduler(100);
     let versions = started.origins_mut().versions_mut();
@@ -178,5 +180,5 @@
     versions.set_recorded();
     versions.confirm(now);
     started.set_runner(now, listed("y", "old", 1));
-    assert_eq!(take_up(&mut started, now, 1, &named), None);
+    assert_eq!(take_up(&mut started, now, 1, None, &named), None);
 }
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -10,7 +10,7 @@
 use super::environment::{
     LATE, Store, asks_for_report, read_message, respond, send_raw, wait_until,
 };
-use super::streams::{SPREAD_TIME, begin, list, request, runner};
+use super::streams::{BEGIN_LIMIT, SPREAD_TIME, begin, begin_by_retries, list, request, runner};
 use super::{EVENT_STREAM_FIELDS, Router, decode_chunks, entry, events, manifest, start_routers};
 
 /// The stream begins before the entry of the process that sends it arrives.
@@ -91,7 +91,10 @@
     store.put("config", "main", manifest(1, &["k1"]));
     list(store, "i-0", &runners[0], "v1", 1);
     let routers = start_routers(store, 1);
-    let (mut caller, mut response) = begin(&routers[0], "q1");
+    let (mut caller, mut response) = match starts[0] {
+        2 => begin_by_retries(&routers[0], "q1", BEGIN_LIMIT),
+        _ => begin(&routers[0], "q1"),
+    };
     list(store, "i-1", &runners[1], "v1", 1);
     wait_until("the entry is listed", || {
         routers[0].log().contains("runner=i-1 ")
@@ -168,7 +171,7 @@
     wait_until("the entries are listed", || {
         is_logged("runner=i-0 ") && is_logged("event=runner_gone")
     });
-    let (mut caller, mut response) = begin(&routers[0], "q2");
+    let (mut caller, mut response) = begin_by_retries(&routers[0], "q2", BEGIN_LIMIT);
     list(&store, "i-1", &other, "v1", 1);
     thread::sleep(SPREAD_TIME);
     breaks.store(true, Ordering::SeqCst);
--- a/tests/all/edge/streams.rs
+++ b/tests/all/edge/streams.rs
@@ -5,6 +5,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use balsamchute_standin::link::Link;
@@ -21,6 +22,9 @@
 /// Start that the entries of a [`Fleet`] name.
 pub const LISTED: u64 = 1;
 
+/// Time in which streams must begin at the only runner, whatever its process.
+pub const BEGIN_LIMIT: Duration = Duration::from_secs(8);
+
 /// Encodes the events `from` to `to` with `data` as HTTP chunks, without the final chunk.
 pub fn events_with(data: &str, from: u64, to: u64) -> String {
     let events = (from..=to).map(|id| format!("id: {id}\ndata: {data}\n\n"));
@@ -144,6 +148,25 @@
     (caller, response)
 }
 
+/// Begins a stream, again each 300 ms after a refusal. Fails the test if `time` passes before.
+pub fn begin_by_retries(router: &Router, id: &str, time: Duration) -> (TcpStream, String) {
+    let deadline = Instant::now() + time;
+    loop {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let (caller, response) = try_begin(router, id, remaining);
+        if response.contains("id: 2\n") {
+            return (caller, response);
+        }
+        assert_refused(&response);
+        thread::sleep(Duration::from_millis(300));
+    }
+}
+
+pub fn assert_refused(response: &str) {
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
+    assert!(header(response, "retry-after").is_some(), "{response}");
+}
+
 /// Takes a stream up shortly after it began, as a caller that names only its last event.
 pub fn take_up(router: &Router, id: &str) -> String {
     let request = request(id, "Last-Event-Id: 2\r\n");
--- a/tests/all/edge/unnamed.rs
+++ b/tests/all/edge/unnamed.rs
@@ -3,15 +3,17 @@
 
 use std::collections::BTreeSet;
 use std::io::Read;
-use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use nix::sys::signal::Signal;
 
-use super::environment::{LATE, READ_TIMEOUT, header, wait_until};
-use super::streams::{Fleet, LISTED, begin, list, runner, take_up, try_begin};
+use super::environment::{LATE, READ_TIMEOUT, wait_until};
+use super::streams::{
+    BEGIN_LIMIT, Fleet, LISTED, assert_refused, begin, begin_by_retries, list, runner, take_up,
+    try_begin,
+};
 use super::{Router, decode_chunks};
 
 /// Start of a process that is not listed.
@@ -20,9 +22,6 @@
 /// Time after which a stream counts as not begun where that is allowed.
 const BEGIN_TIME: Duration = Duration::from_secs(2);
 
-/// Time in which streams must begin at the only runner, whatever its process.
-const BEGIN_LIMIT: Duration = Duration::from_secs(8);
-
 /// Times at which streams are taken up after they broke off.
 const TAKE_UP_TIMES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
@@ -210,27 +209,6 @@
     }
 }
 
-/// Begins a stream, again each 300 ms after a refusal. Fails the test if `time` passes before.
-fn begin_by_retries(router: &Router, time: Duration) -> (TcpStream, String) {
-    let deadline = Instant::now() + time;
-    let mut tries = 0;
-    loop {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let (caller, response) = try_begin(router, &format!("r{tries}"), remaining);
-        if response.contains("id: 2\n") {
-            return (caller, response);
-        }
-        assert_refused(&response);
-        thread::sleep(Duration::from_millis(300));
-        tries += 1;
-    }
-}
-
-fn assert_refused(response: &str) {
-    assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
-    assert!(header(response, "retry-after").is_some(), "{response}");
-}
-
 #[test]
 fn streams_are_served_or_refused_until_the_entry_of_a_restarted_runner_arrives_and_served_then() {
     let fleet = Fleet::start(&[("i-0", LISTED)]);
@@ -242,7 +220,7 @@
     }
     for router in &fleet.routers {
         let remaining = Duration::from_millis(1500).saturating_sub(listed_at.elapsed());
-        begin_by_retries(router, remaining);
+        begin_by_retries(router, "r", remaining);
     }
 }
 
@@ -259,14 +237,14 @@
 fn streams_are_served_at_a_runner_whose_entry_does_not_arrive() {
     let fleet = Fleet::start(&[("i-0", OTHER)]);
     for router in &fleet.routers {
-        begin_by_retries(router, BEGIN_LIMIT);
+        begin_by_retries(router, "r", BEGIN_LIMIT);
     }
 }
 
 #[test]
 fn a_stream_of_a_process_that_is_never_listed_is_not_taken_up_at_a_runner_listed_later() {
     let mut fleet = Fleet::start(&[("i-0", OTHER)]);
-    let (mut caller, mut begun) = begin_by_retries(&fleet.routers[0], BEGIN_LIMIT);
+    let (mut caller, mut begun) = begin_by_retries(&fleet.routers[0], "r", BEGIN_LIMIT);
     fleet.breaks.store(true, Ordering::SeqCst);
     let _ = caller.read_to_string(&mut begun);
     thread::sleep(Duration::from_secs(1));
@@ -300,7 +278,7 @@
         fleet.link.set_stalled(true);
         let response = thread::scope(|scope| {
             let caller = scope.spawn(|| {
-                let (caller, begun) = begin_by_retries(first, BEGIN_LIMIT);
+                let (caller, begun) = begin_by_retries(first, "r", BEGIN_LIMIT);
                 assert_eq!(senders(&begun), BTreeSet::from(["i-1"]));
                 drop((held, caller));
                 take_up(second, "t1")
