Compare the start in a report that ends its connection

Callers could get a stream joined of two versions. The response to the question which process answers may carry "Connection: close"; PROTOCOL.md says that it occasionally does. Such a report counted as one that names nothing, also if it named another start than the entry: the stream began with the version of the entry as its origin and was continued there. And one such report of the listed process was enough that the runner was never asked again while its entry was listed, so the next process in place was not noticed either.

The start is compared now whether or not the connection goes on. Another start makes the origin unknown. The listed one is not recorded, since the request goes over another connection: that one is not verified, as before, and the next request asks again. The question is not repeated for the same attempt, so a runner that ends each such connection still serves.

Evidence, on: of the three tests, 2 failed (a_stream_of_a_process_that_closes_the_connection_of_its_report_is_not_taken_for_the_listed_one, a_runner_that_closed_the_connection_of_one_report_is_asked_again_after_it_restarted; "process_unnamed listed=1 started_at=2 answered=true reusable=false", then "send attempt=2 runner=i-1 version_from=answer"), and the sound side passed: streams go on where all runners end the connections of their reports. All three pass now, with the 160 edge tests and those of schedule and edge.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -12,7 +12,10 @@
 impl Edge {
     /// Sends a request over a connection that is new, or asks first which process it leads to.
     pub(super) fn use_new_connection(&mut self, now: Time, index: usize, id: Id) {
-        if !self.scheduler.needs_process(id) {
+        let Some(transaction) = self.transactions.get_mut(&id) else {
+            return;
+        };
+        if transaction.is_process_named || !self.scheduler.needs_process(id) {
             self.use_connection(now, index, id);
             return;
         }
@@ -78,37 +81,44 @@
             return;
         };
         let (runner, address) = (connection.runner.clone(), connection.address);
-        let listed = self.registry.get(&runner);
-        let listed = listed.map_or(connection.started_at, |entry| entry.started_at);
+        let entry = self.registry.get(&runner);
+        let is_listed = entry.is_some();
+        let listed = entry.map_or(connection.started_at, |entry| entry.started_at);
         let is_reusable = identity.is_some_and(|identity| identity.is_reusable);
         let started_at = identity.and_then(|identity| identity.started_at);
-        let process = match is_reusable {
-            true => Process::new(listed, started_at),
-            false => Process::Unnamed,
+        let process = match Process::new(listed, started_at) {
+            // The request goes over another connection, which may lead to another process.
+            Process::Listed if !is_reusable && !is_listed => Process::Unnamed,
+            process => process,
         };
         connection.started_at = listed;
         connection.is_verified = process == Process::Listed;
         // The runner may send its response twice.
         connection.is_reused = process == Process::Unnamed;
-        let transaction = self.transactions.get(&id);
+        let is_named = process != Process::Unnamed;
+        let mut transaction = self.transactions.get_mut(&id);
+        if let Some(transaction) = &mut transaction {
+            transaction.is_process_named = is_named;
+        }
         log::info!(
             target: "runner",
             "event=process_{} runner={runner} request={} listed={listed} started_at={} answered={} reusable={is_reusable} after_ms={}",
             process.as_str(),
-            transaction.map_or("-", |transaction| &transaction.request_id),
+            transaction.map_or("-", |transaction| transaction.request_id.as_str()),
             started_at.unwrap_or(0),
             identity.is_some(),
             now.since(connection.since).0
         );
         self.stats.count_process(process);
-        match identity {
-            Some(_) => self.scheduler.record_process(now, id, process),
-            None => self.scheduler.record_silence(now, &runner),
+        match (identity, process) {
+            (None, _) => self.scheduler.record_silence(now, &runner),
+            (Some(_), Process::Listed) if !is_reusable => {}
+            (Some(_), _) => self.scheduler.record_process(now, id, process),
         }
         let may_send = self.scheduler.may_send(now, id);
         if may_send && is_reusable {
             self.write_request(now, index, id);
-        } else if may_send && !self.scheduler.needs_process(id) {
+        } else if may_send && (is_named || !self.scheduler.needs_process(id)) {
             self.detach(index, id);
             self.connect_for(now, id, &runner, address);
         } else {
--- a/crates/edge/src/edge/requests.rs
+++ b/crates/edge/src/edge/requests.rs
@@ -240,6 +240,7 @@
             splitter: Splitter::with_last_event_id(resumed_after),
             delivery: Delivery::NotStarted,
             upstream: None,
+            is_process_named: false,
             runners: SmallVec::new(),
             first_sent: None,
             last_sent: None,
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -84,6 +84,7 @@
         let may_reuse = !transaction.runners.contains(runner);
         transaction.runners.push(runner.clone());
         transaction.fallback = None;
+        transaction.is_process_named = false;
         transaction.splitter.start_part();
         let entry = self.registry.get(runner);
         let software = entry.map(|entry| &entry.software);
--- a/crates/edge/src/transaction.rs
+++ b/crates/edge/src/transaction.rs
@@ -55,6 +55,8 @@
     pub delivery: Delivery,
     /// Index of the connection to the runner during an attempt.
     pub upstream: Option<usize>,
+    /// Whether the runner of the attempt has named its start on a connection that it closes.
+    pub is_process_named: bool,
     /// Runners that the request was sent to, one for each attempt.
     pub runners: SmallVec<[Runner; 2]>,
     /// Time at which the first part of the response was sent to the caller.
--- a/tests/all/edge/mod.rs
+++ b/tests/all/edge/mod.rs
@@ -6,6 +6,7 @@
 mod ends;
 pub mod environment;
 mod evacuation;
+mod identity;
 mod interfaces;
 mod log_commands;
 mod messages;
