Treat a report that fails like one that does not come in time

Callers could get a stream joined of two versions. A runner whose report fails, as with status 503 while its process starts, counted as one that names no start: its streams began with the version of the entry as their origin, also where the runners of its service name theirs, and it was not asked again for as long as the entry was listed.

Another status still means that the runner offers no report.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -113,6 +113,9 @@
         match (identity, process) {
             (None, _) => self.scheduler.record_silence(now, &runner),
             (Some(_), Process::Listed) if !is_reusable => {}
+            (Some(identity), _) if identity.is_failed && is_listed => {
+                self.scheduler.record_silence(now, &runner);
+            }
             (Some(_), _) => self.scheduler.record_process(now, id, process),
         }
         let may_send = self.scheduler.may_send(now, id);
--- a/crates/edge/src/identity.rs
+++ b/crates/edge/src/identity.rs
@@ -21,6 +21,8 @@
     /// Whether the response may be a report. Another message, such as a late answer to a
     /// request, does not show that the process lives.
     pub is_report: bool,
+    /// Whether the process could not report now.
+    pub is_failed: bool,
     /// Start of the process in milliseconds since the Unix epoch, if it names it.
     pub started_at: Option<u64>,
     /// Whether the connection can carry a request after the report.
@@ -31,6 +33,7 @@
     /// Nothing, from bytes that are not a report.
     const UNKNOWN: Identity = Identity {
         is_report: false,
+        is_failed: true,
         started_at: None,
         is_reusable: false,
     };
@@ -65,8 +68,10 @@
                 continue;
             }
             let report = (head.status == 200).then(|| runner::decode_start(&body));
+            let is_malformed = matches!(report, Some(Err(_)));
             return Ok(Some(Identity {
                 is_report: true,
+                is_failed: is_malformed || is_transient(head.status),
                 started_at: report.and_then(|start| start.ok().flatten()),
                 is_reusable: head.is_keep_alive() && input.is_empty(),
             }));
@@ -74,3 +79,9 @@
         Ok(None)
     }
 }
+
+/// Returns whether a later report may succeed after this status, as opposed to one of a runner
+/// that offers no report.
+fn is_transient(status: u16) -> bool {
+    status == 429 || status >= 500
+}
--- a/tests/all/edge/identity.rs
+++ b/tests/all/edge/identity.rs
@@ -223,6 +223,25 @@
     }
 }
 
+/// The process may be the next one of the runner, which has not checked in.
+#[test]
+fn a_stream_of_a_runner_whose_report_fails_is_of_unknown_version_if_another_runner_names_its_start()
+{
+    let other = Runner::start(Report::Start(1));
+    let failing = Runner::start(Report::Failed);
+    let (store, router) = start(&other, Some(1));
+    let _named = begin(&router, "q1");
+    store.put("servers", "i-0", None);
+    failing.list(&store, "i-1", "v1", Some(1));
+    wait_listed(&router, "runner=i-1 ");
+    wait_listed(&router, "event=runner_gone");
+    let mut unknown = begin(&router, "q2");
+    other.list(&store, "i-2", "v1", Some(1));
+    wait_listed(&router, "runner=i-2 ");
+    assert!(!goes_on(&failing, &mut unknown), "{}", router.log());
+    assert!(!is_taken_up(&router, "q2"), "{}", router.log());
+}
+
 #[test]
 fn a_stream_is_continued_where_no_report_names_a_start() {
     for report in [Report::Unnamed, Report::Failed] {
