Leave idle connections unused after an entry of another process

Callers could get a stream joined of two versions. An idle connection was reused if the entry named the same start as when it was made. Entries without `born` all have the same start, 0, so after an entry at another address and version the router sent streams over the connection to the address before, where the process before still answered, and recorded the new version as their origin. Two processes with an equal `born` were told apart no better, even on a connection that was verified.

A connection keeps the version that was listed with its start, and is used only while start, address and version are as listed. The report of a process on a connection that is being asked updates them only if it names the start that is listed then; before, any report did.

Evidence, on: edge::identity::a_stream_is_not_sent_over_an_idle_connection_to_the_address_listed_before failed in each of its three cases (no start in entry and report; the start in the entry only; an equal start in both): the first address got 2 requests instead of 1. It passes now. The sound side, a verified connection that is reused after an entry which changes only the slots, passed before and does now. 166 of 166 edge tests, and those of schedule and edge, pass.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -91,8 +91,11 @@
             Process::Listed if !is_reusable && !is_listed => Process::Unnamed,
             process => process,
         };
-        connection.started_at = listed;
         connection.is_verified = process == Process::Listed;
+        if let (true, Some(entry)) = (connection.is_verified, entry) {
+            connection.started_at = entry.started_at;
+            connection.software = entry.software.clone();
+        }
         // The runner may send its response twice.
         connection.is_reused = process == Process::Unnamed;
         let is_named = process != Process::Unnamed;
--- a/crates/edge/src/edge/runners.rs
+++ b/crates/edge/src/edge/runners.rs
@@ -170,8 +170,7 @@
     ) -> io::Result<usize> {
         let socket = Socket::connect(address)?.with_send_buffer_limit();
         let entry = self.registry.get(runner);
-        let started_at = entry.map_or(0, |entry| entry.started_at);
-        let connection = Connection::new(now, socket, runner.clone(), address, started_at, phase);
+        let connection = Connection::new(now, socket, runner.clone(), address, entry, phase);
         let index = self.slots.insert(Slot::Upstream(Box::new(connection)));
         if let Err(error) = self.register(index) {
             self.close(index);
@@ -242,7 +241,7 @@
     /// connection count for the process that was listed when it was made. Leaves connections of
     /// unknown processes in the pool if the request needs to know it.
     fn take_idle_connection(&mut self, now: Time, id: Id, runner: &Runner) -> Option<usize> {
-        let started_at = self.registry.get(runner).map(|entry| entry.started_at);
+        let entry = self.registry.get(runner).cloned();
         let needs_process = self.scheduler.needs_process(id);
         let mut unverified = Vec::new();
         let mut found = None;
@@ -250,7 +249,10 @@
             match self.slots.get(index) {
                 Some(Slot::Upstream(connection)) => match connection.phase {
                     Phase::Idle(deadline)
-                        if now < deadline && started_at == Some(connection.started_at) =>
+                        if now < deadline
+                            && entry
+                                .as_ref()
+                                .is_some_and(|entry| connection.belongs_to(entry)) =>
                     {
                         if !connection.socket.is_open() {
                             // Its event is not handled yet, or came with bytes that were read.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -66,8 +66,11 @@
     pub socket: Socket,
     pub runner: Runner,
     pub address: SocketAddr,
-    /// Start time of the runner's process when the connection was made.
+    /// Start time of the process that was listed when the connection was made, or when the
+    /// runner named its start.
     pub started_at: u64,
+    /// Version of the software that was listed then.
+    pub software: Software,
     /// Whether the connection is known to lead to that process.
     pub is_verified: bool,
     /// Whether the runner announced how long it keeps the connection idle.
@@ -95,20 +98,22 @@
 }
 
 impl Connection {
-    /// Creates a connection that is being established in this phase.
+    /// Creates a connection that is being established in this phase, to a runner with this entry
+    /// if it is listed.
     pub fn new(
         now: Time,
         socket: Socket,
         runner: Runner,
         address: SocketAddr,
-        started_at: u64,
+        entry: Option<&Entry>,
         phase: Phase,
     ) -> Self {
         Connection {
             socket,
             runner,
             address,
-            started_at,
+            started_at: entry.map_or(0, |entry| entry.started_at),
+            software: entry.map_or_else(Software::unknown, |entry| entry.software.clone()),
             is_verified: false,
             is_idle_time_known: false,
             phase,
@@ -137,6 +142,14 @@
         }
     }
 
+    /// Returns whether the entry is of the process that the connection was made to, as far as
+    /// entries tell: processes that name no start may differ in their address or version alone.
+    pub fn belongs_to(&self, entry: &Entry) -> bool {
+        self.started_at == entry.started_at
+            && self.address == entry.address
+            && self.software == entry.software
+    }
+
     /// Returns whether the connection carries an answer that ends with it.
     pub fn ends_by_close(&self) -> bool {
         let response = self.response.as_ref();
--- a/tests/all/edge/identity.rs
+++ b/tests/all/edge/identity.rs
@@ -3,7 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -15,7 +15,7 @@
 use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest, start_routers};
 
 /// What a runner says of itself when it is asked for its report.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 enum Report {
     /// The start of its process.
     Start(u64),
@@ -50,10 +50,12 @@
 }
 
 /// Runner whose streams break off after two events once `breaks` is set, and go on to the fifth.
+/// Requests for a path that ends in `whole` are answered at once.
 struct Runner {
     address: SocketAddr,
     report: Arc<Mutex<Report>>,
     breaks: Arc<AtomicBool>,
+    received: Arc<AtomicUsize>,
 }
 
 impl Runner {
@@ -63,12 +65,15 @@
             address: listener.local_addr().expect("an address"),
             report: Arc::new(Mutex::new(report)),
             breaks: Arc::default(),
+            received: Arc::default(),
         };
         let (report, breaks) = (runner.report.clone(), runner.breaks.clone());
+        let received = runner.received.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (report, breaks) = (report.clone(), breaks.clone());
-                thread::spawn(move || serve(stream, &report, &breaks));
+                let received = received.clone();
+                thread::spawn(move || serve(stream, &report, &breaks, &received));
             }
         });
         runner
@@ -88,7 +93,12 @@
     }
 }
 
-fn serve(mut stream: TcpStream, report: &Mutex<Report>, breaks: &AtomicBool) {
+fn serve(
+    mut stream: TcpStream,
+    report: &Mutex<Report>,
+    breaks: &AtomicBool,
+    received: &AtomicUsize,
+) {
     while let Some((head, _)) = read_message(&mut stream) {
         if asks_for_report(&head) {
             let report = *report.lock().expect("no thread panicked");
@@ -97,11 +107,13 @@
             }
             continue;
         }
+        received.fetch_add(1, Ordering::SeqCst);
         let from =
             header(&head, "last-event-id").map_or(1, |id| 1 + id.parse::<u64>().expect("id"));
-        if from > 1 {
+        if from > 1 || head.contains("/whole ") {
             let body = format!("{}0\r\n\r\n", events(from, 5));
-            respond(&mut stream, &head, 200, EVENT_STREAM_FIELDS, &body);
+            let fields = format!("Keep-Alive: timeout=8\r\n{EVENT_STREAM_FIELDS}");
+            respond(&mut stream, &head, 200, &fields, &body);
             continue;
         }
         respond(&mut stream, &head, 200, EVENT_STREAM_FIELDS, &events(1, 2));
@@ -265,3 +277,46 @@
     wait_listed(&router, "runner=i-1 ");
     assert!(goes_on(&named, &mut caller), "{}", router.log());
 }
+
+/// The process before goes on with its requests at its own address.
+#[test]
+fn a_stream_is_not_sent_over_an_idle_connection_to_the_address_listed_before() {
+    let cases = [
+        (None, Report::Unnamed),
+        (Some(1), Report::Unnamed),
+        (Some(1), Report::Start(1)),
+    ];
+    for (born, report) in cases {
+        let (old, new) = (Runner::start(report), Runner::start(report));
+        let (store, router) = start(&old, born);
+        let response = send_raw(router.callers, &request("whole", "q0", ""));
+        assert!(response.contains("id: 5\n"), "{response}");
+        new.list(&store, "i-0", "v2", born);
+        wait_listed(&router, "software=\"v2\"");
+        let _callers: Vec<TcpStream> = (1..4).map(|id| begin(&router, &format!("q{id}"))).collect();
+        let received = old.received.load(Ordering::SeqCst);
+        assert_eq!(received, 1, "{report:?} {}", router.log());
+    }
+}
+
+#[test]
+fn an_idle_connection_is_used_after_an_entry_that_names_the_same_process() {
+    let runner = Runner::start(Report::Start(1));
+    let (store, router) = start(&runner, Some(1));
+    send_raw(router.callers, &request("whole", "q0", ""));
+    let mut value = entry(runner.address, "s").expect("an entry");
+    value["version"] = json!("v1");
+    value["born"] = json!(1);
+    value["slots"] = json!(7);
+    store.put("servers", "i-0", Some(value));
+    wait_until("the entry is listed", || {
+        router.log().matches("event=runner_listed").count() == 2
+    });
+    send_raw(router.callers, &request("whole", "q1", ""));
+    assert_eq!(
+        router.log().matches("event=process_").count(),
+        1,
+        "{}",
+        router.log()
+    );
+}
