Doubt the process of an entry whose start steps back

Callers could get a stream joined of two versions at runners whose reports name no start. The platform may write the entry of a process that is gone after that of the next one. The earlier start and its version were taken for those of the process that answers, so streams of the new version began with the old one as their origin and went on there.

Runners that name their start are asked as before, so they lose nothing.

Not covered: a late entry of a runner that was not listed any more.

--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -166,6 +166,8 @@
     /// Time at which connections last broke that were open at the same time, unless another one
     /// shows that their process lives.
     lost_at: Option<Time>,
+    /// Time at which the entry arrived, if it names an earlier start than the one before.
+    stepped_back_at: Option<Time>,
     /// Number of crashes that this router saw since the entry arrived. A runner may start again
     /// under its id and crash before the entry of the next process arrives.
     crashes: u32,
@@ -197,6 +199,7 @@
             last_break: None,
             is_suspected: false,
             lost_at: None,
+            stepped_back_at: None,
             crashes: 0,
             breaks_at_crash: 0,
             names_start: None,
@@ -210,8 +213,9 @@
     }
 
     /// Replaces the registration. A changed start time means a restart, which
-    /// resets the cache estimate and the health.
-    pub fn update(&mut self, entry: Entry) {
+    /// resets the cache estimate and the health. An entry with an earlier start may be a late
+    /// write of a process that is gone: the process is in doubt.
+    pub fn update(&mut self, now: Time, entry: Entry) {
         if entry.started_at != self.entry.started_at {
             self.cache.clear();
             self.health = Health::default();
@@ -225,6 +229,8 @@
             self.crashes = 0;
             self.names_start = None;
             self.silent_until = None;
+            let is_earlier = entry.started_at != 0 && entry.started_at < self.entry.started_at;
+            self.stepped_back_at = is_earlier.then_some(now);
         }
         self.entry = entry;
     }
@@ -294,6 +300,7 @@
             Process::Listed => {
                 self.names_start = Some(true);
                 self.refused_at = None;
+                self.stepped_back_at = None;
                 self.record_alive();
                 self.crashes = 0;
             }
@@ -313,6 +320,7 @@
         let is_outdated = |at: Time| confirmed_at >= at + REFUSAL_TIME;
         self.refused_at.take_if(|at| is_outdated(*at));
         self.lost_at.take_if(|at| is_outdated(*at));
+        self.stepped_back_at.take_if(|at| is_outdated(*at));
         let outdated = self.last_break.take_if(|last| is_outdated(last.at));
         if outdated.is_some() {
             self.is_suspected = false;
@@ -322,7 +330,7 @@
     /// Returns whether requests may reach another process than the listed one.
     #[must_use]
     pub fn is_in_doubt(&self) -> bool {
-        self.is_gone() || self.lost_at.is_some()
+        self.is_gone() || self.lost_at.is_some() || self.stepped_back_at.is_some()
     }
 
     /// Returns whether a connection broke and nothing shows that its process lives.
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -214,7 +214,7 @@
                 if target.entry.service != entry.service {
                     self.homes.clear();
                 }
-                target.update(entry);
+                target.update(now, entry);
             }
             None => {
                 self.homes.clear();
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -414,3 +414,24 @@
         );
     }
 }
+
+/// The entry is of a process that is gone, written late, or of a runner whose clock stepped back.
+#[test]
+fn a_stream_after_an_entry_with_an_earlier_start_is_of_unknown_version_unless_it_is_named() {
+    let cases = [
+        (7, 1, None, false),
+        (7, 1, Some(7), false),
+        (7, 1, Some(1), true),
+        (1, 7, None, true),
+    ];
+    for (before, listed, named, taken_up) in cases {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "new", before));
+        scheduler.set_runner(NOW, versioned("x", "old", listed));
+        submit(&mut scheduler, NOW, 1, begin(1));
+        scheduler.record_process(NOW, 1, Process::new(listed, named));
+        assert!(scheduler.may_send(NOW, 1));
+        let is_taken_up = is_taken_up_at_y(&mut scheduler);
+        assert_eq!(is_taken_up, taken_up, "{before} {named:?}");
+    }
+}
