Let the identity tests share the runner of the restart tests

The scripted runner of the tests can be given a response to requests for its report instead, and that of the restart tests answers requests named "whole" at once.

--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -417,6 +417,7 @@
         address: listener.local_addr().expect("an address"),
         received: Arc::default(),
         born: Arc::default(),
+        reply: Arc::default(),
     };
     thread::spawn(move || {
         let mut kept = Vec::new();
@@ -559,6 +560,7 @@
         address: listener.local_addr().expect("an address"),
         received: Arc::default(),
         born: Arc::default(),
+        reply: Arc::default(),
     };
     thread::spawn(move || {
         let mut kept = Vec::new();
--- a/tests/all/edge/environment.rs
+++ b/tests/all/edge/environment.rs
@@ -372,6 +372,8 @@
     pub received: Arc<Mutex<Vec<String>>>,
     /// Start that the runner names in its report; 0 for none.
     pub born: Arc<AtomicU64>,
+    /// Response to a request for the report, in place of one that names `born`.
+    pub reply: Arc<Mutex<Option<String>>>,
 }
 
 impl Runner {
@@ -387,15 +389,20 @@
         let received: Arc<Mutex<Vec<String>>> = Arc::default();
         let (script, requests) = (Arc::new(script), received.clone());
         let born: Arc<AtomicU64> = Arc::default();
-        let named = born.clone();
+        let reply: Arc<Mutex<Option<String>>> = Arc::default();
+        let (named, replied) = (born.clone(), reply.clone());
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let (script, requests) = (script.clone(), requests.clone());
-                let named = named.clone();
+                let (named, replied) = (named.clone(), replied.clone());
                 thread::spawn(move || {
                     while let Some((head, body)) = read_message(&mut stream) {
                         if asks_for_report(&head) {
-                            report(&mut stream, named.load(Ordering::SeqCst));
+                            match &*replied.lock().expect("no thread panicked") {
+                                // The router may have closed the connection.
+                                Some(text) => drop(stream.write_all(text.as_bytes())),
+                                None => report(&mut stream, named.load(Ordering::SeqCst)),
+                            }
                             continue;
                         }
                         let text = format!("{head}{}", String::from_utf8_lossy(&body));
@@ -411,6 +418,7 @@
             address,
             received,
             born,
+            reply,
         }
     }
 
@@ -420,6 +428,12 @@
         self.born.store(born, Ordering::SeqCst);
     }
 
+    /// Lets the runner answer requests for its report with this response.
+    #[allow(dead_code, reason = "not used by the soak")]
+    pub fn set_reply(&self, text: &str) {
+        *self.reply.lock().expect("no thread panicked") = Some(text.to_owned());
+    }
+
     /// Returns the requests received so far, as text.
     pub fn requests(&self) -> Vec<String> {
         self.received.lock().expect("no thread panicked").clone()
--- a/tests/all/edge/resets.rs
+++ b/tests/all/edge/resets.rs
@@ -178,6 +178,7 @@
         address,
         received: Arc::default(),
         born: Arc::default(),
+        reply: Arc::default(),
     }
 }
 
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -19,8 +19,9 @@
 const SPREAD_TIME: Duration = Duration::from_millis(600);
 
 /// Runner that begins streams with two events, which break off once `breaks` is set, and
-/// continues others to their end.
-fn runner(breaks: &Arc<AtomicBool>) -> Runner {
+/// continues others to their end. It answers requests with an id that begins with `whole` at
+/// once, and keeps the connection.
+pub(super) fn runner(breaks: &Arc<AtomicBool>) -> Runner {
     let breaks = breaks.clone();
     Runner::start(move |head: &str, stream: &mut TcpStream| {
         if header(head, "last-event-id").is_some() {
@@ -28,20 +29,26 @@
             respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
             return true;
         }
+        if header(head, "x-request-id").is_some_and(|id| id.starts_with("whole")) {
+            let body = format!("{}0\r\n\r\n", events(1, 5));
+            let fields = format!("Keep-Alive: timeout=8\r\n{EVENT_STREAM_FIELDS}");
+            respond(stream, head, 200, &fields, &body);
+            return true;
+        }
         respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 2));
         wait_until("the stream breaks", || breaks.load(Ordering::SeqCst));
         false
     })
 }
 
-fn list(store: &Store, name: &str, runner: &Runner, version: &str, started_at: u64) {
+pub(super) fn list(store: &Store, name: &str, runner: &Runner, version: &str, started_at: u64) {
     let mut value = entry(runner.address, "s").expect("an entry");
     value["version"] = json!(version);
     value["born"] = json!(started_at);
     store.put("servers", name, Some(value));
 }
 
-fn request(id: &str, fields: &str) -> String {
+pub(super) fn request(id: &str, fields: &str) -> String {
     format!(
         "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
          Authorization: Token k1\r\nConnection: close\r\n{fields}Content-Length: 0\r\n\r\n"
@@ -49,7 +56,7 @@
 }
 
 /// Begins a stream and returns its connection with the response up to the second event.
-fn begin(router: &Router, id: &str) -> (TcpStream, String) {
+pub(super) fn begin(router: &Router, id: &str) -> (TcpStream, String) {
     let mut caller = connect(router.callers);
     std::io::Write::write_all(&mut caller, request(id, "").as_bytes()).expect("a request");
     let mut response = String::new();
