Do not attribute a report to an entry that arrived while it was awaited

Callers lost streams that could have gone on: if the entry of the next process arrived between the question which process answers and the report of the one before, the stream was sent to the process before as one of unknown origin, and the new entry was marked as that of a process that is gone, so that no stream went on there either. A report without a start, or none in time, was recorded for the new entry as well, which was then not asked.

The answer counts for the listed process only if the connection was made under its entry, or if it names the start that is listed now. Otherwise the request is not sent over that connection, and goes to the process of the new entry or to another runner, without use of the retry budget.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -83,6 +83,8 @@
         let (runner, address) = (connection.runner.clone(), connection.address);
         let entry = self.registry.get(&runner);
         let is_listed = entry.is_some();
+        // The entry of another process has arrived since, of which this connection shows nothing.
+        let is_relisted = entry.is_some_and(|entry| !connection.belongs_to(entry));
         let listed = entry.map_or(connection.started_at, |entry| entry.started_at);
         let is_reusable = identity.is_some_and(|identity| identity.is_reusable);
         let started_at = identity.and_then(|identity| identity.started_at);
@@ -113,6 +115,10 @@
             now.since(connection.since).0
         );
         self.stats.count_process(process);
+        if is_relisted && process != Process::Listed {
+            self.leave_unsent(now, index, id);
+            return;
+        }
         match (identity, process) {
             (None, _) => self.scheduler.record_silence(now, &runner),
             (Some(_), Process::Listed) if !is_reusable => {}
--- a/tests/all/edge/identity.rs
+++ b/tests/all/edge/identity.rs
@@ -1,14 +1,14 @@
 //! Streams of runners whose entry, address or report belongs to another process than the one
 //! that answers.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use serde_json::json;
 
-use super::environment::{Runner, Store, send_raw, wait_until};
+use super::environment::{Runner, Store, connect, send_raw, wait_until};
 use super::restarts::{begin, list, request, runner};
 use super::{Router, entry, manifest, start_routers};
 
@@ -199,3 +199,30 @@
     let log = fleet.router.log();
     assert_eq!(log.matches("event=process_").count(), 1, "{log}");
 }
+
+/// The report that the router waits for is of the process before.
+#[test]
+fn a_stream_whose_runner_is_listed_anew_while_it_is_asked_begins_at_the_process_listed_then() {
+    let fleet = Fleet::start(&reply("200", "", 1));
+    let (next, other) = (runner(&fleet.breaks), runner(&fleet.breaks));
+    next.set_born(2);
+    other.set_born(1);
+    // The runner waits for its reply.
+    let held = fleet.first.reply.lock().expect("no thread panicked");
+    let mut caller = connect(fleet.router.callers);
+    caller
+        .write_all(request("q1", "").as_bytes())
+        .expect("a request");
+    fleet.wait_logged("event=send request=q1 ");
+    list(&fleet.store, "i-0", &next, "v2", 2);
+    fleet.wait_logged("software=\"v2\"");
+    drop(held);
+    wait_until("the stream begins", || {
+        [&fleet.first, &next].map(|runner| runner.requests().len()) != [0, 0]
+    });
+    let log = fleet.router.log();
+    assert_eq!(fleet.first.requests(), Vec::<String>::new(), "{log}");
+    list(&fleet.store, "i-1", &other, "v2", 1);
+    fleet.wait_logged("runner=i-1 ");
+    fleet.check("q1", caller, true);
+}
