Test streams with two runners at one address and with stepped clocks

Where two runners are listed with one address and an equal start, the process refuses requests for the other one (421), so the stream begins and goes on at its version. Streams that the next process began before its entry are of unknown version with clocks of runner and router stepped by 2,400 ms in opposite directions; from a difference of more than 5 s on they are not, as the design says.

--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -435,3 +435,16 @@
         assert_eq!(is_taken_up, taken_up, "{before} {named:?}");
     }
 }
+
+/// Steps of 2,400 ms of the clocks of the runner and of the router, in opposite directions.
+#[test]
+fn a_stream_of_the_next_process_is_of_unknown_version_if_both_clocks_were_stepped() {
+    for (step, is_unknown) in [(-4800_i64, true), (0, true), (4800, true), (5001, false)] {
+        let mut scheduler = scheduler(100);
+        begun_at_x(&mut scheduler, NOW, 1);
+        let started_at = NOW.0.checked_add_signed(step).unwrap();
+        scheduler.set_runner(NOW + Span(800), versioned("x", "new", started_at));
+        let sent = submit(&mut scheduler, NOW + Span(800), 2, take_up(2, 1));
+        assert_eq!(sent.is_empty(), is_unknown, "{step} {sent:?}");
+    }
+}
--- a/tests/all/edge/identity.rs
+++ b/tests/all/edge/identity.rs
@@ -8,9 +8,9 @@
 
 use serde_json::json;
 
-use super::environment::{Runner, Store, connect, send_raw, wait_until};
+use super::environment::{Runner, Store, connect, header, respond, send_raw, wait_until};
 use super::restarts::{begin, list, request, runner};
-use super::{Router, entry, manifest, start_routers};
+use super::{EVENT_STREAM_FIELDS, Router, entry, events, manifest, start_routers};
 
 /// Status of a report that fails.
 const FAILED: &str = "503";
@@ -226,3 +226,46 @@
     fleet.wait_logged("runner=i-1 ");
     fleet.check("q1", caller, true);
 }
+
+/// The process at the address is `i-1`, and refuses requests for another runner.
+#[test]
+fn a_stream_at_an_address_that_two_runners_are_listed_with_goes_on_at_the_version_that_began_it() {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let breaks = Arc::default();
+    let script_breaks: Arc<AtomicBool> = Arc::clone(&breaks);
+    let shared = Runner::start(move |head, stream| {
+        if header(head, "x-expect-instance") != Some("i-1") {
+            respond(stream, head, 421, "Content-Length: 0\r\n", "");
+            return true;
+        }
+        respond(stream, head, 200, EVENT_STREAM_FIELDS, &events(1, 2));
+        wait_until("the stream breaks", || script_breaks.load(Ordering::SeqCst));
+        false
+    });
+    let (old, new) = (runner(&breaks), runner(&breaks));
+    for first in [&shared, &old, &new] {
+        first.set_born(1);
+    }
+    list(&store, "i-0", &shared, "v1", 1);
+    list(&store, "i-1", &shared, "v2", 1);
+    let router = start_routers(&store, 1).remove(0);
+    let fleet = Fleet {
+        store,
+        router,
+        breaks,
+        first: shared,
+    };
+    let caller = fleet.begin("q1");
+    list(&fleet.store, "i-2", &old, "v1", 1);
+    list(&fleet.store, "i-3", &new, "v2", 1);
+    fleet.wait_logged("runner=i-3 ");
+    fleet.wait_logged("runner=i-2 ");
+    fleet.check("q1", caller, true);
+    assert_eq!(
+        old.requests(),
+        Vec::<String>::new(),
+        "{}",
+        fleet.router.log()
+    );
+}
