--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -168,6 +168,8 @@
     /// Time at which connections last broke that were open at the same time, unless another one
     /// shows that their process lives.
     lost_at: Option<Time>,
+    /// Time at which the entry arrived, if it names an earlier start than the one before.
+    stepped_back_at: Option<Time>,
     /// Number of crashes that this router saw since the entry arrived. A runner may start again
     /// under its id and crash before the entry of the next process arrives.
     crashes: u32,
@@ -202,6 +204,7 @@
             last_break: None,
             is_suspected: false,
             lost_at: None,
+            stepped_back_at: None,
             crashes: 0,
             breaks_at_crash: 0,
             names_start: None,
@@ -216,8 +219,9 @@
     }
 
     /// Replaces the registration. A changed start time means a restart, which
-    /// resets the cache estimate and the health.
-    pub fn update(&mut self, entry: Entry) {
+    /// resets the cache estimate and the health. An entry with an earlier start may be a late
+    /// write of a process that is gone: the process is in doubt.
+    pub fn update(&mut self, now: Time, entry: Entry) {
         if entry.started_at != self.entry.started_at {
             self.cache.clear();
             self.health = Health::default();
@@ -233,6 +237,8 @@
             self.names_start = None;
             self.silent_until = None;
             self.was_silent = false;
+            let is_earlier = entry.started_at != 0 && entry.started_at < self.entry.started_at;
+            self.stepped_back_at = is_earlier.then_some(now);
         }
         self.entry = entry;
     }
@@ -303,6 +309,7 @@
                 self.names_start = Some(true);
                 self.refused_at = None;
                 self.replaced_at = None;
+                self.stepped_back_at = None;
                 self.record_alive();
                 self.crashes = 0;
             }
@@ -311,9 +318,9 @@
                 self.refused_at = Some(now);
                 self.replaced_at = Some(now);
             }
-            Process::Unnamed => {
-                self.names_start.get_or_insert(false);
-            }
+            // The process that named its start may be gone.
+            Process::Unnamed if self.names_start == Some(true) => self.record_silence(now, true),
+            Process::Unnamed => self.names_start = Some(false),
         }
     }
 
@@ -324,6 +331,7 @@
         self.refused_at.take_if(|at| is_outdated(*at));
         self.replaced_at.take_if(|at| is_outdated(*at));
         self.lost_at.take_if(|at| is_outdated(*at));
+        self.stepped_back_at.take_if(|at| is_outdated(*at));
         let outdated = self.last_break.take_if(|last| is_outdated(last.at));
         if outdated.is_some() {
             self.is_suspected = false;
@@ -333,7 +341,7 @@
     /// Returns whether requests may reach another process than the listed one.
     #[must_use]
     pub fn is_in_doubt(&self) -> bool {
-        self.is_gone() || self.lost_at.is_some()
+        self.is_gone() || self.lost_at.is_some() || self.stepped_back_at.is_some()
     }
 
     /// Returns whether the process that answers is known to be another one than is listed.
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -322,20 +322,26 @@
     }
 }
 
+/// Checks that request 1 is not sent to the only runner, whose version is unknown, and submits it
+/// again once it may be.
+fn begin_at_unknown(scheduler: &mut Scheduler) {
+    assert!(!scheduler.may_send(NOW, 1));
+    scheduler.cancel(NOW, 1);
+    announce(scheduler);
+    submit(scheduler, NOW, 1, begin(1));
+}
+
 #[test]
 fn a_stream_that_another_process_than_is_listed_begins_is_of_unknown_version() {
     for (named, taken_up) in [(None, true), (Some(1), true), (Some(2), false)] {
         let mut scheduler = scheduler(100);
         scheduler.set_runner(NOW, versioned("x", "old", 1));
-        if named == Some(2) {
-            submit(&mut scheduler, NOW, 3, begin(3));
-            scheduler.record_process(NOW, 3, Process::Other);
-            assert!(!scheduler.may_send(NOW, 3));
-            scheduler.cancel(NOW, 3);
-            announce(&mut scheduler);
-        }
         submit(&mut scheduler, NOW, 1, begin(1));
         scheduler.record_process(NOW, 1, Process::new(1, named));
+        if named == Some(2) {
+            begin_at_unknown(&mut scheduler);
+            scheduler.record_process(NOW, 1, Process::Other);
+        }
         assert!(scheduler.may_send(NOW, 1));
         assert_eq!(is_taken_up_at_y(&mut scheduler), taken_up, "{named:?}");
     }
@@ -420,3 +426,64 @@
     scheduler.tick(later);
     assert_eq!(breaks(&mut scheduler, later, 2), [(2, "y".to_owned())]);
 }
+
+/// The process that answers is not the one that named its start.
+#[test]
+fn a_stream_of_a_runner_that_named_its_start_and_does_not_any_more_is_of_unknown_version() {
+    for (named_before, taken_up) in [(None, true), (Some(1), false)] {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "old", 1));
+        submit(&mut scheduler, NOW, 3, begin(3));
+        scheduler.record_process(NOW, 3, Process::new(1, named_before));
+        scheduler.cancel(NOW, 3);
+        submit(&mut scheduler, NOW, 1, begin(1));
+        scheduler.record_process(NOW, 1, Process::new(1, None));
+        if named_before.is_some() {
+            begin_at_unknown(&mut scheduler);
+        }
+        assert!(scheduler.may_send(NOW, 1));
+        assert_eq!(
+            is_taken_up_at_y(&mut scheduler),
+            taken_up,
+            "{named_before:?}"
+        );
+    }
+}
+
+/// The entry is of a process that is gone, written late, or of a runner whose clock stepped back.
+#[test]
+fn a_stream_after_an_entry_with_an_earlier_start_is_of_unknown_version_unless_it_is_named() {
+    let cases = [
+        (7, 1, None, false),
+        (7, 1, Some(7), false),
+        (7, 1, Some(1), true),
+        (1, 7, None, true),
+    ];
+    for (before, listed, named, taken_up) in cases {
+        let mut scheduler = scheduler(100);
+        scheduler.set_runner(NOW, versioned("x", "new", before));
+        scheduler.set_runner(NOW, versioned("x", "old", listed));
+        submit(&mut scheduler, NOW, 1, begin(1));
+        scheduler.record_process(NOW, 1, Process::new(listed, named));
+        if named == Some(before) {
+            begin_at_unknown(&mut scheduler);
+            scheduler.record_process(NOW, 1, Process::Other);
+        }
+        assert!(scheduler.may_send(NOW, 1));
+        let is_taken_up = is_taken_up_at_y(&mut scheduler);
+        assert_eq!(is_taken_up, taken_up, "{before} {named:?}");
+    }
+}
+
+/// Steps of 2,400 ms of the clocks of the runner and of the router, in opposite directions.
+#[test]
+fn a_stream_of_the_next_process_is_of_unknown_version_if_both_clocks_were_stepped() {
+    for (step, is_unknown) in [(-4800_i64, true), (0, true), (4800, true), (5001, false)] {
+        let mut scheduler = scheduler(100);
+        begun_at_x(&mut scheduler, NOW, 1);
+        let started_at = NOW.0.checked_add_signed(step).unwrap();
+        scheduler.set_runner(NOW + Span(800), versioned("x", "new", started_at));
+        let sent = submit(&mut scheduler, NOW + Span(800), 2, take_up(2, 1));
+        assert_eq!(sent.is_empty(), is_unknown, "{step} {sent:?}");
+    }
+}
--- a/tests/all/edge/streams.rs
+++ b/tests/all/edge/streams.rs
@@ -34,7 +34,8 @@
 }
 
 /// Runner that begins streams with two events, which break off once `breaks` is set, and
-/// continues others to their fifth event. The data of its events is `name`.
+/// continues others to their fifth event. It answers requests with an id that begins with `whole`
+/// at once, and keeps the connection. The data of its events is `name`.
 pub fn runner(name: &'static str, breaks: &Arc<AtomicBool>) -> Runner {
     let breaks = breaks.clone();
     Runner::start(move |head: &str, stream: &mut TcpStream| {
@@ -43,6 +44,12 @@
             respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
             return true;
         }
+        if header(head, "x-request-id").is_some_and(|id| id.starts_with("whole")) {
+            let body = format!("{}0\r\n\r\n", events_with(name, 1, 5));
+            let fields = format!("Keep-Alive: timeout=8\r\n{EVENT_STREAM_FIELDS}");
+            respond(stream, head, 200, &fields, &body);
+            return true;
+        }
         let body = events_with(name, 1, 2);
         respond(stream, head, 200, EVENT_STREAM_FIELDS, &body);
         wait_until("the stream breaks", || breaks.load(Ordering::SeqCst));
