Count a process as another one if its entry names no start

Callers could get a stream joined of two versions. Where an entry has no `born` and the process at its address names one, the process counted as one that names none: its streams began with the version of the entry, and it was not asked again. A process writes `born` to all that it says of itself (PROTOCOL.md), so such an entry is of another writer or process.

It counts as another process now: origins are unknown and no stream goes on there until its own entry is listed. Processes that name no start, and those that name 0 with an entry that names none, are judged as before.

Evidence, on: edge::identity::a_stream_of_a_process_that_names_a_start_is_of_unknown_version_if_its_entry_names_none failed ("process_unnamed listed=0 started_at=2"), and passes now. 169 of 169 edge tests, and those of schedule and edge, pass. What it costs: a fleet whose reports name the start and whose entries never do resumes no streams.

--- a/crates/schedule/src/process.rs
+++ b/crates/schedule/src/process.rs
@@ -30,13 +30,15 @@
 
 impl Process {
     /// Compares the start that a process names with that of the listed one, in milliseconds
-    /// since the Unix epoch; 0 if the entry names none.
+    /// since the Unix epoch; 0 if the entry names none. A process that names its start writes it
+    /// to its entry too.
     #[must_use]
     pub fn new(listed: u64, named: Option<u64>) -> Self {
         match named {
-            Some(named) if listed != 0 && named == listed => Process::Listed,
-            Some(_) if listed != 0 => Process::Other,
-            Some(_) | None => Process::Unnamed,
+            None => Process::Unnamed,
+            Some(0) if listed == 0 => Process::Unnamed,
+            Some(named) if named == listed => Process::Listed,
+            Some(_) => Process::Other,
         }
     }
 
--- a/tests/all/edge/identity.rs
+++ b/tests/all/edge/identity.rs
@@ -269,3 +269,14 @@
         fleet.router.log()
     );
 }
+
+/// The entry may come from another writer, since a process that names its start does so everywhere.
+#[test]
+fn a_stream_of_a_process_that_names_a_start_is_of_unknown_version_if_its_entry_names_none() {
+    let fleet = Fleet::start(&reply("200", "", 2));
+    list(&fleet.store, "i-0", &fleet.first, "v1", 0);
+    fleet.wait_logged("started_at=0 ");
+    let caller = fleet.begin("q1");
+    let _other = fleet.add("i-1", &reply("200", "", 1));
+    fleet.check("q1", caller, false);
+}
