Count the streams of the soak by the version that began them

Cause: the soak prints how many streams callers take up, but not at which software version these began, nor how long a first event takes. A change that refuses or delays streams of a version that no entry names can't be measured.

Change: `begun_at` and `taken_up_of` by version, and the median and the 99th percentile of the time to the first event.

--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::answer::Report;
+use crate::counts::Streams;
 use crate::framing::UNNAMED_CLOSE;
 use crate::server::now_ms;
 use crate::shape::Shape;
@@ -99,24 +100,6 @@
     is_calm: bool,
 }
 
-/// Counts of streams.
-#[derive(Clone, Debug, Default)]
-pub struct Streams {
-    /// Streams of which a caller got an event.
-    pub begun: usize,
-    /// Requests that runners received with a later `Last-Event-Id` than the caller sent.
-    pub resumed: usize,
-    /// Streams for which callers sent another request, and these requests.
-    pub taken_up: usize,
-    pub take_ups: usize,
-    /// Streams that were taken up and got to their end.
-    pub taken_up_to_end: usize,
-    /// First requests for streams that were refused as not run, by reason.
-    pub refused: BTreeMap<String, usize>,
-    /// Requests that took up a stream and were refused as not run, by reason.
-    pub refused_take_ups: BTreeMap<String, usize>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     requests: BTreeMap<String, Record>,
@@ -508,19 +491,10 @@
             let broken = violations.iter();
             broken.filter(|text| text.starts_with(&promise)).count()
         };
+        let [missing, twice, joined, ended_early] =
+            ["missing", "twice", "joined", "ended early"].map(count);
         format!(
-            "streams begun={} resumed={} taken_up={} take_ups={} taken_up_to_end={} refused={:?} refused_take_ups={:?} missing={} twice={} joined={} ended_early={}",
-            streams.begun,
-            streams.resumed,
-            streams.taken_up,
-            streams.take_ups,
-            streams.taken_up_to_end,
-            streams.refused,
-            streams.refused_take_ups,
-            count("missing"),
-            count("twice"),
-            count("joined"),
-            count("ended early")
+            "streams {streams} missing={missing} twice={twice} joined={joined} ended_early={ended_early}"
         )
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -21,6 +21,7 @@
 mod answer;
 mod callers;
 mod connection;
+mod counts;
 mod early;
 mod event;
 mod fleet;
--- a/tests/soak/order.rs
+++ b/tests/soak/order.rs
@@ -8,6 +8,8 @@
     stream: String,
     /// Request that brought the first event.
     begun_by: Option<String>,
+    /// Software version that it came from.
+    begun_at: Option<usize>,
     /// Id of the last event.
     events: u64,
     /// Run that the last event came from.
@@ -21,6 +23,7 @@
         Progress {
             stream: stream.to_owned(),
             begun_by: None,
+            begun_at: None,
             events: 0,
             run: None,
             repeated: None,
@@ -32,6 +35,11 @@
         self.events
     }
 
+    /// Returns the software version that the first event came from.
+    pub fn begun_at(&self) -> Option<usize> {
+        self.begun_at
+    }
+
     /// Adds the bytes that a chunk of the answer to request `id` brought. Routers pass on
     /// complete events only.
     pub fn extend(&mut self, id: &str, bytes: &[u8], judge: &Judge) {
@@ -49,6 +57,7 @@
             }
             self.check(id, number, &run, judge);
             self.begun_by.get_or_insert_with(|| id.to_owned());
+            self.begun_at.get_or_insert(run.version);
             self.events = self.events.max(number);
             self.run = Some(run);
             rest = &rest[end..];
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -72,6 +72,8 @@
     names_origin: bool,
     key: String,
     progress: Progress,
+    /// Time from the first request to the first event.
+    first_event: Option<Duration>,
     judge: &'a Judge,
     /// Wait that the last refusal named, and its reason.
     retry_after: Duration,
@@ -111,6 +113,7 @@
             // Few callers of a large fleet do.
             names_origin: (random.random_range(0..5) > 0) != shape.is_large,
             key: draw_key(&mut random),
+            first_event: None,
             judge,
             retry_after: Duration::ZERO,
             reason: String::new(),
@@ -137,10 +140,14 @@
             let reason = caller.reason.clone();
             judge.count_streams(|streams| *streams.refused.entry(reason).or_default() += 1);
         }
-        if caller.progress.last_event() == 0 {
+        let Some(version) = caller.progress.begun_at() else {
             continue;
-        }
-        judge.count_streams(|streams| streams.begun += 1);
+        };
+        judge.count_streams(|streams| {
+            streams.begun += 1;
+            *streams.begun_at.entry(version).or_default() += 1;
+            streams.first_events.extend(caller.first_event);
+        });
         if kind == Kind::Stream && outcome == Outcome::Unknown {
             take_up(&mut caller, router, routers, &mut random);
         }
@@ -175,6 +182,9 @@
         let id = format!("{}-{number}", caller.stream);
         judge.count_streams(|streams| {
             streams.taken_up += usize::from(number == 0);
+            if let Some(version) = caller.progress.begun_at().filter(|_| number == 0) {
+                *streams.taken_up_of.entry(version).or_default() += 1;
+            }
             streams.take_ups += 1;
         });
         let manner = Manner::draw(random);
@@ -239,6 +249,7 @@
             Some(connection) => connection,
             None => Connection::open(router, self.pause)?,
         };
+        let sent = Instant::now();
         self.reason.clear();
         let request = self.request(id);
         connection.set_patience(self.left());
@@ -264,6 +275,7 @@
                     break;
                 }
                 self.progress.extend(id, &bytes, self.judge);
+                self.first_event.get_or_insert_with(|| sent.elapsed());
                 if manner.leaves_after == Some(chunk) {
                     return None;
                 }
@@ -271,6 +283,7 @@
         } else {
             let body = connection.read_body(&head)?;
             self.progress.extend(id, &body, self.judge);
+            self.first_event.get_or_insert_with(|| sent.elapsed());
         }
         self.progress.finish(id, self.judge);
         Some((outcome, is_kept(&head).then_some(connection)))
