Let callers of the soak give up at the deadline of their stream

Cause: a caller that is refused waits for as long as Retry-After names, 20 s and more where a version is not known, though its stream is due after 8 s. It starts no other stream meanwhile, and the run waits for it at its end.

Change: the wait ends with the deadline of the stream.

--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -171,7 +171,9 @@
             0 => random.random_range(50..1500),
             _ => 0,
         };
-        thread::sleep(Duration::from_millis(wait).max(caller.retry_after));
+        // One that may return only later gives up at its deadline.
+        let wait = Duration::from_millis(wait).max(caller.retry_after);
+        thread::sleep(wait.min(caller.left()));
         if random.random_range(0..3) > 0 {
             router = routers[random.random_range(0..routers.len())];
         }
