Play a fleet of one version whose runners restart at another unlisted

Cause: callers name no request that began a stream (`Resumes`), and an incident shows events of two versions in one stream. The soak can't show it: with 40 routers or fewer it begins with two versions and releases every 4 s, so that no router infers a sole version, and four in five of its callers name the request. With more, runners keep their version outside of a release.

Change: `--steady` plays 6 runners, all processes, that are listed at one version. Every 0.2 to 0.9 s one of them, or all at once, runs another version for 0.15 to 1.8 s, without an entry, and is back at the listed one afterwards, so the inference holds. Some send no report for 0.3 to 2 s; their connections are reset; entries of the process that is back lag by up to 2.5 s. In the last 2 s, some other versions are listed, also after their process has ended. In half of the seeds a new version is listed then while all other runners have one slot, half of the routers don't reach the store, and a router is killed. One in five callers names `Resumes`. The stretches that check limits and drains are those of the other plan.

Without a seed, 8 s of this are played after the usual plan. Other seeds keep their plans. Links between routers that hold back datagrams are not played: the soak has none.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -18,6 +18,7 @@
 use crate::plan::{Change, Cycle, Fault};
 use crate::server::{Host, Server, Spec, now_ms};
 use crate::shape::Shape;
+use crate::steady::OtherVersion;
 use crate::trouble::Instruction;
 use crate::uploads::MAX_BYTES;
 
@@ -101,6 +102,8 @@
 impl Fleet {
     /// Starts the store, the runners and the routers, and waits until they serve.
     pub fn start(shape: Shape, judge: &Judge) -> Self {
+        BAD_PART.store(0, Ordering::SeqCst);
+        KEY.store(1, Ordering::SeqCst);
         let store = Store::start();
         let mut fleet = Fleet {
             shape,
@@ -255,6 +258,8 @@
                 down,
                 change,
             } => self.restart_runner(*place, *down, *change, judge),
+            Fault::RunOtherVersion(place, other) => self.run_other_version(*place, *other, judge),
+            Fault::LimitSlots(time) => self.limit_slots(*time),
             Fault::HoldAnswers(place, time) => {
                 self.server(*place).instruct(Instruction::Hold(*time));
             }
@@ -407,6 +412,35 @@
         });
     }
 
+    /// Lets a process of the newest version answer for a runner, and one of the version that is
+    /// listed again afterwards.
+    fn run_other_version(&mut self, place: usize, other: OtherVersion, judge: &Judge) {
+        let server = self.server(place);
+        let Host::Process(process) = &server.host else {
+            return;
+        };
+        let (process, listing) = (process.clone(), server.listing.clone());
+        judge.record_kill();
+        let generation = process.kill();
+        let (usual, newest) = (listing.version(), self.newest_version);
+        self.after(Duration::ZERO, move || {
+            other.play(&process, &listing, generation, (newest, usual));
+        });
+    }
+
+    /// Lets the entries of all runners name one slot for a time.
+    fn limit_slots(&mut self, time: Duration) {
+        let places = self.places.iter();
+        let listings: Vec<_> = places
+            .map(|number| self.servers[number].listing.clone())
+            .collect();
+        listings.iter().for_each(|listing| listing.set_slots(1));
+        let slots = self.shape.slots;
+        self.after(time, move || {
+            listings.iter().for_each(|listing| listing.set_slots(slots));
+        });
+    }
+
     /// Lets a runner drain and starts another one of its version in its place.
     fn replace_runner(&mut self, place: usize, judge: &Judge) {
         let version = self.server(place).listing.version();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,9 +1,9 @@
 //! Fault soak of the routers at the edge: real processes, a seeded plan of faults and
 //! load, and checks of what callers and runners see.
 //!
-//! `cargo test --test soak -- --seed 7 --seconds 60` plays a seed. Without arguments, a
-//! short run of seed 1 is played. A run that failed keeps the logs of its routers and prints
-//! where.
+//! `cargo test --test soak -- --seed 7 --seconds 60` plays a seed; `--steady` plays it with
+//! runners that are listed with one software version. Without these two, a short run of seed 1
+//! of either kind is played. A run that failed keeps the logs of its routers and prints where.
 
 #[allow(
     dead_code,
@@ -33,6 +33,7 @@
 mod process;
 mod server;
 mod shape;
+mod steady;
 mod streams;
 mod trouble;
 mod uploads;
@@ -51,6 +52,10 @@
 use crate::shape::Shape;
 use crate::uploads::Uploaders;
 
+/// Time for which faults are injected without the option, in seconds.
+const SECONDS: u64 = 15;
+const STEADY_SECONDS: u64 = 8;
+
 /// Time after the last fault within which the fleet must serve everything again.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
@@ -69,11 +74,12 @@
 /// Streams taken up by callers below which a run of 20 s says little about their order.
 const MIN_TAKEN_UP: usize = 100;
 
-/// Options of one run.
+/// Options of the soak.
 #[derive(Clone, Debug)]
 struct Options {
-    seed: u64,
-    seconds: u64,
+    seed: Option<u64>,
+    is_steady: bool,
+    seconds: Option<u64>,
     routers: usize,
     filters: Vec<String>,
 }
@@ -82,11 +88,14 @@
     let seed = bpaf::long("seed")
         .help("Seed of the faults and the load")
         .argument("SEED")
-        .fallback(1);
+        .optional();
+    let is_steady = bpaf::long("steady")
+        .help("Lists all runners with one software version")
+        .switch();
     let seconds = bpaf::long("seconds")
         .help("Time for which faults are injected")
         .argument("SECONDS")
-        .fallback(15);
+        .optional();
     let routers = bpaf::long("routers")
         .help("Number of router processes, 2 to 200")
         .argument("COUNT")
@@ -97,6 +106,7 @@
         .many();
     bpaf::construct!(Options {
         seed,
+        is_steady,
         seconds,
         routers,
         filters
@@ -115,13 +125,37 @@
     if !options.filters.is_empty() && !options.filters.iter().any(is_selected) {
         return ExitCode::SUCCESS;
     }
-    let judge = run(&options);
+    let usual = (Shape::new(options.routers), SECONDS);
+    let steady = (Shape::steady(options.routers), STEADY_SECONDS);
+    let runs = match (options.is_steady, options.seed) {
+        (true, _) => vec![steady],
+        (false, Some(_)) => vec![usual],
+        (false, None) => vec![usual, steady],
+    };
+    let mut is_sound = true;
+    for (shape, seconds) in runs {
+        let seconds = options.seconds.unwrap_or(seconds);
+        is_sound &= check(&shape, options.seed.unwrap_or(1), seconds);
+    }
+    match is_sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(FAILURE_CODE),
+    }
+}
+
+/// Plays a run and prints what was seen. Returns whether all promises were kept.
+fn check(shape: &Shape, seed: u64, seconds: u64) -> bool {
+    let judge = run(shape, seed, seconds);
     let violations = judge.violations();
-    println!("soak seed={} {}", options.seed, judge.summary());
-    println!("soak seed={} {}", options.seed, judge.stream_summary());
-    println!("soak seed={} {}", options.seed, judge.answer_summary());
+    let name = match shape.is_steady {
+        false => "soak",
+        true => "soak_steady",
+    };
+    println!("{name} seed={seed} {}", judge.summary());
+    println!("{name} seed={seed} {}", judge.stream_summary());
+    println!("{name} seed={seed} {}", judge.answer_summary());
     let taken_up = judge.streams().taken_up;
-    if options.seconds >= 20 && taken_up < MIN_TAKEN_UP {
+    if seconds >= 20 && taken_up < MIN_TAKEN_UP {
         println!("warning: callers took up {taken_up} streams, fewer than {MIN_TAKEN_UP}");
     }
     for violation in &violations {
@@ -131,12 +165,9 @@
     // known to be broken.
     let promises = violations.iter().map(|text| promise_of(text));
     for promise in promises.collect::<BTreeSet<_>>() {
-        println!("test soak::{promise} ... FAILED");
-    }
-    match violations.is_empty() {
-        true => ExitCode::SUCCESS,
-        false => ExitCode::from(FAILURE_CODE),
+        println!("test {name}::{promise} ... FAILED");
     }
+    violations.is_empty()
 }
 
 /// Returns the promise that a violation names, as a part of the name of a test.
@@ -152,15 +183,14 @@
 }
 
 /// Plays the plan of a seed and returns what was seen.
-fn run(options: &Options) -> Judge {
-    let shape = Shape::new(options.routers);
-    let plan = Plan::new(options.seed, Duration::from_secs(options.seconds), &shape);
-    let judge = Judge::new(&shape);
+fn run(shape: &Shape, seed: u64, seconds: u64) -> Judge {
+    let plan = Plan::new(seed, Duration::from_secs(seconds), shape);
+    let judge = Judge::new(shape);
     judge.measure_wakeups();
-    let mut fleet = Fleet::start(shape, &judge);
-    let callers = Callers::start(options.seed, &shape, fleet.router_addresses(), &judge);
-    let hostile = Clients::start(options.seed, &shape, &fleet.router_addresses());
-    let uploaders = Uploaders::start(options.seed, &fleet.router_addresses(), &judge);
+    let mut fleet = Fleet::start(*shape, &judge);
+    let callers = Callers::start(seed, shape, fleet.router_addresses(), &judge);
+    let hostile = Clients::start(seed, shape, &fleet.router_addresses());
+    let uploaders = Uploaders::start(seed, &fleet.router_addresses(), &judge);
     let begin = Instant::now();
     for step in &plan.steps {
         let due = begin + step.at;
@@ -168,18 +198,9 @@
         fleet.apply(&step.fault, &judge);
     }
     fleet.heal(&judge);
-    // Without a fault for a while, every router must follow every change in time.
-    std::thread::sleep(judge::CALM_TIME);
-    judge.set_calm(true);
-    fleet.limit_runners(LIMIT, &judge);
-    std::thread::sleep(LIMIT_TIME);
-    fleet.limit_runners(0, &judge);
-    fleet.replace_all_runners(&judge);
-    std::thread::sleep(judge::CALM_TIME);
-    if options.routers >= HUB_ROUTERS {
-        fleet.replace_runners_without_hub(&judge);
+    if !shape.is_steady {
+        play_calm(&mut fleet, shape, &judge);
     }
-    judge.set_calm(false);
     callers.stop();
     uploaders.stop();
     hostile.stop();
@@ -200,3 +221,19 @@
     }
     judge
 }
+
+/// Changes runners and their limits while nothing else disturbs the fleet.
+fn play_calm(fleet: &mut Fleet, shape: &Shape, judge: &Judge) {
+    // Without a fault for a while, every router must follow every change in time.
+    std::thread::sleep(judge::CALM_TIME);
+    judge.set_calm(true);
+    fleet.limit_runners(LIMIT, judge);
+    std::thread::sleep(LIMIT_TIME);
+    fleet.limit_runners(0, judge);
+    fleet.replace_all_runners(judge);
+    std::thread::sleep(judge::CALM_TIME);
+    if shape.routers >= HUB_ROUTERS {
+        fleet.replace_runners_without_hub(judge);
+    }
+    judge.set_calm(false);
+}
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::shape::Shape;
+use crate::steady::{self, OtherVersion};
 
 /// Shortest and longest time between two steps. Steps overlap: a fault lasts up to
 /// `MAX_FAULT_MS`.
@@ -114,6 +115,10 @@
         down: Duration,
         change: Change,
     },
+    /// A process of the newest version answers for a runner for a time.
+    RunOtherVersion(usize, OtherVersion),
+    /// The entries of all runners name one slot for a time.
+    LimitSlots(Duration),
     /// A new software version becomes the newest one.
     Release,
     /// A runner drains, and one of the newest version takes its place. The old one ends after
@@ -180,6 +185,11 @@
     /// Creates the plan of a seed; it depends on nothing else than the arguments.
     pub fn new(seed: u64, length: Duration, shape: &Shape) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
+        if shape.is_steady {
+            let mut steps = steady::steps(&mut random, length, shape);
+            steps.sort_by_key(|step| step.at);
+            return Plan { steps };
+        }
         let mut steps = Vec::new();
         // The first second is calm, so that something is under way.
         let mut at = Duration::from_secs(1);
@@ -439,6 +449,6 @@
     place + usize::from(!shape.is_process(place))
 }
 
-fn random_ms(random: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
+pub fn random_ms(random: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range))
 }
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 
@@ -47,6 +47,8 @@
     // Number of starts and ends; a start that was planned before another one is void.
     generation: u64,
     has_left: bool,
+    // Time from its start on within which the process answers no report.
+    silence: Duration,
 }
 
 /// Runner process, which starts again at its address.
@@ -81,6 +83,7 @@
                 listing: listing.clone(),
                 generation: 0,
                 has_left: false,
+                silence: Duration::ZERO,
             }),
         }
     }
@@ -104,14 +107,17 @@
             born.to_string(),
             version.to_string(),
             self.slots.to_string(),
+            state.silence.as_millis().to_string(),
         ]);
         command.args(state.former.iter().map(usize::to_string));
         command.stdin(Stdio::piped()).stdout(Stdio::piped());
         let mut child = command.spawn().expect("the runner starts");
         let output = child.stdout.take().expect("the output is a pipe");
         let number = state.number;
-        self.judge
-            .note(&format!("i-{number} starts born={born} v{version}"));
+        let silence = state.silence;
+        self.judge.note(&format!(
+            "i-{number} starts born={born} v{version} silence={silence:?}"
+        ));
         state.child = Some(child);
         state.generation += 1;
         let (listens, is_listening) = mpsc::channel();
@@ -162,7 +168,16 @@
 
     /// Kills the process; returns the generation from which it can start again.
     pub fn kill(&self) -> u64 {
+        self.kill_in(&mut self.state())
+    }
+
+    /// Same, unless it was started or ended since `generation`.
+    pub fn kill_if_unchanged(&self, generation: u64) -> Option<u64> {
         let mut state = self.state();
+        (state.generation == generation).then(|| self.kill_in(&mut state))
+    }
+
+    fn kill_in(&self, state: &mut State) -> u64 {
         state.generation += 1;
         if let Some(mut child) = state.child.take() {
             self.judge.note(&format!("i-{} is killed", state.number));
@@ -172,6 +187,11 @@
         state.generation
     }
 
+    /// Lets processes that start from now on answer no report for a time.
+    pub fn set_silence(&self, silence: Duration) {
+        self.state().silence = silence;
+    }
+
     /// Lets the next start be that of another runner.
     pub fn rename(&self, number: usize, listing: &Arc<Listing>) {
         let mut state = self.state();
@@ -233,8 +253,8 @@
 }
 
 /// Serves as a runner until the process ends, or the soak does. `args` are the address, the
-/// number, the start, the version and the slots of the runner, then the numbers of runners
-/// that had the address before.
+/// number, the start, the version and the slots of the runner, the time in ms for which it
+/// answers no report, then the numbers of runners that had the address before.
 pub fn run(args: &[String]) -> ! {
     let address: SocketAddr = parse(&args[0]);
     let life = Life {
@@ -242,10 +262,11 @@
         born: parse(&args[2]),
         version: parse(&args[3]),
         is_named: true,
-        former: args[5..].iter().map(parse).collect(),
+        former: args[6..].iter().map(parse).collect(),
         runs: AtomicU64::new(0),
         slots: Arc::new(Slots::new(Some(parse(&args[4])).filter(|slots| *slots > 0))),
     };
+    let speaks_at = Instant::now() + Duration::from_millis(parse(&args[5]));
     let notices: Arc<Notices> = Arc::default();
     let heard = notices.clone();
     thread::spawn(move || {
@@ -266,12 +287,12 @@
     let life = Arc::new(life);
     for stream in listener.incoming().flatten() {
         let (life, notices) = (life.clone(), notices.clone());
-        thread::spawn(move || serve(stream, &life, &notices));
+        thread::spawn(move || serve(stream, &life, &notices, speaks_at));
     }
     std::process::exit(1)
 }
 
-fn serve(mut stream: TcpStream, life: &Life, notices: &Notices) {
+fn serve(mut stream: TcpStream, life: &Life, notices: &Notices, speaks_at: Instant) {
     let report = |report: Report| println!("{}", report.encode());
     if life.slots.is_limited() {
         // The connection may have ended.
@@ -279,6 +300,7 @@
     }
     while let Some(head) = read_head(&mut stream) {
         if asks_for_report(&head) {
+            thread::sleep(speaks_at.saturating_duration_since(Instant::now()));
             environment::report(&mut stream, life.born);
             continue;
         }
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -47,6 +47,7 @@
     born: u64,
     version: usize,
     state: &'static str,
+    slots: usize,
     // Whether the runner has ended for good, or has another id.
     is_removed: bool,
 }
@@ -77,6 +78,7 @@
                 born: 0,
                 version: spec.version,
                 state: "ready",
+                slots: spec.slots,
                 is_removed: false,
             }),
         }
@@ -88,7 +90,7 @@
         change(&mut entry);
         let value = (!entry.is_removed).then(|| {
             let address = self.address.get().expect("the address is set");
-            let mut value: Value = environment::entry(*address, "s", self.spec.slots as u32);
+            let mut value: Value = environment::entry(*address, "s", entry.slots as u32);
             value["zone"] = json!(self.spec.domain);
             value["born"] = json!(entry.born);
             value["version"] = json!(format!("v{}", entry.version));
@@ -113,6 +115,11 @@
         });
     }
 
+    /// Writes the number of slots.
+    pub fn set_slots(&self, slots: usize) {
+        self.change(|entry| entry.slots = slots);
+    }
+
     /// Writes that the runner drains.
     pub fn drain(&self) {
         self.change(|entry| entry.state = "draining");
--- a/tests/soak/shape.rs
+++ b/tests/soak/shape.rs
@@ -6,6 +6,10 @@
 /// many runners with little room, releases of many of them at a time, and slow routers.
 const LARGE_ROUTERS: usize = 41;
 
+/// Threads that send requests for streams to a steady fleet: enough that some begin within the
+/// first 300 ms of a process.
+const STEADY_CALLERS: u64 = 60;
+
 /// Failure domains of a large fleet.
 const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -15,6 +19,8 @@
     pub routers: usize,
     /// Whether the fleet is played like the largest site.
     pub is_large: bool,
+    /// Whether the fleet stays at one software version.
+    pub is_steady: bool,
     /// Places of runners.
     pub places: usize,
     /// Software versions that a run starts with.
@@ -36,6 +42,7 @@
             false => Shape {
                 routers,
                 is_large,
+                is_steady: false,
                 places: 6,
                 versions: 2,
                 slots: 16,
@@ -46,6 +53,7 @@
             true => Shape {
                 routers,
                 is_large,
+                is_steady: false,
                 places: 40,
                 versions: 1,
                 slots: 4,
@@ -56,6 +64,22 @@
         }
     }
 
+    /// Returns the size of a run of a small fleet that stays at one software version.
+    pub fn steady(routers: usize) -> Self {
+        Shape {
+            routers,
+            is_steady: true,
+            versions: 1,
+            stream_callers: STEADY_CALLERS,
+            ..Shape::new(2)
+        }
+    }
+
+    /// Returns whether few callers name the request that began the stream that they take up.
+    pub fn has_callers_without_origin(&self) -> bool {
+        self.is_large || self.is_steady
+    }
+
     /// Returns the failure domain of a router or of a place of a runner.
     pub fn domain_of(&self, index: usize) -> &'static str {
         match self.is_large {
@@ -67,6 +91,8 @@
     /// Returns whether the runner at a place is a process; the others are threads.
     pub fn is_process(&self, place: usize) -> bool {
         match self.is_large {
+            // Threads keep their version.
+            _ if self.is_steady => true,
             false => !place.is_multiple_of(2),
             // Each connection of a thread passes a link, which costs two more threads.
             true => !place.is_multiple_of(4),
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -70,6 +70,8 @@
     /// Pause between two reads of a caller that reads slowly.
     pause: Option<Duration>,
     names_origin: bool,
+    /// Whether its requests name prompt parts.
+    names_parts: bool,
     key: String,
     progress: Progress,
     /// Time from the first request to the first event.
@@ -110,8 +112,9 @@
             kind,
             deadline: Instant::now() + DEADLINE,
             pause,
-            // Few callers of a large fleet do.
-            names_origin: (random.random_range(0..5) > 0) != shape.is_large,
+            names_origin: (random.random_range(0..5) > 0) != shape.has_callers_without_origin(),
+            // Parts of prompts whose runners are killed again and again are refused.
+            names_parts: !shape.is_steady,
             key: draw_key(&mut random),
             first_event: None,
             judge,
@@ -313,15 +316,21 @@
             true => (UPLOAD, upload_of(id, UPLOAD_BYTES)),
             false => ("", stream.clone()),
         };
+        let prefix = match self.names_parts {
+            true => format!(
+                "X-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n",
+                part_of(stream),
+                digest(stream)
+            ),
+            false => String::new(),
+        };
         let left = self.left();
         format!(
             "POST /{path}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
              Authorization: Token {}\r\nX-Stream: {stream}\r\nX-Token-Usage: 600,40\r\n\
-             X-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n{}{field}Content-Length: {}\r\n\r\n{body}",
+             {prefix}{}{field}Content-Length: {}\r\n\r\n{body}",
             left.as_millis(),
             self.key,
-            part_of(stream),
-            digest(stream),
             self.progress.headers(self.names_origin),
             body.len()
         )
