List no runner of the soak under an id that it has not started with

A runner was to start again under another id (i-15, after 1 s), the store was restored at that moment, and the soak then wrote the entries of all runners, also of i-15: version 1, start 0. The process that started under that id next had version 4. So the store named a version that no process had said of itself, and a start that none can have: PROTOCOL.md has the start in all that a runner says of itself.

Change: a renamed runner has no entry until its first start under the new id is written. The check of the order stays as it is.

That a router takes an entry without a start for that of any process which names one (`Process::Unnamed`) is not changed here.

--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -48,6 +48,8 @@
     version: usize,
     state: &'static str,
     slots: usize,
+    // Whether the runner has started under this id.
+    has_started: bool,
     // Whether the runner has ended for good, or has another id.
     is_removed: bool,
 }
@@ -79,6 +81,7 @@
                 version: spec.version,
                 state: "ready",
                 slots: spec.slots,
+                has_started: true,
                 is_removed: false,
             }),
         }
@@ -88,7 +91,7 @@
     fn change(&self, change: impl FnOnce(&mut Entry)) {
         let mut entry = self.entry.lock().expect("no thread panicked");
         change(&mut entry);
-        let value = (!entry.is_removed).then(|| {
+        let value = (entry.has_started && !entry.is_removed).then(|| {
             let address = self.address.get().expect("the address is set");
             let mut value: Value = environment::entry(*address, "s", entry.slots as u32);
             value["zone"] = json!(self.spec.domain);
@@ -111,6 +114,7 @@
         self.change(|entry| {
             if born > entry.born {
                 (entry.born, entry.version) = (born, version);
+                entry.has_started = true;
             }
         });
     }
@@ -235,6 +239,12 @@
         };
         let listing = Arc::new(Listing::new(store, spec));
         listing.address.set(process.address).expect("set once");
+        // A restored store must not name a runner that has written nothing.
+        listing
+            .entry
+            .lock()
+            .expect("no thread panicked")
+            .has_started = false;
         process.rename(number, &listing);
         Server {
             host: Host::Process(process.clone()),
