--- a/tests/soak/counts.rs
+++ b/tests/soak/counts.rs
@@ -19,8 +19,10 @@
     /// Streams for which callers sent another request, and these requests.
     pub taken_up: usize,
     pub take_ups: usize,
-    /// Streams that were taken up and got to their end.
+    /// Streams that were taken up and got to their end, and the same by the version that began
+    /// them.
     pub taken_up_to_end: usize,
+    pub to_end_of: BTreeMap<usize, usize>,
     /// First requests for streams that were refused as not run, by reason.
     pub refused: BTreeMap<String, usize>,
     /// Requests that took up a stream and were refused as not run, by reason.
@@ -37,7 +39,7 @@
         };
         write!(
             formatter,
-            "begun={} begun_at={:?} first_event_p50_ms={} first_event_p99_ms={} resumed={} taken_up={} taken_up_of={:?} take_ups={} taken_up_to_end={} refused={:?} refused_take_ups={:?}",
+            "begun={} begun_at={:?} first_event_p50_ms={} first_event_p99_ms={} resumed={} taken_up={} taken_up_of={:?} take_ups={} taken_up_to_end={} to_end_of={:?} refused={:?} refused_take_ups={:?}",
             self.begun,
             self.begun_at,
             percentile(50),
@@ -47,6 +49,7 @@
             self.taken_up_of,
             self.take_ups,
             self.taken_up_to_end,
+            self.to_end_of,
             self.refused,
             self.refused_take_ups
         )
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -201,8 +201,14 @@
             });
         }
     }
-    let is_complete = outcome == Outcome::Complete;
-    judge.count_streams(|streams| streams.taken_up_to_end += usize::from(is_complete));
+    if let Some(version) = caller.progress.begun_at()
+        && outcome == Outcome::Complete
+    {
+        judge.count_streams(|streams| {
+            streams.taken_up_to_end += 1;
+            *streams.to_end_of.entry(version).or_default() += 1;
+        });
+    }
 }
 
 /// Connects to a router, which may be about to start again.
