--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -70,8 +70,12 @@
     /// Pause between two reads of a caller that reads slowly.
     pause: Option<Duration>,
     names_origin: bool,
+    /// Whether its requests name prompt parts.
+    names_parts: bool,
     key: String,
     progress: Progress,
+    /// Time from the first request to the first event.
+    first_event: Option<Duration>,
     judge: &'a Judge,
     /// Wait that the last refusal named, and its reason.
     retry_after: Duration,
@@ -108,9 +112,11 @@
             kind,
             deadline: Instant::now() + DEADLINE,
             pause,
-            // Few callers of a large fleet do.
-            names_origin: (random.random_range(0..5) > 0) != shape.is_large,
+            names_origin: (random.random_range(0..5) > 0) != shape.has_callers_without_origin(),
+            // Parts of prompts whose runners are killed again and again are refused.
+            names_parts: !shape.is_steady,
             key: draw_key(&mut random),
+            first_event: None,
             judge,
             retry_after: Duration::ZERO,
             reason: String::new(),
@@ -137,10 +143,14 @@
             let reason = caller.reason.clone();
             judge.count_streams(|streams| *streams.refused.entry(reason).or_default() += 1);
         }
-        if caller.progress.last_event() == 0 {
+        let Some(version) = caller.progress.begun_at() else {
             continue;
-        }
-        judge.count_streams(|streams| streams.begun += 1);
+        };
+        judge.count_streams(|streams| {
+            streams.begun += 1;
+            *streams.begun_at.entry(version).or_default() += 1;
+            streams.first_events.extend(caller.first_event);
+        });
         if kind == Kind::Stream && outcome == Outcome::Unknown {
             take_up(&mut caller, router, routers, &mut random);
         }
@@ -164,7 +174,9 @@
             0 => random.random_range(50..1500),
             _ => 0,
         };
-        thread::sleep(Duration::from_millis(wait).max(caller.retry_after));
+        // One that may return only later gives up at its deadline.
+        let wait = Duration::from_millis(wait).max(caller.retry_after);
+        thread::sleep(wait.min(caller.left()));
         if random.random_range(0..3) > 0 {
             router = routers[random.random_range(0..routers.len())];
         }
@@ -175,6 +187,9 @@
         let id = format!("{}-{number}", caller.stream);
         judge.count_streams(|streams| {
             streams.taken_up += usize::from(number == 0);
+            if let Some(version) = caller.progress.begun_at().filter(|_| number == 0) {
+                *streams.taken_up_of.entry(version).or_default() += 1;
+            }
             streams.take_ups += 1;
         });
         let manner = Manner::draw(random);
@@ -186,8 +201,14 @@
             });
         }
     }
-    let is_complete = outcome == Outcome::Complete;
-    judge.count_streams(|streams| streams.taken_up_to_end += usize::from(is_complete));
+    if let Some(version) = caller.progress.begun_at()
+        && outcome == Outcome::Complete
+    {
+        judge.count_streams(|streams| {
+            streams.taken_up_to_end += 1;
+            *streams.to_end_of.entry(version).or_default() += 1;
+        });
+    }
 }
 
 /// Connects to a router, which may be about to start again.
@@ -239,6 +260,7 @@
             Some(connection) => connection,
             None => Connection::open(router, self.pause)?,
         };
+        let sent = Instant::now();
         self.reason.clear();
         let request = self.request(id);
         connection.set_patience(self.left());
@@ -264,6 +286,7 @@
                     break;
                 }
                 self.progress.extend(id, &bytes, self.judge);
+                self.first_event.get_or_insert_with(|| sent.elapsed());
                 if manner.leaves_after == Some(chunk) {
                     return None;
                 }
@@ -271,6 +294,7 @@
         } else {
             let body = connection.read_body(&head)?;
             self.progress.extend(id, &body, self.judge);
+            self.first_event.get_or_insert_with(|| sent.elapsed());
         }
         self.progress.finish(id, self.judge);
         Some((outcome, is_kept(&head).then_some(connection)))
@@ -298,15 +322,21 @@
             true => (UPLOAD, upload_of(id, UPLOAD_BYTES)),
             false => ("", stream.clone()),
         };
+        let prefix = match self.names_parts {
+            true => format!(
+                "X-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n",
+                part_of(stream),
+                digest(stream)
+            ),
+            false => String::new(),
+        };
         let left = self.left();
         format!(
             "POST /{path}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
              Authorization: Token {}\r\nX-Stream: {stream}\r\nX-Token-Usage: 600,40\r\n\
-             X-Prompt-Prefix: a1:200,{:x}:300,{:x}:100\r\n{}{field}Content-Length: {}\r\n\r\n{body}",
+             {prefix}{}{field}Content-Length: {}\r\n\r\n{body}",
             left.as_millis(),
             self.key,
-            part_of(stream),
-            digest(stream),
             self.progress.headers(self.names_origin),
             body.len()
         )
