Infer no version at a router that starts until it hears others

A router that starts reads the records of the others and then inferred the sole version at once, before any report reached it.

Now it infers nothing of streams until another router has reported, or none has for 1.5 s and the list was confirmed since. The first router of a new fleet infers as before.

--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -148,9 +148,14 @@
     /// Returns whether a version that other routers listed would be known from their reports, or
     /// from the list if no router has reported for long.
     fn hears_others(&self, now: Time) -> bool {
-        self.heard_at.is_none_or(|heard_at| {
-            now.since(heard_at) <= MAX_SILENCE || self.confirmed_at > heard_at + MAX_SILENCE
-        })
+        let is_confirmed_since = |at: Time| self.confirmed_at > at + MAX_SILENCE;
+        match (self.heard_at, &self.earlier) {
+            (Some(heard_at), _) => {
+                now.since(heard_at) <= MAX_SILENCE || is_confirmed_since(heard_at)
+            }
+            (None, Earlier::NoStreams) => true,
+            (None, _) => self.covered_since.is_some_and(is_confirmed_since),
+        }
     }
 
     /// Records that the machine was suspended, for a time that the clock does not count.
