Tell other routers of an unknown version with its age

A router that missed the announcement of an unknown version, since its reports were lost or it started later, went on to infer the listed one: the announcement was repeated for 5 s after the last request only. And each view that names a stream of unknown version renewed that version at its receiver; members of a hub ask for views each 300 ms, so callers whose streams are sound were refused for twice as long as a stream may last, or longer.

The router at which streams begin at an unknown version now reports it, with the time since, for as long as the record of the store would name it (70 s); Begun has a field for it, which is 0 if an older router reports. Receivers count it from then on and pass nothing on. Views and records of streams name origins only. A doubt is forgotten 20 s after the last request, so that a service with few requests is served too.

--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -333,6 +333,7 @@
             service: Service::new("s").unwrap(),
             software: Software::from(format!("v{number}")),
             streams: streams.clone().map(|stream| number << 8 | stream).collect(),
+            age: Span(0),
         }];
     }
     fleet.steps(3);
--- a/crates/edge/tests/record.rs
+++ b/crates/edge/tests/record.rs
@@ -13,6 +13,7 @@
         service: Service::new("s").unwrap(),
         software: Software::from("v1".to_owned()),
         streams: vec![1, u64::MAX],
+        age: Span(0),
     }]
 }
 
--- a/crates/schedule/src/doubt.rs
+++ b/crates/schedule/src/doubt.rs
@@ -17,7 +17,7 @@
 const ENTRY_TIME: Span = Span(2000);
 
 /// Time without a request after which the doubt about a service is forgotten.
-const FORGET_TIME: Span = Span(5000);
+const FORGET_TIME: Span = Span::from_secs(20);
 
 #[derive(Clone, Copy, Debug)]
 struct Doubt {
@@ -53,13 +53,9 @@
         doubt.announced_at.is_some()
     }
 
-    /// Records that a process of known version accepts requests. An announcement stays in force.
+    /// Records that a process of known version accepts requests.
     pub fn end(&mut self, service: &Service) {
-        if let Some(doubt) = self.services.get(service)
-            && doubt.announced_at.is_none()
-        {
-            self.services.remove(service);
-        }
+        self.services.remove(service);
     }
 
     /// Returns the time from which on streams may begin at processes of unknown version, if the
@@ -81,13 +77,4 @@
                 && now.since(doubt.wanted_at) <= FORGET_TIME
         })
     }
-
-    /// Returns the services of which other routers are to be told.
-    pub fn announced(&self, now: Time) -> impl Iterator<Item = &Service> {
-        let services = self.services.iter();
-        let announced = services.filter(move |(_, doubt)| {
-            doubt.announced_at.is_some() && now.since(doubt.wanted_at) <= FORGET_TIME
-        });
-        announced.map(|(service, _)| service)
-    }
 }
--- a/crates/schedule/src/report.rs
+++ b/crates/schedule/src/report.rs
@@ -119,6 +119,9 @@
     pub software: Software,
     /// Digests of the ids of the requests that brought the first events.
     pub streams: Vec<u64>,
+    /// Time since the version last served, by the clock of the reporting router.
+    #[serde(default)]
+    pub age: Span,
 }
 
 /// Usage, load and suspects as reported by one router, or summed over several.
@@ -229,7 +232,7 @@
     part_suspects: BTreeMap<u128, Suspect>,
     limits: BTreeMap<Runner, Limit>,
     demand: BTreeMap<Service, f32>,
-    streams: BTreeMap<(Service, Software), Vec<u64>>,
+    streams: BTreeMap<(Service, Software), (Vec<u64>, Span)>,
     stream_count: usize,
     cold: BTreeMap<Runner, Cold>,
 }
@@ -281,7 +284,9 @@
             let room = MAX_SUM_STREAMS - self.stream_count;
             let added = &begun.streams[..begun.streams.len().min(room)];
             let key = (begun.service.clone(), begun.software.clone());
-            self.streams.entry(key).or_default().extend(added);
+            let (streams, age) = self.streams.entry(key).or_insert((Vec::new(), begun.age));
+            streams.extend(added);
+            *age = begun.age.min(*age);
             self.stream_count += added.len();
         }
     }
@@ -360,10 +365,11 @@
             streams: self
                 .streams
                 .into_iter()
-                .map(|((service, software), streams)| Begun {
+                .map(|((service, software), (streams, age))| Begun {
                     service,
                     software,
                     streams,
+                    age,
                 })
                 .collect(),
             cold: self.cold.into_values().collect(),
--- a/crates/schedule/src/scheduler/begin.rs
+++ b/crates/schedule/src/scheduler/begin.rs
@@ -123,13 +123,13 @@
     /// Records whether a stream that waits to begin finds only processes of unknown version.
     pub(super) fn record_doubt(&mut self, now: Time, id: Id, round: &Round) {
         let pending = &self.pending[&id];
-        if !pending.begins_resumable() || !round.has_unknown_process() {
+        if !pending.begins_resumable() {
             return;
         }
         let service = &pending.request.service;
         if round.has_known_process() {
             self.doubts.end(service);
-        } else if self.doubts.record(now, service) {
+        } else if round.has_unknown_process() && self.doubts.record(now, service) {
             self.streams.record_unknown(now, service);
         }
     }
--- a/crates/schedule/src/scheduler/exchange.rs
+++ b/crates/schedule/src/scheduler/exchange.rs
@@ -45,11 +45,9 @@
             part_suspects: self.parts.suspects(MAX_REPORT_SUSPECTS),
             limits: self.rates.limits(now).collect(),
             demand: self.rates.demand().collect(),
-            streams: self.streams.recent(
-                now,
-                self.targets.values().map(|target| &target.entry),
-                self.doubts.announced(now),
-            ),
+            streams: self
+                .streams
+                .recent(now, self.targets.values().map(|target| &target.entry)),
             cold: self.cold_report(now),
         }
     }
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -84,7 +84,7 @@
     fn expect_names(&mut self, now: Time, service: Service) {
         for target in self.targets.values_mut() {
             if target.entry.service == service && target.expect_name() {
-                let doubtful = self.streams.doubt(now, &target.entry.runner);
+                let doubtful = self.streams.doubt(now, &target.entry);
                 forget_answers(&mut self.pending, &doubtful);
             }
         }
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -11,7 +11,7 @@
 
 use crate::report::Begun;
 use crate::request::Resumed;
-use crate::version::{Set, Versions};
+use crate::version::{RECORD_TIME, Set, Versions};
 
 /// Time for which the origin of a stream is kept.
 const MAX_AGE: Span = Span::from_secs(60);
@@ -124,6 +124,9 @@
     local: VecDeque<(Time, Digest, Runner)>,
     /// Number of streams that began here or whose origin changed.
     begun: u64,
+    /// Time at which a stream of a service last began here at an unknown version, or was about
+    /// to.
+    unknown: BTreeMap<Service, Time>,
     versions: Versions,
     corrections: Vec<Correction>,
 }
@@ -139,7 +142,7 @@
     pub fn record(&mut self, now: Time, stream: Digest, origin: Origin) {
         self.begun += 1;
         if origin.software.is_unknown() {
-            self.versions.record(now, &origin.service, &origin.software);
+            self.record_unknown(now, &origin.service);
         }
         self.insert(now, stream, origin, Source::Local);
     }
@@ -163,9 +166,13 @@
 
     /// Records that a runner did not tell which of its processes sent the first events of
     /// streams. Returns the streams whose origin becomes unknown.
-    pub fn doubt(&mut self, now: Time, runner: &Runner) -> Vec<Digest> {
-        let cause = Cause::Silence(runner.clone());
-        self.forget_local(now, runner, cause, |_, _| true)
+    pub fn doubt(&mut self, now: Time, entry: &Entry) -> Vec<Digest> {
+        let cause = Cause::Silence(entry.runner.clone());
+        let doubtful = self.forget_local(now, &entry.runner, cause, |_, _| true);
+        if !doubtful.is_empty() {
+            self.record_unknown(now, &entry.service);
+        }
+        doubtful
     }
 
     /// Makes the origins unknown of streams that began here at a runner, by the time of their
@@ -194,10 +201,6 @@
     /// Makes the origin of a stream unknown, and reports that.
     fn forget(&mut self, now: Time, stream: Digest, cause: Cause) {
         self.corrections.push(Correction { stream, cause });
-        if let Some((origin, _)) = self.origins.get(&stream) {
-            let service = origin.service.clone();
-            self.record_unknown(now, &service);
-        }
         if let Some((origin, source)) = self.origins.get_mut(&stream) {
             origin.software = Software::unknown();
             *source = Source::Local;
@@ -207,11 +210,12 @@
         }
     }
 
-    /// Adds the streams that began at other routers, and the versions that these list, as they
-    /// report them now.
+    /// Adds the streams that began at other routers, and the versions that these list or at
+    /// which streams may begin, as they report them now.
     pub fn merge_report(&mut self, now: Time, begun: &[Begun]) {
-        for group in begun.iter().filter(|group| !group.software.is_unknown()) {
-            self.versions.record(now, &group.service, &group.software);
+        for group in begun {
+            self.versions
+                .record(now - group.age, &group.service, &group.software);
         }
         self.merge(now, begun);
     }
@@ -233,9 +237,6 @@
 
     fn merge_from(&mut self, now: Time, begun: &[Begun], source: Source) {
         for group in begun {
-            if group.software.is_unknown() {
-                self.record_unknown(now, &group.service);
-            }
             for &stream in &group.streams {
                 let origin = Origin {
                     service: group.service.clone(),
@@ -267,6 +268,7 @@
 
     /// Records that streams of a service may begin at processes of unknown version.
     pub fn record_unknown(&mut self, now: Time, service: &Service) {
+        self.unknown.insert(service.clone(), now);
         self.versions.record(now, service, &Software::unknown());
     }
 
@@ -334,6 +336,7 @@
         {
             self.local.pop_front();
         }
+        self.unknown.retain(|_, at| now.since(*at) <= RECORD_TIME);
         self.versions.expire(now);
     }
 
@@ -382,29 +385,32 @@
     }
 
     /// Returns the streams that began at this router a short time ago. Also names, perhaps
-    /// without streams, those of the `listed` versions that other routers may not list, and an
-    /// unknown version of the services in `doubtful`.
+    /// without streams, those of the `listed` versions that other routers may not list, and the
+    /// unknown versions at which streams began here, for as long as these may last.
     #[must_use]
-    pub fn recent<'a, I, D>(&self, now: Time, listed: I, doubtful: D) -> Vec<Begun>
+    pub fn recent<'a, I>(&self, now: Time, listed: I) -> Vec<Begun>
     where
         I: Iterator<Item = &'a Entry>,
-        D: Iterator<Item = &'a Service>,
     {
         let newest_first = self.order.iter().rev();
         let recent = newest_first.take_while(|(at, ..)| now.since(*at) < REPORT_TIME);
         let local = recent.filter(|(.., source)| *source == Source::Local);
         let mut begun = self.group(local.map(|&(_, stream, _)| stream));
         let changing = listed.filter(|entry| self.versions.is_changing(now, &entry.service));
-        let listed = changing.map(|entry| (&entry.service, &entry.software));
-        let unknown = Software::unknown();
-        for (service, software) in listed.chain(doubtful.map(|service| (service, &unknown))) {
-            let is_same = |group: &Begun| group.service == *service && group.software == *software;
-            if !begun.iter().any(is_same) {
-                begun.push(Begun {
+        let listed = changing.map(|entry| (&entry.service, &entry.software, Span(0)));
+        let software = Software::unknown();
+        let unknown = self.unknown.iter();
+        let unknown = unknown.map(|(service, at)| (service, &software, now.since(*at)));
+        for (service, software, age) in listed.chain(unknown) {
+            let mut groups = begun.iter_mut();
+            match groups.find(|group| group.service == *service && group.software == *software) {
+                Some(group) => group.age = age,
+                None => begun.push(Begun {
                     service: service.clone(),
                     software: software.clone(),
                     streams: Vec::new(),
-                });
+                    age,
+                }),
             }
         }
         begun
@@ -429,6 +435,7 @@
                 service: origin.service.clone(),
                 software: origin.software.clone(),
                 streams,
+                age: Span(0),
             })
             .collect()
     }
--- a/crates/schedule/src/version.rs
+++ b/crates/schedule/src/version.rs
@@ -18,7 +18,7 @@
 /// Time for which a version that left is in the record of the store. Streams that may be older
 /// when all routers restarted are refused: longer than the usual lifetime of a stream, with
 /// [`AGE_MARGIN`] and the time for which a request may wait to be read.
-const RECORD_TIME: Span = Span::from_secs(70);
+pub(crate) const RECORD_TIME: Span = Span::from_secs(70);
 
 /// Time since the last listing of a second version in which a release counts as under way.
 const RELEASE_TIME: Span = Span::from_secs(20);
@@ -95,7 +95,7 @@
         match self.served.get_mut(service) {
             Some(versions) => match versions.get_mut(software) {
                 Some(known) if now.since(known.until) <= SETTLE_TIME => {
-                    known.until = now;
+                    known.until = known.until.max(now);
                     return;
                 }
                 Some(known) => *known = listing,
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -149,6 +149,7 @@
         service: service("model"),
         software: Software::from(version.to_owned()),
         streams: vec![7],
+        age: Span(0),
     }]
 }
 
--- a/crates/schedule/tests/version.rs
+++ b/crates/schedule/tests/version.rs
@@ -168,6 +168,7 @@
         service: service(),
         software: software("new"),
         streams: vec![2],
+        age: Span(0),
     };
     streams.merge_own(NOW, std::slice::from_ref(&earlier));
     streams.merge(
@@ -375,3 +376,43 @@
     versions.record(NOW, &service(), &software("old"));
     assert_eq!(versions.record_set(NOW + older), set(&["old"]));
 }
+
+/// Confirms the list of a router, with `old` as its only version, and applies the reports and the
+/// view of another one.
+fn hear(streams: &mut Streams, now: Time, other: &Streams) {
+    let versions = streams.versions_mut();
+    versions.confirm(now);
+    versions.record_peer_report(now);
+    versions.record(now, &service(), &software("old"));
+    streams.merge_report(now, &other.recent(now, std::iter::empty()));
+    streams.merge(now, &other.all());
+    streams.expire(now);
+}
+
+/// The first report that a router hears may come seconds after the announcement.
+#[test]
+fn an_unknown_version_ends_the_inference_at_all_routers_for_as_long_as_a_stream_may_last() {
+    for heard_at in [0, 8, 50] {
+        let (mut first, mut second, mut third) = <(Streams, Streams, Streams)>::default();
+        second.versions_mut().set_first();
+        third.versions_mut().set_first();
+        let origin = Origin {
+            service: service(),
+            software: Software::unknown(),
+        };
+        first.record(NOW, 1, origin);
+        for second_number in 0..150 {
+            let now = NOW + Span::from_secs(second_number);
+            first.expire(now);
+            if second_number >= heard_at {
+                hear(&mut second, now, &first);
+                let relayed = second.clone();
+                hear(&mut third, now, &relayed);
+                hear(&mut second, now, &third);
+            }
+            let infers = second.versions().sole(now, &service(), LIFETIME).is_some();
+            let is_over = second_number > 61;
+            assert_eq!(infers, is_over, "{heard_at} {second_number}");
+        }
+    }
+}
