Expect a start in the reports of runners whose entries name one

A process names its start in all that it says of itself, in its entry too. So a silent one is of unknown version if its entry names a start, whatever others have named. The set of services whose runners name their start goes, and what followed from learning it late. Runners whose entries name none are believed as before while they are silent.

The tests of runners that may be silent use entries without a start; that of a silent process also covers a runner whose entry names one while no runner has named any (taken up at the listed version on the code before).

--- a/crates/schedule/src/process.rs
+++ b/crates/schedule/src/process.rs
@@ -12,8 +12,8 @@
     Named,
     /// They do not name it, or none came a short time ago.
     Unnamed,
-    /// They name it, or those of other runners of the service do, but the last one did not, or
-    /// did not arrive within the timeout.
+    /// They name it, or the entry does, but the last one did not, or did not arrive within the
+    /// timeout.
     Silent,
 }
 
--- a/crates/schedule/src/runner.rs
+++ b/crates/schedule/src/runner.rs
@@ -179,10 +179,6 @@
     names_start: Option<bool>,
     /// Time until which the process is not asked for its start, since it did not answer.
     silent_until: Option<Time>,
-    /// Whether the process once did not answer.
-    was_silent: bool,
-    /// Whether a runner of the service has named its start.
-    is_name_expected: bool,
     peer_loads: BTreeMap<Instance, (Time, Load)>,
     peer_sum: PeerSum,
     health: Health,
@@ -209,8 +205,6 @@
             breaks_at_crash: 0,
             names_start: None,
             silent_until: None,
-            was_silent: false,
-            is_name_expected: false,
             peer_loads: BTreeMap::new(),
             peer_sum: PeerSum::default(),
             health: Health::default(),
@@ -236,7 +230,6 @@
             self.crashes = 0;
             self.names_start = None;
             self.silent_until = None;
-            self.was_silent = false;
             let is_earlier = entry.started_at != 0 && entry.started_at < self.entry.started_at;
             self.stepped_back_at = is_earlier.then_some(now);
         }
@@ -319,7 +312,7 @@
                 self.replaced_at = Some(now);
             }
             // The process that named its start may be gone.
-            Process::Unnamed if self.names_start == Some(true) => self.record_silence(now, true),
+            Process::Unnamed if self.names_start == Some(true) => self.record_silence(now),
             Process::Unnamed => self.names_start = Some(false),
         }
     }
@@ -373,19 +366,10 @@
         self.refused_at.is_some()
     }
 
-    /// Records that no report came in time over a new connection. `is_name_expected` tells
-    /// whether a runner of the service has named its start.
-    pub fn record_silence(&mut self, now: Time, is_name_expected: bool) {
+    /// Records that no report came in time over a new connection. A process that names its start
+    /// in its entry names it in its reports.
+    pub fn record_silence(&mut self, now: Time) {
         self.silent_until = Some(now + SILENCE_TIME);
-        self.was_silent = true;
-        self.is_name_expected = is_name_expected;
-    }
-
-    /// Records that a runner of the service has named its start. Returns whether this one was
-    /// asked and has never answered.
-    pub fn expect_name(&mut self) -> bool {
-        self.is_name_expected = true;
-        self.names_start.is_none() && self.was_silent
     }
 
     /// Lets the process be asked again for its start.
@@ -398,7 +382,7 @@
     pub fn naming(&self) -> Naming {
         match (self.names_start, self.silent_until) {
             (Some(true), Some(_)) => Naming::Silent,
-            (None, Some(_)) if self.is_name_expected => Naming::Silent,
+            (None, Some(_)) if self.entry.started_at != 0 => Naming::Silent,
             (Some(true), None) => Naming::Named,
             (Some(false), _) | (None, Some(_)) => Naming::Unnamed,
             (None, None) => Naming::Unknown,
--- a/crates/schedule/src/scheduler/begin.rs
+++ b/crates/schedule/src/scheduler/begin.rs
@@ -107,7 +107,7 @@
         if target.naming() == Naming::Silent || target.is_replaced() {
             return dispatch.may_be_unknown && !self.has_known_version(now, service);
         }
-        // Runners of which none has named its start may all be silent at all times.
+        // Runners that name no start in their entries may be silent at all times.
         let is_likely = !target.is_in_doubt() && pending.failed_connects > 0;
         is_likely || !self.has_known_version(now, service)
     }
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -88,8 +88,6 @@
     cold_starts: BTreeMap<Service, ColdStart>,
     streams: Streams,
     doubts: Doubts,
-    // Services of which a runner has named the start of its process.
-    naming_services: BTreeSet<Service>,
     router_count: u32,
     /// Home runners of prompt prefixes, for the present set of runners.
     homes: Homes,
@@ -134,7 +132,6 @@
             cold_starts: BTreeMap::new(),
             streams: Streams::new(),
             doubts: Doubts::default(),
-            naming_services: BTreeSet::new(),
             router_count: 1,
             homes: Homes::default(),
             settled: BTreeMap::new(),
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -2,15 +2,13 @@
 //! has begun to answer.
 
 use balsamchute_model::prelude::*;
-use indexmap::IndexMap;
 
 use crate::action::{Action, Failure, Id};
-use crate::hash::NumberState;
 use crate::pending::{Pending, Stage};
 use crate::process::{Naming, Process};
 use crate::runner::{Start, Target};
 use crate::scheduler::Scheduler;
-use crate::stream::{Basis, Digest};
+use crate::stream::Basis;
 
 impl Scheduler {
     /// Returns whether the list of runners is confirmed as far as this router has one.
@@ -57,9 +55,6 @@
             return;
         };
         self.settled.clear();
-        let service = &pending.request.service;
-        let names_first = process != Process::Unnamed && !self.naming_services.contains(service);
-        let named_service = names_first.then(|| service.clone());
         let target = self.targets.get_mut(&dispatch.runner);
         let is_listed = target.is_some();
         if let Some(target) = target {
@@ -74,30 +69,13 @@
             Process::Unnamed if is_listed => {}
             Process::Other | Process::Unnamed => dispatch.software = Software::unknown(),
         }
-        if let Some(service) = named_service {
-            self.expect_names(now, service);
-        }
-    }
-
-    /// Records that runners of a service name their start. Of those that have not answered, any
-    /// process may have begun the streams that count as begun at the listed version.
-    fn expect_names(&mut self, now: Time, service: Service) {
-        for target in self.targets.values_mut() {
-            if target.entry.service == service && target.expect_name() {
-                let doubtful = self.streams.doubt(now, &target.entry);
-                forget_answers(&mut self.pending, &doubtful);
-            }
-        }
-        self.naming_services.insert(service);
     }
 
-    /// Records that a runner sent no report in time over a new connection. If runners of its
-    /// service name their start, its process is unknown until it does.
+    /// Records that a runner sent no report in time over a new connection.
     pub fn record_silence(&mut self, now: Time, runner: &Runner) {
         self.settled.clear();
         if let Some(target) = self.targets.get_mut(runner) {
-            let is_name_expected = self.naming_services.contains(&target.entry.service);
-            target.record_silence(now, is_name_expected);
+            target.record_silence(now);
         }
     }
 
@@ -153,7 +131,13 @@
             return false;
         }
         let doubtful = self.streams.replace_process(now, entry);
-        forget_answers(&mut self.pending, &doubtful);
+        for pending in self.pending.values_mut() {
+            if pending.basis == Some(Basis::Answer)
+                && doubtful.contains(&pending.request.stream_digest)
+            {
+                pending.software = Some(Software::unknown());
+            }
+        }
         true
     }
 
@@ -190,13 +174,3 @@
         }
     }
 }
-
-/// Makes the version unknown at which answers may go on that began these streams.
-fn forget_answers(pending: &mut IndexMap<Id, Pending, NumberState>, streams: &[Digest]) {
-    for pending in pending.values_mut() {
-        if pending.basis == Some(Basis::Answer) && streams.contains(&pending.request.stream_digest)
-        {
-            pending.software = Some(Software::unknown());
-        }
-    }
-}
--- a/crates/schedule/src/stream.rs
+++ b/crates/schedule/src/stream.rs
@@ -62,8 +62,6 @@
 pub enum Cause {
     /// The runner may have restarted at another version before the first event.
     Restart(Runner),
-    /// The runner did not tell which of its processes it was, though runners of its service do.
-    Silence(Runner),
     /// This source tells another origin than was known.
     Contradiction(Source),
 }
@@ -158,42 +156,20 @@
     /// version; their origin becomes unknown.
     pub fn replace_process(&mut self, now: Time, entry: &Entry) -> Vec<Digest> {
         let may_be_later = |begun_at: Time| begun_at + CLOCK_TOLERANCE >= Time(entry.started_at);
-        let cause = Cause::Restart(entry.runner.clone());
-        self.forget_local(now, &entry.runner, cause, |begun_at, origin| {
-            may_be_later(begun_at) && origin.software != entry.software
-        })
-    }
-
-    /// Records that a runner did not tell which of its processes sent the first events of
-    /// streams. Returns the streams whose origin becomes unknown.
-    pub fn doubt(&mut self, now: Time, entry: &Entry) -> Vec<Digest> {
-        let cause = Cause::Silence(entry.runner.clone());
-        let doubtful = self.forget_local(now, &entry.runner, cause, |_, _| true);
-        if !doubtful.is_empty() {
-            self.record_unknown(now, &entry.service);
-        }
-        doubtful
-    }
-
-    /// Makes the origins unknown of streams that began here at a runner, by the time of their
-    /// first event and their origin. Returns the streams.
-    fn forget_local(
-        &mut self,
-        now: Time,
-        runner: &Runner,
-        cause: Cause,
-        is_doubtful: impl Fn(Time, &Origin) -> bool,
-    ) -> Vec<Digest> {
-        let is_doubtful = |(begun_at, stream, other): &&(Time, Digest, Runner)| {
-            let origin = self.origin(*stream).filter(|_| other == runner);
+        let is_doubtful = |stream: &Digest| {
+            let origin = self.origin(*stream);
             origin.is_some_and(|origin| {
-                !origin.software.is_unknown() && is_doubtful(*begun_at, origin)
+                origin.software != entry.software && !origin.software.is_unknown()
             })
         };
-        let doubtful = self.local.iter().filter(is_doubtful);
-        let doubtful: Vec<Digest> = doubtful.map(|(_, stream, _)| *stream).collect();
+        let local = self.local.iter();
+        let doubtful: Vec<Digest> = local
+            .filter(|(begun_at, _, runner)| *runner == entry.runner && may_be_later(*begun_at))
+            .map(|(_, stream, _)| *stream)
+            .filter(is_doubtful)
+            .collect();
         for &stream in &doubtful {
-            self.forget(now, stream, cause.clone());
+            self.forget(now, stream, Cause::Restart(entry.runner.clone()));
         }
         doubtful
     }
--- a/crates/schedule/tests/origin.rs
+++ b/crates/schedule/tests/origin.rs
@@ -350,8 +350,14 @@
 
 /// The silent process may be the next one of the runner, at another version.
 #[test]
-fn a_stream_that_a_silent_runner_begins_is_of_unknown_version_if_a_runner_has_named_its_start() {
-    for (named_by, taken_up) in [(Some("x"), false), (Some("z"), false), (None, true)] {
+fn a_stream_that_a_silent_runner_begins_is_of_unknown_version_if_its_entry_names_a_start() {
+    let cases = [
+        (Some("x"), 1, false),
+        (Some("z"), 1, false),
+        (None, 1, false),
+        (None, 0, true),
+    ];
+    for (named_by, started_at, taken_up) in cases {
         let mut scheduler = scheduler(100);
         if let Some(name) = named_by {
             scheduler.set_runner(NOW, versioned(name, "old", 1));
@@ -360,8 +366,8 @@
             scheduler.cancel(NOW, 3);
         }
         scheduler.remove_runner(&runner("z"));
-        scheduler.set_runner(NOW, versioned("x", "old", 1));
-        if named_by.is_some() {
+        scheduler.set_runner(NOW, versioned("x", "old", started_at));
+        if started_at != 0 {
             submit(&mut scheduler, NOW, 4, begin(4));
             scheduler.record_silence(NOW - Span(4950), &runner("x"));
             assert!(scheduler.needs_process(4) && !scheduler.may_send(NOW, 4));
@@ -376,7 +382,8 @@
         // Before the first event the silence is forgotten, and the runner may be asked again.
         scheduler.tick(NOW + Span(100));
         assert!(scheduler.needs_process(1));
-        assert_eq!(is_taken_up_at_y(&mut scheduler), taken_up, "{named_by:?}");
+        let is_taken_up = is_taken_up_at_y(&mut scheduler);
+        assert_eq!(is_taken_up, taken_up, "{named_by:?} {started_at}");
     }
 }
 
--- a/tests/all/edge/identity.rs
+++ b/tests/all/edge/identity.rs
@@ -41,12 +41,17 @@
 impl Fleet {
     /// Starts a fleet whose first runner replies like this to a request for its report.
     fn start(reply: &str) -> Self {
+        Fleet::start_listed(reply, 1)
+    }
+
+    /// Same, with a runner that is listed as started at this time; 0 for none.
+    fn start_listed(reply: &str, started_at: u64) -> Self {
         let store = Store::start();
         store.put("config", "main", manifest(1, &["k1"]));
         let breaks = Arc::default();
         let first = runner("i", &breaks);
         first.set_reply(reply);
-        list(&store, "i-0", &first, "v1", 1);
+        list(&store, "i-0", &first, "v1", started_at);
         let router = start_routers(&store, 1).remove(0);
         Fleet {
             store,
@@ -58,9 +63,13 @@
 
     /// Lists another runner as started at 1 at v1, which replies like this.
     fn add(&self, name: &str, reply: &str) -> Runner {
+        self.add_listed(name, reply, 1)
+    }
+
+    fn add_listed(&self, name: &str, reply: &str, started_at: u64) -> Runner {
         let added = runner("i", &self.breaks);
         added.set_reply(reply);
-        list(&self.store, name, &added, "v1", 1);
+        list(&self.store, name, &added, "v1", started_at);
         self.wait_logged(&format!("event=runner_listed runner={name} "));
         added
     }
@@ -152,10 +161,10 @@
 
 #[test]
 fn a_stream_is_continued_where_no_report_names_a_start() {
-    for status in ["200", FAILED] {
-        let fleet = Fleet::start(&reply(status, "", 0));
+    for (status, listed) in [("200", 1), ("200", 0), (FAILED, 0)] {
+        let fleet = Fleet::start_listed(&reply(status, "", 0), listed);
         let caller = fleet.begin("q1");
-        let _other = fleet.add("i-1", &reply(status, "", 0));
+        let _other = fleet.add_listed("i-1", &reply(status, "", 0), listed);
         fleet.check("q1", caller, true);
     }
 }
--- a/tests/all/edge/restarts.rs
+++ b/tests/all/edge/restarts.rs
@@ -88,14 +88,16 @@
         runner.set_born(start);
         runner
     });
+    // Runners whose entries name no start may be late.
+    let listed = u64::from(starts != [LATE, LATE]);
     store.put("config", "main", manifest(1, &["k1"]));
-    list(store, "i-0", &runners[0], "v1", 1);
+    list(store, "i-0", &runners[0], "v1", listed);
     let routers = start_routers(store, 1);
     let (mut caller, mut response) = match starts[0] {
         2 => begin_by_retries(&routers[0], "q1", BEGIN_LIMIT),
         _ => begin(&routers[0], "q1"),
     };
-    list(store, "i-1", &runners[1], "v1", 1);
+    list(store, "i-1", &runners[1], "v1", listed);
     wait_until("the entry is listed", || {
         routers[0].log().contains("runner=i-1 ")
     });
