Do not begin a stream at a version that was listed while its runner was asked

The entry of the next process may arrive between the choice of a runner and the report that tells which process it is. If the report ended its connection, the stream began at an unknown version that was not announced.

The rule for new versions now also holds when the request is about to be sent, and a report that ends its connection shows nothing of the entry that arrived meanwhile.

Measured: a_stream_does_not_begin_at_a_version_that_was_listed_while_its_runner_was_asked fails on the code before, passes now; schedule, edge and edge::identity tests pass.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -115,7 +115,7 @@
             now.since(connection.since).0
         );
         self.stats.count_process(process);
-        if is_relisted && process != Process::Listed {
+        if is_relisted && (process != Process::Listed || !is_reusable) {
             self.leave_unsent(now, index, id);
             return;
         }
--- a/crates/schedule/src/scheduler/begin.rs
+++ b/crates/schedule/src/scheduler/begin.rs
@@ -60,12 +60,7 @@
         if matches!(choice, Choice::Runner { .. }) {
             return Some(choice);
         }
-        let mut targets = self.targets.values();
-        let has_settled = targets.any(|target| {
-            target.entry.service == *service
-                && is_settled(target)
-                && selector.has_known_version(target)
-        });
+        let has_settled = self.has_known_version(now, service, is_settled);
         let is_left_out = |target: &Target| {
             has_settled
                 && !is_settled(target)
@@ -94,30 +89,49 @@
 
     /// Returns whether a stream that begins may be sent over the connection of its request.
     pub(super) fn may_begin_over(&self, now: Time, pending: &Pending, dispatch: &Dispatch) -> bool {
+        let service = &pending.request.service;
         if dispatch.is_verified {
-            return true;
+            return !self.is_too_new(now, service, &dispatch.software);
         }
-        let service = &pending.request.service;
         let Some(target) = self.targets.get(&dispatch.runner) else {
             return false;
         };
         if !target.has_unknown_version() {
-            return true;
+            return !self.is_too_new(now, service, &target.entry.software);
         }
         if target.naming() == Naming::Silent || target.is_replaced() {
-            return dispatch.may_be_unknown && !self.has_known_version(now, service);
+            return dispatch.may_be_unknown && !self.has_known_version(now, service, |_| true);
         }
         // Runners that name no start in their entries may be silent at all times.
         let is_likely = !target.is_in_doubt() && pending.failed_connects > 0;
-        is_likely || !self.has_known_version(now, service)
+        is_likely || !self.has_known_version(now, service, |_| true)
     }
 
-    /// Returns whether a runner of the service accepts requests and runs a process of known
-    /// version, as far as this router can tell.
-    fn has_known_version(&self, now: Time, service: &Service) -> bool {
+    /// Returns whether other routers may not have heard of a version yet, and a runner of another
+    /// one accepts requests. A runner may be listed anew while it is asked for its start.
+    fn is_too_new(&self, now: Time, service: &Service, software: &Software) -> bool {
+        let versions = self.streams.versions();
+        let unsettled = versions.unsettled(now, service);
+        unsettled.contains(&software)
+            && versions.is_unheard(now, service, software)
+            && self.has_known_version(now, service, |target| {
+                !unsettled.contains(&&target.entry.software)
+            })
+    }
+
+    /// Returns whether a runner of the service that fits accepts requests and runs a process of
+    /// known version, as far as this router can tell.
+    fn has_known_version(
+        &self,
+        now: Time,
+        service: &Service,
+        fits: impl Fn(&Target) -> bool,
+    ) -> bool {
         let selector = self.selector(now, service);
         let mut targets = self.targets.values();
-        targets.any(|target| target.entry.service == *service && selector.has_known_version(target))
+        targets.any(|target| {
+            target.entry.service == *service && fits(target) && selector.has_known_version(target)
+        })
     }
 
     /// Records whether a stream that waits to begin finds only processes of unknown version.
@@ -141,7 +155,7 @@
         let service = &pending.request.service;
         if !pending.begins_resumable()
             || pending.possible_runs > 0
-            || self.has_known_version(now, service)
+            || self.has_known_version(now, service, |_| true)
         {
             return false;
         }
--- a/crates/schedule/tests/unnamed.rs
+++ b/crates/schedule/tests/unnamed.rs
@@ -182,3 +182,28 @@
     started.set_runner(now, listed("y", "old", 1));
     assert_eq!(take_up(&mut started, now, 1, None, &named), None);
 }
+
+/// The entry of the new version arrives while the runner is asked which process it is.
+#[test]
+fn a_stream_does_not_begin_at_a_version_that_was_listed_while_its_runner_was_asked() {
+    for is_verified in [true, false] {
+        let [mut router]: [Scheduler; 1] = routers();
+        let now = NOW + Span(10_000);
+        for at in (NOW.0..=now.0).step_by(1000) {
+            for name in ["x", "y"] {
+                router.set_runner(Time(at), listed(name, "old", 1));
+            }
+            router.origins_mut().versions_mut().confirm(Time(at));
+        }
+        router.submit(now, 1, begin(now, 1));
+        let (_, asked) = sends(&router.take_actions()).remove(0);
+        router.set_runner(now + Span(50), listed(&asked, "new", 2));
+        if is_verified {
+            router.record_process(now + Span(100), 1, Process::Listed);
+        }
+        assert!(!router.may_send(now + Span(100), 1), "{is_verified}");
+        router.finish_attempt(now + Span(100), 1, End::NotSent);
+        let other = if asked == "x" { "y" } else { "x" };
+        assert_eq!(sends(&router.take_actions()), [(1, other.to_owned())]);
+    }
+}
