--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -11,7 +11,7 @@
 //! until its entry expires in the store, or the runner itself writes it again.
 
 use balsamchute_model::prelude::*;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 /// Time after a store recovery in which the platform restores expired entries.
 pub const REMOVAL_GRACE: Span = Span(2000);
@@ -90,8 +90,6 @@
     // Time after which the store removes the entry of a runner that is gone.
     expiry: Span,
     held: IndexMap<Runner, Held>,
-    // Runners whose entry is kept although the restored store lists an older one.
-    kept: IndexSet<Runner>,
     // Start times of the runners that were removed, the oldest removal first.
     departed: IndexMap<Runner, u64>,
     revision: Revision,
@@ -167,7 +165,6 @@
         self.deferred_removals.shift_remove(&entry.runner);
         self.departed.shift_remove(&entry.runner);
         self.held.shift_remove(&entry.runner);
-        self.kept.shift_remove(&entry.runner);
         let previous = self.entries.insert(entry.runner.clone(), entry.clone());
         (previous.as_ref() != Some(&entry)).then_some(Change::Set(entry))
     }
@@ -196,7 +193,6 @@
 
     fn discard(&mut self, runner: &Runner) {
         self.deferred_removals.shift_remove(runner);
-        self.kept.shift_remove(runner);
         let Some(entry) = self.entries.shift_remove(runner) else {
             return;
         };
@@ -220,11 +216,8 @@
         let removed = missing.iter().filter_map(|runner| self.remove(now, runner));
         let mut changes: Vec<Change> = removed.collect();
         for entry in entries {
-            if self.is_outdated(&entry, is_restored) {
+            if self.is_outdated(&entry) {
                 self.deferred_removals.shift_remove(&entry.runner);
-                if is_restored {
-                    self.kept.insert(entry.runner);
-                }
             } else if self.is_held_back(&entry, is_restored) {
                 let due = now + self.expiry;
                 let runner = entry.runner.clone();
@@ -268,12 +261,10 @@
     }
 
     /// Returns whether a listed entry is older than what is known of the runner. A
-    /// process that drains never accepts requests again. A start is earlier than the known one
-    /// also if the clock of the runner stepped back, unless the store was restored.
-    fn is_outdated(&self, listed: &Entry, is_restored: bool) -> bool {
+    /// process that drains never accepts requests again.
+    fn is_outdated(&self, listed: &Entry) -> bool {
         self.entries.get(&listed.runner).is_some_and(|known| {
-            let is_older_copy = is_restored || self.kept.contains(&listed.runner);
-            (listed.started_at < known.started_at && is_older_copy)
+            listed.started_at < known.started_at
                 || (listed.started_at == known.started_at
                     && known.state == State::Draining
                     && listed.state == State::Ready)
