Require a witness for a brief answer whose runner was started again

Its runner was killed in the middle of an answer without a length. 6 ms later the next process accepted the connection that is made after the end, and its report named another start than the entry. The answer was brief, so an accepted connection was enough: the process was compared with the entry alone, and neither it nor the one before was listed.

A report that names another start than is listed shows that the runner was started again, perhaps just now. Such an answer now needs a connection that was open beside it, as a longer one does. A process that was reached before the end still speaks for its answer.

--- a/crates/edge/src/edge/ends.rs
+++ b/crates/edge/src/edge/ends.rs
@@ -354,6 +354,7 @@
         let mut evidence = Evidence {
             contact: ending.contact,
             has_report: ending.has_report(),
+            is_replaced: ending.is_replaced(),
             has_witness: false,
             lost_witness: self.endings.has_loss(ending),
             is_brief: ending.is_brief,
--- a/crates/edge/src/ending.rs
+++ b/crates/edge/src/ending.rs
@@ -99,6 +99,10 @@
     pub contact: Contact,
     /// Whether a report shows that the process of the answer lived after the end.
     pub has_report: bool,
+    /// Whether the connection made after the end leads to another process than the one that was
+    /// listed when the answer's connection was made. It may have taken the place of that of the
+    /// answer.
+    pub is_replaced: bool,
     /// Whether a connection to the runner that was made beside the answer is open.
     pub has_witness: bool,
     /// Whether such a connection was lost when the answer ended.
@@ -116,7 +120,8 @@
     /// Returns whether the answer counts as complete.
     ///
     /// A brief answer counts as complete if the runner accepts a connection and none was
-    /// lost: there was hardly time for its process to die. Any other one needs a witness.
+    /// lost: there was hardly time for its process to die. Any other one needs a witness, and
+    /// so does one of a runner that is known to have been started again.
     pub fn shows_complete(&self) -> bool {
         if self.was_reset || self.is_past_deadline {
             return false;
@@ -125,7 +130,9 @@
             return true;
         }
         match self.contact {
-            Contact::Accepted => self.has_witness || (self.is_brief && !self.lost_witness),
+            Contact::Accepted => {
+                self.has_witness || (self.is_brief && !self.lost_witness && !self.is_replaced)
+            }
             // A runner also resets connections above its limit.
             Contact::Closed => self.has_witness,
             Contact::Pending | Contact::Refused | Contact::Silent | Contact::Failed => false,
@@ -196,6 +203,12 @@
         }
     }
 
+    /// Returns whether a process that has reported after the end may have taken the place of that
+    /// of the answer.
+    pub fn is_replaced(&self) -> bool {
+        self.reported == Some(Process::Other) && !self.has_report()
+    }
+
     /// Returns whether a connection that was made at this time and is open shows that the
     /// process of the answer lives.
     pub fn is_witnessed_by(&self, established_at: Time) -> bool {
--- a/tests/all/edge/ends.rs
+++ b/tests/all/edge/ends.rs
@@ -20,7 +20,10 @@
     Route, Router, Runner, Store, asks_for_report, connect, header, read_message, report, respond,
     respond_with_body, send_raw, wait_until,
 };
-use super::{EVENT_STREAM_FIELDS, decode_chunks, entry, events, request, start_router};
+use super::{
+    EVENT_STREAM_FIELDS, decode_chunks, entry, events, manifest, request, start_router,
+    start_routers,
+};
 
 /// Environment variable that makes [`runner_process`] serve: the pause before the second
 /// half of an answer in ms.
@@ -635,3 +638,56 @@
         assert!(!response.contains("HTTP/1.1 200 "), "{response}");
     }
 }
+
+/// Runner that ends in the middle of each answer, with all its connections. The next process
+/// accepts connections at once, and names a start of its own.
+fn start_ending_runner() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let open: Arc<Mutex<(u64, Vec<TcpStream>)>> = Arc::new(Mutex::new((2, Vec::new())));
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let open = open.clone();
+            let start = {
+                let mut process = open.lock().expect("no thread panicked");
+                process.1.push(stream.try_clone().expect("a descriptor"));
+                process.0
+            };
+            thread::spawn(move || {
+                while let Some((head, _)) = read_message(&mut stream) {
+                    if asks_for_report(&head) {
+                        report(&mut stream, start);
+                        continue;
+                    }
+                    let mut process = open.lock().expect("no thread panicked");
+                    respond(&mut stream, &head, 200, "", "first half, ");
+                    process.0 += 1;
+                    for connection in process.1.drain(..) {
+                        let _ = connection.shutdown(Shutdown::Both);
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// The entry is of a process before; those that answer are not listed.
+#[test]
+fn an_answer_is_not_complete_if_another_process_than_is_listed_accepts_connections_after_its_end() {
+    let store = Store::start();
+    store.put("config", "main", manifest(1, &["k1"]));
+    let mut value = entry(start_ending_runner(), "s").expect("an entry");
+    value["born"] = json!(1);
+    store.put("servers", "i-0", Some(value));
+    let router = start_routers(&store, 1).remove(0);
+    for _ in 0..5 {
+        let response = send_raw(router.callers, &request("POST", "/once/x", "", ""));
+        assert!(
+            !response.contains("HTTP/1.1 200 "),
+            "{response} {}",
+            router.log()
+        );
+        thread::sleep(Duration::from_millis(200));
+    }
+}
