Refuse a request that waits while its caller can still read the refusal

Callers that had 0.85 to 1.0 s for a request of an overloaded service got no answer at all: they left at their deadline, while the request waited.

Cause: a wait ended at 1.2 times the route's latency target or at the deadline, whichever came first. The router counts the deadline from the arrival, so it is later than the caller's own, and a refusal that falls due then reaches nobody. With a target of 800 ms the wait was up to 960 ms.

Ruled out: connections that are not accepted, and idle runners. From 20 s on the service serves 95 to 100 requests a second, which is what 6 slots can.

Change: a wait takes at most half of the time that the caller has left when the wait begins, also that of a retry after a failed attempt. The refusal (or 504, if the request may have run) then leaves as much time as the wait took. Requests whose time left is more than 2.4 times the target wait as before; so do answers that have begun. The check of the queue's length uses the same limit.

Open: Retry-After of such a refusal is 700 ms, which may be more than the caller has left.

--- a/crates/schedule/src/scheduler/attempt.rs
+++ b/crates/schedule/src/scheduler/attempt.rs
@@ -7,7 +7,6 @@
 use crate::parts::{Keys, Verdict};
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
-use crate::request::Request;
 use crate::runner::{Disconnect, Start};
 use crate::scheduler::Scheduler;
 
@@ -20,6 +19,10 @@
 /// target: an answer after the target still has some value to the caller.
 const WITHIN_SHARE_WAIT_PERCENT: u64 = 120;
 
+/// Divisor of the time left to the caller that yields the longest wait. It leaves the caller
+/// as much time for a retry as the wait took. A refusal at the deadline would reach nobody.
+const TIME_LEFT_WAIT_DIVISOR: u64 = 2;
+
 /// Retry delay given to callers of a service without runners.
 const RETRY_AFTER_NO_RUNNER: Span = Span(1000);
 
@@ -273,8 +276,7 @@
         let pending = &self.pending[&id];
         let request = &pending.request;
         let priority = self.priority(pending);
-        let wait_end = pending.waiting_since + max_wait(request, priority);
-        let wait_end = wait_end.min(request.deadline);
+        let wait_end = pending.waiting_since + max_wait(pending, priority);
         // An answer that has begun can only be continued or cut off, so such a
         // request waits until its deadline.
         let is_wait_over = now >= wait_end && !pending.answer_begun;
@@ -418,14 +420,17 @@
     }
 }
 
-/// Returns the time that a request may wait for a runner.
-pub(super) fn max_wait(request: &Request, priority: Priority) -> Span {
-    match priority {
-        Priority::WithinShare => Span(request.latency_target.0 * WITHIN_SHARE_WAIT_PERCENT / 100),
+/// Returns the time from the start of its wait that a request may wait for a runner.
+pub(super) fn max_wait(pending: &Pending, priority: Priority) -> Span {
+    let request = &pending.request;
+    let by_target = match priority {
+        Priority::WithinShare => request.latency_target.0 * WITHIN_SHARE_WAIT_PERCENT / 100,
         Priority::Behind | Priority::Surplus | Priority::Ahead => {
-            Span(request.latency_target.0 / SURPLUS_WAIT_DIVISOR)
+            request.latency_target.0 / SURPLUS_WAIT_DIVISOR
         }
-    }
+    };
+    let time_left = request.deadline.since(pending.waiting_since);
+    Span(by_target.min(time_left.0 / TIME_LEFT_WAIT_DIVISOR))
 }
 
 /// Time at which a service accepts requests.
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -326,7 +326,7 @@
             return;
         }
         let priority = self.priority(&pending);
-        let max_wait = max_wait(&pending.request, priority);
+        let max_wait = max_wait(&pending, priority);
         let is_limited = self.is_limited(now, &service);
         let queue = self.queues.entry(service.clone()).or_default();
         let is_scarce = priority != Priority::WithinShare || is_limited;
