--- a/crates/schedule/src/scheduler/begin.rs
+++ b/crates/schedule/src/scheduler/begin.rs
@@ -26,7 +26,8 @@
     /// for other requests.
     ///
     /// Runners of unknown version take part if no other one accepts requests, or none has had room
-    /// for long, and other routers can have heard of that. Those of new versions take part if no other one has room, once other routers can have heard of them.
+    /// for long, and other routers can have heard of that. Those of new versions take part if no
+    /// other one has room, once other routers can have heard of them.
     pub(super) fn choose_beginning<F>(
         &self,
         now: Time,
--- a/crates/schedule/src/scheduler/mod.rs
+++ b/crates/schedule/src/scheduler/mod.rs
@@ -26,7 +26,6 @@
 use crate::parts::Parts;
 use crate::pending::{Dispatch, Pending, Stage};
 use crate::place::Priority;
-use crate::process::Naming;
 use crate::queue::{Flow, Queue, flow};
 use crate::rate::Rates;
 use crate::request::Request;
@@ -356,27 +355,6 @@
         }
     }
 
-    /// Records that bytes of the request may have reached its runner. The version of a process
-    /// that should have named its start, and did not, is unknown.
-    pub fn record_write(&mut self, id: Id) {
-        if let Some(Pending {
-            stage: Stage::Dispatched(dispatch),
-            ..
-        }) = self.pending.get_mut(&id)
-        {
-            dispatch.written = true;
-            let target = self.targets.get(&dispatch.runner);
-            let is_unknown = target.is_some_and(|target| match target.naming() {
-                Naming::Silent => true,
-                Naming::Unknown | Naming::Named => dispatch.may_be_unknown,
-                Naming::Unnamed => false,
-            });
-            if is_unknown && !dispatch.is_verified {
-                dispatch.software = Software::unknown();
-            }
-        }
-    }
-
     /// Records that the answer of a request is not read, because its caller does not read,
     /// or is read again. The silence until then is not the runner's.
     pub fn set_read_paused(&mut self, now: Time, id: Id, is_read_paused: bool) {
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -103,6 +103,27 @@
             || (is_known && pending.fits(&dispatch.software_that_answers(listed, is_current)))
     }
 
+    /// Records that bytes of the request may have reached its runner. The version of a process
+    /// that should have named its start, and did not, is unknown.
+    pub fn record_write(&mut self, id: Id) {
+        if let Some(Pending {
+            stage: Stage::Dispatched(dispatch),
+            ..
+        }) = self.pending.get_mut(&id)
+        {
+            dispatch.written = true;
+            let target = self.targets.get(&dispatch.runner);
+            let is_unknown = target.is_some_and(|target| match target.naming() {
+                Naming::Silent => true,
+                Naming::Unknown | Naming::Named => dispatch.may_be_unknown,
+                Naming::Unnamed => false,
+            });
+            if is_unknown && !dispatch.is_verified {
+                dispatch.software = Software::unknown();
+            }
+        }
+    }
+
     /// Records that a connection to a runner without a request, established at `opened_at`,
     /// ended although the runner had announced to keep it longer.
     pub fn record_early_end(&mut self, now: Time, runner: &Runner, opened_at: Time) {
