End the silence of a process that closes the connection of its report

Its only request was not sent and asked again.

Such a report now ends the silence, and the doubt about its service, as one on a connection that goes on does. It still says nothing of the connection that the request then goes over.

--- a/crates/edge/src/edge/identify.rs
+++ b/crates/edge/src/edge/identify.rs
@@ -121,7 +121,9 @@
         }
         match (identity, process) {
             (None, _) => self.scheduler.record_silence(now, &runner),
-            (Some(_), Process::Listed) if !is_reusable => {}
+            (Some(_), Process::Listed) if !is_reusable => {
+                self.scheduler.record_listed(now, &runner);
+            }
             (Some(identity), _) if identity.is_failed && is_listed => {
                 self.scheduler.record_silence(now, &runner);
             }
--- a/crates/schedule/src/scheduler/restart.rs
+++ b/crates/schedule/src/scheduler/restart.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Records that the process of a runner has named the listed start on a connection that no
+    /// request goes over.
+    pub fn record_listed(&mut self, now: Time, runner: &Runner) {
+        self.settled.clear();
+        if let Some(target) = self.targets.get_mut(runner) {
+            target.record_process(now, Process::Listed);
+            self.doubts.end(&target.entry.service);
+        }
+    }
+
     /// Records that a runner sent no report in time over a new connection.
     pub fn record_silence(&mut self, now: Time, runner: &Runner) {
         self.settled.clear();
--- a/crates/schedule/tests/unnamed.rs
+++ b/crates/schedule/tests/unnamed.rs
@@ -233,3 +233,16 @@
     // Not before other routers can have heard that the entry does not follow.
     assert!(began_at.is_some_and(|ms| ms >= 8000), "{began_at:?}");
 }
+
+/// The report ends its connection, so the request goes over another one.
+#[test]
+fn a_process_that_names_its_start_on_a_connection_that_it_closes_is_not_silent_any_more() {
+    let [mut router]: [Scheduler; 1] = routers();
+    router.set_runner(NOW, listed("x", "old", 1));
+    router.record_silence(NOW, &common::runner("x"));
+    router.submit(NOW, 1, begin(NOW, 1));
+    assert_eq!(sends(&router.take_actions()), [(1, "x".to_owned())]);
+    assert!(!router.may_send(NOW, 1));
+    router.record_listed(NOW, &common::runner("x"));
+    assert!(router.may_send(NOW, 1));
+}
