Use an address that no test listens at for a router that is gone

By its output a server answered at the address of router-gone ("protocol version 123 is not supported", 123 is the first byte of a JSON object): the test closed a listener on a free port of 127.0.0.1, and a server of another test got that port.

The router that is gone now has a loopback address of its own, as the tests' routers do, and a fixed port at which nothing listens. The assertions are unchanged.

Not shown by a run that forces the port to be taken.

--- a/tests/all/apply.rs
+++ b/tests/all/apply.rs
@@ -1,13 +1,15 @@
 //! `balsamchute apply`: concurrent changes, lost responses, outages and `--wait`.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use balsamchute_base::prelude::*;
 use balsamchute_standin::platform::{Instance, Kind, Platform, State};
 use balsamchute_wire::codec;
 use balsamchute_wire::config::{Document, Stamp};
 
-use crate::command::{INVENTORY, Run, TempDir, run, start, start_platform, wait_for_exit};
+use crate::command::{
+    INVENTORY, Run, TempDir, run, start, start_platform, unused_loopback_ip, wait_for_exit,
+};
 
 fn stored_document(platform: &Platform) -> Document {
     let (version, bytes) = platform
@@ -160,6 +162,9 @@
     });
 }
 
+/// Port of an address at which nothing listens, below the ephemeral port range of the system.
+const CLOSED_PORT: u16 = 7311;
+
 /// `--wait` must not wait for a listed router whose process has exited, and must name
 /// the routers that still have an older version in force.
 #[test]
@@ -167,13 +172,9 @@
     let dir = TempDir::new("wait");
     let platform = start_platform();
     platform.set_list_age(Span(0));
-    let closed = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    register_router(
-        &platform,
-        "router-gone",
-        closed.local_addr().expect("an address"),
-    );
-    drop(closed);
+    // A free port of 127.0.0.1 may go to a server of another test.
+    let closed = SocketAddr::new(unused_loopback_ip(), CLOSED_PORT);
+    register_router(&platform, "router-gone", closed);
     start_router(&platform, "router-ahead", 9);
     let file = dir.write("all.yaml", INVENTORY);
     let done = run_apply(&platform, &file, &["--wait"]);
